--- /dev/null
+++ b/waxwingglade/follow/__init__.py
@@ -0,0 +1,1 @@
+"""Following the surroundings: configuration, targets and the ledger's members."""
--- /dev/null
+++ b/waxwingglade/follow/feed.py
@@ -0,0 +1,184 @@
+"""Pass what is known of the surroundings from process to process.
+
+Replicas of the ledger follow the store; entries, and replicas that the store turns away, follow a
+replica.  Whoever asks says what it knows already, and is answered as soon as there is more.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from loguru import logger
+
+from waxwingglade.base import Clock, WaxwinggladeError, ZoneId, monotonic
+from waxwingglade.base.tasks import start_task
+from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.model import EMPTY_VIEW, Replica, View
+
+FRESH_S = 1.0
+"""Age in seconds up to which a view is good enough.  Changes must be in force after two seconds, so
+half of that is left for finding another source."""
+
+WAIT_S = 0.5
+"""Seconds that an answer may wait for news; it is also the sign of life of the source."""
+
+ANSWER_S = 0.3
+"""Seconds beyond the wait after which a source is taken for lost."""
+
+SOURCE_PAUSE_S = 0.1
+
+Ask = Callable[[str, Follow, float], Awaitable[Followed]]
+
+
+class Beliefs:
+    """The view of a process, and how old it is.
+
+    Parameters
+    ----------
+    clock : Clock
+        Monotonic seconds.
+    """
+
+    def __init__(self, clock: Clock = monotonic) -> None:
+        self.clock = clock
+        self.view = EMPTY_VIEW
+        self.confirmed_at = float("-inf")
+        self.listeners: list[Callable[[View], None]] = []
+        self.news = asyncio.Event()
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the store confirmed the view, by whatever way that was learnt."""
+        return self.clock() - self.confirmed_at
+
+    @property
+    def fresh(self) -> bool:
+        """Whether the view is as new as it needs to be."""
+        return self.age_s <= FRESH_S
+
+    def merge(self, view: View, confirmed_at: float) -> None:
+        """Take in what is newer."""
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        merged = self.view.merged(view)
+        if merged is self.view:
+            return
+        before, self.view = self.view, merged
+        if before.version != merged.version:
+            logger.bind(
+                version=merged.version, before=before.version, age_s=round(self.age_s, 2)
+            ).info("configuration in force")
+        self.news.set()
+        self.news = asyncio.Event()
+        for listener in self.listeners:
+            listener(merged)
+
+    async def answer(self, message: Follow) -> Followed:
+        """Answer a process that follows this one."""
+        news = self.view.since(message.version, message.targets_revision, message.epoch)
+        if not _has_news(news, message) and message.wait_s > 0:
+            try:
+                async with asyncio.timeout(message.wait_s):
+                    await self.news.wait()
+            except TimeoutError:
+                pass
+            news = self.view.since(message.version, message.targets_revision, message.epoch)
+        return Followed(news, max(0.0, min(self.age_s, 1e6)))
+
+
+def _has_news(view: View, message: Follow) -> bool:
+    return (
+        view.configuration is not None
+        or view.targets.revision > message.targets_revision
+        or view.replicas.epoch > message.epoch
+    )
+
+
+class FeedFollower:
+    """Follow another process, the nearest that knows enough.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        Where what is learnt goes.
+    sources : callable
+        The processes to follow, the nearest first.
+    ask : callable
+        Sends a request to an address; raises `WaxwinggladeError` if there is no answer.
+    needed : callable
+        Whether to follow at all at present.
+    """
+
+    def __init__(
+        self,
+        beliefs: Beliefs,
+        sources: Callable[[], list[Replica]],
+        ask: Ask,
+        needed: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.beliefs = beliefs
+        self.sources = sources
+        self.ask = ask
+        self.needed = needed
+        self.tried = 0
+        self.source = ""
+        self.good = False
+        self.task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.task = start_task(self._follow())
+
+    async def stop(self) -> None:
+        """Stop to follow."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    @property
+    def exhausted(self) -> bool:
+        """Whether no source knows enough: all of them were tried in vain."""
+        return not self.good and self.tried >= len(self.sources())
+
+    async def _follow(self) -> None:
+        while True:
+            sources = self.sources()
+            if not sources or not self.needed():
+                self.tried += not sources
+                await asyncio.sleep(SOURCE_PAUSE_S)
+                continue
+            source = sources[self.tried % len(sources)]
+            self.good = await self._ask(source)
+            if self.good:
+                if self.tried and source.address != self.source:
+                    logger.bind(source=source.vm).info("following")
+                self.source = source.address
+                self.tried = self.tried % len(sources)
+                continue
+            self.tried += 1
+            await asyncio.sleep(SOURCE_PAUSE_S if self.tried % len(sources) == 0 else 0)
+
+    async def _ask(self, source: Replica) -> bool:
+        """Ask one source; return whether it knows enough."""
+        view = self.beliefs.view
+        wait_s = WAIT_S if source.address == self.source else 0.0
+        message = Follow(view.version, view.targets.revision, view.replicas.epoch, wait_s)
+        asked_at = self.beliefs.clock()
+        try:
+            answer = await self.ask(source.address, message, wait_s + ANSWER_S)
+        except WaxwinggladeError as error:
+            if source.address == self.source:
+                logger.bind(source=source.vm, reason=str(error)).warning("source lost")
+                self.source = ""
+            return False
+        confirmed_at = self.beliefs.clock() - answer.age_s
+        if wait_s == 0.0:
+            confirmed_at = asked_at - answer.age_s
+        self.beliefs.merge(answer.view, confirmed_at)
+        return answer.age_s <= FRESH_S
+
+
+def nearest_first(replicas: tuple[Replica, ...], zone: ZoneId, key: str) -> list[Replica]:
+    """Return replicas with those of a zone first; `key` spreads their followers over the others."""
+    return sorted(replicas, key=lambda replica: (replica.zone != zone, hash((key, replica.disk))))
+
+
+__all__ = ["FRESH_S", "Beliefs", "FeedFollower", "nearest_first"]
--- /dev/null
+++ b/waxwingglade/follow/watcher.py
@@ -0,0 +1,324 @@
+"""Follow the store: configuration, targets and the ledger's members, with few calls.
+
+One task follows each part.  Operators and members change their keys rarely, so their watches wait
+long; targets write a sign of life every second or so, so that watch is paced and takes the changes
+of a while in one call.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from waxwingglade.base import Clock, FormatError, monotonic
+from waxwingglade.base.tasks import start_task
+from waxwingglade.follow.model import (
+    EMPTY_VIEW,
+    Configuration,
+    ReplicaSet,
+    Revision,
+    Target,
+    TargetList,
+    View,
+)
+from waxwingglade.follow.store import HistoryGone, Item, Listing, Store, StoreUnavailable
+
+TARGETS_PACE_S = 0.4
+"""Seconds between watches of the targets; a fifth of the two seconds within which a target that
+leaves must get no more work."""
+
+TARGETS_WAIT_S = 1.0
+"""Seconds that a watch of the targets waits; its answer also shows that the store is there."""
+
+QUIET_WAIT_S = 5.0
+"""Seconds that a watch of rarely changed keys waits."""
+
+RETURN_S = 2.2
+"""Seconds after an outage of the store for which a target that is missing may still come back;
+targets that live have registered again within two seconds."""
+
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+"""Pause after a failed call, doubled up to the longest: calls are priced when they fail, too."""
+
+
+class Keys(msgspec.Struct, frozen=True):
+    """Where things lie in the store, and how their values are read.
+
+    Parameters
+    ----------
+    configuration : str
+        Key of the operators' configuration.
+    operators, targets, own : str
+        Prefixes of what operators, targets and this system write.
+    replicas : str
+        Key of the ledger's members.
+    retire : str
+        Prefix of orders to empty a VM.
+    """
+
+    configuration: str
+    operators: str
+    targets: str
+    own: str
+    replicas: str
+    retire: str
+    decode_configuration: Callable[[bytes], Configuration]
+    decode_target: Callable[[str, bytes], Target]
+
+
+class Watcher:
+    """One process's own view of the store.
+
+    Parameters
+    ----------
+    store : Store
+        The store.
+    keys : Keys
+        Where things lie.
+    changed : callable
+        Called after each change of the view.
+    clock : Clock
+        Monotonic seconds.
+
+    Attributes
+    ----------
+    view : View
+        What is believed.
+    checked_at : float
+        When the store last confirmed the targets; -inf before.
+    retiring : dict
+        VMs that operators want emptied, with the revision of the order.
+    replicas_revision : Revision
+        Revision of the key of the ledger's members, for a change of it.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        keys: Keys,
+        changed: Callable[[], None] = lambda: None,
+        clock: Clock = monotonic,
+    ) -> None:
+        self.store = store
+        self.keys = keys
+        self.changed = changed
+        self.clock = clock
+        self.view = EMPTY_VIEW
+        self.checked_at = float("-inf")
+        self.config_checked_at = float("-inf")
+        self.retiring: dict[str, Revision] = {}
+        self.replicas_revision = Revision(0)
+        self.replicas_known = asyncio.Event()
+        self.targets: dict[str, Target] = {}
+        self.missing: dict[str, float] = {}
+        self.outage_until = float("-inf")
+        self.in_outage: set[str] = set()
+        self.tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Begin to follow."""
+        keys = self.keys
+        self.tasks = [
+            start_task(self._follow(keys.operators, QUIET_WAIT_S, 0.0, self._take_operators)),
+            start_task(self._follow(keys.own, QUIET_WAIT_S, 0.0, self._take_own)),
+            start_task(
+                self._follow(keys.targets, TARGETS_WAIT_S, TARGETS_PACE_S, self._take_targets)
+            ),
+        ]
+
+    async def stop(self) -> None:
+        """Stop to follow."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.tasks = []
+
+    @property
+    def confirmed_at(self) -> float:
+        """When the store last confirmed the targets, once the configuration was read too."""
+        if self.view.configuration is None:
+            return float("-inf")
+        return self.checked_at
+
+    async def _follow(
+        self, prefix: str, wait_s: float, pace_s: float, take: Callable[[Listing, bool], None]
+    ) -> None:
+        """Keep one prefix up to date: a listing, then watches from its revision."""
+        revision: Revision | None = None
+        pause_s = FIRST_PAUSE_S
+        while True:
+            try:
+                revision = await self._step(prefix, revision, wait_s, take)
+            except HistoryGone as error:
+                logger.bind(prefix=prefix).info("history gone, reading anew: {}", error)
+                revision = None
+                continue
+            except StoreUnavailable as error:
+                self._note_outage(prefix, str(error))
+                await asyncio.sleep(pause_s * (0.5 + random.random()))
+                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+                continue
+            pause_s = FIRST_PAUSE_S
+            self._note_answer(prefix)
+            if pace_s:
+                await asyncio.sleep(pace_s)
+
+    async def _step(
+        self,
+        prefix: str,
+        revision: Revision | None,
+        wait_s: float,
+        take: Callable[[Listing, bool], None],
+    ) -> Revision:
+        asked_at = self.clock()
+        if revision is None:
+            listing = await self.store.list(prefix)
+            self._note_answer(prefix)
+            take(listing, True)
+            self._note_checked(prefix, asked_at)
+            return listing.revision
+        events = await self.store.watch(prefix, revision, wait_s)
+        self._note_answer(prefix)
+        take(events, False)
+        self._note_checked(prefix, self.clock())
+        return max(revision, events.revision)
+
+    def _note_checked(self, prefix: str, at: float) -> None:
+        if prefix == self.keys.targets:
+            self.checked_at = at
+        if prefix == self.keys.operators:
+            self.config_checked_at = at
+
+    def _note_outage(self, prefix: str, reason: str) -> None:
+        if not self.in_outage:
+            logger.bind(prefix=prefix, reason=reason).warning("store lost")
+        self.in_outage.add(prefix)
+
+    def _note_answer(self, prefix: str) -> None:
+        if prefix not in self.in_outage:
+            return
+        self.in_outage.discard(prefix)
+        self.outage_until = self.clock()
+        if not self.in_outage:
+            logger.info("store regained")
+
+    # What operators wrote
+
+    def _take_operators(self, listing: Listing, whole: bool) -> None:
+        if whole:
+            self.retiring = {}
+        for item in listing.items:
+            if item.key == self.keys.configuration:
+                self._take_configuration(item)
+            elif item.key.startswith(self.keys.retire):
+                self._take_retirement(item)
+
+    def _take_configuration(self, item: Item) -> None:
+        if item.value is None:
+            return
+        try:
+            configuration = self.keys.decode_configuration(item.value)
+        except FormatError as error:
+            logger.error("configuration at revision {} not read: {}", item.revision, error)
+            return
+        self._replace(self.view.merged(View(configuration)))
+
+    def _take_retirement(self, item: Item) -> None:
+        vm = item.key.removeprefix(self.keys.retire)
+        if item.value is None:
+            self.retiring.pop(vm, None)
+            return
+        if vm not in self.retiring:
+            logger.bind(vm=vm, revision=item.revision).info("VM is to be emptied")
+        self.retiring[vm] = item.revision
+        self.changed()
+
+    # What this system wrote
+
+    def _take_own(self, listing: Listing, whole: bool) -> None:
+        for item in listing.items:
+            if item.key == self.keys.replicas and item.value is not None:
+                self.take_replicas(item)
+        self.replicas_known.set()
+
+    def take_replicas(self, item: Item) -> None:
+        """Take in what the key of the ledger's members holds."""
+        if item.value is None or item.revision < self.replicas_revision:
+            return
+        try:
+            replicas = msgspec.json.decode(item.value, type=ReplicaSet)
+        except msgspec.DecodeError as error:
+            logger.error("members at revision {} not read: {}", item.revision, error)
+            return
+        self.replicas_revision = item.revision
+        self._replace(self.view.merged(View(replicas=replicas)))
+
+    # What targets wrote
+
+    def _take_targets(self, listing: Listing, whole: bool) -> None:
+        now = self.clock()
+        before = dict(self.targets)
+        if whole:
+            present = {item.key for item in listing.items}
+            for key in list(self.targets):
+                if key not in present:
+                    self._lose(key, now)
+        for item in listing.items:
+            if item.value is None:
+                self._lose(item.key, now)
+            else:
+                self._keep(item)
+        for key, until in list(self.missing.items()):
+            if now >= until:
+                self.missing.pop(key)
+                self.targets.pop(key, None)
+        if self.targets != before or not self.view.targets.revision:
+            targets = TargetList(listing.revision, tuple(self.targets.values()))
+            self._log_targets(before)
+            self._replace(self.view.merged(View(targets=targets)))
+
+    def _keep(self, item: Item) -> None:
+        assert item.value is not None
+        try:
+            target = self.keys.decode_target(item.key, item.value)
+        except FormatError as error:
+            logger.error("target not read: {}", error)
+            return
+        self.missing.pop(item.key, None)
+        self.targets[item.key] = target
+
+    def _lose(self, key: str, now: float) -> None:
+        """Drop a target, unless its entry may only have lapsed while the store was away."""
+        target = self.targets.get(key)
+        if target is None or key in self.missing:
+            return
+        if not target.leaving and now - self.outage_until < RETURN_S:
+            self.missing[key] = self.outage_until + RETURN_S
+            return
+        del self.targets[key]
+
+    def _log_targets(self, before: dict[str, Target]) -> None:
+        for key in before.keys() - self.targets.keys():
+            logger.bind(target=before[key].target).info("target gone")
+        for key, target in self.targets.items():
+            old = before.get(key)
+            if old is None:
+                logger.bind(target=target.target, service=target.service).info("target new")
+            elif target.leaving and not old.leaving:
+                logger.bind(target=target.target).info("target leaving")
+
+    def _replace(self, view: View) -> None:
+        if view is self.view:
+            return
+        if view.version != self.view.version:
+            logger.bind(version=view.version, before=self.view.version).info("configuration")
+        if view.replicas.epoch != self.view.replicas.epoch:
+            members = [member.vm for member in view.replicas.members]
+            logger.bind(epoch=view.replicas.epoch, members=members).info("ledger members")
+        self.view = view
+        self.changed()
+
+__all__ = ["Keys", "Watcher"]
--- /dev/null
+++ b/waxwingglade/ingress/attempt.py
@@ -0,0 +1,213 @@
+"""One sending of a call to a target, and what is known afterwards."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from waxwingglade.base import TargetId, Verdict
+from waxwingglade.follow.model import Service
+from waxwingglade.ingress.balance import Balancer, Choice
+from waxwingglade.ingress.dialect import AnswerFacts, Call, Dialect, Send
+from waxwingglade.transport import (
+    Broken,
+    ConnectionPool,
+    Http1Connection,
+    HttpRequest,
+    HttpResponse,
+    NotConnected,
+)
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+"""Largest body of an answer that is held in memory before it is passed on."""
+
+MAX_CONNECT_FAILURES = 3
+"""Targets that could not be reached before a call is given up; nothing was sent to them."""
+
+_PROMISES = (408, 421, 429, 503)
+"""Statuses that tell the caller that the request did not run."""
+
+
+class AttemptRecord(msgspec.Struct, omit_defaults=True):
+    """What is logged of one sending."""
+
+    target: TargetId
+    load: float
+    load_age_s: float
+    verdict: Verdict | None = None
+    status: int = 0
+    reason: str = ""
+    seconds: float = 0.0
+
+
+class Head(msgspec.Struct):
+    """The head of a target's answer, and the connection with the rest."""
+
+    choice: Choice
+    connection: Http1Connection
+    response: HttpResponse
+    facts: AnswerFacts
+    record: AttemptRecord
+    sent_at: float
+
+
+class NotTaken(Exception):
+    """A target did not run the call; another may be asked."""
+
+
+class MayHaveRun(Exception):
+    """A target broke off, and may have run the call."""
+
+
+class NoTarget(Exception):
+    """No target is left that could be asked."""
+
+
+class Attempts:
+    """Sends one call to targets, one after the other.
+
+    Parameters
+    ----------
+    call : Call
+        The call.
+    service : Service
+        Where it goes.
+    most : int
+        Targets to which it may be sent.
+    time_left : callable
+        Seconds that a target may still work on it.
+    """
+
+    def __init__(
+        self,
+        dialect: Dialect,
+        pool: ConnectionPool,
+        balancer: Balancer,
+        call: Call,
+        service: Service,
+        most: int,
+        time_left: Callable[[], float],
+    ) -> None:
+        self.dialect = dialect
+        self.pool = pool
+        self.balancer = balancer
+        self.call = call
+        self.service = service
+        self.most = most
+        self.time_left = time_left
+        self.records: list[AttemptRecord] = []
+        self.tried: list[TargetId] = []
+        self.sent = 0
+        self.unreachable = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether some target may have run the call."""
+        return any(record.verdict is not Verdict.NOT_RUN for record in self.records)
+
+    @property
+    def may_try(self) -> bool:
+        """Whether the call may be sent once more."""
+        return self.sent < self.most and self.unreachable < MAX_CONNECT_FAILURES
+
+    async def open(self, body: bytes, priority: int | None, last_event: int | None) -> Head:
+        """Send the call to the best target left, and return the head of its answer.
+
+        Raises
+        ------
+        NoTarget
+            If no target is left.
+        NotTaken
+            If the target did not run the call.
+        MayHaveRun
+            If the connection broke after bytes had left.
+        """
+        choice = self.balancer.choose(self.service, self.call, self.tried)
+        if choice is None:
+            raise NoTarget
+        target = choice.target
+        self.tried.append(target.target)
+        record = AttemptRecord(target.target, round(choice.load, 1), round(choice.load_age_s, 2))
+        self.records.append(record)
+        connection = await self._connect(choice, record)
+        send = Send(target.target, self.time_left(), priority, last_event)
+        headers = self.dialect.target_headers(self.call, send)
+        request = HttpRequest(self.call.method, self.call.path, headers, body)
+        sent_at = self.balancer.clock()
+        self.balancer.sent(target.target, self.call)
+        try:
+            self.sent += 1
+            connection.send(request)
+            response = await connection.read_head(self._is_ours)
+        except Broken as error:
+            self.close(choice, connection)
+            self._broken(choice, record, error)
+            raise MayHaveRun(str(error)) from error
+        except BaseException:
+            self.close(choice, connection)
+            raise
+        self.pool.note_timeout(target.address, response)
+        facts = self.dialect.read_answer(response)
+        record.status = response.status
+        self.balancer.heard(target.target, facts.load)
+        head = Head(choice, connection, response, facts, record, sent_at)
+        if facts.not_run:
+            await self._refused(head)
+        return head
+
+    async def _connect(self, choice: Choice, record: AttemptRecord) -> Http1Connection:
+        try:
+            return await self.pool.take(choice.target.address)
+        except NotConnected as error:
+            self.unreachable += 1
+            record.verdict = Verdict.NOT_RUN
+            record.reason = str(error)
+            self.balancer.failed(choice.target.target)
+            raise NotTaken(str(error)) from error
+
+    def _is_ours(self, response: HttpResponse) -> bool:
+        echoed = self.dialect.read_answer(response).request
+        return echoed is None or echoed == self.call.request
+
+    async def _refused(self, head: Head) -> None:
+        """Finish with a target that promises not to run the call."""
+        head.record.verdict = Verdict.NOT_RUN
+        head.record.reason = "refused"
+        try:
+            await head.connection.read_body(MAX_ANSWER_BYTES)
+        except Broken:
+            head.record.reason = "refused, then broken off"
+        finally:
+            self.close(head.choice, head.connection)
+        raise NotTaken(f"status {head.response.status}")
+
+    def _broken(self, choice: Choice, record: AttemptRecord, error: Broken) -> None:
+        record.verdict = Verdict.MAY_HAVE_RUN
+        record.reason = str(error)
+        self.balancer.failed(choice.target.target)
+
+    def broke_off(self, head: Head, error: Exception) -> None:
+        """Note that an answer ended before it was whole."""
+        head.record.verdict = Verdict.MAY_HAVE_RUN
+        head.record.reason = str(error)
+        self.balancer.failed(head.choice.target.target)
+
+    def close(self, choice: Choice, connection: Http1Connection) -> None:
+        """Give a connection back, and count the call as ended there."""
+        self.pool.give_back(choice.target.address, connection)
+        self.balancer.ended(choice.target.target)
+
+
+def promises_not_run(status: int) -> bool:
+    """Return whether a status tells the caller that its request did not run."""
+    return status in _PROMISES
+
+
+__all__ = [
+    "AttemptRecord",
+    "Attempts",
+    "Head",
+    "MayHaveRun",
+    "NoTarget",
+    "NotTaken",
+    "promises_not_run",
+]
--- /dev/null
+++ b/waxwingglade/ingress/entry.py
@@ -0,0 +1,374 @@
+"""An entry on a platform, from start to stop."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from typing import Any
+
+import zmq.asyncio
+from loguru import logger
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPMessageDelegate, HTTPServerConnectionDelegate
+from tornado.netutil import bind_sockets
+
+from waxwingglade.base.logs import Sampler
+from waxwingglade.base.tasks import start_task
+from waxwingglade.follow.feed import Beliefs, FeedFollower, nearest_first
+from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.model import ClientLimits, Replica, View
+from waxwingglade.follow.store import Store, StoreUnavailable
+from waxwingglade.follow.watcher import Keys, Watcher
+from waxwingglade.ingress.attempt import Attempts
+from waxwingglade.ingress.balance import Balancer
+from waxwingglade.ingress.dialect import Dialect
+from waxwingglade.ingress.exchange import CallerGone, Exchange
+from waxwingglade.ingress.routes import RouteTable
+from waxwingglade.ingress.serving import (
+    Refusal,
+    Serving,
+    Trace,
+    is_stream,
+    out_of_time,
+    own_answer,
+    read_call,
+    serve_plain,
+)
+from waxwingglade.ingress.settings import IngressSettings
+from waxwingglade.ingress.streaming import serve_stream
+from waxwingglade.ledger.client import LedgerClient
+from waxwingglade.ledger.messages import LedgerMessage
+from waxwingglade.transport import ConnectionPool
+from waxwingglade.transport.links import Codec, LinkFailed, Links
+
+LOOK_S = 0.2
+"""Seconds between looks at connections, the view's age and the sources of it."""
+
+LOST_AFTER_S = 0.5
+"""Seconds for which no replica knows enough before the entry follows the store itself."""
+
+FIND_PAUSE_S = 0.3
+"""Seconds between reads of the store while no replica is known."""
+
+LINK_IDLE_S = 30.0
+SUCCESSES_LOGGED_PER_S = 20.0
+"""Lines a second for requests that ended well; failures have their own bound."""
+
+FAILURES_LOGGED_PER_S = 50.0
+PRIORITY_STEP = 2
+LAST_PRIORITY = 9
+"""Ranks of routes map to the engines' priorities 2, 4 and so on, up to the last."""
+
+
+class Ingress(HTTPServerConnectionDelegate):
+    """State of an entry.
+
+    Parameters
+    ----------
+    settings : IngressSettings
+        Its settings.
+    store : Store
+        The platform's store, for when no replica can be followed.
+    keys : Keys
+        Where things lie in it.
+    dialect : Dialect
+        What callers and targets speak.
+    """
+
+    def __init__(
+        self, settings: IngressSettings, store: Store, keys: Keys, dialect: Dialect
+    ) -> None:
+        self.settings = settings
+        self.store = store
+        self.keys = keys
+        self.dialect = dialect
+        self.codec = Codec(LedgerMessage)
+        self.context = zmq.asyncio.Context()
+        self.links = Links(self.context, self.codec)
+        self.beliefs = Beliefs()
+        self.beliefs.listeners.append(self._view_changed)
+        self.balancer = Balancer(settings.zone)
+        self.pool = ConnectionPool(settings.connect_timeout_s)
+        self.ledger = LedgerClient(self.links, self.replicas)
+        self.follower = FeedFollower(self.beliefs, self.replicas, self._ask_feed)
+        self.watcher: Watcher | None = None
+        self.table: RouteTable | None = None
+        self.draining = False
+        self.closing = False
+        self.running: set[asyncio.Task] = set()
+        self.callers: HTTPServer | None = None
+        self.ready_server: HTTPServer | None = None
+        self.tasks: list[asyncio.Task] = []
+        self.successes = Sampler(SUCCESSES_LOGGED_PER_S)
+        self.failures = Sampler(FAILURES_LOGGED_PER_S)
+        self.statuses: Counter[int] = Counter()
+
+    # Start and stop
+
+    async def start(self) -> None:
+        """Begin to follow and to serve."""
+        self.callers = self._listen(self, self.settings.callers)
+        self.ready_server = self._listen(ReadyPage(self), self.settings.ready)
+        self.follower.start()
+        self.tasks = [start_task(self._find_replicas()), start_task(self._look_forever())]
+        logger.bind(vm=self.settings.vm, callers=self.settings.callers).info("started")
+
+    def _listen(self, delegate: HTTPServerConnectionDelegate, address: str) -> HTTPServer:
+        limits = ClientLimits()
+        server = HTTPServer(
+            delegate,
+            max_header_size=limits.max_header_bytes,
+            max_body_size=limits.max_body_bytes,
+            idle_connection_timeout=limits.idle_timeout_s,
+        )
+        host, _, port = address.rpartition(":")
+        server.add_sockets(bind_sockets(int(port), host, backlog=1024))
+        return server
+
+    async def drain(self) -> None:
+        """Stop without cutting off a request."""
+        began_at = time.monotonic()
+        self.draining = True
+        logger.bind(running=len(self.running)).info("draining")
+        await asyncio.sleep(self.settings.drain_wait_s)
+        assert self.callers is not None
+        self.closing = True
+        while self.running and time.monotonic() - began_at < self.settings.drain_timeout_s:
+            await asyncio.sleep(0.05)
+        self.callers.stop()
+        logger.bind(running=len(self.running)).info("drained")
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for server in (self.callers, self.ready_server):
+            if server is not None:
+                server.stop()
+                await server.close_all_connections()
+        for task in [*self.tasks, *self.running]:
+            task.cancel()
+        await asyncio.gather(*self.tasks, *self.running, return_exceptions=True)
+        await self.follower.stop()
+        if self.watcher is not None:
+            await self.watcher.stop()
+        await self.links.close()
+        self.pool.close()
+        self.context.term()
+
+    # What is believed
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer should send callers here."""
+        return self.table is not None and not self.draining
+
+    def replicas(self) -> list[Replica]:
+        """Return the ledger's members, the nearest first."""
+        members = self.beliefs.view.replicas.members
+        return nearest_first(members, self.settings.zone, self.settings.vm)
+
+    def _view_changed(self, view: View) -> None:
+        if view.configuration is not None and (
+            self.table is None or self.table.configuration.version != view.version
+        ):
+            self.table = RouteTable(view.configuration)
+            self._use_limits(view.configuration.limits)
+        for target in self.balancer.update(view.targets):
+            self.pool.forget(target.address)
+
+    def _use_limits(self, limits: ClientLimits) -> None:
+        assert self.callers is not None
+        params = self.callers.conn_params
+        params.max_header_size = limits.max_header_bytes
+        params.max_body_size = limits.max_body_bytes
+        params.header_timeout = limits.idle_timeout_s
+
+    async def _ask_feed(self, address: str, message: Follow, timeout_s: float) -> Followed:
+        answer = await self.links.to(address).request(message, timeout_s)
+        if not isinstance(answer, Followed):
+            raise LinkFailed(f"{address} answered with {type(answer).__name__}", sent=True)
+        return answer
+
+    async def _find_replicas(self) -> None:
+        """Read from the store who the ledger's members are, while none is known."""
+        while not self.beliefs.view.replicas.members:
+            await asyncio.sleep(FIND_PAUSE_S * (0.5 + random.random()))
+            reader = Watcher(self.store, self.keys)
+            try:
+                item = await self.store.read(self.keys.replicas)
+            except StoreUnavailable as error:
+                logger.bind(reason=str(error)).info("members not read")
+                continue
+            if item is not None:
+                reader.take_replicas(item)
+                self.beliefs.merge(reader.view, float("-inf"))
+
+    async def _look_forever(self) -> None:
+        lost_at: float | None = None
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self.pool.sweep()
+            await self.links.keep_only(
+                {member.address for member in self.beliefs.view.replicas.members}, LINK_IDLE_S
+            )
+            if not self.follower.exhausted:
+                lost_at = None
+                await self._stop_watcher()
+            elif lost_at is None:
+                lost_at = time.monotonic()
+            elif time.monotonic() - lost_at > LOST_AFTER_S:
+                self._use_watcher()
+
+    def _use_watcher(self) -> None:
+        """Follow the store itself: no replica knows enough."""
+        if self.watcher is None:
+            logger.bind(age_s=round(min(self.beliefs.age_s, 1e6), 2)).warning(
+                "no source, following the store"
+            )
+            self.watcher = Watcher(self.store, self.keys, self._watcher_changed)
+            self.watcher.start()
+        self._watcher_changed()
+
+    def _watcher_changed(self) -> None:
+        if self.watcher is not None:
+            self.beliefs.merge(self.watcher.view, self.watcher.confirmed_at)
+
+    async def _stop_watcher(self) -> None:
+        if self.watcher is not None:
+            watcher, self.watcher = self.watcher, None
+            await watcher.stop()
+            logger.info("following a source again")
+
+    # Serving
+
+    def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
+        """Begin to read a request."""
+        assert isinstance(request_conn, HTTP1Connection)
+        return Exchange(request_conn, self._serve, lambda: self.draining)
+
+    def _serve(self, exchange: Exchange) -> asyncio.Task:
+        task = start_task(self._serve_call(exchange))
+        self.running.add(task)
+        task.add_done_callback(self.running.discard)
+        return task
+
+    async def _serve_call(self, exchange: Exchange) -> None:
+        trace = Trace()
+        serving: Serving | None = None
+        try:
+            serving = read_call(exchange, self.dialect, self.table, trace)
+            await self._serve_in_time(serving)
+        except Refusal as refusal:
+            trace.reason = refusal.reason
+            await self._refuse(exchange, serving, refusal)
+        except CallerGone:
+            trace.reason = "the caller has left"
+        except asyncio.CancelledError:
+            trace.reason = "the caller has left" if exchange.gone else "stopped"
+            raise
+        except Exception:
+            trace.reason = "internal error"
+            exchange.abort()
+            raise
+        finally:
+            self._log(exchange, serving, trace)
+
+    async def _serve_in_time(self, serving: Serving) -> None:
+        left_s = serving.time_left() + self.settings.answer_grace_s
+        attempts = Attempts(
+            self.dialect,
+            self.pool,
+            self.balancer,
+            serving.call,
+            serving.service,
+            serving.route.max_attempts,
+            serving.time_left,
+        )
+        serving.trace.attempts = attempts
+        try:
+            async with asyncio.timeout(left_s):
+                if is_stream(serving.route):
+                    await serve_stream(serving, attempts, self.ledger, self._priority)
+                else:
+                    await serve_plain(serving, attempts, self._priority)
+        except TimeoutError as error:
+            raise out_of_time(attempts) from error
+
+    def _priority(self, serving: Serving) -> int | None:
+        """Return the rank of a call in an engine's queue."""
+        if serving.service.engine is None:
+            return None
+        return min(LAST_PRIORITY, (serving.route.rank + 1) * PRIORITY_STEP)
+
+    async def _refuse(self, exchange: Exchange, serving: Serving | None, refusal: Refusal) -> None:
+        if exchange.answered:
+            exchange.abort()
+            return
+        request = serving.call.request if serving else ""
+        status, headers, body = own_answer(self.dialect, self.settings, request, refusal)
+        try:
+            await exchange.answer(status, headers, body)
+        except CallerGone:
+            return
+
+    def _log(self, exchange: Exchange, serving: Serving | None, trace: Trace) -> None:
+        """Write one line for a call: always bounded, failures with a larger bound."""
+        status = exchange.status
+        self.statuses[status] += 1
+        good = 200 <= status < 300 and not trace.reason
+        sampler = self.successes if good else self.failures
+        if not sampler.allows():
+            return
+        records = trace.attempts.records if trace.attempts else []
+        call = serving.call if serving else None
+        logger.bind(
+            request=call.request if call else "",
+            program=call.program if call else None,
+            route=trace.route,
+            version=trace.version,
+            view_age_s=round(min(self.beliefs.age_s, 1e6), 2),
+            epoch=self.beliefs.view.replicas.epoch,
+            status=status,
+            reason=trace.reason,
+            seconds=round(time.monotonic() - exchange.arrived_at, 4),
+            first_event_s=trace.first_event_s,
+            reserved_s=trace.reserved_s,
+            kept_s=trace.kept_s,
+            events=trace.events,
+            attempts=[
+                {
+                    "target": record.target,
+                    "load": record.load,
+                    "load_age_s": record.load_age_s,
+                    "verdict": record.verdict.value if record.verdict else None,
+                    "status": record.status,
+                    "reason": record.reason,
+                    "seconds": record.seconds,
+                }
+                for record in records
+            ],
+            left_out=sampler.take_left_out(),
+        ).info("request")
+
+
+class ReadyPage(HTTPServerConnectionDelegate):
+    """Answers the balancer: 200 while callers should come here."""
+
+    def __init__(self, ingress: Ingress) -> None:
+        self.ingress = ingress
+
+    def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
+        """Begin to read a question."""
+        return Exchange(request_conn, self._answer, lambda: False)
+
+    def _answer(self, exchange: Exchange) -> asyncio.Task:
+        return start_task(self._write(exchange))
+
+    async def _write(self, exchange: Exchange) -> None:
+        try:
+            await exchange.answer(200 if self.ingress.ready else 503, [], b"")
+        except CallerGone:
+            return
+
+
+__all__ = ["Ingress"]
--- /dev/null
+++ b/waxwingglade/ingress/events.py
@@ -0,0 +1,84 @@
+"""Split a stream of server-sent events without changing a byte of it."""
+
+import msgspec
+
+MAX_EVENT_BYTES = 1024 * 1024
+_DATA = b"data:"
+_ID = b"id:"
+
+
+class StreamError(Exception):
+    """The bytes of a stream are not events."""
+
+
+class Event(msgspec.Struct, frozen=True):
+    """One whole event.
+
+    Parameters
+    ----------
+    raw : bytes
+        Its bytes, with the empty line that ends it.
+    number : int or None
+        Its id, if it has one.
+    data : bytes or None
+        Its data, several lines joined by line feeds; None for an event that carries none.
+    """
+
+    raw: bytes
+    number: int | None
+    data: bytes | None
+
+
+class EventSplitter:
+    """Collects bytes until events are whole."""
+
+    def __init__(self) -> None:
+        self.buffer = bytearray()
+
+    @property
+    def rest(self) -> bool:
+        """Whether bytes of an unfinished event are waiting."""
+        return bool(self.buffer)
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Take in bytes and return the events that are whole now."""
+        self.buffer += data
+        events = []
+        while (end := _end_of_event(self.buffer)) > 0:
+            events.append(parse_event(bytes(self.buffer[:end])))
+            del self.buffer[:end]
+        if len(self.buffer) > MAX_EVENT_BYTES:
+            raise StreamError(f"an event of more than {MAX_EVENT_BYTES} bytes")
+        return events
+
+
+def _end_of_event(buffer: bytearray) -> int:
+    """Return the length of the first event, or 0 if it is not whole."""
+    ends = []
+    for mark in (b"\n\n", b"\r\n\r\n"):
+        at = buffer.find(mark)
+        if at >= 0:
+            ends.append(at + len(mark))
+    return min(ends, default=0)
+
+
+def parse_event(raw: bytes) -> Event:
+    """Read id and data of an event."""
+    number: int | None = None
+    data: list[bytes] = []
+    for line in raw.replace(b"\r\n", b"\n").split(b"\n"):
+        if line.startswith(_DATA):
+            data.append(line[len(_DATA) :].removeprefix(b" "))
+        elif line.startswith(_ID):
+            number = _number(line[len(_ID) :])
+    return Event(raw, number, b"\n".join(data) if data else None)
+
+
+def _number(value: bytes) -> int:
+    try:
+        return int(value)
+    except ValueError as error:
+        raise StreamError(f"event id {value!r}") from error
+
+
+__all__ = ["Event", "EventSplitter", "StreamError", "parse_event"]
--- /dev/null
+++ b/waxwingglade/ingress/routes.py
@@ -0,0 +1,57 @@
+"""Find the route of a request: by host, then by the longest prefix of the path."""
+
+import xxhash
+
+from waxwingglade.follow.model import Configuration, Route, Service, ServiceName
+
+
+class RouteTable:
+    """The routes of one version of the configuration.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The version.
+    """
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self.services: dict[ServiceName, Service] = {
+            service.name: service for service in configuration.services
+        }
+        self.hosts: dict[str, dict[str, Route]] = {}
+        for route in configuration.routes:
+            self.hosts.setdefault(route.host.lower(), {})[route.prefix] = route
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a request, or None."""
+        routes = self.hosts.get(host) or self.hosts.get(host.partition(":")[0])
+        if routes is None:
+            return None
+        path = path.partition("?")[0]
+        end = len(path)
+        while (end := path.rfind("/", 0, end)) >= 0:
+            route = routes.get(path[: end + 1])
+            if route is not None:
+                return route
+        return None
+
+    def service_for(self, route: Route, key: str) -> ServiceName:
+        """Return the service that takes a request of a route.
+
+        A split follows a hash of `key`, so that what belongs together stays together, at every
+        entry.
+        """
+        shares = [share for share in route.shares if share.weight > 0] or list(route.shares)
+        if len(shares) == 1:
+            return shares[0].service
+        total = sum(share.weight for share in shares)
+        point = (xxhash.xxh32_intdigest(f"{route.name}|{key}") / 2**32) * total
+        for share in shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return shares[-1].service
+
+
+__all__ = ["RouteTable"]
--- /dev/null
+++ b/waxwingglade/ingress/serving.py
@@ -0,0 +1,205 @@
+"""Serve one call: find its route, send it on, and give exactly one final answer."""
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from waxwingglade.base import FormatError, Verdict
+from waxwingglade.follow.model import CallKind, Route, Service
+from waxwingglade.ingress.attempt import (
+    MAX_ANSWER_BYTES,
+    Attempts,
+    MayHaveRun,
+    NoTarget,
+    NotTaken,
+    promises_not_run,
+)
+from waxwingglade.ingress.dialect import Call, Dialect
+from waxwingglade.ingress.exchange import Exchange
+from waxwingglade.ingress.routes import RouteTable
+from waxwingglade.ingress.settings import IngressSettings
+from waxwingglade.ledger.messages import TurnId
+from waxwingglade.transport import Broken
+from waxwingglade.transport.http1 import HeaderList
+
+BAD_REQUEST, BUDGET_SPENT, NOT_FOUND = 400, 402, 404
+BAD_GATEWAY, UNAVAILABLE, TIMED_OUT = 502, 503, 504
+
+MIN_SEND_S = 0.01
+"""Seconds of its time that a call must have left to be worth sending."""
+
+
+class Refusal(Exception):
+    """A call ends with an answer of this system's own.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+    reason : str
+        One line for the caller and the log.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+class Trace(msgspec.Struct):
+    """What is logged of one call.
+
+    Parameters
+    ----------
+    version : int
+        Configuration version that it was served under.
+    reason : str
+        Why it ended as it did, where that is not plain from the status.
+    """
+
+    version: int = 0
+    route: str = ""
+    reason: str = ""
+    attempts: Attempts | None = None
+    events: int = 0
+    first_event_s: float | None = None
+    reserved_s: float | None = None
+    kept_s: float | None = None
+
+
+class Serving(msgspec.Struct):
+    """One call, with what decides on it."""
+
+    exchange: Exchange
+    call: Call
+    route: Route
+    service: Service
+    trace: Trace
+    end_at: float
+
+    def time_left(self) -> float:
+        """Return the seconds that are left for a target."""
+        return self.end_at - time.monotonic()
+
+    @property
+    def turn(self) -> TurnId:
+        """Name of the call as a turn."""
+        return TurnId(self.call.request)
+
+
+def read_call(
+    exchange: Exchange, dialect: Dialect, table: RouteTable | None, trace: Trace
+) -> Serving:
+    """Decode a request and find its route; `Refusal` if it cannot be served."""
+    try:
+        call = dialect.read_call(exchange.method, exchange.path, exchange.header_list())
+    except FormatError as error:
+        raise Refusal(BAD_REQUEST, str(error)) from error
+    call.body = exchange.body
+    if table is None:
+        raise Refusal(UNAVAILABLE, "no configuration is known yet")
+    trace.version = table.configuration.version
+    route = table.match(call.host, call.path)
+    if route is None:
+        raise Refusal(NOT_FOUND, "no route")
+    trace.route = route.name
+    key = call.program or call.affinity or call.request
+    name = table.service_for(route, key)
+    service = table.services.get(name) or Service(name)
+    seconds = route.timeout_s
+    if call.deadline_s is not None:
+        seconds = min(seconds, call.deadline_s)
+    return Serving(exchange, call, route, service, trace, exchange.arrived_at + seconds)
+
+
+def own_answer(
+    dialect: Dialect, settings: IngressSettings, request: str, refusal: Refusal
+) -> tuple[int, HeaderList, bytes]:
+    """Return status, headers and body of an answer that this system gives itself."""
+    headers = [*dialect.own_headers(request), ("Content-Type", "text/plain")]
+    if refusal.status == UNAVAILABLE:
+        headers.append(("Retry-After", f"{settings.retry_after_s:.2f}"))
+    return refusal.status, headers, (refusal.reason + "\n").encode()
+
+
+async def serve_plain(
+    serving: Serving, attempts: Attempts, priority: Callable[[Serving], int | None]
+) -> None:
+    """Serve a call whose answer is passed on once it is whole."""
+    route = serving.route
+    while True:
+        if serving.time_left() < MIN_SEND_S:
+            raise out_of_time(attempts)
+        if not attempts.may_try:
+            raise gave_up(attempts)
+        try:
+            head = await attempts.open(serving.call.body, priority(serving), None)
+        except NoTarget as error:
+            raise gave_up(attempts) from error
+        except NotTaken:
+            continue
+        except MayHaveRun as error:
+            if route.idempotent and attempts.may_try:
+                continue
+            raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+        try:
+            body = await head.connection.read_body(MAX_ANSWER_BYTES)
+        except Broken as error:
+            attempts.broke_off(head, error)
+            if route.idempotent and attempts.may_try:
+                continue
+            raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+        finally:
+            attempts.close(head.choice, head.connection)
+        head.record.verdict = Verdict.RAN
+        head.record.seconds = round(attempts.balancer.clock() - head.sent_at, 4)
+        status = head.response.status
+        check_status(status, head.facts.certified)
+        attempts.balancer.succeeded(head.choice.target.target, 1.0, 1.0)
+        await serving.exchange.answer(status, head.response.headers, body)
+        return
+
+
+def check_status(status: int, certified: bool) -> None:
+    """Keep back an answer of a target that would tell the caller something untrue."""
+    if 200 <= status < 300 and not certified:
+        raise Refusal(BAD_GATEWAY, "the target did not vouch for its answer")
+    if promises_not_run(status):
+        # The target did not promise it, so the caller must not be told that the call did not run.
+        raise Refusal(BAD_GATEWAY, f"the target answered {status}")
+
+
+def gave_up(attempts: Attempts) -> Refusal:
+    """Return the final answer of a call that no target took."""
+    if attempts.may_have_run:
+        return Refusal(BAD_GATEWAY, "the target broke off")
+    if not attempts.records:
+        return Refusal(UNAVAILABLE, "no target")
+    return Refusal(UNAVAILABLE, f"not run: {attempts.records[-1].reason}")
+
+
+def out_of_time(attempts: Attempts | None) -> Refusal:
+    """Return the final answer of a call whose time is over."""
+    if attempts is not None and attempts.may_have_run:
+        return Refusal(TIMED_OUT, "the time of the request is over")
+    return Refusal(UNAVAILABLE, "not run: the time of the request is over")
+
+
+def is_stream(route: Route) -> bool:
+    """Return whether the calls of a route are answered by events."""
+    return route.kind is CallKind.STREAM
+
+
+__all__ = [
+    "Refusal",
+    "Serving",
+    "Trace",
+    "check_status",
+    "gave_up",
+    "is_stream",
+    "out_of_time",
+    "own_answer",
+    "read_call",
+    "serve_plain",
+]
--- /dev/null
+++ b/waxwingglade/ingress/settings.py
@@ -0,0 +1,46 @@
+"""Settings of the ingress."""
+
+import msgspec
+
+from waxwingglade.base import ZoneId
+
+
+class IngressSettings(msgspec.Struct, frozen=True):
+    """What an entry on a platform is told; times in seconds.
+
+    Parameters
+    ----------
+    vm : str
+        Name of its VM.
+    zone : ZoneId
+        Its availability zone.
+    callers : str
+        ``IP:PORT`` for callers.
+    ready : str
+        ``IP:PORT`` where the balancer asks whether this entry takes callers.
+    connect_timeout_s : float
+        For a connection to a target.  A round trip takes some 3 ms; an opening packet that was
+        dropped is sent again after a second, so another target is quicker.
+    answer_grace_s : float
+        Beyond a request's time, for the target's own answer that its time is over.
+    drain_wait_s : float
+        After the signal to stop, until the listening socket is closed: the balancer asks once a
+        second and needs two refusals to send callers elsewhere.
+    drain_timeout_s : float
+        After the signal to stop, until the process ends; the platform kills it after its grace.
+    retry_after_s : float
+        After which a caller that was not served may come back.
+    """
+
+    vm: str
+    zone: ZoneId
+    callers: str
+    ready: str
+    connect_timeout_s: float = 0.35
+    answer_grace_s: float = 0.12
+    drain_wait_s: float = 3.2
+    drain_timeout_s: float = 6.5
+    retry_after_s: float = 0.1
+
+
+__all__ = ["IngressSettings"]
--- /dev/null
+++ b/waxwingglade/ingress/streaming.py
@@ -0,0 +1,229 @@
+"""Serve a call that is answered by events, and keep turns and budgets."""
+
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from waxwingglade.base import Verdict
+from waxwingglade.ingress.attempt import (
+    MAX_ANSWER_BYTES,
+    Attempts,
+    Head,
+    MayHaveRun,
+    NoTarget,
+    NotTaken,
+)
+from waxwingglade.ingress.events import Event, EventSplitter, StreamError
+from waxwingglade.ingress.serving import (
+    BAD_GATEWAY,
+    BUDGET_SPENT,
+    MIN_SEND_S,
+    NOT_FOUND,
+    UNAVAILABLE,
+    Refusal,
+    Serving,
+    check_status,
+    gave_up,
+    out_of_time,
+)
+from waxwingglade.ledger.client import LedgerClient
+from waxwingglade.ledger.journal import now_s
+from waxwingglade.ledger.messages import (
+    BeginTurn,
+    BudgetSpent,
+    EndTurn,
+    NoSuchTurn,
+    Turn,
+    TurnBegun,
+)
+from waxwingglade.transport import Broken
+
+OK = 200
+Priority = Callable[[Serving], int | None]
+
+
+class Relay(msgspec.Struct):
+    """What of a stream has reached the caller.
+
+    Parameters
+    ----------
+    events : int
+        Events handed to the caller.
+    last_event : int or None
+        Id of the last one.
+    data : list of bytes
+        Data of the events, for a turn that is kept.
+    """
+
+    events: int = 0
+    last_event: int | None = None
+    data: list[bytes] = msgspec.field(default_factory=list)
+
+
+async def serve_stream(
+    serving: Serving, attempts: Attempts, ledger: LedgerClient, priority: Priority
+) -> None:
+    """Serve a call whose events are passed on as they come."""
+    relay = Relay(last_event=serving.call.last_event if serving.route.resumable else None)
+    prompt = await _begin_turn(serving, ledger)
+    ended = False
+    try:
+        await _relay_attempts(serving, attempts, relay, prompt, priority)
+        if serving.exchange.done:
+            return
+        ended = True
+        await _end_turn(serving, ledger, relay)
+    finally:
+        if not ended:
+            _settle(serving, ledger, relay)
+
+
+async def _begin_turn(serving: Serving, ledger: LedgerClient) -> bytes:
+    """Reserve the turn's tokens, and return the whole prompt."""
+    call = serving.call
+    previous = call.previous_turn if serving.route.keeps_turns else None
+    budget = _budget(serving)
+    if previous is None and budget is None:
+        return call.body
+    message = BeginTurn(
+        serving.turn,
+        call.program if budget is not None else None,
+        call.max_output_tokens,
+        budget or 0,
+        previous,
+    )
+    asked_at = time.monotonic()
+    answer = await ledger.begin(message, serving.time_left())
+    serving.trace.reserved_s = round(time.monotonic() - asked_at, 4)
+    if isinstance(answer, TurnBegun):
+        return b"".join(turn.asked + turn.answered for turn in answer.chain) + call.body
+    if isinstance(answer, BudgetSpent):
+        reason = f"the budget is spent: {answer.spent} used, {answer.reserved} reserved"
+        raise Refusal(BUDGET_SPENT, reason)
+    if isinstance(answer, NoSuchTurn):
+        raise Refusal(NOT_FOUND, "no such turn")
+    _settle(serving, ledger, Relay())
+    raise Refusal(UNAVAILABLE, f"not run: the ledger did not decide: {answer.reason}")
+
+
+def _budget(serving: Serving) -> int | None:
+    return serving.call.token_budget if serving.call.program is not None else None
+
+
+def _end_message(serving: Serving, relay: Relay, keep: bool) -> EndTurn:
+    engine = serving.service.engine
+    used = relay.events * (engine.tokens_per_event if engine else 1)
+    program = serving.call.program if _budget(serving) is not None else None
+    kept = None
+    if keep and serving.route.keeps_turns:
+        previous = serving.call.previous_turn
+        kept = Turn(
+            serving.turn,
+            previous,
+            serving.call.body,
+            b"".join(relay.data),
+            now_s() + serving.route.retention_s,
+        )
+    return EndTurn(serving.turn, program, used, kept)
+
+
+def _settle(serving: Serving, ledger: LedgerClient, relay: Relay) -> None:
+    """Replace the reservation of a turn that did not end whole."""
+    message = _end_message(serving, relay, keep=False)
+    if message.program is not None:
+        ledger.settle_later(message)
+
+
+async def _end_turn(serving: Serving, ledger: LedgerClient, relay: Relay) -> None:
+    """End the stream as complete, once the turn is kept."""
+    message = _end_message(serving, relay, keep=True)
+    if message.kept is None:
+        await serving.exchange.end_stream()
+        if message.program is not None:
+            ledger.settle_later(message)
+        return
+    asked_at = time.monotonic()
+    kept = await ledger.end(message)
+    serving.trace.kept_s = round(time.monotonic() - asked_at, 4)
+    if not kept:
+        serving.trace.reason = "the turn could not be kept"
+        serving.exchange.abort()
+        return
+    await serving.exchange.end_stream()
+
+
+async def _relay_attempts(
+    serving: Serving, attempts: Attempts, relay: Relay, prompt: bytes, priority: Priority
+) -> None:
+    """Send the call until a stream has come to its end, or an answer of another kind is given."""
+    resumable = serving.route.resumable
+    while True:
+        if serving.time_left() < MIN_SEND_S:
+            raise out_of_time(attempts)
+        if not attempts.may_try:
+            raise gave_up(attempts)
+        try:
+            head = await attempts.open(prompt, priority(serving), relay.last_event)
+        except NoTarget as error:
+            raise gave_up(attempts) from error
+        except NotTaken:
+            continue
+        except MayHaveRun as error:
+            if resumable and attempts.may_try:
+                continue
+            raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+        try:
+            await _relay_answer(serving, attempts, head, relay)
+        except (Broken, StreamError) as error:
+            attempts.broke_off(head, error)
+            if resumable and attempts.may_try:
+                continue
+            raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+        finally:
+            attempts.close(head.choice, head.connection)
+        head.record.verdict = Verdict.RAN
+        head.record.seconds = round(attempts.balancer.clock() - head.sent_at, 4)
+        attempts.balancer.succeeded(head.choice.target.target, 1.0, 1.0)
+        return
+
+
+async def _relay_answer(serving: Serving, attempts: Attempts, head: Head, relay: Relay) -> None:
+    response = head.response
+    if response.status != OK:
+        body = await head.connection.read_body(MAX_ANSWER_BYTES)
+        check_status(response.status, head.facts.certified)
+        if serving.exchange.answered:
+            raise Broken(f"status {response.status} within a stream", sent=True)
+        await serving.exchange.answer(response.status, response.headers, body)
+        return
+    check_status(response.status, head.facts.certified)
+    splitter = EventSplitter()
+    while (piece := await head.connection.read_piece()) is not None:
+        for event in splitter.feed(piece):
+            await _relay_event(serving, head, event, relay)
+    if splitter.rest:
+        raise Broken("the stream ended within an event", sent=True)
+    if not serving.exchange.answered:
+        raise Broken("a stream without an event", sent=True)
+
+
+async def _relay_event(serving: Serving, head: Head, event: Event, relay: Relay) -> None:
+    """Pass one event on, unless the caller already has it."""
+    known = relay.last_event
+    if event.number is not None and known is not None and event.number <= known:
+        return
+    if not serving.exchange.answered:
+        serving.exchange.begin_stream(head.response.status, head.response.headers)
+        serving.trace.first_event_s = round(time.monotonic() - serving.exchange.arrived_at, 4)
+    # Counted before it is written: what may have reached the caller counts as spent.
+    if event.data is not None:
+        relay.events += 1
+        relay.data.append(event.data + b"\n")
+    if event.number is not None:
+        relay.last_event = event.number
+    serving.trace.events = relay.events
+    await serving.exchange.write(event.raw)
+
+
+__all__ = ["serve_stream"]
--- /dev/null
+++ b/waxwingglade/ledger/account.py
@@ -0,0 +1,70 @@
+"""A program's account of generated tokens: pure functions from account to account.
+
+All are idempotent, so a request whose answer was lost is simply repeated.
+"""
+
+from enum import Enum
+
+import msgspec
+
+from waxwingglade.ledger.messages import Account, TurnId
+
+
+class Reservation(Enum):
+    """What became of a request for tokens."""
+
+    GRANTED = "granted"
+    SPENT = "spent"
+    ENDED = "ended"
+
+
+def reserve(
+    account: Account, turn: TurnId, most_tokens: int, budget: int, now: float
+) -> tuple[Account, Reservation]:
+    """Reserve the most that a turn may generate.
+
+    Parameters
+    ----------
+    account : Account
+        The program's account.
+    turn : TurnId
+        The turn; one that is reserved already keeps its reservation.
+    most_tokens, budget : int
+        Tokens.
+    now : float
+        Calendar time in seconds.
+
+    Returns
+    -------
+    (Account, Reservation)
+        The account afterwards, and the outcome.  A turn that has ended is not begun again.
+    """
+    if turn in account.open:
+        return account, Reservation.GRANTED
+    if turn in account.closed:
+        return account, Reservation.ENDED
+    if committed(account) + most_tokens > budget:
+        return account, Reservation.SPENT
+    changed = msgspec.structs.replace(
+        account, open={**account.open, turn: most_tokens}, touched_at=now
+    )
+    return changed, Reservation.GRANTED
+
+
+def settle(account: Account, turn: TurnId, used_tokens: int, now: float) -> Account:
+    """Replace a turn's reservation by what it used.
+
+    A turn that was never reserved is closed too, so that its reservation cannot come late.
+    """
+    if turn in account.closed:
+        return account
+    still_open = {other: tokens for other, tokens in account.open.items() if other != turn}
+    return Account(account.spent + used_tokens, still_open, (*account.closed, turn), now)
+
+
+def committed(account: Account) -> int:
+    """Return the tokens spent, and reserved by turns whose end is not known."""
+    return account.spent + sum(account.open.values())
+
+
+__all__ = ["Reservation", "committed", "reserve", "settle"]
--- /dev/null
+++ b/waxwingglade/ledger/client.py
@@ -0,0 +1,136 @@
+"""The ledger as an entry uses it: the nearest replica, and the next one if that gives no answer."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+
+from waxwingglade.base import Clock, WaxwinggladeError, monotonic
+from waxwingglade.base.tasks import run_detached
+from waxwingglade.follow.model import Replica
+from waxwingglade.ledger.messages import (
+    BeginTurn,
+    BudgetSpent,
+    EndTurn,
+    NoSuchTurn,
+    TurnBegun,
+    TurnEnded,
+    Unavailable,
+)
+from waxwingglade.transport.links import LinkFailed, Links
+
+ASK_S = 0.4
+"""Seconds for an answer before another replica is asked; a decision usually takes some 5 ms."""
+
+BEGIN_S = 0.9
+"""Seconds for the beginning of a turn, over all replicas that are tried."""
+
+KEEP_S = 1.5
+"""Seconds for keeping a turn, while the end of its response waits."""
+
+SETTLE_TRIES_S = (0.05, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0)
+"""Pauses before a settlement is tried again after the response has ended."""
+
+RETRY_PAUSE_S = 0.03
+AVOID_S = 1.0
+"""Seconds for which a replica that gave no answer is asked last."""
+
+
+class LedgerClient:
+    """The ledger for one entry.
+
+    Parameters
+    ----------
+    links : Links
+        Connections to replicas.
+    replicas : callable
+        The replicas, the nearest first.
+    clock : Clock
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self, links: Links, replicas: Callable[[], list[Replica]], clock: Clock = monotonic
+    ) -> None:
+        self.links = links
+        self.replicas = replicas
+        self.clock = clock
+        self.avoided: dict[str, float] = {}
+
+    async def begin(
+        self, message: BeginTurn, timeout_s: float
+    ) -> TurnBegun | BudgetSpent | NoSuchTurn | Unavailable:
+        """Reserve a turn's tokens and get the chain before it, within `timeout_s` seconds."""
+        answer = await self._try(message, min(timeout_s, BEGIN_S), lambda _: True)
+        if isinstance(answer, TurnBegun | BudgetSpent | NoSuchTurn | Unavailable):
+            return answer
+        return Unavailable("no replica answered")
+
+    async def end(self, message: EndTurn) -> bool:
+        """Keep a turn and settle its reservation; return whether the turn is kept.
+
+        A settlement that did not come about is tried again in the background.
+        """
+        answer = await self._try(
+            message, KEEP_S, lambda ended: isinstance(ended, TurnEnded) and ended.kept
+        )
+        ended = answer if isinstance(answer, TurnEnded) else TurnEnded(False, False)
+        if not ended.settled:
+            run_detached(self._settle(message))
+        return ended.kept
+
+    def settle_later(self, message: EndTurn) -> None:
+        """Settle a reservation without waiting for it."""
+        run_detached(self._settle_now(message))
+
+    async def _settle_now(self, message: EndTurn) -> None:
+        answer = await self._try(message, KEEP_S, lambda _: True)
+        if not isinstance(answer, TurnEnded) or not answer.settled:
+            await self._settle(message)
+
+    async def _settle(self, message: EndTurn) -> None:
+        message = EndTurn(message.turn, message.program, message.used_tokens)
+        for pause_s in SETTLE_TRIES_S:
+            await asyncio.sleep(pause_s)
+            answer = await self._try(message, KEEP_S, lambda _: True)
+            if isinstance(answer, TurnEnded) and answer.settled:
+                return
+        logger.bind(turn=message.turn, program=message.program).warning("reservation not settled")
+
+    async def _try(self, message: Any, timeout_s: float, good: Callable[[Any], bool]) -> Any:
+        """Ask one replica after the other until an answer is good or the time is over."""
+        end_at = self.clock() + timeout_s
+        answer: Any = None
+        while True:
+            for replica in self._in_order():
+                left_s = end_at - self.clock()
+                if left_s <= 0:
+                    return answer
+                try:
+                    answer = await self.links.to(replica.address).request(
+                        message, min(ASK_S, left_s)
+                    )
+                except LinkFailed as error:
+                    self.avoided[replica.address] = self.clock() + AVOID_S
+                    logger.bind(
+                        replica=replica.vm, turn=message.turn, reason=str(error)
+                    ).info("replica not asked")
+                    continue
+                except WaxwinggladeError as error:
+                    logger.warning("replica {}: {}", replica.vm, error)
+                    continue
+                if good(answer) and not isinstance(answer, Unavailable):
+                    return answer
+            if self.clock() + RETRY_PAUSE_S >= end_at:
+                return answer
+            await asyncio.sleep(RETRY_PAUSE_S)
+
+    def _in_order(self) -> list[Replica]:
+        now = self.clock()
+        return sorted(
+            self.replicas(), key=lambda replica: self.avoided.get(replica.address, 0.0) > now
+        )
+
+
+__all__ = ["LedgerClient"]
--- /dev/null
+++ b/waxwingglade/ledger/coordinator.py
@@ -0,0 +1,368 @@
+"""Coordinate the replicas: budgets by agreement on each account, turns by copies at a majority.
+
+An account is a register of its own.  A process that wants to change it proposes the changed account
+under a ballot; it holds once a majority of the members has accepted it.  Usually the last proposal
+was this process's own, and one round of messages is enough; otherwise a round of promises comes
+first, which returns what was accepted last.  Nobody owns an account, so nothing has to be taken
+over when a process dies.
+"""
+
+import asyncio
+import random
+import secrets
+from collections import defaultdict
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import msgspec
+from loguru import logger
+
+from waxwingglade.base import Clock, ProgramId, WaxwinggladeError, wall
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.ledger.account import Reservation, committed, reserve, settle
+from waxwingglade.ledger.messages import (
+    NEW_ACCOUNT,
+    NO_BALLOT,
+    Accept,
+    Accepted,
+    Account,
+    Ballot,
+    BeginTurn,
+    BudgetSpent,
+    EndTurn,
+    Find,
+    Found,
+    Keep,
+    Kept,
+    NoSuchTurn,
+    OtherEpoch,
+    Prepare,
+    Promised,
+    Rejected,
+    Turn,
+    TurnBegun,
+    TurnEnded,
+    TurnId,
+    Unavailable,
+)
+
+T = TypeVar("T")
+Ask = Callable[[Member, Any, float], Awaitable[Any]]
+
+ROUND_S = 0.25
+"""Seconds for one round of messages; a round trip between zones takes some 3 ms and a flush 1 ms,
+so this is only reached by members that are gone or stalled."""
+
+DECIDE_S = 0.9
+"""Seconds after which a change that found no majority is given up."""
+
+KEEP_S = 1.2
+"""Seconds for which copies of a turn are tried."""
+
+FIRST_PAUSE_S = 0.004
+LONGEST_PAUSE_S = 0.1
+"""Pause after proposals that met another's, drawn at random up to a bound that doubles."""
+
+REMEMBERED = 5_000
+"""Accounts whose last proposal is remembered, for changes in one round."""
+
+
+class NoMajority(WaxwinggladeError):
+    """Too few members answered; whether a change holds is not known."""
+
+
+class LastProposal(msgspec.Struct, frozen=True):
+    """The account that this process saw accepted last, and under what."""
+
+    epoch: int
+    ballot: Ballot
+    account: Account
+
+
+class Coordinator:
+    """Makes changes to the ledger on behalf of entries.
+
+    Parameters
+    ----------
+    members : callable
+        The present set of members.
+    ask : callable
+        Sends a request to a member and returns the answer; raises `WaxwinggladeError` if none.
+    heard_of : callable
+        Called with a set of members that some replica knows.
+    wall_clock : Clock
+        Calendar time in seconds.
+    """
+
+    def __init__(
+        self,
+        members: Callable[[], ReplicaSet],
+        ask: Ask,
+        heard_of: Callable[[ReplicaSet], None],
+        wall_clock: Clock = wall,
+    ) -> None:
+        self.members = members
+        self.ask = ask
+        self.heard_of = heard_of
+        self.wall_clock = wall_clock
+        self.name = secrets.token_hex(4)
+        self.locks: defaultdict[ProgramId, asyncio.Lock] = defaultdict(asyncio.Lock)
+        self.last: dict[ProgramId, LastProposal] = {}
+        self.numbers: dict[ProgramId, int] = {}
+
+    # For entries
+
+    async def begin(self, message: BeginTurn) -> TurnBegun | BudgetSpent | NoSuchTurn | Unavailable:
+        """Reserve a turn's tokens and look up the chain before it."""
+        chain: tuple[Turn, ...] = ()
+        try:
+            async with asyncio.timeout(DECIDE_S):
+                if message.previous is not None:
+                    found = await self._find(message.previous)
+                    if found is None:
+                        return NoSuchTurn()
+                    chain = found
+                refusal = await self._reserve(message)
+        except (NoMajority, TimeoutError) as error:
+            reason = str(error) or "no majority in time"
+            logger.bind(turn=message.turn, program=message.program, reason=reason).info(
+                "turn not begun"
+            )
+            return Unavailable(reason)
+        return refusal or TurnBegun(chain)
+
+    async def _reserve(self, message: BeginTurn) -> BudgetSpent | Unavailable | None:
+        if message.program is None:
+            return None
+
+        def change(account: Account) -> tuple[Account, tuple[Reservation, Account]]:
+            changed, outcome = reserve(
+                account, message.turn, message.most_tokens, message.budget, self.wall_clock()
+            )
+            return changed, (outcome, account)
+
+        outcome, account = await self.change(message.program, change)
+        if outcome is Reservation.GRANTED:
+            return None
+        if outcome is Reservation.ENDED:
+            return Unavailable("the turn has ended")
+        logger.bind(
+            turn=message.turn,
+            program=message.program,
+            budget=message.budget,
+            most_tokens=message.most_tokens,
+            spent=account.spent,
+            reserved=committed(account) - account.spent,
+        ).info("budget spent")
+        return BudgetSpent(account.spent, committed(account) - account.spent)
+
+    async def end(self, message: EndTurn) -> TurnEnded:
+        """Keep a turn and settle its reservation, as far as majorities answer."""
+        kept, settled = await asyncio.gather(self._keep(message), self._settle(message))
+        return TurnEnded(kept, settled)
+
+    async def _keep(self, message: EndTurn) -> bool:
+        if message.kept is None:
+            return True
+        try:
+            async with asyncio.timeout(KEEP_S):
+                await self._copy(message.kept)
+        except (NoMajority, TimeoutError) as error:
+            logger.bind(turn=message.turn, reason=str(error)).warning("turn not kept")
+            return False
+        return True
+
+    async def _settle(self, message: EndTurn) -> bool:
+        if message.program is None:
+            return True
+
+        def change(account: Account) -> tuple[Account, None]:
+            return settle(account, message.turn, message.used_tokens, self.wall_clock()), None
+
+        try:
+            async with asyncio.timeout(DECIDE_S):
+                await self.change(message.program, change)
+        except (NoMajority, TimeoutError) as error:
+            logger.bind(turn=message.turn, reason=str(error)).info("turn not settled")
+            return False
+        return True
+
+    # Accounts
+
+    async def change(
+        self, program: ProgramId, change: Callable[[Account], tuple[Account, T]]
+    ) -> T:
+        """Apply an idempotent change to a program's account, and return its result.
+
+        Raises
+        ------
+        NoMajority
+            If too few members answer; the change may hold or may still come to hold.
+        """
+        async with self.locks[program]:
+            pause_s = FIRST_PAUSE_S
+            while True:
+                replicas = self._usable_members()
+                try:
+                    return await self._propose(replicas, program, change)
+                except _Overtaken:
+                    await asyncio.sleep(pause_s * random.random())
+                    pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+    def _usable_members(self) -> ReplicaSet:
+        replicas = self.members()
+        if not replicas.members:
+            raise NoMajority("no members known")
+        return replicas
+
+    async def _propose(
+        self,
+        replicas: ReplicaSet,
+        program: ProgramId,
+        change: Callable[[Account], tuple[Account, T]],
+    ) -> T:
+        last = self.last.pop(program, None)
+        ballot = self._next_ballot(program)
+        after: Ballot | None = None
+        account = NEW_ACCOUNT
+        if last is not None and last.epoch == replicas.epoch:
+            account, after = last.account, last.ballot
+        else:
+            account = await self._promises(replicas, program, ballot)
+        changed, result = change(account)
+        message = Accept(replicas.epoch, program, ballot, changed, after)
+        answers = await self._majority(replicas, message, Accepted)
+        if len(answers) < replicas.majority:
+            raise _Overtaken
+        self._remember(program, LastProposal(replicas.epoch, ballot, changed))
+        return result
+
+    async def _promises(
+        self, replicas: ReplicaSet, program: ProgramId, ballot: Ballot
+    ) -> Account:
+        """Return the account that was accepted last, after a majority's promise."""
+        message = Prepare(replicas.epoch, program, ballot)
+        answers = await self._majority(replicas, message, Promised)
+        if len(answers) < replicas.majority:
+            raise _Overtaken
+        newest = max(answers, key=lambda answer: answer.accepted)
+        return newest.account if newest.accepted != NO_BALLOT else NEW_ACCOUNT
+
+    def _next_ballot(self, program: ProgramId) -> Ballot:
+        number = self.numbers.get(program, 0) + 1
+        self.numbers[program] = number
+        return Ballot(number, self.name)
+
+    def _remember(self, program: ProgramId, proposal: LastProposal) -> None:
+        self.last[program] = proposal
+        while len(self.last) > REMEMBERED:
+            oldest = next(iter(self.last))
+            del self.last[oldest]
+            self.numbers.pop(oldest, None)
+            if not self.locks[oldest].locked():
+                del self.locks[oldest]
+
+    # Turns
+
+    async def _copy(self, turn: Turn) -> None:
+        pause_s = FIRST_PAUSE_S
+        while True:
+            replicas = self._usable_members()
+            answers = await self._majority(replicas, Keep(replicas.epoch, turn), Kept)
+            if len(answers) >= replicas.majority:
+                return
+            await asyncio.sleep(pause_s)
+            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+    async def _find(self, turn: TurnId) -> tuple[Turn, ...] | None:
+        """Return the chain up to a turn; None if it certainly does not exist.
+
+        A turn that was answered whole is held by a majority.  If as many members as every majority
+        shares do not have it, it was not.
+        """
+        while True:
+            replicas = self._usable_members()
+            message = Find(replicas.epoch, turn)
+            absent = 0
+            partial: dict[TurnId, Turn] = {}
+            refused = False
+            async for answer in self._answers(replicas, message):
+                if isinstance(answer, OtherEpoch):
+                    self.heard_of(answer.replicas)
+                    refused = True
+                if not isinstance(answer, Found):
+                    continue
+                if answer.whole:
+                    return answer.chain
+                partial.update({part.turn: part for part in answer.chain})
+                absent += not answer.chain
+                if (chain := _join(partial, turn)) is not None:
+                    return chain
+                if absent >= replicas.witnesses:
+                    return None
+            if not refused:
+                raise NoMajority(f"{absent} of {len(replicas.members)} members without the turn")
+            await asyncio.sleep(FIRST_PAUSE_S)
+
+    # Rounds
+
+    async def _majority(self, replicas: ReplicaSet, message: Any, wanted: type) -> list[Any]:
+        """Send a request to all members; return the good answers once their number is decided.
+
+        Raises
+        ------
+        NoMajority
+            If too few members answered at all.
+        """
+        good = []
+        refused = 0
+        async for answer in self._answers(replicas, message):
+            if isinstance(answer, wanted):
+                good.append(answer)
+            elif isinstance(answer, Rejected):
+                refused += 1
+                self._note_rejection(message.program, answer)
+            elif isinstance(answer, OtherEpoch):
+                refused += 1
+                self.heard_of(answer.replicas)
+            if len(good) >= replicas.majority:
+                return good
+        if not refused:
+            raise NoMajority(f"{len(good)} of {len(replicas.members)} members answered")
+        return good
+
+    def _note_rejection(self, program: ProgramId, answer: Rejected) -> None:
+        self.numbers[program] = max(self.numbers.get(program, 0), answer.promised.number)
+
+    async def _answers(self, replicas: ReplicaSet, message: Any) -> Any:
+        """Yield the members' answers as they come, None for a member that gives none."""
+        tasks = [asyncio.ensure_future(self._one(member, message)) for member in replicas.members]
+        for next_answer in asyncio.as_completed(tasks):
+            yield await next_answer
+
+    async def _one(self, member: Member, message: Any) -> Any:
+        try:
+            return await self.ask(member, message, ROUND_S)
+        except WaxwinggladeError:
+            return None
+
+
+class _Overtaken(Exception):
+    """Another proposal, or another set of members, came first."""
+
+
+def _join(parts: dict[TurnId, Turn], last: TurnId) -> tuple[Turn, ...] | None:
+    """Return the whole chain up to a turn, if all its parts are there."""
+    chain = []
+    wanted: TurnId | None = last
+    while wanted is not None:
+        part = parts.get(wanted)
+        if part is None or len(chain) > len(parts):
+            return None
+        chain.append(part)
+        wanted = part.previous
+    return tuple(reversed(chain))
+
+
+__all__ = ["Coordinator", "NoMajority"]
--- /dev/null
+++ b/waxwingglade/ledger/journal.py
@@ -0,0 +1,265 @@
+"""The ledger's disk: segments of checked frames, flushed in groups by a thread of their own.
+
+A record counts only after its flush.  What a loss of power left after the last flush may be whole,
+torn or missing; reading stops at the first frame that is not whole, and cuts the rest off.
+"""
+
+import asyncio
+import os
+import secrets
+import struct
+import threading
+import time
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import NamedTuple
+
+import xxhash
+from loguru import logger
+
+from waxwingglade.base.tasks import start_task
+
+FORMAT = b"waxwingglade-ledger-1\n"
+SEGMENT_BYTES = 16 * 1024 * 1024
+"""Size at which a segment is followed by the next; a segment is removed as a whole."""
+
+RETRY_S = 0.2
+"""Seconds before a write that the disk refused is tried again."""
+
+_FRAME = struct.Struct("<II")
+_IDENTITY = "identity"
+_SUFFIX = ".ledger"
+
+
+class Place(NamedTuple):
+    """Where a record's content lies on the disk: segment, offset and length in bytes."""
+
+    segment: int
+    offset: int
+    length: int
+
+
+class Journal:
+    """The segments of one data folder.
+
+    Parameters
+    ----------
+    folder : Path
+        The data folder; it exists.
+
+    Attributes
+    ----------
+    disk : str
+        Random name of the folder's content.
+    flushed_bytes : int
+        Bytes written since the start.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.disk = _identity(folder)
+        self.segments: dict[int, int] = {}
+        self.active = 0
+        self.file = -1
+        self.size = 0
+        self.pending: list[tuple[bytes, asyncio.Future[Place]]] = []
+        self.wake = asyncio.Event()
+        self.thread = ThreadPoolExecutor(1, thread_name_prefix="disk")
+        self.writer: asyncio.Task | None = None
+        self.flushed_bytes = 0
+        self.flushes = 0
+        self.failing = False
+        self.closed = threading.Event()
+
+    # Reading
+
+    def replay(self) -> Iterator[tuple[Place, bytes]]:
+        """Yield every whole record, the oldest first, and open the last segment for writing."""
+        numbers = sorted(int(path.stem) for path in self.folder.glob("*" + _SUFFIX))
+        for number in numbers:
+            good = 0
+            for offset, content in self._read_segment(number):
+                good = offset + len(content)
+                yield Place(number, offset, len(content)), content
+            self.segments[number] = good
+        self._open_segment(numbers[-1] if numbers else 1)
+
+    def _read_segment(self, number: int) -> Iterator[tuple[int, bytes]]:
+        data = self._path(number).read_bytes()
+        if not data.startswith(FORMAT):
+            if data:
+                logger.bind(segment=number).warning("segment without its head ignored")
+            return
+        offset = len(FORMAT)
+        while offset + _FRAME.size <= len(data):
+            length, check = _FRAME.unpack_from(data, offset)
+            start = offset + _FRAME.size
+            content = data[start : start + length]
+            if len(content) != length or _check(number, start, content) != check:
+                break
+            yield start, content
+            offset = start + length
+        if offset < len(data):
+            logger.bind(segment=number, bytes=len(data) - offset).warning("unfinished write cut")
+
+    def read(self, place: Place) -> bytes:
+        """Return the content of a record; blocks on the disk."""
+        file = os.open(self._path(place.segment), os.O_RDONLY)
+        try:
+            return os.pread(file, place.length, place.offset)
+        finally:
+            os.close(file)
+
+    # Writing
+
+    def start(self) -> None:
+        """Begin to write."""
+        self.writer = start_task(self._write_groups())
+
+    def append(self, content: bytes) -> "asyncio.Future[Place]":
+        """Write a record with the next group; the future is done once it is durable."""
+        future: asyncio.Future[Place] = asyncio.get_running_loop().create_future()
+        self.pending.append((content, future))
+        self.wake.set()
+        return future
+
+    async def stop(self) -> None:
+        """Write what is pending, as far as the disk allows, and close."""
+        self.closed.set()
+        if self.writer is not None:
+            self.writer.cancel()
+            await asyncio.gather(self.writer, return_exceptions=True)
+        self.thread.shutdown(wait=False, cancel_futures=True)
+
+    async def _write_groups(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            group, self.pending = self.pending, []
+            contents = [content for content, _ in group]
+            places = await loop.run_in_executor(self.thread, self._write_until_done, contents)
+            for (_, future), place in zip(group, places, strict=True):
+                if not future.done():
+                    future.set_result(place)
+
+    def _write_until_done(self, contents: list[bytes]) -> list[Place]:
+        """Write and flush a group; on an error cut the file back and try again."""
+        while True:
+            try:
+                places = self._write(contents)
+            except OSError as error:
+                if not self.failing:
+                    logger.bind(reason=str(error)).error("disk lost")
+                self.failing = True
+                if self.closed.wait(RETRY_S):
+                    raise
+                continue
+            if self.failing:
+                logger.info("disk regained")
+            self.failing = False
+            return places
+
+    def _write(self, contents: list[bytes]) -> list[Place]:
+        if self.size >= SEGMENT_BYTES:
+            self._open_segment(self.active + 1)
+        places = []
+        parts = []
+        offset = self.size
+        for content in contents:
+            start = offset + _FRAME.size
+            parts.append(_FRAME.pack(len(content), _check(self.active, start, content)))
+            parts.append(content)
+            places.append(Place(self.active, start, len(content)))
+            offset = start + len(content)
+        data = b"".join(parts)
+        os.ftruncate(self.file, self.size)
+        written = 0
+        while written < len(data):
+            written += os.pwrite(self.file, data[written:], self.size + written)
+        os.fdatasync(self.file)
+        self.size = offset
+        self.segments[self.active] = offset
+        self.flushed_bytes += len(data)
+        self.flushes += 1
+        return places
+
+    def _open_segment(self, number: int) -> None:
+        """Open a segment for writing, with its head and its name durable."""
+        if self.file >= 0:
+            os.close(self.file)
+            self.file = -1
+        path = self._path(number)
+        size = self.segments.get(number, 0)
+        file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            if size < len(FORMAT):
+                os.ftruncate(file, 0)
+                os.pwrite(file, FORMAT, 0)
+                size = len(FORMAT)
+            else:
+                os.ftruncate(file, size)
+            os.fsync(file)
+            _sync_folder(self.folder)
+        except OSError:
+            os.close(file)
+            raise
+        self.file, self.active, self.size = file, number, size
+        self.segments[number] = size
+
+    def drop_before(self, number: int) -> None:
+        """Remove the segments below a number; blocks on the disk."""
+        for old in sorted(self.segments):
+            if old >= number:
+                return
+            self._path(old).unlink(missing_ok=True)
+            del self.segments[old]
+
+    def _path(self, number: int) -> Path:
+        return self.folder / f"{number:08d}{_SUFFIX}"
+
+
+def _check(segment: int, offset: int, content: bytes) -> int:
+    """Return a checksum that also covers where the content belongs."""
+    return xxhash.xxh32_intdigest(content, seed=(segment * 1_000_003 + offset) & 0xFFFFFFFF)
+
+
+def _identity(folder: Path) -> str:
+    """Return the name of the folder's content, made up for an empty folder."""
+    path = folder / _IDENTITY
+    try:
+        name = path.read_text().strip()
+    except FileNotFoundError:
+        name = ""
+    if name:
+        return name
+    for left in folder.glob("*" + _SUFFIX):
+        # Without its identity the folder cannot vouch for what it holds.
+        left.unlink()
+    name = secrets.token_hex(8)
+    temporary = folder / (_IDENTITY + ".new")
+    with temporary.open("w") as file:
+        file.write(name)
+        file.flush()
+        os.fsync(file.fileno())
+    temporary.rename(path)
+    _sync_folder(folder)
+    logger.bind(disk=name).info("empty disk")
+    return name
+
+
+def _sync_folder(folder: Path) -> None:
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+def now_s() -> float:
+    """Return the calendar time in seconds."""
+    return time.time()
+
+
+__all__ = ["Journal", "Place", "now_s"]
--- /dev/null
+++ b/waxwingglade/ledger/membership.py
@@ -0,0 +1,347 @@
+"""Who the members of the ledger are, agreed on through the platform's store.
+
+The store holds one key with the set of members.  A set changes by one member at a time, by
+compare-and-swap, and only once it is settled: a majority of its members has read what the others
+hold, since when all refuse requests under older sets.  So every majority of a set meets everything
+that earlier sets acknowledged.
+
+A disk that was wiped has another name and is another member.  It joins with what it has read from
+the others; then the one before it is removed.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from waxwingglade.base import Clock, WaxwinggladeError, monotonic
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet, witnesses_of
+from waxwingglade.follow.store import Store, StoreUnavailable
+from waxwingglade.follow.watcher import Watcher
+from waxwingglade.ledger.coordinator import Ask
+from waxwingglade.ledger.messages import (
+    Fetch,
+    Fetched,
+    Held,
+    ListHeld,
+    OtherEpoch,
+    Ping,
+    Pong,
+    ProgramId,
+    TurnId,
+)
+from waxwingglade.ledger.replica import Replica
+
+LOOK_S = 0.25
+"""Seconds between looks whether the set has to change."""
+
+PING_S = 0.4
+PING_ANSWER_S = 0.35
+SILENT_S = 2.0
+"""Seconds of silence after which a member that the set can spare is removed; longer than a restart
+of a process, and short of the five seconds within which a replacement must count."""
+
+SYNC_ANSWER_S = 2.0
+"""Seconds for an answer when catching up; one has up to a megabyte."""
+
+FETCH_NAMES = 500
+"""Turns asked for at once."""
+
+RETIRING, RETIRED = "running", "completed"
+
+
+class Membership:
+    """Brings the set of members to what the machines are.
+
+    Parameters
+    ----------
+    own : Member
+        This process's replica.
+    replica : Replica
+        Its state.
+    watcher : Watcher
+        What the store says.
+    store : Store
+        For changes.
+    ask : callable
+        Sends a request to a member.
+    wanted : int
+        Members that are enough for the faults to be borne: a silent one is removed only while
+        more are left.
+    replicas_key, status_prefix : str
+        Keys of the members, and of the state of orders to empty a VM.
+    clock : Clock
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        replica: Replica,
+        watcher: Watcher,
+        store: Store,
+        ask: Ask,
+        wanted: int,
+        replicas_key: str,
+        status_prefix: str,
+        clock: Clock = monotonic,
+    ) -> None:
+        self.own = own
+        self.replica = replica
+        self.watcher = watcher
+        self.store = store
+        self.ask = ask
+        self.wanted = wanted
+        self.replicas_key = replicas_key
+        self.status_prefix = status_prefix
+        self.clock = clock
+        self.heard_at: dict[str, float] = {}
+        self.synced: dict[str, int] = {}
+        self.synced_epoch = 0
+        self.reported: dict[str, str] = {}
+        self.started_at = clock()
+        self.heard_of: Callable[[ReplicaSet], None] = lambda _: None
+
+    @property
+    def replicas(self) -> ReplicaSet:
+        """The set of members that this replica goes by."""
+        return self.replica.replicas
+
+    def answer_ping(self, message: Ping) -> Pong:
+        """Answer another replica."""
+        self.heard_at[message.disk] = self.clock()
+        newer = self.replicas if self.replicas.epoch > message.epoch else None
+        return Pong(self.own.disk, self.synced_epoch, newer)
+
+    # Signs of life
+
+    async def ping_forever(self) -> None:
+        """Ask the other members for a sign of life, again and again."""
+        while True:
+            others = [member for member in self.replicas.members if member.disk != self.own.disk]
+            await asyncio.gather(*(self._ping(member) for member in others))
+            await asyncio.sleep(PING_S)
+
+    async def _ping(self, member: Member) -> None:
+        try:
+            answer = await self.ask(
+                member, Ping(self.replicas.epoch, self.own.disk), PING_ANSWER_S
+            )
+        except WaxwinggladeError:
+            return
+        if not isinstance(answer, Pong):
+            return
+        if answer.disk == member.disk:
+            self.heard_at[member.disk] = self.clock()
+            self.synced[member.disk] = answer.synced_epoch
+        if answer.replicas is not None:
+            self.heard_of(answer.replicas)
+
+    def silent_s(self, member: Member) -> float:
+        """Return the seconds for which a member has given no sign of life."""
+        if member.disk == self.own.disk:
+            return 0.0
+        return self.clock() - max(self.heard_at.get(member.disk, 0.0), self.started_at)
+
+    def _alive(self) -> list[Member]:
+        return [member for member in self.replicas.members if self.silent_s(member) < SILENT_S / 2]
+
+    # Changes
+
+    async def run(self) -> None:
+        """Look again and again whether the set has to change."""
+        while True:
+            try:
+                await self._look()
+            except StoreUnavailable as error:
+                logger.bind(reason=str(error)).info("members not changed: no store")
+                await asyncio.sleep(LOOK_S)
+            except WaxwinggladeError as error:
+                logger.bind(reason=str(error)).info("members not changed")
+            await asyncio.sleep(LOOK_S * (0.5 + random.random()))
+
+    async def _look(self) -> None:
+        replicas = self.replicas
+        if not replicas.epoch:
+            if self.watcher.replicas_known.is_set() and not self.watcher.view.replicas.epoch:
+                await self._change(ReplicaSet(1, (self.own,), True), "first member")
+            return
+        if not any(member.disk == self.own.disk for member in replicas.members):
+            await self._join(replicas)
+        elif not replicas.settled:
+            await self._settle(replicas)
+        else:
+            await self._prune(replicas)
+            await self._report_retired(replicas)
+
+    async def _join(self, replicas: ReplicaSet) -> None:
+        if not replicas.settled or self.own.vm in self.watcher.retiring:
+            return
+        await self._catch_up(replicas)
+        members = (*replicas.members, self.own)
+        joined = ReplicaSet(replicas.epoch + 1, members, False, self.own.disk)
+        await self._change(joined, "joining")
+
+    async def _settle(self, replicas: ReplicaSet) -> None:
+        if self.synced_epoch < replicas.epoch:
+            await self._catch_up(replicas)
+            self.synced_epoch = replicas.epoch
+        synced = [
+            member
+            for member in replicas.members
+            if member.disk == self.own.disk or self.synced.get(member.disk, 0) >= replicas.epoch
+        ]
+        if len(synced) >= replicas.majority and self._leads():
+            settled = msgspec.structs.replace(replicas, settled=True)
+            await self._change(settled, "settled")
+
+    async def _prune(self, replicas: ReplicaSet) -> None:
+        """Remove a member that is gone for good, is to be emptied, or can be spared."""
+        alive = self._alive()
+        if len(alive) < replicas.majority:
+            return
+        for member in replicas.members:
+            reason = self._why_remove(member, replicas)
+            if reason is None:
+                continue
+            rest = tuple(other for other in replicas.members if other is not member)
+            if not rest or len([other for other in alive if other is not member]) < len(rest) // 2 + 1:
+                continue
+            await self._change(ReplicaSet(replicas.epoch + 1, rest, False), reason)
+            return
+
+    def _why_remove(self, member: Member, replicas: ReplicaSet) -> str | None:
+        if member.disk != self.own.disk and member.vm == self.own.vm:
+            return "its disk was wiped"
+        if not self._leads(without=member):
+            return None
+        if member.vm in self.watcher.retiring:
+            return "to be emptied"
+        if len(replicas.members) > self.wanted and self.silent_s(member) > SILENT_S:
+            return "silent"
+        return None
+
+    def _leads(self, without: Member | None = None) -> bool:
+        """Return whether this is the first live member, so that not all of them call the store."""
+        for member in self.replicas.members:
+            if member is without or self.silent_s(member) > SILENT_S / 2:
+                continue
+            return member.disk == self.own.disk
+        return False
+
+    async def _report_retired(self, replicas: ReplicaSet) -> None:
+        if not self._leads():
+            return
+        for vm in list(self.watcher.retiring):
+            present = any(member.vm == vm for member in replicas.members)
+            await self._report(vm, RETIRING if present else RETIRED)
+
+    async def _report(self, vm: str, state: str) -> None:
+        if self.reported.get(vm) == state:
+            return
+        key = self.status_prefix + vm
+        value = msgspec.json.encode({"state": state})
+        held = await self.store.read(key)
+        if held is None or held.value != value:
+            revision = held.revision if held is not None else 0
+            if await self.store.compare_and_swap(key, revision, value) is not None:
+                return
+        self.reported[vm] = state
+        logger.bind(vm=vm, state=state).info("emptying a VM")
+
+    async def _change(self, replicas: ReplicaSet, reason: str) -> None:
+        """Write a set that follows the one known here."""
+        revision = self.watcher.replicas_revision
+        if self.watcher.view.replicas.epoch != self.replicas.epoch:
+            # Peers told of a newer set than the store's watch did; its revision is needed.
+            await self._read_again()
+            return
+        if self.watcher.view.replicas.settled != self.replicas.settled:
+            await self._read_again()
+            return
+        held = await self.store.compare_and_swap(
+            self.replicas_key, revision, msgspec.json.encode(replicas)
+        )
+        outcome = "done" if held is None else "overtaken"
+        logger.bind(
+            epoch=replicas.epoch,
+            members=[member.vm for member in replicas.members],
+            settled=replicas.settled,
+            reason=reason,
+            outcome=outcome,
+        ).info("change of members")
+        await self._read_again()
+
+    async def _read_again(self) -> None:
+        item = await self.store.read(self.replicas_key)
+        if item is not None:
+            self.watcher.take_replicas(item)
+            await self.replica.learn_members(self.watcher.view.replicas)
+
+    # Catching up
+
+    async def _catch_up(self, replicas: ReplicaSet) -> None:
+        """Read what enough members hold, so that nothing acknowledged is missing here.
+
+        Raises
+        ------
+        WaxwinggladeError
+            If too few members answer.
+        """
+        needed = replicas.witnesses
+        if not replicas.settled and not replicas.joining:
+            # The member that was removed may have been part of earlier majorities.
+            needed = witnesses_of(len(replicas.members) + 1)
+        read = 0
+        for member in replicas.members:
+            if member.disk == self.own.disk:
+                # A member that has just joined cannot vouch for what came before.
+                read += replicas.joining != self.own.disk
+                continue
+            try:
+                await self._read_from(member, replicas)
+            except WaxwinggladeError as error:
+                logger.bind(member=member.vm, reason=str(error)).info("not read from")
+                continue
+            read += 1
+        if read < needed:
+            raise WaxwinggladeError(f"only {read} of {needed} members could be read")
+
+    async def _read_from(self, member: Member, replicas: ReplicaSet) -> None:
+        held = await self.ask(member, ListHeld(replicas), SYNC_ANSWER_S)
+        if isinstance(held, OtherEpoch):
+            self.heard_of(held.replicas)
+        if not isinstance(held, Held):
+            raise WaxwinggladeError(f"{member.vm} goes by another set of members")
+        turns = [turn for turn in held.turns if turn not in self.replica.turns]
+        programs = [
+            program
+            for program, ballot in held.accounts.items()
+            if program not in self.replica.slots or self.replica.slots[program].accepted < ballot
+        ]
+        await self._fetch(member, turns, programs)
+        logger.bind(member=member.vm, turns=len(turns), accounts=len(programs)).info("read from")
+
+    async def _fetch(
+        self, member: Member, turns: list[TurnId], programs: list[ProgramId]
+    ) -> None:
+        while turns or programs:
+            asked = Fetch(tuple(turns[:FETCH_NAMES]), tuple(programs[:FETCH_NAMES]))
+            answer = await self.ask(member, asked, SYNC_ANSWER_S)
+            if not isinstance(answer, Fetched):
+                raise WaxwinggladeError(f"{member.vm} did not answer")
+            await self.replica.take_in(answer)
+            programs = programs[FETCH_NAMES:]
+            if not answer.turns:
+                # The rest has expired there in the meantime.
+                turns = turns[FETCH_NAMES:]
+                continue
+            got = {turn.turn for turn in answer.turns}
+            last = max(index for index, turn in enumerate(asked.turns) if turn in got)
+            turns = turns[last + 1 :]
+
+
+__all__ = ["Membership"]
--- /dev/null
+++ b/waxwingglade/ledger/messages.py
@@ -0,0 +1,337 @@
+"""Messages of the ledger: between entries and replicas, and among replicas."""
+
+from typing import NewType
+
+import msgspec
+
+from waxwingglade.base import ProgramId
+from waxwingglade.follow.messages import Follow, Followed, Message
+from waxwingglade.follow.model import ReplicaSet
+
+TurnId = NewType("TurnId", str)
+
+
+class Ballot(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Number of a proposal; a process never uses one twice.
+
+    Parameters
+    ----------
+    number : int
+        Raised with each proposal.
+    proposer : str
+        Random name of the proposing process.
+    """
+
+    number: int = 0
+    proposer: str = ""
+
+
+NO_BALLOT = Ballot()
+
+
+class Turn(msgspec.Struct, frozen=True, array_like=True):
+    """A whole turn, which never changes.
+
+    Parameters
+    ----------
+    turn : TurnId
+        The request that made it.
+    previous : TurnId or None
+        Turn that it continues.
+    asked : bytes
+        Its input.
+    answered : bytes
+        The data of its events, each followed by a line feed.
+    expires_at : float
+        Calendar time until which it is kept, in seconds.
+    """
+
+    turn: TurnId
+    previous: TurnId | None
+    asked: bytes
+    answered: bytes
+    expires_at: float
+
+
+class Account(msgspec.Struct, frozen=True, array_like=True):
+    """What a program has generated.
+
+    Parameters
+    ----------
+    spent : int
+        Tokens of turns that have ended.
+    open : dict
+        Most tokens of each turn that has begun and not ended.
+    closed : tuple of TurnId
+        Turns that have ended; one of them never begins again.
+    touched_at : float
+        Calendar time of the last change, in seconds.
+    """
+
+    spent: int = 0
+    open: dict[TurnId, int] = {}
+    closed: tuple[TurnId, ...] = ()
+    touched_at: float = 0.0
+
+
+NEW_ACCOUNT = Account()
+
+
+# From entries
+
+
+class BeginTurn(Message):
+    """Reserve a turn's tokens, and return the chain that it continues.
+
+    Parameters
+    ----------
+    turn : TurnId
+        The turn.
+    program : ProgramId or None
+        Whose budget is charged; None where there is no budget.
+    most_tokens, budget : int
+        Most tokens that the turn generates, and those of all turns together.
+    previous : TurnId or None
+        Turn whose chain is wanted.
+    """
+
+    turn: TurnId
+    program: ProgramId | None = None
+    most_tokens: int = 0
+    budget: int = 0
+    previous: TurnId | None = None
+
+
+class TurnBegun(Message):
+    """The tokens are reserved; `chain` has the turns before, the oldest first."""
+
+    chain: tuple[Turn, ...] = ()
+
+
+class BudgetSpent(Message):
+    """The budget does not hold one more turn."""
+
+    spent: int
+    reserved: int
+
+
+class NoSuchTurn(Message):
+    """The turn to continue does not exist, for certain; nothing was reserved."""
+
+
+class EndTurn(Message):
+    """Keep a turn, and replace what it reserved by what it used.
+
+    Parameters
+    ----------
+    turn : TurnId
+        The turn.
+    program : ProgramId or None
+        Whose budget is charged.
+    used_tokens : int
+        Tokens that went to the caller; 0 for a turn that was not run.
+    kept : Turn or None
+        The turn, where it is to be continued later.
+    """
+
+    turn: TurnId
+    program: ProgramId | None = None
+    used_tokens: int = 0
+    kept: Turn | None = None
+
+
+class TurnEnded(Message):
+    """What of an `EndTurn` is durable."""
+
+    kept: bool
+    settled: bool
+
+
+class Unavailable(Message):
+    """The request was not decided: too few replicas answered."""
+
+    reason: str
+
+
+# Among replicas
+
+
+class Prepare(Message):
+    """Promise to accept no proposal for a program's account below `ballot`."""
+
+    epoch: int
+    program: ProgramId
+    ballot: Ballot
+
+
+class Promised(Message):
+    """The promise, with what was accepted last."""
+
+    accepted: Ballot
+    account: Account
+
+
+class Accept(Message):
+    """Accept an account.
+
+    Parameters
+    ----------
+    after : Ballot or None
+        If set, accept only if nothing was promised since the proposer's last proposal `after`.
+    """
+
+    epoch: int
+    program: ProgramId
+    ballot: Ballot
+    account: Account
+    after: Ballot | None = None
+
+
+class Accepted(Message):
+    """The account is durable here."""
+
+
+class Rejected(Message):
+    """A proposal came too late; `promised` is the ballot that stands in its way."""
+
+    promised: Ballot
+
+
+class OtherEpoch(Message):
+    """The sender's set of members is not that of the receiver, which is enclosed."""
+
+    replicas: ReplicaSet
+
+
+class Keep(Message):
+    """Keep a turn."""
+
+    epoch: int
+    turn: Turn
+
+
+class Kept(Message):
+    """The turn is durable here."""
+
+
+class Find(Message):
+    """Ask for a turn and those before it."""
+
+    epoch: int
+    turn: TurnId
+
+
+class Found(Message):
+    """The chain up to a turn as far as this replica has it, the oldest first.
+
+    Parameters
+    ----------
+    chain : tuple of Turn
+        Empty if the turn itself is not here.
+    whole : bool
+        Whether the chain reaches back to its start.
+    """
+
+    chain: tuple[Turn, ...] = ()
+    whole: bool = False
+
+
+class Ping(Message):
+    """Ask whether a replica is there."""
+
+    epoch: int
+    disk: str
+
+
+class Pong(Message):
+    """A replica is there.
+
+    Parameters
+    ----------
+    disk : str
+        Name of its disk's content.
+    synced_epoch : int
+        Newest set of members since whose start it has read what the others hold.
+    replicas : ReplicaSet or None
+        Its set of members, if that is newer than the asker's.
+    """
+
+    disk: str
+    synced_epoch: int
+    replicas: ReplicaSet | None = None
+
+
+class ListHeld(Message):
+    """Ask what a replica holds, from which on it refuses older sets of members than this one."""
+
+    replicas: ReplicaSet
+
+
+class Held(Message):
+    """Names of all turns, and the accepted ballot of each program's account."""
+
+    turns: tuple[TurnId, ...]
+    accounts: dict[ProgramId, Ballot]
+
+
+class Fetch(Message):
+    """Ask for turns and accounts by name."""
+
+    turns: tuple[TurnId, ...] = ()
+    programs: tuple[ProgramId, ...] = ()
+
+
+class Fetched(Message):
+    """Those of the turns and accounts that are here."""
+
+    turns: tuple[Turn, ...] = ()
+    accounts: dict[ProgramId, tuple[Ballot, Account]] = msgspec.field(default_factory=dict)
+
+
+ReplicaRequest = Prepare | Accept | Keep | Find | ListHeld | Fetch
+
+
+class ToReplica(Message):
+    """A request for the replica of one disk.
+
+    After a disk was wiped the process at its address is another replica; it must not answer for
+    the one before.
+    """
+
+    disk: str
+    body: ReplicaRequest
+
+
+class NotHere(Message):
+    """The replica that a request was meant for is not at this address."""
+
+
+LedgerMessage = (
+    BeginTurn
+    | TurnBegun
+    | BudgetSpent
+    | NoSuchTurn
+    | EndTurn
+    | TurnEnded
+    | Unavailable
+    | Follow
+    | Followed
+    | Prepare
+    | Promised
+    | Accept
+    | Accepted
+    | Rejected
+    | OtherEpoch
+    | Keep
+    | Kept
+    | Find
+    | Found
+    | Ping
+    | Pong
+    | ListHeld
+    | Held
+    | Fetch
+    | Fetched
+    | ToReplica
+    | NotHere
+)
--- /dev/null
+++ b/waxwingglade/ledger/node.py
@@ -0,0 +1,225 @@
+"""A ledger process from start to stop."""
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import zmq.asyncio
+from loguru import logger
+
+from waxwingglade.base import WaxwinggladeError, ZoneId
+from waxwingglade.base.tasks import start_task
+from waxwingglade.follow.feed import Beliefs, FeedFollower, nearest_first
+from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet, View
+from waxwingglade.follow.store import Store
+from waxwingglade.follow.watcher import Keys, Watcher
+from waxwingglade.ledger.coordinator import Coordinator
+from waxwingglade.ledger.membership import Membership
+from waxwingglade.ledger.messages import (
+    BeginTurn,
+    EndTurn,
+    LedgerMessage,
+    NotHere,
+    Ping,
+    ToReplica,
+    Unavailable,
+)
+from waxwingglade.ledger.replica import Replica
+from waxwingglade.transport.links import Codec, LinkFailed, Links, LinkServer
+
+LINK_IDLE_S = 30.0
+"""Seconds after which a connection to a process that is no longer a member is closed."""
+
+
+class LedgerSettings(msgspec.Struct, frozen=True):
+    """What a ledger process is told.
+
+    Parameters
+    ----------
+    vm : str
+        Name of its VM.
+    zone : ZoneId
+        Its availability zone.
+    endpoint : str
+        ZeroMQ endpoint where it answers, ``tcp://IP:PORT``.
+    folder : Path
+        Data folder.
+    wanted_members : int
+        Members that are enough for the faults to be borne.
+    status_prefix : str
+        Where the state of orders to empty a VM is written.
+    """
+
+    vm: str
+    zone: ZoneId
+    endpoint: str
+    folder: Path
+    wanted_members: int
+    status_prefix: str
+
+
+class LedgerNode:
+    """State of a ledger process.
+
+    Parameters
+    ----------
+    settings : LedgerSettings
+        Its settings.
+    store : Store
+        The platform's store.
+    keys : Keys
+        Where things lie in it.
+    """
+
+    def __init__(self, settings: LedgerSettings, store: Store, keys: Keys) -> None:
+        self.settings = settings
+        self.store = store
+        self.codec = Codec(LedgerMessage)
+        self.context = zmq.asyncio.Context()
+        self.server = LinkServer(self.context, self.codec, self.answer)
+        self.links = Links(self.context, self.codec)
+        self.beliefs = Beliefs()
+        self.watcher = Watcher(store, keys, self._store_changed)
+        self.replica = Replica(settings.folder)
+        self.own = Member(self.replica.disk, settings.vm, settings.endpoint, settings.zone)
+        self.coordinator = Coordinator(
+            lambda: self.replica.replicas, self.ask_member, self.heard_of
+        )
+        self.membership = Membership(
+            self.own,
+            self.replica,
+            self.watcher,
+            store,
+            self.ask_member,
+            settings.wanted_members,
+            keys.replicas,
+            settings.status_prefix,
+        )
+        self.membership.heard_of = self.heard_of
+        self.follower = FeedFollower(
+            self.beliefs, self._sources, self.ask_feed, lambda: not self.beliefs.fresh
+        )
+        self.handlers: dict[type, Callable[[Any], Any]] = {
+            BeginTurn: self.coordinator.begin,
+            EndTurn: self.coordinator.end,
+            Follow: self.follow,
+            Ping: self.ping,
+            ToReplica: self.to_replica,
+        }
+        self.tasks: list[asyncio.Task] = []
+
+    async def start(self) -> None:
+        """Read the disk, and begin to answer and to follow."""
+        self.replica.open()
+        if self.replica.replicas.epoch:
+            self.beliefs.merge(View(replicas=self.replica.replicas), float("-inf"))
+        self.server.start(self.settings.endpoint)
+        self.watcher.start()
+        self.follower.start()
+        self.tasks = [
+            start_task(self.membership.ping_forever()),
+            start_task(self.membership.run()),
+            start_task(self.replica.sweep_forever()),
+            start_task(self._tidy_links()),
+            start_task(self._confirm_forever()),
+        ]
+        logger.bind(vm=self.own.vm, disk=self.own.disk, endpoint=self.own.address).info("started")
+
+    async def stop(self) -> None:
+        """Stop answering, with everything durable that was acknowledged."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.follower.stop()
+        await self.watcher.stop()
+        await self.server.stop()
+        await self.links.close()
+        await self.replica.stop()
+        self.context.term()
+
+    # What is believed
+
+    def _store_changed(self) -> None:
+        self.beliefs.merge(self.watcher.view, self.watcher.confirmed_at)
+        self._learn_members(self.watcher.view.replicas)
+
+    def heard_of(self, replicas: ReplicaSet) -> None:
+        """Take in a set of members that a replica told of."""
+        self.beliefs.merge(View(replicas=replicas), float("-inf"))
+        self._learn_members(replicas)
+
+    def _learn_members(self, replicas: ReplicaSet) -> None:
+        known = (self.replica.replicas.epoch, self.replica.replicas.settled)
+        if (replicas.epoch, replicas.settled) > known:
+            start_task(self.replica.learn_members(replicas))
+
+    async def _confirm_forever(self) -> None:
+        """Carry the store's confirmations over to what this process tells others."""
+        while True:
+            await asyncio.sleep(0.1)
+            self.beliefs.merge(self.watcher.view, self.watcher.confirmed_at)
+            self._learn_members(self.beliefs.view.replicas)
+
+    def _sources(self) -> list[Member]:
+        members = self.replica.replicas.members
+        others = tuple(member for member in members if member.disk != self.own.disk)
+        return nearest_first(others, self.own.zone, self.own.vm)
+
+    async def _tidy_links(self) -> None:
+        while True:
+            await asyncio.sleep(LINK_IDLE_S / 2)
+            await self.links.keep_only(
+                {member.address for member in self.replica.replicas.members}, LINK_IDLE_S
+            )
+
+    # Asking
+
+    async def ask_feed(self, address: str, message: Follow, timeout_s: float) -> Followed:
+        """Ask another process for what it knows."""
+        answer = await self.links.to(address).request(message, timeout_s)
+        if not isinstance(answer, Followed):
+            raise LinkFailed(f"{address} answered with {type(answer).__name__}", sent=True)
+        return answer
+
+    async def ask_member(self, member: Member, message: Any, timeout_s: float) -> Any:
+        """Ask a member, or this process's own replica."""
+        if isinstance(message, Ping):
+            return await self.links.to(member.address).request(message, timeout_s)
+        if member.disk == self.own.disk:
+            return await self.replica.handle(message)
+        wrapped = ToReplica(member.disk, message)
+        return await self.links.to(member.address).request(wrapped, timeout_s)
+
+    # Answering
+
+    async def answer(self, message: Any) -> Any:
+        """Answer a request of an entry or another replica."""
+        handler = self.handlers.get(type(message))
+        if handler is None:
+            logger.warning("{} is no request", type(message).__name__)
+            return None
+        try:
+            return await handler(message)
+        except WaxwinggladeError as error:
+            return Unavailable(str(error))
+
+    async def follow(self, message: Follow) -> Followed:
+        """Tell what is known."""
+        return await self.beliefs.answer(message)
+
+    async def ping(self, message: Ping) -> Any:
+        """Give a sign of life."""
+        return self.membership.answer_ping(message)
+
+    async def to_replica(self, message: ToReplica) -> Any:
+        """Pass a request on to the replica here, if it is the one that is meant."""
+        if message.disk != self.own.disk:
+            return NotHere()
+        return await self.replica.handle(message.body)
+
+
+__all__ = ["LedgerNode", "LedgerSettings"]
--- /dev/null
+++ b/waxwingglade/ledger/replica.py
@@ -0,0 +1,367 @@
+"""One replica of the ledger: accounts and turns, in memory and on its disk."""
+
+import asyncio
+from collections import OrderedDict
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from waxwingglade.base import Clock, ProgramId, wall
+from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.ledger.journal import Journal, Place
+from waxwingglade.ledger.messages import (
+    NEW_ACCOUNT,
+    NO_BALLOT,
+    Accept,
+    Accepted,
+    Account,
+    Ballot,
+    Fetch,
+    Fetched,
+    Find,
+    Found,
+    Held,
+    Keep,
+    Kept,
+    ListHeld,
+    OtherEpoch,
+    Prepare,
+    Promised,
+    Rejected,
+    ReplicaRequest,
+    Turn,
+    TurnId,
+)
+
+ACCOUNT_KEPT_S = 600.0
+"""Seconds for which the account of a program is kept after its last change; programs that were
+stopped return within the retention of their turns, a minute at the sites known."""
+
+EXPIRY_MARGIN_S = 60.0
+"""Seconds for which a turn is kept beyond its time; clocks of VMs differ by seconds."""
+
+SWEEP_S = 5.0
+CACHED_BYTES = 16 * 1024 * 1024
+"""Turns kept in memory for reading, in bytes; older ones are read from the disk."""
+
+FETCH_BYTES = 1024 * 1024
+"""Most bytes of turns in one answer to a replica that catches up."""
+
+CHAIN_LIMIT = 1000
+"""Turns of a chain, against a loop in damaged data."""
+
+
+class _TurnRecord(msgspec.Struct, frozen=True, array_like=True, tag="t"):
+    turn: Turn
+
+
+class _PromiseRecord(msgspec.Struct, frozen=True, array_like=True, tag="p"):
+    program: ProgramId
+    promised: Ballot
+
+
+class _AcceptRecord(msgspec.Struct, frozen=True, array_like=True, tag="a"):
+    program: ProgramId
+    promised: Ballot
+    accepted: Ballot
+    account: Account
+
+
+class _MembersRecord(msgspec.Struct, frozen=True, array_like=True, tag="m"):
+    replicas: ReplicaSet
+
+
+_Record = _TurnRecord | _PromiseRecord | _AcceptRecord | _MembersRecord
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(_Record).decode
+
+
+class Slot(msgspec.Struct):
+    """A program's account as this replica has accepted it, and what it has promised."""
+
+    promised: Ballot = NO_BALLOT
+    accepted: Ballot = NO_BALLOT
+    account: Account = NEW_ACCOUNT
+
+
+class TurnPlace(msgspec.Struct):
+    """Where a turn lies on the disk, what it continues, and until when it is kept."""
+
+    place: Place
+    previous: TurnId | None
+    expires_at: float
+
+
+class Replica:
+    """Accounts and turns of one disk.
+
+    Parameters
+    ----------
+    folder : Path
+        Data folder.
+    wall_clock : Clock
+        Calendar time in seconds.
+
+    Attributes
+    ----------
+    replicas : ReplicaSet
+        The newest set of members that this replica knows; it refuses requests under older ones.
+    """
+
+    def __init__(self, folder: Path, wall_clock: Clock = wall) -> None:
+        self.wall_clock = wall_clock
+        self.journal = Journal(folder)
+        self.slots: dict[ProgramId, Slot] = {}
+        self.turns: dict[TurnId, TurnPlace] = {}
+        self.cache: OrderedDict[TurnId, Turn] = OrderedDict()
+        self.cached_bytes = 0
+        self.replicas = ReplicaSet()
+        self.handlers = {
+            Prepare: self.prepare,
+            Accept: self.accept,
+            Keep: self.keep,
+            Find: self.find,
+            ListHeld: self.list_held,
+            Fetch: self.fetch,
+        }
+
+    @property
+    def disk(self) -> str:
+        """Name of the disk's content."""
+        return self.journal.disk
+
+    def open(self) -> None:
+        """Read the disk and begin to write."""
+        for place, content in self.journal.replay():
+            self._replay(place, content)
+        self.journal.start()
+        logger.bind(
+            disk=self.disk,
+            turns=len(self.turns),
+            accounts=len(self.slots),
+            epoch=self.replicas.epoch,
+        ).info("disk read")
+
+    def _replay(self, place: Place, content: bytes) -> None:
+        record = _decode(content)
+        if isinstance(record, _TurnRecord):
+            self._index(record.turn, place)
+        elif isinstance(record, _MembersRecord):
+            self.replicas = record.replicas
+        else:
+            slot = self.slots.setdefault(record.program, Slot())
+            slot.promised = max(slot.promised, record.promised)
+            if isinstance(record, _AcceptRecord) and record.accepted >= slot.accepted:
+                slot.accepted, slot.account = record.accepted, record.account
+
+    async def stop(self) -> None:
+        """Close the disk."""
+        await self.journal.stop()
+
+    async def learn_members(self, replicas: ReplicaSet) -> None:
+        """Go over to a newer set of members, durably."""
+        known = (self.replicas.epoch, self.replicas.settled)
+        if (replicas.epoch, replicas.settled) <= known:
+            return
+        self.replicas = replicas
+        await self._write(_MembersRecord(replicas))
+
+    async def handle(self, message: ReplicaRequest) -> Any:
+        """Answer a request of a coordinator, or of another replica."""
+        return await self.handlers[type(message)](message)
+
+    def _write(self, record: Any) -> "asyncio.Future[Place]":
+        return self.journal.append(_encode(record))
+
+    def _refused(self, epoch: int) -> OtherEpoch | None:
+        """Refuse a request under another set of members than the one known here."""
+        if epoch == self.replicas.epoch:
+            return None
+        return OtherEpoch(self.replicas)
+
+    # Accounts
+
+    async def prepare(self, message: Prepare) -> Any:
+        """Promise to accept nothing below a ballot."""
+        if refusal := self._refused(message.epoch):
+            return refusal
+        slot = self.slots.setdefault(message.program, Slot())
+        if message.ballot <= slot.promised:
+            return Rejected(slot.promised)
+        slot.promised = message.ballot
+        answer = Promised(slot.accepted, slot.account)
+        await self._write(_PromiseRecord(message.program, message.ballot))
+        return answer
+
+    async def accept(self, message: Accept) -> Any:
+        """Accept an account, unless something newer was promised."""
+        if refusal := self._refused(message.epoch):
+            return refusal
+        slot = self.slots.setdefault(message.program, Slot())
+        late = message.ballot < slot.promised or message.ballot <= slot.accepted
+        if message.after is not None:
+            late = late or slot.promised != message.after
+        if late:
+            return Rejected(slot.promised)
+        slot.promised = slot.accepted = message.ballot
+        slot.account = message.account
+        await self._write(
+            _AcceptRecord(message.program, message.ballot, message.ballot, message.account)
+        )
+        return Accepted()
+
+    # Turns
+
+    async def keep(self, message: Keep) -> Any:
+        """Keep a turn."""
+        if refusal := self._refused(message.epoch):
+            return refusal
+        await self._store_turn(message.turn)
+        return Kept()
+
+    async def _store_turn(self, turn: Turn) -> None:
+        if turn.turn in self.turns:
+            return
+        place = await self._write(_TurnRecord(turn))
+        self._index(turn, place)
+        self._remember(turn)
+
+    def _index(self, turn: Turn, place: Place) -> None:
+        """Enter a turn, and keep those that it continues as long as it."""
+        self.turns[turn.turn] = TurnPlace(place, turn.previous, turn.expires_at)
+        previous = turn.previous
+        for _ in range(CHAIN_LIMIT):
+            where = self.turns.get(previous) if previous is not None else None
+            if where is None or where.expires_at >= turn.expires_at:
+                return
+            where.expires_at = turn.expires_at
+            previous = where.previous
+
+    async def find(self, message: Find) -> Any:
+        """Return the chain up to a turn."""
+        if refusal := self._refused(message.epoch):
+            return refusal
+        return await self.chain(message.turn)
+
+    async def chain(self, turn: TurnId) -> Found:
+        """Return the chain up to a turn, as far as it is here."""
+        chain: list[Turn] = []
+        wanted: TurnId | None = turn
+        while wanted is not None and len(chain) < CHAIN_LIMIT:
+            found = await self.turn(wanted)
+            if found is None:
+                break
+            chain.append(found)
+            wanted = found.previous
+        return Found(tuple(reversed(chain)), bool(chain) and wanted is None)
+
+    async def turn(self, turn: TurnId) -> Turn | None:
+        """Return a turn, from memory or from the disk."""
+        cached = self.cache.get(turn)
+        if cached is not None:
+            self.cache.move_to_end(turn)
+            return cached
+        where = self.turns.get(turn)
+        if where is None:
+            return None
+        content = await asyncio.to_thread(self.journal.read, where.place)
+        record = _decode(content)
+        if not isinstance(record, _TurnRecord) or record.turn.turn != turn:
+            logger.bind(turn=turn).error("turn not where the index says")
+            return None
+        self._remember(record.turn)
+        return record.turn
+
+    def _remember(self, turn: Turn) -> None:
+        if turn.turn in self.cache:
+            return
+        self.cache[turn.turn] = turn
+        self.cached_bytes += len(turn.asked) + len(turn.answered)
+        while self.cached_bytes > CACHED_BYTES:
+            _, old = self.cache.popitem(last=False)
+            self.cached_bytes -= len(old.asked) + len(old.answered)
+
+    # Catching up
+
+    async def list_held(self, message: ListHeld) -> Any:
+        """Return what is held here, and from now on refuse older sets of members."""
+        await self.learn_members(message.replicas)
+        if message.replicas.epoch < self.replicas.epoch:
+            return OtherEpoch(self.replicas)
+        accounts = {
+            program: slot.accepted for program, slot in self.slots.items() if slot.accepted.number
+        }
+        return Held(tuple(self.turns), accounts)
+
+    async def fetch(self, message: Fetch) -> Any:
+        """Return turns and accounts by name, turns up to a size."""
+        turns = []
+        size = 0
+        for name in message.turns:
+            turn = await self.turn(name)
+            if turn is None:
+                continue
+            turns.append(turn)
+            size += len(turn.asked) + len(turn.answered)
+            if size > FETCH_BYTES:
+                break
+        accounts = {}
+        for program in message.programs:
+            slot = self.slots.get(program)
+            if slot is not None:
+                accounts[program] = (slot.accepted, slot.account)
+        return Fetched(tuple(turns), accounts)
+
+    async def take_in(self, fetched: Fetched) -> None:
+        """Store what another replica holds, as if its proposals had reached this one late."""
+        writes = [self._store_turn(turn) for turn in fetched.turns]
+        for program, (ballot, account) in fetched.accounts.items():
+            slot = self.slots.setdefault(program, Slot())
+            if ballot <= slot.accepted or ballot < slot.promised:
+                continue
+            slot.promised = slot.accepted = ballot
+            slot.account = account
+            writes.append(self._write(_AcceptRecord(program, ballot, ballot, account)))
+        await asyncio.gather(*writes)
+
+    # Expiry
+
+    async def sweep_forever(self) -> None:
+        """Forget what has expired, and remove segments that hold nothing else."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.forget_expired()
+            await self._drop_segments()
+
+    def forget_expired(self) -> None:
+        """Forget turns and accounts whose time is over."""
+        now = self.wall_clock()
+        for name, where in list(self.turns.items()):
+            if where.expires_at + EXPIRY_MARGIN_S < now:
+                del self.turns[name]
+                cached = self.cache.pop(name, None)
+                if cached is not None:
+                    self.cached_bytes -= len(cached.asked) + len(cached.answered)
+        for program, slot in list(self.slots.items()):
+            if slot.accepted.number and slot.account.touched_at + ACCOUNT_KEPT_S < now:
+                del self.slots[program]
+
+    async def _drop_segments(self) -> None:
+        """Copy what is still needed to the active segment, and remove the older ones."""
+        active = self.journal.active
+        needed = [where.place.segment for where in self.turns.values()]
+        oldest = min(needed, default=active)
+        if oldest <= min(self.journal.segments, default=active):
+            return
+        writes = [self._write(_MembersRecord(self.replicas))]
+        for program, slot in self.slots.items():
+            writes.append(
+                self._write(_AcceptRecord(program, slot.promised, slot.accepted, slot.account))
+            )
+        await asyncio.gather(*writes)
+        await asyncio.to_thread(self.journal.drop_before, min(oldest, active))
+
+
+__all__ = ["Replica"]
--- /dev/null
+++ b/waxwingglade/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, decoded here and nowhere else."""
--- /dev/null
+++ b/waxwingglade/platform/registry.py
@@ -0,0 +1,189 @@
+"""What operators and targets write to the store, decoded into this system's types."""
+
+import msgspec
+
+from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId
+from waxwingglade.follow.model import (
+    CallKind,
+    ClientLimits,
+    Configuration,
+    EngineTraits,
+    Route,
+    RouteName,
+    Service,
+    ServiceName,
+    Share,
+    Target,
+)
+
+CONFIGURATION_KEY = "op/config"
+RETIRE_PREFIX = "op/retire/"
+OPERATORS_PREFIX = "op/"
+TARGETS_PREFIX = "servers/"
+RETIRE_STATUS_PREFIX = "status/retire/"
+OWN_PREFIX = "waxwingglade/"
+REPLICAS_KEY = OWN_PREFIX + "replicas"
+
+_KINDS = {
+    "safe": CallKind.IDEMPOTENT,
+    "unsafe": CallKind.ONCE,
+    "streaming": CallKind.STREAM,
+}
+DEFAULT_TIMEOUT_MS = 30_000.0
+"""Where a route states no time-out; well above any route seen."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = DEFAULT_TIMEOUT_MS
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    retain: bool = False
+    retention_s: float = 0.0
+    sticky: bool = False
+    resumable: bool = False
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_capacity: int = 0
+    stride: int = 1
+    pin_ms: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = _Limits()
+
+
+class _TargetEntry(msgspec.Struct):
+    """A server's entry; its `seq` is only a sign of life."""
+
+    service: str
+    address: str
+    zone: str
+    slots: int = 1
+    state: str = "ready"
+    cold_left_ms: float = 0.0
+
+
+class _RetireOrder(msgspec.Struct):
+    deadline_s: float = 0.0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_target_decoder = msgspec.json.Decoder(_TargetEntry)
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Decode the operators' configuration; `FormatError` if it cannot be read."""
+    try:
+        wire = _configuration_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise FormatError(f"configuration: {error}") from error
+    return Configuration(
+        ConfigVersion(wire.version),
+        tuple(_route(route) for route in wire.routes),
+        tuple(_service(service) for service in wire.services),
+        ClientLimits(
+            wire.limits.max_header_bytes,
+            wire.limits.max_body_bytes,
+            wire.limits.header_timeout_ms / 1000,
+            wire.limits.idle_timeout_ms / 1000,
+        ),
+    )
+
+
+def _route(wire: _Route) -> Route:
+    kind = _KINDS.get(wire.kind, CallKind.ONCE)
+    if wire.traffic_split:
+        shares = tuple(Share(ServiceName(part.service), part.weight) for part in wire.traffic_split)
+    else:
+        shares = (Share(ServiceName(wire.service or ""), 1.0),)
+    return Route(
+        name=RouteName(wire.name),
+        host=wire.host,
+        prefix=wire.path_prefix,
+        kind=kind,
+        shares=shares,
+        timeout_s=wire.timeout_ms / 1000,
+        target_latency_s=wire.target_latency_ms / 1000,
+        rank=wire.priority,
+        max_attempts=max(1, wire.max_attempts),
+        keeps_turns=wire.retain,
+        retention_s=wire.retention_s,
+        resumable=wire.resumable,
+        uses_cache=wire.sticky,
+    )
+
+
+def _service(wire: _Service) -> Service:
+    engine = None
+    if wire.engine is not None:
+        engine = EngineTraits(
+            wire.engine.slots,
+            wire.engine.kv_capacity,
+            max(1, wire.engine.stride),
+            wire.engine.pin_ms / 1000,
+        )
+    return Service(ServiceName(wire.name), wire.max_conns, engine)
+
+
+def decode_target(key: str, value: bytes) -> Target:
+    """Decode a target's entry; `FormatError` if it cannot be read."""
+    try:
+        wire = _target_decoder.decode(value)
+    except msgspec.DecodeError as error:
+        raise FormatError(f"{key}: {error}") from error
+    return Target(
+        TargetId(key.removeprefix(TARGETS_PREFIX)),
+        ServiceName(wire.service),
+        wire.address,
+        ZoneId(wire.zone),
+        wire.slots,
+        wire.state == "draining",
+        wire.cold_left_ms / 1000,
+    )
+
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "OPERATORS_PREFIX",
+    "OWN_PREFIX",
+    "REPLICAS_KEY",
+    "RETIRE_PREFIX",
+    "RETIRE_STATUS_PREFIX",
+    "TARGETS_PREFIX",
+    "decode_configuration",
+    "decode_target",
+]
--- /dev/null
+++ b/waxwingglade/platform/settings.py
@@ -0,0 +1,116 @@
+"""The settings file that the platform gives to a process."""
+
+import os
+from enum import Enum
+from pathlib import Path
+
+import msgspec
+import yaml
+
+from waxwingglade.base import SettingsError, ZoneId
+
+SETTINGS_VARIABLE = "WAXWINGGLADE_NODE_FILE"
+"""Environment variable that holds the path of the settings file."""
+
+
+class Bounds(msgspec.Struct, frozen=True):
+    """Times that the platform grants.
+
+    Parameters
+    ----------
+    grace_s : float
+        From SIGTERM to SIGKILL.
+    drain_ms : float
+        Within this time a target that leaves gets no more work; it serves on for as long.
+    """
+
+    grace_s: float = 8.0
+    drain_ms: float = 2000.0
+
+
+class FaultTolerance(msgspec.Struct, frozen=True):
+    """What may be lost at the same moment."""
+
+    machines: int = 1
+    zones: int = 1
+    regions: int = 0
+
+
+class Provider(msgspec.Struct, frozen=True):
+    """The platform's store: ``IP:PORT`` and its rates, which all processes share."""
+
+    address: str
+    writes_per_s: float = 0.0
+    reads_per_s: float = 0.0
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What the machine gives to the process; megabytes."""
+
+    memory_mb: int = 0
+    max_fds: int = 0
+    disk_mb: int = 0
+
+
+class NodeSettings(msgspec.Struct, frozen=True):
+    """The settings that this system uses; others in the file are ignored.
+
+    Parameters
+    ----------
+    node_name : str
+        Name of the machine, our VM.
+    listen : dict
+        Addresses by purpose; `front` for callers, `ready` for the balancer's questions.
+    port_range : tuple of int
+        First and last port for our own protocol.
+    bootstrap : bool
+        Whether the whole system starts for the first time, with empty disks.
+    data_dir : str or None
+        Folder on the machine's disk, if it has one.
+    """
+
+    node_name: str
+    serves: list[str]
+    ip: str
+    zone: ZoneId
+    port_range: tuple[int, int]
+    provider: Provider
+    listen: dict[str, str] = {}
+    bootstrap: bool = False
+    data_dir: str | None = None
+    heartbeat_ms: float = 1000.0
+    limits: Limits = Limits()
+    bounds: Bounds = Bounds()
+    fault_tolerance: FaultTolerance = FaultTolerance()
+
+
+class Purpose(Enum):
+    """What a process does on a machine."""
+
+    ENTRY = "front"
+    LEDGER = "storage"
+
+
+def settings_path() -> Path:
+    """Return where the platform has put the settings file."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise SettingsError(f"{SETTINGS_VARIABLE} is not set")
+    return Path(path)
+
+
+def load_node_settings(path: Path) -> NodeSettings:
+    """Read and check the settings file; `SettingsError` names what is wrong with it."""
+    try:
+        content = yaml.load(path.read_text(), Loader=_LOADER)
+    except (OSError, yaml.YAMLError) as error:
+        raise SettingsError(f"{path}: {error}") from error
+    try:
+        return msgspec.convert(content, NodeSettings)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path}: {error}") from error
+
+
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+
+__all__ = ["Bounds", "NodeSettings", "Purpose", "load_node_settings", "settings_path"]
--- /dev/null
+++ b/waxwingglade/platform/store.py
@@ -0,0 +1,205 @@
+"""The platform's store over its HTTP calls."""
+
+import asyncio
+import base64
+from collections import Counter
+from urllib.parse import quote
+
+import msgspec
+
+from waxwingglade.follow.model import Revision
+from waxwingglade.follow.store import HistoryGone, Item, Listing, StoreUnavailable
+from waxwingglade.transport import (
+    Broken,
+    ConnectionPool,
+    HttpRequest,
+    HttpResponse,
+    NotConnected,
+)
+
+CONNECT_TIMEOUT_S = 0.6
+"""Seconds for a connection; the store answers within milliseconds, and a lost opening packet costs
+a second, after which a new attempt is quicker."""
+
+ANSWER_TIMEOUT_S = 1.5
+"""Seconds for an answer; the store is slow at times by a factor of fifty, some 200 ms."""
+
+PAGE_LIMIT = 1000
+"""Pages of one listing, against a store that would never say that it is done."""
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+
+_GONE = 410
+_CONFLICT = 412
+_NOT_FOUND = 404
+_OK = 200
+_DECIDED = (_OK, _GONE, _CONFLICT, _NOT_FOUND)
+_NOTHING_DONE = (429, 503)
+
+
+class _WireItem(msgspec.Struct):
+    key: str
+    revision: int
+    value: str | None = None
+    deleted: bool = False
+    current_rev: int = 0
+
+
+class _Page(msgspec.Struct):
+    items: list[_WireItem]
+    has_more: bool
+    current_rev: int
+
+
+class _Events(msgspec.Struct):
+    events: list[_WireItem]
+    current_rev: int
+
+
+class _Expected(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _Write(msgspec.Struct):
+    key: str
+    value: str
+    lease_id: int = 0
+
+
+class _Transaction(msgspec.Struct):
+    expected_rev: list[_Expected]
+    writes: list[_Write]
+    remove: list[str] = []
+
+
+class _Refusal(msgspec.Struct):
+    items: list[_WireItem | None] = []
+
+
+class PlatformStore:
+    """The store of the platform, as `waxwingglade.follow.store.Store`.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``.
+
+    Attributes
+    ----------
+    calls : Counter
+        Calls made, by what they were for; every call is priced, refused ones too.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.pool = ConnectionPool(CONNECT_TIMEOUT_S)
+        self.calls: Counter[str] = Counter()
+
+    async def read(self, key: str) -> Item | None:
+        """Return an item, linearizable."""
+        response = await self._call("read", "GET", f"/v1/kv-key?key={quote(key, safe='')}")
+        if response.status == _NOT_FOUND:
+            return None
+        return _item(msgspec.json.decode(response.body, type=_WireItem))
+
+    async def list(self, prefix: str) -> Listing:
+        """Return all items below a prefix, and the revision of the first page."""
+        items: list[Item] = []
+        revision: Revision | None = None
+        path = f"/v1/kv-range?path_prefix={quote(prefix, safe='')}"
+        after = ""
+        for _ in range(PAGE_LIMIT):
+            response = await self._call("list", "GET", path + after)
+            page = msgspec.json.decode(response.body, type=_Page)
+            items += [_item(item) for item in page.items]
+            if revision is None:
+                revision = Revision(page.current_rev)
+            if not page.has_more or not page.items:
+                break
+            after = f"&after={quote(page.items[-1].key, safe='')}"
+        return Listing(tuple(items), revision or Revision(0))
+
+    async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
+        """Return the events after a revision; `HistoryGone` if the store dropped them."""
+        path = (
+            f"/v1/kv-watch?path_prefix={quote(prefix, safe='')}"
+            f"&after={after}&wait_ms={int(wait_s * 1000)}"
+        )
+        response = await self._call("watch", "GET", path, wait_s + ANSWER_TIMEOUT_S)
+        if response.status == _GONE:
+            raise HistoryGone(f"{prefix} after {after}")
+        events = msgspec.json.decode(response.body, type=_Events)
+        return Listing(
+            tuple(_item(event) for event in events.events), Revision(events.current_rev)
+        )
+
+    async def compare_and_swap(self, key: str, revision: Revision, value: bytes) -> Item | None:
+        """Write a key under a condition; return what stands in the way, or None if it is done."""
+        text = base64.b64encode(value).decode()
+        body = msgspec.json.encode(_Transaction([_Expected(key, revision)], [_Write(key, text)]))
+        try:
+            response = await self._call("write", "POST", "/v1/kv-txn", body=body)
+        except StoreUnavailable as error:
+            if not error.may_have_run:
+                raise
+            return await self._read_back(key, value, error)
+        if response.status == _OK:
+            return None
+        if response.status == _NOT_FOUND:
+            raise StoreUnavailable("the store knows no such lease", may_have_run=False)
+        return await self._read_back(key, value, StoreUnavailable("conflict", False))
+
+    async def _read_back(self, key: str, value: bytes, error: StoreUnavailable) -> Item | None:
+        """Decide a write whose answer was lost, or lost a race, by what the key holds now."""
+        held = await self.read(key)
+        if held is not None and held.value == value:
+            return None
+        if held is None:
+            raise error
+        return held
+
+    async def _call(
+        self,
+        purpose: str,
+        method: str,
+        path: str,
+        timeout_s: float = ANSWER_TIMEOUT_S,
+        body: bytes = b"",
+    ) -> HttpResponse:
+        """Make one call; `StoreUnavailable` unless the store decided it."""
+        self.calls[purpose] += 1
+        headers = [("Host", self.address)]
+        if body:
+            headers.append(("Content-Type", "application/json"))
+        request = HttpRequest(method, path, headers, body)
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self.pool.take(self.address)
+        except (NotConnected, TimeoutError) as error:
+            raise StoreUnavailable(str(error) or "no connection", may_have_run=False) from error
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection.send(request)
+                response = await connection.read_head(lambda _: True)
+                response.body = await connection.read_body(MAX_BODY_BYTES)
+        except (Broken, TimeoutError) as error:
+            raise StoreUnavailable(str(error) or "no answer", may_have_run=True) from error
+        finally:
+            self.pool.give_back(self.address, connection)
+        if response.status in _DECIDED:
+            return response
+        done = response.status not in _NOTHING_DONE
+        raise StoreUnavailable(f"status {response.status} for {purpose}", may_have_run=done)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        self.pool.close()
+
+
+def _item(wire: _WireItem) -> Item:
+    value = None if wire.deleted or wire.value is None else base64.b64decode(wire.value)
+    return Item(wire.key, value, Revision(wire.revision))
+
+
+__all__ = ["PlatformStore"]
--- /dev/null
+++ b/waxwingglade/transport/__init__.py
@@ -0,0 +1,21 @@
+"""Connections: HTTP/1.1 towards targets and the store, ZeroMQ between processes."""
+
+from waxwingglade.transport.http1 import (
+    Broken,
+    Http1Connection,
+    HttpRequest,
+    HttpResponse,
+    NotConnected,
+    open_connection,
+)
+from waxwingglade.transport.pool import ConnectionPool
+
+__all__ = [
+    "Broken",
+    "ConnectionPool",
+    "Http1Connection",
+    "HttpRequest",
+    "HttpResponse",
+    "NotConnected",
+    "open_connection",
+]
--- /dev/null
+++ b/waxwingglade/transport/http1.py
@@ -0,0 +1,337 @@
+"""One HTTP/1.1 connection of a client, which knows whether a byte of a request has left.
+
+The parser is h11's.  What is added is what a scheduler must know and an ordinary client hides:
+whether a failed request may have reached the other side, whether a response that ends with its
+connection was cut off, and whether bytes arrived that belong to no request.
+"""
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+
+import h11
+import msgspec
+
+from waxwingglade.base import WaxwinggladeError
+
+HeaderList = list[tuple[str, str]]
+
+USER_TIMEOUT_MS = 2_000
+"""Milliseconds for which sent bytes may stay unacknowledged; several round trips with retransmits,
+and short against the deadlines of requests, so that a peer that lost power is noticed."""
+
+READ_HIGH_WATER_BYTES = 256 * 1024
+"""Received bytes that wait for their reader before the connection stops reading."""
+
+MAX_HEADER_BYTES = 64 * 1024
+
+
+class NotConnected(WaxwinggladeError):
+    """No connection could be opened, so no byte of a request has left."""
+
+
+class Broken(WaxwinggladeError):
+    """A connection ended, or carried bytes that are no HTTP, before its response was complete.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    sent : bool
+        Whether bytes of the request may have left.
+    """
+
+    def __init__(self, message: str, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class HttpRequest(msgspec.Struct, frozen=True):
+    """A request with its whole body."""
+
+    method: str
+    path: str
+    headers: HeaderList
+    body: bytes = b""
+
+
+class HttpResponse(msgspec.Struct):
+    """The head of a response, and its body once that was read."""
+
+    status: int
+    headers: HeaderList
+    body: bytes = b""
+
+    def header(self, name: str) -> str | None:
+        """Return the first header of a name, in whatever case, or None."""
+        wanted = name.lower()
+        for key, value in self.headers:
+            if key.lower() == wanted:
+                return value
+        return None
+
+
+class Http1Connection(asyncio.Protocol):
+    """One connection, which serves one request at a time.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether bytes of the present request were handed to the kernel.
+    dirty : bool
+        Whether bytes came that belong to no request; the connection is not used again.
+    idle_since : float
+        Loop time at which the connection was last given back, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.parser = _new_parser()
+        self.transport: asyncio.Transport | None = None
+        self.chunks: deque[bytes] = deque()
+        self.waiting_bytes = 0
+        self.paused = False
+        self.ended = False
+        self.error: Exception | None = None
+        self.wake: asyncio.Future[None] | None = None
+        self.in_use = False
+        self.sent = False
+        self.dirty = False
+        self.idle_since = 0.0
+        self.request: HttpRequest | None = None
+        self.close_after = False
+
+    # Callbacks of the transport
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, and bound how long a dead peer stays unnoticed."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        own_socket = transport.get_extra_info("socket")
+        if own_socket is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
+            own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Keep received bytes for the reader; bytes on an idle connection spoil it."""
+        if not self.in_use:
+            self.dirty = True
+            self.close()
+            return
+        self.chunks.append(data)
+        self.waiting_bytes += len(data)
+        if self.waiting_bytes > READ_HIGH_WATER_BYTES and not self.paused and self.transport:
+            self.paused = True
+            self.transport.pause_reading()
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Note the orderly end of the other side; the transport closes itself."""
+        self.ended = True
+        self._wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Note the end of the connection; an exception means that it was reset."""
+        if not self.ended and exc is not None:
+            self.error = exc
+        self.ended = True
+        self._wake()
+
+    def _wake(self) -> None:
+        if self.wake is not None and not self.wake.done():
+            self.wake.set_result(None)
+
+    # For the user
+
+    @property
+    def usable(self) -> bool:
+        """Whether another request may be sent on it."""
+        return (
+            not self.ended
+            and not self.dirty
+            and not self.close_after
+            and self.transport is not None
+            and not self.transport.is_closing()
+        )
+
+    def close(self) -> None:
+        """Close at once; bytes that were not sent yet are dropped."""
+        if self.transport is not None:
+            self.transport.abort()
+        self.ended = True
+
+    def send(self, request: HttpRequest) -> None:
+        """Write a whole request."""
+        if not self.usable:
+            raise Broken("the connection has ended", sent=False)
+        assert self.transport is not None
+        self.in_use = True
+        self.sent = True
+        self.request = request
+        self.transport.write(self._encode(request))
+
+    async def read_head(self, is_ours: Callable[[HttpResponse], bool]) -> HttpResponse:
+        """Return the head of the response.
+
+        Parameters
+        ----------
+        is_ours : callable
+            Whether a response answers the present request.  A response that does not is a late or
+            doubled one of an earlier request: it is skipped, and the connection is not kept.
+
+        Raises
+        ------
+        Broken
+            If the connection ends first, or the bytes are not HTTP.
+        """
+        while True:
+            event = await self._next_event()
+            if not isinstance(event, h11.Response):
+                raise Broken(f"{type(event).__name__} instead of a response", self.sent)
+            head = HttpResponse(event.status_code, _decoded(event))
+            if is_ours(head):
+                self.close_after = self.close_after or _says_close(head)
+                return head
+            await self._skip_response()
+
+    async def read_piece(self) -> bytes | None:
+        """Return the next bytes of the body, or None at its end.
+
+        Raises
+        ------
+        Broken
+            If the connection ends before the body does, or the bytes are not HTTP.
+        """
+        event = await self._next_event()
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            self._finish()
+            return None
+        raise Broken(f"{type(event).__name__} within a body", self.sent)
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return the whole rest of the body; `Broken` if it ends early or exceeds `limit` bytes."""
+        pieces = []
+        size = 0
+        while (piece := await self.read_piece()) is not None:
+            size += len(piece)
+            if size > limit:
+                raise Broken(f"a body of more than {limit} bytes", self.sent)
+            pieces.append(piece)
+        return b"".join(pieces)
+
+    # Inside
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        method = request.method.upper()
+        headers = list(request.headers)
+        if request.body or method not in ("GET", "HEAD", "DELETE"):
+            headers.append(("Content-Length", str(len(request.body))))
+        parts = [
+            self.parser.send(h11.Request(method=method, target=request.path, headers=headers)),
+            self.parser.send(h11.Data(data=request.body)) if request.body else b"",
+            self.parser.send(h11.EndOfMessage()),
+        ]
+        return b"".join(part for part in parts if part)
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self.parser.next_event()
+            except h11.RemoteProtocolError as error:
+                raise Broken(f"not HTTP: {error}", self.sent) from error
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if event is h11.PAUSED:
+                raise Broken("the connection has ended", self.sent)
+            if event is not h11.NEED_DATA:
+                return event
+            await self._feed()
+
+    async def _feed(self) -> None:
+        """Give the parser more bytes, or the end of the connection."""
+        while not self.chunks:
+            if self.error is not None:
+                raise Broken(f"reset: {self.error}", self.sent)
+            if self.ended:
+                self.parser.receive_data(b"")
+                return
+            self.wake = self.loop.create_future()
+            await self.wake
+        data = b"".join(self.chunks)
+        self.chunks.clear()
+        self.waiting_bytes = 0
+        if self.paused and self.transport is not None and not self.transport.is_closing():
+            self.paused = False
+            self.transport.resume_reading()
+        self.parser.receive_data(data)
+
+    async def _skip_response(self) -> None:
+        """Read over a response of an earlier request, and wait for the one that is due."""
+        self.close_after = True
+        while not isinstance(await self._next_event(), h11.EndOfMessage):
+            pass
+        rest, at_end = self.parser.trailing_data
+        if self.parser.their_state is h11.MUST_CLOSE:
+            raise Broken("closed after a response to another request", self.sent)
+        self.parser = _new_parser()
+        assert self.request is not None
+        self._encode(self.request)
+        if rest:
+            self.parser.receive_data(rest)
+        if at_end:
+            self.parser.receive_data(b"")
+
+    def _finish(self) -> None:
+        """Make ready for another request, if the connection can take one."""
+        rest, at_end = self.parser.trailing_data
+        self.in_use = False
+        self.sent = False
+        self.idle_since = self.loop.time()
+        must_close = self.parser.their_state is not h11.DONE
+        unsent = self.transport is not None and self.transport.get_write_buffer_size() > 0
+        if rest or at_end or self.chunks or must_close or unsent or self.close_after:
+            # Bytes after a whole response belong to no request; and a target that answers before
+            # it has read the body must not find another request where the rest is due.
+            self.dirty = True
+            return
+        self.parser.start_next_cycle()
+
+
+def _new_parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+
+
+def _decoded(head: h11.Response) -> HeaderList:
+    pairs = head.headers.raw_items()
+    return [(name.decode("latin-1"), value.decode("latin-1")) for name, value in pairs]
+
+
+def _says_close(head: HttpResponse) -> bool:
+    value = head.header("Connection")
+    return value is not None and "close" in value.lower()
+
+
+async def open_connection(address: str, timeout_s: float) -> Http1Connection:
+    """Open a connection to ``IP:PORT``; `NotConnected` if that fails or takes too long."""
+    host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(Http1Connection, host, int(port))
+    except (OSError, TimeoutError, ValueError) as error:
+        raise NotConnected(f"{address}: {error or 'no answer'}") from error
+    return connection
+
+
+__all__ = [
+    "Broken",
+    "HeaderList",
+    "Http1Connection",
+    "HttpRequest",
+    "HttpResponse",
+    "NotConnected",
+    "open_connection",
+]
--- /dev/null
+++ b/waxwingglade/transport/pool.py
@@ -0,0 +1,93 @@
+"""Kept connections to targets, by address."""
+
+import asyncio
+from collections import defaultdict
+
+from waxwingglade.transport.http1 import Http1Connection, HttpResponse, open_connection
+
+DEFAULT_IDLE_S = 2.0
+"""Seconds for which an idle connection is trusted where the target does not state its timeout."""
+
+IDLE_MARGIN_S = 0.5
+"""Seconds before the stated timeout at which a connection is no longer used: a request must not
+cross the target's close on the way."""
+
+
+class ConnectionPool:
+    """Idle connections of one process, newest first.
+
+    Parameters
+    ----------
+    connect_timeout_s : float
+        Seconds to wait for a new connection.
+
+    Attributes
+    ----------
+    opened : int
+        Connections opened since the start.
+    """
+
+    def __init__(self, connect_timeout_s: float) -> None:
+        self.connect_timeout_s = connect_timeout_s
+        self.idle: defaultdict[str, list[Http1Connection]] = defaultdict(list)
+        self.idle_limits_s: dict[str, float] = {}
+        self.opened = 0
+
+    async def take(self, address: str) -> Http1Connection:
+        """Return a kept connection, or a new one; `NotConnected` if none can be opened."""
+        connections = self.idle[address]
+        limit_s = self.idle_limits_s.get(address, DEFAULT_IDLE_S)
+        now = asyncio.get_running_loop().time()
+        while connections:
+            connection = connections.pop()
+            if connection.usable and now - connection.idle_since < limit_s:
+                return connection
+            connection.close()
+        self.opened += 1
+        return await open_connection(address, self.connect_timeout_s)
+
+    def give_back(self, address: str, connection: Http1Connection) -> None:
+        """Keep a connection whose response was read to its end; close any other."""
+        if connection.in_use or not connection.usable:
+            connection.close()
+            return
+        self.idle[address].append(connection)
+
+    def note_timeout(self, address: str, head: HttpResponse) -> None:
+        """Learn how long the target keeps idle connections, if it says so."""
+        stated = head.header("Keep-Alive")
+        if stated is None:
+            return
+        for part in stated.split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                self.idle_limits_s[address] = max(0.0, int(value) - IDLE_MARGIN_S)
+
+    def sweep(self) -> None:
+        """Close connections that have been idle for too long."""
+        now = asyncio.get_running_loop().time()
+        for address, connections in list(self.idle.items()):
+            limit_s = self.idle_limits_s.get(address, DEFAULT_IDLE_S)
+            kept = []
+            for connection in connections:
+                if connection.usable and now - connection.idle_since < limit_s:
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self.idle[address] = kept
+            else:
+                del self.idle[address]
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self.idle.pop(address, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for address in list(self.idle):
+            self.forget(address)
+
+
+__all__ = ["ConnectionPool"]
