--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -279,7 +279,7 @@
 
 
 def _weight(key: str | None, target: TargetId) -> int:
-    return xxhash.xxh32_intdigest(f"{key}|{target}")
+    return xxhash.xxh32_intdigest(f"{key}|{target}".encode())
 
 
 def _homes(part: str, states: list[TargetState]) -> set[TargetId]:
--- a/waxwingglade/ingress/routes.py
+++ b/waxwingglade/ingress/routes.py
@@ -46,7 +46,7 @@
         if len(shares) == 1:
             return shares[0].service
         total = sum(share.weight for share in shares)
-        point = (xxhash.xxh32_intdigest(f"{route.name}|{key}") / 2**32) * total
+        point = (xxhash.xxh32_intdigest(f"{route.name}|{key}".encode()) / 2**32) * total
         for share in shares:
             point -= share.weight
             if point < 0:
