Serve until nothing can arrive any more when draining; spread the ledger's members over zones

It now takes requests for 0.55 of the grace, then closes connections without a request and serves the rest to the end. Members are as many as the faults need, spread over zones; others stand by. A target that gives no answer in time counts as failed, and sent bytes may stay unacknowledged for 0.7 s instead of 2 s.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -1,5 +1,6 @@
 """One sending of a call to a target, and what is known afterwards."""
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -142,8 +143,11 @@
             self.close(choice, connection)
             self._broken(choice, record, error)
             raise MayHaveRun(str(error)) from error
-        except BaseException:
+        except asyncio.CancelledError:
             self.close(choice, connection)
+            if self.time_left() <= 0:
+                record.reason = "no answer in time"
+                self.balancer.failed(target.target)
             raise
         self.pool.note_timeout(target.address, response)
         facts = self.dialect.read_answer(response)
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -95,7 +95,7 @@
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
         self.draining = False
-        self.closing = False
+        self.open_exchanges: dict[object, Exchange] = {}
         self.running: set[asyncio.Task] = set()
         self.callers: HTTPServer | None = None
         self.ready_server: HTTPServer | None = None
@@ -127,16 +127,21 @@
         return server
 
     async def drain(self) -> None:
-        """Stop without cutting off a request."""
+        """Stop without cutting off a request.
+
+        Callers are served for as long as the balancer may still send some, and are told to close.
+        Then connections without a request are closed, and those with one are served to the end.
+        """
         began_at = time.monotonic()
         self.draining = True
         logger.bind(running=len(self.running)).info("draining")
         await asyncio.sleep(self.settings.drain_wait_s)
         assert self.callers is not None
-        self.closing = True
-        while self.running and time.monotonic() - began_at < self.settings.drain_timeout_s:
-            await asyncio.sleep(0.05)
         self.callers.stop()
+        for exchange in list(self.open_exchanges.values()):
+            exchange.close_if_idle()
+        while self.running and time.monotonic() - began_at < self.settings.drain_timeout_s:
+            await asyncio.sleep(LOOK_S / 4)
         logger.bind(running=len(self.running)).info("drained")
 
     async def stop(self) -> None:
@@ -244,7 +249,13 @@
     def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
         """Begin to read a request."""
         assert isinstance(request_conn, HTTP1Connection)
-        return Exchange(request_conn, self._serve, lambda: self.draining)
+        exchange = Exchange(request_conn, self._serve, lambda: self.draining)
+        self.open_exchanges[server_conn] = exchange
+        return exchange
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        self.open_exchanges.pop(server_conn, None)
 
     def _serve(self, exchange: Exchange) -> asyncio.Task:
         task = start_task(self._serve_call(exchange))
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -138,6 +138,11 @@
         self.done = True
         self.connection.stream.close()
 
+    def close_if_idle(self) -> None:
+        """Close the connection if no request has begun on it."""
+        if self.start_line is None:
+            self.connection.stream.close()
+
     def _write_head(
         self, status: int, headers: HeaderList, body: bytes, length: int | None
     ) -> None:
--- a/waxwingglade/ingress/settings.py
+++ b/waxwingglade/ingress/settings.py
@@ -24,10 +24,11 @@
     answer_grace_s : float
         Beyond a request's time, for the target's own answer that its time is over.
     drain_wait_s : float
-        After the signal to stop, until the listening socket is closed: the balancer asks once a
-        second and needs two refusals to send callers elsewhere.
+        After the signal to stop, until no more requests are taken: the balancer asks once a
+        second, needs two refusals to send callers elsewhere, and lags.
     drain_timeout_s : float
         After the signal to stop, until the process ends; the platform kills it after its grace.
+        Between the two, the longest request must fit.
     retry_after_s : float
         After which a caller that was not served may come back.
     """
@@ -38,8 +39,8 @@
     ready: str
     connect_timeout_s: float = 0.35
     answer_grace_s: float = 0.12
-    drain_wait_s: float = 3.2
-    drain_timeout_s: float = 6.5
+    drain_wait_s: float = 4.4
+    drain_timeout_s: float = 7.4
     retry_after_s: float = 0.1
 
 
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable
 
 import msgspec
@@ -38,6 +39,10 @@
 LOOK_S = 0.25
 """Seconds between looks whether the set has to change."""
 
+ELSEWHERE_S = 8.0
+"""Seconds of silence after which a member is replaced from another zone, too: longer than the cuts
+of a zone, which end by themselves."""
+
 PING_S = 0.4
 PING_ANSWER_S = 0.35
 SILENT_S = 2.0
@@ -71,6 +76,8 @@
     wanted : int
         Members that are enough for the faults to be borne: a silent one is removed only while
         more are left.
+    zones : int
+        Availability zones over which the members are spread.
     replicas_key, status_prefix : str
         Keys of the members, and of the state of orders to empty a VM.
     clock : Clock
@@ -85,6 +92,7 @@
         store: Store,
         ask: Ask,
         wanted: int,
+        zones: int,
         replicas_key: str,
         status_prefix: str,
         clock: Clock = monotonic,
@@ -95,6 +103,7 @@
         self.store = store
         self.ask = ask
         self.wanted = wanted
+        self.zones = zones
         self.replicas_key = replicas_key
         self.status_prefix = status_prefix
         self.clock = clock
@@ -180,11 +189,38 @@
     async def _join(self, replicas: ReplicaSet) -> None:
         if not replicas.settled or self.own.vm in self.watcher.retiring:
             return
+        if not self._is_needed(replicas):
+            return
         await self._catch_up(replicas)
         members = (*replicas.members, self.own)
         joined = ReplicaSet(replicas.epoch + 1, members, False, self.own.disk)
         await self._change(joined, "joining")
 
+    def _is_needed(self, replicas: ReplicaSet) -> bool:
+        """Return whether the set is better with this replica.
+
+        A set of more members than wanted needs larger majorities, and two members in one zone may
+        leave both sides of a cut without one.
+        """
+        members = replicas.members
+        if any(member.vm == self.own.vm for member in members):
+            return True
+        at_home = [member for member in members if member.zone == self.own.zone]
+        if len(members) < self.wanted:
+            patient = self.clock() - self.started_at > ELSEWHERE_S
+            return patient or len(at_home) < self._fair_share()
+        if any(member.vm in self.watcher.retiring for member in members):
+            return True
+        if any(self.silent_s(member) > SILENT_S for member in at_home):
+            return True
+        if any(self.silent_s(member) > ELSEWHERE_S for member in members):
+            return True
+        return not at_home and _surplus(members) is not None
+
+    def _fair_share(self) -> int:
+        """Return how many members a zone has where they are spread evenly."""
+        return -(-self.wanted // max(1, self.zones))
+
     async def _settle(self, replicas: ReplicaSet) -> None:
         if self.synced_epoch < replicas.epoch:
             await self._catch_up(replicas)
@@ -220,8 +256,12 @@
             return None
         if member.vm in self.watcher.retiring:
             return "to be emptied"
-        if len(replicas.members) > self.wanted and self.silent_s(member) > SILENT_S:
+        if len(replicas.members) <= self.wanted:
+            return None
+        if self.silent_s(member) > SILENT_S:
             return "silent"
+        if all(self.silent_s(other) < SILENT_S / 2 for other in replicas.members):
+            return "to spread the members" if member is _surplus(replicas.members) else None
         return None
 
     def _leads(self, without: Member | None = None) -> bool:
@@ -344,4 +384,13 @@
             turns = turns[last + 1 :]
 
 
+def _surplus(members: tuple[Member, ...]) -> Member | None:
+    """Return the last member of a zone that has more than another, if there is one."""
+    counts = Counter(member.zone for member in members)
+    zone, most = counts.most_common(1)[0]
+    if most < 2:
+        return None
+    return [member for member in members if member.zone == zone][-1]
+
+
 __all__ = ["Membership"]
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -50,6 +50,8 @@
         Data folder.
     wanted_members : int
         Members that are enough for the faults to be borne.
+    zones : int
+        Availability zones.
     status_prefix : str
         Where the state of orders to empty a VM is written.
     """
@@ -59,6 +61,7 @@
     endpoint: str
     folder: Path
     wanted_members: int
+    zones: int
     status_prefix: str
 
 
@@ -96,6 +99,7 @@
             store,
             self.ask_member,
             settings.wanted_members,
+            settings.zones,
             keys.replicas,
             settings.status_prefix,
         )
--- a/waxwingglade/platform/__main__.py
+++ b/waxwingglade/platform/__main__.py
@@ -35,6 +35,14 @@
 """Seconds that a process waits at its end for a slow reader of its logs."""
 
 
+TAKE_SHARE = 0.55
+"""Share of the grace for which a process that stops still takes requests: longer than the balancer
+needs to notice, three seconds, and leaving as much for the longest request."""
+
+END_SHARE = 0.93
+"""Share of the grace after which it ends, before it is killed."""
+
+
 async def run_entry(settings: NodeSettings, stop: asyncio.Event) -> None:
     """Run an entry until it is told to stop."""
     from waxwingglade.ingress.entry import Ingress  # noqa: PLC0415
@@ -47,8 +55,8 @@
             zone=settings.zone,
             callers=settings.listen["front"],
             ready=settings.listen["ready"],
-            drain_wait_s=0.4 * grace_s,
-            drain_timeout_s=0.8 * grace_s,
+            drain_wait_s=TAKE_SHARE * grace_s,
+            drain_timeout_s=END_SHARE * grace_s,
         ),
         PlatformStore(settings.provider.address),
         KEYS,
@@ -73,6 +81,7 @@
             endpoint=f"tcp://{settings.ip}:{settings.port_range[0]}",
             folder=Path(settings.data_dir),
             wanted_members=2 * settings.fault_tolerance.machines + 1,
+            zones=len(settings.zones),
             status_prefix=registry.RETIRE_STATUS_PREFIX,
         ),
         PlatformStore(settings.provider.address),
--- a/waxwingglade/platform/settings.py
+++ b/waxwingglade/platform/settings.py
@@ -59,6 +59,8 @@
     ----------
     node_name : str
         Name of the machine, our VM.
+    zones : dict
+        Region of each availability zone.
     listen : dict
         Addresses by purpose; `front` for callers, `ready` for the balancer's questions.
     port_range : tuple of int
@@ -76,6 +78,7 @@
     port_range: tuple[int, int]
     provider: Provider
     listen: dict[str, str] = {}
+    zones: dict[str, str] = {}
     bootstrap: bool = False
     data_dir: str | None = None
     heartbeat_ms: float = 1000.0
--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -17,9 +17,10 @@
 
 HeaderList = list[tuple[str, str]]
 
-USER_TIMEOUT_MS = 2_000
-"""Milliseconds for which sent bytes may stay unacknowledged; several round trips with retransmits,
-and short against the deadlines of requests, so that a peer that lost power is noticed."""
+USER_TIMEOUT_MS = 700
+"""Milliseconds for which sent bytes may stay unacknowledged; many round trips of some 3 ms with
+retransmits, and short against the deadlines of requests, so that there is time to try again when a
+peer lost power or was cut off."""
 
 READ_HIGH_WATER_BYTES = 256 * 1024
 """Received bytes that wait for their reader before the connection stops reading."""
