--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -81,7 +81,13 @@
         self.pieces.append(chunk)
 
     def finish(self) -> None:
-        """Serve the request: it was read whole."""
+        """Serve the request: it was read whole.
+
+        One whose connection was closed while it was being read is not passed on to a target.
+        """
+        if self.connection.stream.closed():
+            self.gone = True
+            return
         self.task = self.serve(self)
 
     def on_connection_close(self) -> None:
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -20,7 +20,7 @@
 from waxwingglade.base import Clock, WaxwinggladeError, monotonic
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet, witnesses_of
-from waxwingglade.follow.store import Store, StoreUnavailable
+from waxwingglade.follow.store import Store
 from waxwingglade.follow.watcher import Watcher
 from waxwingglade.ledger.coordinator import Ask
 from waxwingglade.ledger.messages import (
@@ -43,6 +43,9 @@
 """Seconds of silence after which a member is replaced from another zone, too: longer than the cuts
 of a zone, which end by themselves."""
 
+STANDBY_S = 2.0
+"""Seconds that a replica on standby has to join before a VM that is to be emptied leaves without."""
+
 PING_S = 0.4
 PING_ANSWER_S = 0.35
 SILENT_S = 2.0
@@ -111,6 +114,8 @@
         self.synced: dict[str, int] = {}
         self.synced_epoch = 0
         self.reported: dict[str, str] = {}
+        self.retire_seen: dict[str, float] = {}
+        self.last_reason = ""
         self.started_at = clock()
         self.heard_of: Callable[[ReplicaSet], None] = lambda _: None
 
@@ -165,13 +170,17 @@
         while True:
             try:
                 await self._look()
-            except StoreUnavailable as error:
-                logger.bind(reason=str(error)).info("members not changed: no store")
-                await asyncio.sleep(LOOK_S)
+                self.last_reason = ""
             except WaxwinggladeError as error:
-                logger.bind(reason=str(error)).info("members not changed")
+                self._note_failure(str(error))
             await asyncio.sleep(LOOK_S * (0.5 + random.random()))
 
+    def _note_failure(self, reason: str) -> None:
+        """Log why the set was not changed, once for each reason."""
+        if reason != self.last_reason:
+            logger.bind(reason=reason).info("members not changed")
+        self.last_reason = reason
+
     async def _look(self) -> None:
         replicas = self.replicas
         if not replicas.epoch:
@@ -254,7 +263,7 @@
             return "its disk was wiped"
         if not self._leads(without=member):
             return None
-        if member.vm in self.watcher.retiring:
+        if member.vm in self.watcher.retiring and self._may_empty(member, replicas):
             return "to be emptied"
         if len(replicas.members) <= self.wanted:
             return None
@@ -264,6 +273,11 @@
             return "to spread the members" if member is _surplus(replicas.members) else None
         return None
 
+    def _may_empty(self, member: Member, replicas: ReplicaSet) -> bool:
+        """Return whether a member may go now: another has joined for it, or none has come."""
+        asked_at = self.retire_seen.setdefault(member.vm, self.clock())
+        return len(replicas.members) > self.wanted or self.clock() - asked_at > STANDBY_S
+
     def _leads(self, without: Member | None = None) -> bool:
         """Return whether this is the first live member, so that not all of them call the store."""
         for member in self.replicas.members:
@@ -332,9 +346,11 @@
             If too few members answer.
         """
         needed = replicas.witnesses
-        if not replicas.settled and not replicas.joining:
-            # The member that was removed may have been part of earlier majorities.
-            needed = witnesses_of(len(replicas.members) + 1)
+        if not replicas.settled:
+            # What counts are the majorities of the set before, without the one that has joined or
+            # with the one that was removed.
+            change = -1 if replicas.joining else 1
+            needed = witnesses_of(len(replicas.members) + change)
         read = 0
         for member in replicas.members:
             if member.disk == self.own.disk:
@@ -344,7 +360,7 @@
             try:
                 await self._read_from(member, replicas)
             except WaxwinggladeError as error:
-                logger.bind(member=member.vm, reason=str(error)).info("not read from")
+                logger.bind(member=member.vm, reason=str(error)).debug("not read from")
                 continue
             read += 1
         if read < needed:
--- /dev/null
+++ b/waxwingglade/ledger/tests/builders.py
@@ -0,0 +1,133 @@
+"""Replicas in one event loop, with links between them that can be cut, delayed and lost."""
+
+import asyncio
+import random
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from waxwingglade.base import ProgramId, WaxwinggladeError, ZoneId
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.ledger.coordinator import Coordinator
+from waxwingglade.ledger.messages import BeginTurn, EndTurn, Turn, TurnId
+from waxwingglade.ledger.replica import Replica
+
+PROGRAM = ProgramId("program-1")
+FAR_FUTURE = 4e9
+
+
+class Silence(WaxwinggladeError):
+    """A request or its answer was lost."""
+
+
+class Cluster:
+    """Replicas on folders of their own, and coordinators that reach them.
+
+    Parameters
+    ----------
+    size : int
+        Replicas, each in a zone of its own.
+    seed : int
+        Of the faults.
+    """
+
+    def __init__(self, size: int = 3, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.folder = tempfile.TemporaryDirectory()
+        self.replicas: dict[str, Replica] = {}
+        self.members: dict[str, Member] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = 0.0
+        for number in range(size):
+            self.add(f"vm-{number}")
+        self.set = ReplicaSet(1, tuple(self.members.values()), True)
+
+    def add(self, vm: str) -> Replica:
+        """Add a replica with an empty disk; it is no member yet."""
+        folder = Path(self.folder.name) / f"{vm}-{self.random.random()}"
+        folder.mkdir()
+        replica = Replica(folder)
+        self.replicas[vm] = replica
+        self.members[vm] = Member(replica.disk, vm, vm, ZoneId("zone-" + vm[-1]))
+        return replica
+
+    async def start(self) -> None:
+        """Open all disks and tell every replica who the members are."""
+        for replica in self.replicas.values():
+            replica.open()
+        await self.use(self.set)
+
+    async def use(self, replicas: ReplicaSet) -> None:
+        """Make a set of members known to every replica."""
+        self.set = replicas
+        for replica in self.replicas.values():
+            await replica.learn_members(replicas)
+
+    async def close(self) -> None:
+        """Close all disks."""
+        for replica in self.replicas.values():
+            await replica.stop()
+        self.folder.cleanup()
+
+    async def restart(self, vm: str) -> Replica:
+        """Stop a replica and open its disk anew."""
+        old = self.replicas[vm]
+        folder = old.journal.folder
+        await old.stop()
+        replica = self.replicas[vm] = Replica(folder)
+        replica.open()
+        return replica
+
+    def coordinator(self, vm: str) -> Coordinator:
+        """Return a coordinator in the process of a replica."""
+        return Coordinator(
+            lambda: self.replicas[vm].replicas,
+            lambda member, message, timeout_s: self.ask(vm, member, message),
+            lambda _: None,
+        )
+
+    async def ask(self, sender: str, member: Member, message: Any) -> Any:
+        """Carry a request and its answer, unless one of them is lost."""
+        self._lose(sender, member.vm)
+        await asyncio.sleep(self.random.random() * 0.002)
+        replica = self.replicas[member.vm]
+        if replica.disk != member.disk:
+            raise Silence("wiped")
+        answer = await replica.handle(message)
+        self._lose(member.vm, sender)
+        return answer
+
+    def _lose(self, sender: str, receiver: str) -> None:
+        if sender == receiver:
+            return
+        if (sender, receiver) in self.cut or self.random.random() < self.loss:
+            raise Silence(f"{sender} to {receiver}")
+
+    def isolate(self, vm: str) -> None:
+        """Cut a replica off from all others, both ways."""
+        for other in self.replicas:
+            self.cut |= {(vm, other), (other, vm)}
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.cut.clear()
+
+
+def begin(number: int, tokens: int = 100, budget: int = 1000, previous: str = "") -> BeginTurn:
+    """Return a request to begin a turn."""
+    return BeginTurn(
+        TurnId(f"turn-{number}"), PROGRAM, tokens, budget, TurnId(previous) if previous else None
+    )
+
+
+def turn(number: int, previous: int | None = None, expires_at: float = FAR_FUTURE) -> Turn:
+    """Return a whole turn."""
+    before = TurnId(f"turn-{previous}") if previous is not None else None
+    name = TurnId(f"turn-{number}")
+    return Turn(name, before, b"asked %d" % number, b"answered %d\n" % number, expires_at)
+
+
+def end(number: int, used: int = 60, previous: int | None = None) -> EndTurn:
+    """Return a request to end a turn and to keep it."""
+    return EndTurn(TurnId(f"turn-{number}"), PROGRAM, used, turn(number, previous))
--- /dev/null
+++ b/waxwingglade/ledger/tests/test_coordinator.py
@@ -0,0 +1,153 @@
+"""Budgets and turns through cuts, losses, restarts and races of coordinators."""
+
+import asyncio
+import unittest
+
+from waxwingglade.ledger.messages import (
+    BudgetSpent,
+    Find,
+    NoSuchTurn,
+    TurnBegun,
+    TurnId,
+    Unavailable,
+)
+from waxwingglade.ledger.tests.builders import Cluster, begin, end, turn
+
+TURN = 100
+BUDGET = 1000
+
+
+class CoordinatorTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = Cluster()
+        self.addAsyncCleanup(self.cluster.close)
+        await self.cluster.start()
+        self.one = self.cluster.coordinator("vm-0")
+        self.two = self.cluster.coordinator("vm-1")
+
+    async def test_a_turn_is_continued_through_another_coordinator(self) -> None:
+        self.assertIsInstance(await self.one.begin(begin(1)), TurnBegun)
+        ended = await self.one.end(end(1))
+        self.assertTrue(ended.kept and ended.settled)
+        answer = await self.two.begin(begin(2, previous="turn-1"))
+        self.assertEqual(answer, TurnBegun((turn(1),)))
+
+    async def test_a_chain_comes_whole_and_oldest_first(self) -> None:
+        await self.one.end(end(1))
+        await self.one.end(end(2, previous=1))
+        await self.two.end(end(3, previous=2))
+        answer = await self.two.begin(begin(4, previous="turn-3"))
+        self.assertEqual(answer, TurnBegun((turn(1), turn(2, 1), turn(3, 2))))
+
+    async def test_no_such_turn_needs_enough_witnesses(self) -> None:
+        self.assertIsInstance(await self.one.begin(begin(2, previous="turn-9")), NoSuchTurn)
+        self.cluster.isolate("vm-0")
+        self.assertIsInstance(await self.one.begin(begin(2, previous="turn-9")), Unavailable)
+
+    async def test_a_turn_kept_by_two_of_three_survives_the_loss_of_either(self) -> None:
+        self.cluster.isolate("vm-2")
+        self.assertTrue((await self.one.end(end(1))).kept)
+        self.cluster.heal()
+        self.cluster.isolate("vm-0")
+        answer = await self.two.begin(begin(2, previous="turn-1"))
+        self.assertEqual(answer, TurnBegun((turn(1),)))
+
+    async def test_a_turn_without_a_majority_is_not_kept(self) -> None:
+        self.cluster.isolate("vm-0")
+        ended = await self.one.end(end(1))
+        self.assertFalse(ended.kept or ended.settled)
+
+    async def test_the_budget_holds_across_coordinators_that_race(self) -> None:
+        answers = await asyncio.gather(
+            *(
+                coordinator.begin(begin(number, TURN, BUDGET))
+                for number, coordinator in enumerate([self.one, self.two] * 10)
+            )
+        )
+        granted = [answer for answer in answers if isinstance(answer, TurnBegun)]
+        self.assertLessEqual(len(granted) * TURN, BUDGET)
+        for number in range(20, 40):
+            await self.one.begin(begin(number, TURN, BUDGET))
+        self.assertIsInstance(await self.two.begin(begin(99, TURN, BUDGET)), BudgetSpent)
+
+    async def test_a_budget_is_not_called_spent_by_a_side_without_a_majority(self) -> None:
+        await self.one.begin(begin(1, BUDGET, BUDGET))
+        self.cluster.isolate("vm-0")
+        self.assertIsInstance(await self.one.begin(begin(2, TURN, BUDGET)), Unavailable)
+
+    async def test_settled_tokens_are_free_again_elsewhere(self) -> None:
+        await self.one.begin(begin(1, BUDGET, BUDGET))
+        self.assertIsInstance(await self.two.begin(begin(2, TURN, BUDGET)), BudgetSpent)
+        await self.one.end(end(1, used=0))
+        self.assertIsInstance(await self.two.begin(begin(2, TURN, BUDGET)), TurnBegun)
+
+    async def test_accounts_and_turns_survive_a_restart_of_all(self) -> None:
+        await self.one.begin(begin(1, 600, BUDGET))
+        await self.one.end(end(2))
+        for vm in list(self.cluster.replicas):
+            await self.cluster.restart(vm)
+        fresh = self.cluster.coordinator("vm-2")
+        self.assertIsInstance(await fresh.begin(begin(3, 600, BUDGET)), BudgetSpent)
+        answer = await fresh.begin(begin(4, TURN, BUDGET, previous="turn-2"))
+        self.assertEqual(answer, TurnBegun((turn(2),)))
+
+    async def test_a_replica_refuses_an_older_set_of_members(self) -> None:
+        newer = self.cluster.set.__class__(2, self.cluster.set.members, True)
+        await self.cluster.replicas["vm-1"].learn_members(newer)
+        await self.cluster.replicas["vm-2"].learn_members(newer)
+        self.assertIsInstance(await self.one.begin(begin(1)), Unavailable)
+
+    async def test_expired_turns_go_and_the_ancestors_of_kept_ones_stay(self) -> None:
+        replica = self.cluster.replicas["vm-0"]
+        await replica._store_turn(turn(1, expires_at=10.0))
+        await replica._store_turn(turn(2, previous=1, expires_at=1000.0))
+        await replica._store_turn(turn(3, expires_at=10.0))
+        replica.wall_clock = lambda: 500.0
+        replica.forget_expired()
+        self.assertEqual(set(replica.turns), {"turn-1", "turn-2"})
+        found = await replica.find(Find(self.cluster.set.epoch, TurnId("turn-2")))
+        self.assertTrue(found.whole)
+
+
+class RandomFaults(unittest.IsolatedAsyncioTestCase):
+    """Budgets and kept turns under lost messages, cuts and restarts, for many seeds."""
+
+    async def test_no_token_too_many_and_no_turn_lost(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                await self._run(seed)
+
+    async def _run(self, seed: int) -> None:
+        cluster = Cluster(seed=seed)
+        await cluster.start()
+        coordinators = [cluster.coordinator(vm) for vm in cluster.replicas]
+        granted: dict[int, int] = {}
+        kept: set[int] = set()
+
+        async def one_turn(number: int) -> None:
+            coordinator = coordinators[number % 3]
+            answer = await coordinator.begin(begin(number, TURN, BUDGET))
+            if not isinstance(answer, TurnBegun):
+                return
+            granted[number] = TURN
+            await asyncio.sleep(cluster.random.random() * 0.005)
+            used = cluster.random.choice([0, 30, 100])
+            granted[number] = used
+            ended = await coordinator.end(end(number, used))
+            if ended.kept:
+                kept.add(number)
+
+        cluster.loss = 0.1
+        for wave in range(4):
+            if wave % 2:
+                cluster.isolate(f"vm-{cluster.random.randrange(3)}")
+            await asyncio.gather(*(one_turn(wave * 6 + step) for step in range(6)))
+            cluster.heal()
+            vm = f"vm-{cluster.random.randrange(3)}"
+            await cluster.restart(vm)
+        self.assertLessEqual(sum(granted.values()), BUDGET, "tokens handed out")
+        cluster.loss = 0.0
+        for number in kept:
+            answer = await coordinators[0]._find(TurnId(f"turn-{number}"))
+            self.assertIsNotNone(answer, f"turn {number} was kept and is gone")
+        await cluster.close()
--- /dev/null
+++ b/waxwingglade/ledger/tests/test_journal.py
@@ -0,0 +1,97 @@
+"""What the journal makes of a disk after losses of power."""
+
+import asyncio
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from waxwingglade.ledger.journal import Journal
+
+
+class JournalTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    async def _opened(self) -> tuple[Journal, list[bytes]]:
+        journal = Journal(self.folder)
+        contents = [content for _, content in journal.replay()]
+        journal.start()
+        self.addAsyncCleanup(journal.stop)
+        return journal, contents
+
+    async def _written(self, *contents: bytes) -> Journal:
+        journal, _ = await self._opened()
+        await asyncio.gather(*(journal.append(content) for content in contents))
+        return journal
+
+    async def test_records_come_back_in_order_and_can_be_read_by_place(self) -> None:
+        journal, _ = await self._opened()
+        place = await journal.append(b"first")
+        await journal.append(b"second")
+        await journal.stop()
+        again, contents = await self._opened()
+        self.assertEqual(contents, [b"first", b"second"])
+        self.assertEqual(again.read(place), b"first")
+        self.assertEqual(again.disk, journal.disk)
+
+    async def test_a_torn_tail_is_cut_and_written_over(self) -> None:
+        journal = await self._written(b"whole", b"torn")
+        await journal.stop()
+        segment = next(self.folder.glob("*.ledger"))
+        data = segment.read_bytes()
+        segment.write_bytes(data[:-2] + b"\0\0")
+        journal, contents = await self._opened()
+        self.assertEqual(contents, [b"whole"])
+        await journal.append(b"later")
+        await journal.stop()
+        _, contents = await self._opened()
+        self.assertEqual(contents, [b"whole", b"later"])
+
+    async def test_nothing_after_a_damaged_frame_counts(self) -> None:
+        journal = await self._written(b"one" * 10, b"two" * 10, b"three" * 10)
+        await journal.stop()
+        segment = next(self.folder.glob("*.ledger"))
+        segment.write_bytes(segment.read_bytes().replace(b"two" * 10, b"owt" * 10))
+        _, contents = await self._opened()
+        self.assertEqual(contents, [b"one" * 10])
+
+    async def test_an_empty_or_wiped_folder_gets_a_new_name(self) -> None:
+        journal = await self._written(b"record")
+        await journal.stop()
+        (self.folder / "identity").unlink()
+        again, contents = await self._opened()
+        self.assertNotEqual(again.disk, journal.disk)
+        self.assertEqual(contents, [])
+
+    async def test_segments_follow_one_another_and_old_ones_go(self) -> None:
+        with mock.patch("waxwingglade.ledger.journal.SEGMENT_BYTES", 1000):
+            journal = await self._written(*(b"x" * 400 for _ in range(3)))
+            place = await journal.append(b"last")
+            self.assertGreater(place.segment, 1)
+            journal.drop_before(place.segment)
+            await journal.stop()
+        _, contents = await self._opened()
+        self.assertEqual(contents, [b"last"])
+
+    async def test_a_disk_that_refuses_writes_is_tried_again(self) -> None:
+        journal, _ = await self._opened()
+        real = os.fdatasync
+        refusals = iter([OSError(28, "no space left"), OSError(5, "input/output error")])
+
+        def refuse(file: int) -> None:
+            for refusal in refusals:
+                raise refusal
+            real(file)
+
+        with (
+            mock.patch("waxwingglade.ledger.journal.os.fdatasync", refuse),
+            mock.patch("waxwingglade.ledger.journal.RETRY_S", 0.01),
+        ):
+            await journal.append(b"late but whole")
+        await journal.stop()
+        _, contents = await self._opened()
+        self.assertEqual(contents, [b"late but whole"])
