--- /dev/null
+++ b/tests/platform_cluster.py
@@ -0,0 +1,249 @@
+"""Processes of the platform's daemons on loopback, and a caller that speaks to them."""
+
+import asyncio
+import itertools
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from waxwingglade.base import WaxwinggladeError
+from waxwingglade.standins.metadata_store import MetadataStore
+from waxwingglade.standins.registered_server import RegisteredServer
+from waxwingglade.transport import HttpRequest, HttpResponse, open_connection
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "shop.example"
+PATIENCE_S = 30.0
+GRACE_S = 8
+ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "north"}
+STREAM, CALL, ORDER = "/turns/", "/notes/", "/orders/"
+TOKENS_PER_EVENT = 10
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def configuration(version: int, extra: list[dict] | None = None) -> dict:
+    """Return a configuration of the operator, as it lies in the store."""
+    common = {"host": HOST, "timeout_ms": 5000, "target_latency_ms": 200, "priority": 1}
+    routes = [
+        {
+            **common,
+            "name": "turns",
+            "path_prefix": STREAM,
+            "kind": "streaming",
+            "service": "engines",
+            "max_attempts": 2,
+            "retain": True,
+            "retention_s": 60.0,
+            "sticky": True,
+        },
+        {
+            **common,
+            "name": "notes",
+            "path_prefix": CALL,
+            "kind": "safe",
+            "service": "notes",
+            "max_attempts": 2,
+        },
+        {
+            **common,
+            "name": "orders",
+            "path_prefix": ORDER,
+            "kind": "unsafe",
+            "service": "notes",
+            "max_attempts": 2,
+        },
+        *(extra or []),
+    ]
+    engine = {"slots": 8, "kv_capacity": 100_000, "stride": TOKENS_PER_EVENT}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [
+            {"name": "engines", "health_path": "/health", "max_conns": 100, "engine": engine},
+            {"name": "notes", "health_path": "/health", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+
+
+class Node:
+    """One process of a daemon."""
+
+    def __init__(self, cluster: "PlatformCluster", purpose: str, number: int) -> None:
+        self.purpose = purpose
+        self.name = f"{purpose}-{number}"
+        self.zone = list(ZONES)[number % len(ZONES)]
+        self.folder = cluster.folder / self.name
+        self.folder.mkdir()
+        front, ready, first = free_ports(3)
+        self.port, self.ready_port = front, ready
+        self.settings = self.folder / "boot.yaml"
+        data = self.folder / "data"
+        data.mkdir()
+        content = {
+            "node_name": self.name,
+            "serves": [purpose],
+            "ip": "127.0.0.1",
+            "zone": self.zone,
+            "zones": ZONES,
+            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "port_range": [first, first],
+            "bootstrap": True,
+            "data_dir": str(data) if purpose == "storage" else None,
+            "bounds": {"grace_s": GRACE_S},
+            "fault_tolerance": {"machines": 1, "zones": 1},
+            "provider": {"address": cluster.store.address},
+        }
+        self.settings.write_text(json.dumps(content))
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process."""
+        environment = {**os.environ, "WAXWINGGLADE_NODE_FILE": str(self.settings)}
+        with (self.folder / "log").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "waxwingglade.platform", self.purpose],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        assert self.process is not None
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kill the process, and wait until it is gone."""
+        assert self.process is not None
+        self.process.kill()
+        self.process.wait()
+
+    def logs(self) -> list[dict]:
+        """Return what the process has logged."""
+        lines = (self.folder / "log").read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+
+class PlatformCluster:
+    """A store, servers, three ledger processes and entries."""
+
+    def __init__(self, entries: int = 2, ledgers: int = 3) -> None:
+        self.temporary = tempfile.TemporaryDirectory()
+        self.folder = Path(self.temporary.name)
+        self.store = MetadataStore()
+        self.store.start()
+        self.store.put("op/config", configuration(3))
+        self.engines = [RegisteredServer(self.store, "engines", events=4) for _ in range(2)]
+        self.notes = [RegisteredServer(self.store, "notes") for _ in range(2)]
+        self.entries = [Node(self, "front", number) for number in range(entries)]
+        self.ledgers = [Node(self, "storage", number) for number in range(ledgers)]
+        self.numbers = itertools.count(1)
+
+    async def start(self) -> None:
+        """Start everything, and wait until all entries are ready and the ledger is settled."""
+        for server in [*self.engines, *self.notes]:
+            await server.start()
+        for node in [*self.ledgers, *self.entries]:
+            node.start()
+        await self.until(lambda: len(self.members()) == len(self.ledgers))
+        for entry in self.entries:
+            await self.until_ready(entry)
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for node in [*self.entries, *self.ledgers]:
+            if node.process is not None:
+                node.kill()
+        for server in [*self.engines, *self.notes]:
+            await server.stop()
+        await self.store.stop()
+        self.temporary.cleanup()
+
+    def members(self) -> list[str]:
+        """Return the VMs of the ledger's members once their set is settled."""
+        value = self.store.value("waxwingglade/replicas")
+        replicas = json.loads(value) if value else {"members": [], "settled": False}
+        return [member[1] for member in replicas["members"]] if replicas["settled"] else []
+
+    async def until(self, condition: "object") -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not condition():  # type: ignore[operator]
+                await asyncio.sleep(0.05)
+
+    async def until_ready(self, entry: Node) -> None:
+        """Wait until an entry says that it is ready and knows all servers."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not await self._is_ready(entry):
+                await asyncio.sleep(0.1)
+
+    async def _is_ready(self, entry: Node) -> bool:
+        try:
+            connection = await open_connection(f"127.0.0.1:{entry.ready_port}", 1.0)
+            connection.send(HttpRequest("GET", "/v1/ready", [("Host", "ready")]))
+            head = await connection.read_head(lambda _: True)
+            connection.close()
+        except WaxwinggladeError:
+            return False
+        if head.status != 200:
+            return False
+        for path in (CALL, STREAM):
+            if (await self.call(entry, "POST", path)).status != 200:
+                return False
+        return True
+
+    async def call(
+        self,
+        entry: Node,
+        method: str,
+        path: str,
+        body: bytes = b"hello",
+        timeout_s: float = 10.0,
+        **headers: str | int,
+    ) -> HttpResponse:
+        """Send a request to an entry and return the whole answer.
+
+        Headers are written as keywords, `previous_turn` for ``X-Waxwingglade-Previous-Turn``.
+        """
+        request = str(headers.pop("request_id", f"request-{next(self.numbers)}"))
+        pairs = [("Host", HOST), ("X-Waxwingglade-Request-Id", request)]
+        for name, value in headers.items():
+            pairs.append(("X-Waxwingglade-" + name.replace("_", "-").title(), str(value)))
+        connection = await open_connection(f"127.0.0.1:{entry.port}", 2.0)
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection.send(HttpRequest(method, path, pairs, body))
+                response = await connection.read_head(lambda _: True)
+                response.body = await connection.read_body(10_000_000)
+        finally:
+            connection.close()
+        return response
+
+    async def turn(
+        self, entry: Node, request: str, body: bytes, **headers: str | int
+    ) -> HttpResponse:
+        """Send a turn of a program."""
+        fields = {"program_id": "p1", "token_budget": 1000, "token_count": "10,40", **headers}
+        return await self.call(entry, "POST", STREAM, body, request_id=request, **fields)
--- a/waxwingglade/follow/model.py
+++ b/waxwingglade/follow/model.py
@@ -82,9 +82,7 @@
     @property
     def idempotent(self) -> bool:
         """Whether a request may run more than once."""
-        return self.kind is CallKind.IDEMPOTENT or (
-            self.kind is CallKind.STREAM and self.resumable
-        )
+        return self.kind is CallKind.IDEMPOTENT or (self.kind is CallKind.STREAM and self.resumable)
 
 
 class EngineTraits(msgspec.Struct, frozen=True, omit_defaults=True):
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -29,7 +29,7 @@
 """Seconds between watches of the targets; a fifth of the two seconds within which a target that
 leaves must get no more work."""
 
-TARGETS_WAIT_S = 1.0
+TARGETS_WAIT_S = 0.5
 """Seconds that a watch of the targets waits; its answer also shows that the store is there."""
 
 QUIET_WAIT_S = 5.0
@@ -321,4 +321,5 @@
         self.view = view
         self.changed()
 
+
 __all__ = ["Keys", "Watcher"]
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -284,9 +284,7 @@
 
 def _homes(part: str, states: list[TargetState]) -> set[TargetId]:
     """Return the targets where a shared part is read: half of them, two at least."""
-    names = sorted(
-        (state.target.target for state in states), key=lambda name: _weight(part, name)
-    )
+    names = sorted((state.target.target for state in states), key=lambda name: _weight(part, name))
     return set(names[: max(2, (len(names) + 1) // 2)])
 
 
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -16,7 +16,14 @@
 
 from waxwingglade.transport.http1 import HeaderList
 
-PER_CONNECTION = {"connection", "keep-alive", "transfer-encoding", "content-length", "te", "trailer"}
+PER_CONNECTION = {
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "te",
+    "trailer",
+}
 
 
 class CallerGone(Exception):
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -113,9 +113,9 @@
                     )
                 except LinkFailed as error:
                     self.avoided[replica.address] = self.clock() + AVOID_S
-                    logger.bind(
-                        replica=replica.vm, turn=message.turn, reason=str(error)
-                    ).info("replica not asked")
+                    logger.bind(replica=replica.vm, turn=message.turn, reason=str(error)).info(
+                        "replica not asked"
+                    )
                     continue
                 except WaxwinggladeError as error:
                     logger.warning("replica {}: {}", replica.vm, error)
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -190,9 +190,7 @@
 
     # Accounts
 
-    async def change(
-        self, program: ProgramId, change: Callable[[Account], tuple[Account, T]]
-    ) -> T:
+    async def change(self, program: ProgramId, change: Callable[[Account], tuple[Account, T]]) -> T:
         """Apply an idempotent change to a program's account, and return its result.
 
         Raises
@@ -238,9 +236,7 @@
         self._remember(program, LastProposal(replicas.epoch, ballot, changed))
         return result
 
-    async def _promises(
-        self, replicas: ReplicaSet, program: ProgramId, ballot: Ballot
-    ) -> Account:
+    async def _promises(self, replicas: ReplicaSet, program: ProgramId, ballot: Ballot) -> Account:
         """Return the account that was accepted last, after a majority's promise."""
         message = Prepare(replicas.epoch, program, ballot)
         answers = await self._majority(replicas, message, Promised)
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -141,9 +141,7 @@
 
     async def _ping(self, member: Member) -> None:
         try:
-            answer = await self.ask(
-                member, Ping(self.replicas.epoch, self.own.disk), PING_ANSWER_S
-            )
+            answer = await self.ask(member, Ping(self.replicas.epoch, self.own.disk), PING_ANSWER_S)
         except WaxwinggladeError:
             return
         if not isinstance(answer, Pong):
@@ -253,7 +251,10 @@
             if reason is None:
                 continue
             rest = tuple(other for other in replicas.members if other is not member)
-            if not rest or len([other for other in alive if other is not member]) < len(rest) // 2 + 1:
+            if (
+                not rest
+                or len([other for other in alive if other is not member]) < len(rest) // 2 + 1
+            ):
                 continue
             await self._change(ReplicaSet(replicas.epoch + 1, rest, False), reason)
             return
@@ -381,9 +382,7 @@
         await self._fetch(member, turns, programs)
         logger.bind(member=member.vm, turns=len(turns), accounts=len(programs)).info("read from")
 
-    async def _fetch(
-        self, member: Member, turns: list[TurnId], programs: list[ProgramId]
-    ) -> None:
+    async def _fetch(self, member: Member, turns: list[TurnId], programs: list[ProgramId]) -> None:
         while turns or programs:
             asked = Fetch(tuple(turns[:FETCH_NAMES]), tuple(programs[:FETCH_NAMES]))
             answer = await self.ask(member, asked, SYNC_ANSWER_S)
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -130,9 +130,7 @@
         if response.status == _GONE:
             raise HistoryGone(f"{prefix} after {after}")
         events = msgspec.json.decode(response.body, type=_Events)
-        return Listing(
-            tuple(_item(event) for event in events.events), Revision(events.current_rev)
-        )
+        return Listing(tuple(_item(event) for event in events.events), Revision(events.current_rev))
 
     async def compare_and_swap(self, key: str, revision: Revision, value: bytes) -> Item | None:
         """Write a key under a condition; return what stands in the way, or None if it is done."""
--- /dev/null
+++ b/waxwingglade/standins/metadata_store.py
@@ -0,0 +1,198 @@
+"""A stand-in of the platform's metadata store: items, revisions, watches, conditional writes."""
+
+import asyncio
+import base64
+import json
+from enum import Enum
+from typing import Any
+
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+
+class StoreFault(Enum):
+    """What the store does to its callers."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+    LOST_ANSWERS = "lost answers"
+
+
+class MetadataStore:
+    """Items in memory, and the HTTP server that offers them.
+
+    Attributes
+    ----------
+    calls : int
+        Calls made.
+    fault : StoreFault
+        What is wrong with it at present.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.items: dict[str, dict[str, Any]] = {}
+        self.history: list[dict[str, Any]] = []
+        self.oldest = 0
+        self.changed = asyncio.Event()
+        self.fault = StoreFault.NONE
+        self.calls = 0
+        self.server: HTTPServer | None = None
+        self.address = ""
+
+    def start(self, host: str = "127.0.0.1") -> None:
+        """Begin to serve on a free port."""
+        rules = [
+            (r"/v1/kv-key", _Key),
+            (r"/v1/kv-range", _Range),
+            (r"/v1/kv-watch", _Watch),
+            (r"/v1/kv-txn", _Txn),
+        ]
+        application = Application(
+            [(path, handler, {"store": self}) for path, handler in rules],
+            log_function=lambda _: None,
+        )
+        self.server = HTTPServer(application)
+        sockets = bind_sockets(0, host)
+        self.server.add_sockets(sockets)
+        self.address = f"{host}:{sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop serving."""
+        assert self.server is not None
+        self.server.stop()
+        await self.server.close_all_connections()
+
+    def put(self, key: str, value: Any) -> int:
+        """Write an item as the operator or a server would: a JSON value."""
+        return self.put_bytes(key, json.dumps(value).encode())
+
+    def put_bytes(self, key: str, value: bytes) -> int:
+        """Write an item."""
+        self.revision += 1
+        old = self.items.get(key)
+        item = {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+            "created": old["created"] if old else self.revision,
+            "lease_id": 0,
+        }
+        self.items[key] = item
+        self._note(item)
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove an item."""
+        if self.items.pop(key, None) is None:
+            return
+        self.revision += 1
+        self._note({"key": key, "revision": self.revision, "deleted": True})
+
+    def value(self, key: str) -> bytes | None:
+        """Return what a key holds."""
+        item = self.items.get(key)
+        return base64.b64decode(item["value"]) if item else None
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.history.clear()
+        self.oldest = self.revision
+
+    def events(self, prefix: str, after: int) -> list[dict[str, Any]]:
+        """Return the changes below a prefix after a revision."""
+        return [
+            event
+            for event in self.history
+            if event["revision"] > after and event["key"].startswith(prefix)
+        ]
+
+    def _note(self, event: dict[str, Any]) -> None:
+        self.history.append(event)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+class _Handler(RequestHandler):
+    def initialize(self, store: MetadataStore) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls += 1
+        if self.store.fault is StoreFault.BUSY:
+            self.set_status(503)
+            self.finish()
+        if self.store.fault is StoreFault.SILENT:
+            await asyncio.sleep(3600)
+
+    def answer(self, status: int, body: Any) -> None:
+        self.set_status(status)
+        self.finish(body)
+
+
+class _Key(_Handler):
+    def get(self) -> None:
+        item = self.store.items.get(self.get_argument("key"))
+        if item is None:
+            self.answer(404, {})
+            return
+        self.answer(200, {**item, "current_rev": self.store.revision})
+
+
+class _Range(_Handler):
+    PAGE = 50
+
+    def get(self) -> None:
+        prefix = self.get_argument("path_prefix")
+        after = self.get_argument("after", "")
+        keys = sorted(key for key in self.store.items if key.startswith(prefix) and key > after)
+        items = [self.store.items[key] for key in keys[: self.PAGE]]
+        more = len(keys) > self.PAGE
+        self.answer(200, {"items": items, "has_more": more, "current_rev": self.store.revision})
+
+
+class _Watch(_Handler):
+    async def get(self) -> None:
+        prefix = self.get_argument("path_prefix")
+        after = int(self.get_argument("after"))
+        end_at = asyncio.get_running_loop().time() + int(self.get_argument("wait_ms")) / 1000
+        while True:
+            if after < self.store.oldest:
+                self.answer(410, {})
+                return
+            events = self.store.events(prefix, after)
+            left_s = end_at - asyncio.get_running_loop().time()
+            if events or left_s <= 0:
+                break
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.store.changed.wait()
+            except TimeoutError:
+                continue
+        self.answer(200, {"events": events, "current_rev": self.store.revision})
+
+
+class _Txn(_Handler):
+    def post(self) -> None:
+        body = json.loads(self.request.body)
+        expected = body.get("expected_rev", [])
+        held = [self.store.items.get(row["key"]) for row in expected]
+        if any(
+            (item["revision"] if item else 0) != row["revision"]
+            for item, row in zip(held, expected, strict=True)
+        ):
+            self.answer(412, {"items": [item for item in held if item]})
+            return
+        for write in body["writes"]:
+            self.store.put_bytes(write["key"], base64.b64decode(write["value"]))
+        for key in body.get("remove", []):
+            self.store.remove(key)
+        if self.store.fault is StoreFault.LOST_ANSWERS:
+            self.request.connection.stream.close()
+            return
+        self.answer(200, {"revision": self.store.revision})
+
+
+__all__ = ["MetadataStore", "StoreFault"]
--- /dev/null
+++ b/waxwingglade/standins/registered_server.py
@@ -0,0 +1,200 @@
+"""A stand-in of a server that registers itself in the metadata store: an engine or a plain service.
+
+It speaks HTTP by hand, so that it can answer late, twice, torn or not at all.
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import secrets
+from enum import Enum
+
+import msgspec
+
+from waxwingglade.standins.metadata_store import MetadataStore
+
+PREFIX = "x-waxwingglade-"
+
+
+class ServerFault(Enum):
+    """What a server does to the next requests."""
+
+    NONE = "none"
+    SHED = "refuses as not run"
+    CUT = "runs, then closes without an answer"
+    TORN = "closes in the middle of its answer"
+    EXTRA = "answers twice"
+    PLAIN_503 = "answers 503 without promising anything"
+
+
+class Run(msgspec.Struct, frozen=True):
+    """One request that a server ran."""
+
+    request: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class RegisteredServer:
+    """One incarnation of a server.
+
+    Parameters
+    ----------
+    store : MetadataStore
+        Where it registers itself.
+    service : str
+        Its service.
+    events : int
+        Events of a stream; 0 for a plain service.
+    event_s : float
+        Seconds between events, or for a plain answer.
+
+    Attributes
+    ----------
+    runs : list of Run
+        What it ran.
+    fault : ServerFault
+        What it does wrong at present.
+    """
+
+    def __init__(
+        self, store: MetadataStore, service: str, events: int = 0, event_s: float = 0.005
+    ) -> None:
+        self.store = store
+        self.service = service
+        self.events = events
+        self.event_s = event_s
+        self.name = "i-" + secrets.token_hex(5)
+        self.runs: list[Run] = []
+        self.fault = ServerFault.NONE
+        self.server: asyncio.Server | None = None
+        self.address = ""
+        self.active = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, host: str = "127.0.0.1") -> None:
+        """Begin to serve, and register."""
+        self.server = await asyncio.start_server(self._serve, host, 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = f"{host}:{port}"
+        self.register("ready")
+
+    def register(self, state: str) -> None:
+        """Write this server's entry."""
+        self.store.put(
+            f"servers/{self.name}",
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": "zone-a",
+                "version": "v1",
+                "slots": 8,
+                "state": state,
+                "cold_left_ms": 0,
+                "seq": self.store.revision,
+            },
+        )
+
+    async def stop(self) -> None:
+        """Stop at once, and deregister."""
+        self.store.remove(f"servers/{self.name}")
+        assert self.server is not None
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while await self._serve_one(reader, writer):
+                pass
+        self.writers.discard(writer)
+        writer.close()
+
+    async def _serve_one(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.strip().split("\r\n")
+        method, path, _ = first.split(" ")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.strip().lower()] = value.strip()
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        request = headers.get(PREFIX + "request-id", "")
+        expected = headers.get(PREFIX + "expect-instance")
+        if expected not in (None, self.name):
+            writer.write(self._plain(421, request, b"other\n", not_run=True))
+            return True
+        if self.fault is ServerFault.SHED:
+            writer.write(self._plain(503, request, b"full\n", not_run=True))
+            return True
+        if self.fault is ServerFault.PLAIN_503:
+            writer.write(self._plain(503, request, b"broken\n", not_run=False))
+            return True
+        self.runs.append(Run(request, method, path, headers, body))
+        self.active += 1
+        try:
+            return await self._run(writer, request, body)
+        finally:
+            self.active -= 1
+
+    async def _run(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
+        if self.fault is ServerFault.CUT:
+            return False
+        if self.events:
+            return await self._stream(writer, request, body)
+        await asyncio.sleep(self.event_s)
+        answer = self._plain(200, request, answer_to(body))
+        if self.fault is ServerFault.TORN:
+            writer.write(answer[:-3])
+            return False
+        writer.write(answer)
+        if self.fault is ServerFault.EXTRA:
+            writer.write(answer)
+        return True
+
+    async def _stream(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
+        head = self._head(200, request) + "X-Waxwingglade-Server-Seal: seal\r\n"
+        head += "Content-Type: text/event-stream\r\n"
+        writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(1, self.events + 1):
+            await asyncio.sleep(self.event_s)
+            event = b"id: %d\ndata: %s\n\n" % (number, event_data(body, number))
+            if self.fault is ServerFault.TORN and number == self.events:
+                event = event[: len(event) // 2]
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+        if self.fault is ServerFault.TORN:
+            return False
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    def _head(self, status: int, request: str) -> str:
+        return (
+            f"HTTP/1.1 {status} Status\r\n"
+            f"X-Waxwingglade-Request-Id: {request}\r\n"
+            f"X-Waxwingglade-Instance-Id: {self.name}\r\n"
+            f"X-Waxwingglade-Server-Load: {self.active},0,8\r\n"
+        )
+
+    def _plain(self, status: int, request: str, body: bytes, not_run: bool = False) -> bytes:
+        head = self._head(status, request)
+        head += (
+            "X-Waxwingglade-Not-Run: 1\r\n" if not_run else "X-Waxwingglade-Server-Seal: seal\r\n"
+        )
+        return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def answer_to(body: bytes) -> bytes:
+    """Return the body of a plain answer, which depends on the request's body."""
+    return b"answer to " + hashlib.sha256(body).hexdigest().encode() + b"\n"
+
+
+def event_data(body: bytes, number: int) -> bytes:
+    """Return the data of an event, which depends on the whole prompt."""
+    return b"%d-%s" % (number, hashlib.sha256(body).hexdigest()[:12].encode())
+
+
+__all__ = ["RegisteredServer", "Run", "ServerFault", "answer_to", "event_data"]
