--- /dev/null
+++ b/waxwingglade/follow/tests/builders.py
@@ -0,0 +1,106 @@
+"""A store in memory, and the keys of a small platform."""
+
+import asyncio
+import json
+
+from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId
+from waxwingglade.follow.model import Configuration, Revision, ServiceName, Target
+from waxwingglade.follow.store import HistoryGone, Item, Listing, StoreUnavailable
+from waxwingglade.follow.watcher import Keys
+
+SHORT_S = 0.01
+
+
+def decode_configuration(value: bytes) -> Configuration:
+    """Decode ``{"version": N}``."""
+    try:
+        return Configuration(ConfigVersion(json.loads(value)["version"]), (), ())
+    except (KeyError, ValueError) as error:
+        raise FormatError(str(error)) from error
+
+
+def decode_target(key: str, value: bytes) -> Target:
+    """Decode ``"ready"`` or ``"leaving"``."""
+    name = TargetId(key.removeprefix("targets/"))
+    return Target(name, ServiceName("s"), "a:1", ZoneId("z"), leaving=value == b"leaving")
+
+
+KEYS = Keys(
+    configuration="op/config",
+    operators="op/",
+    targets="targets/",
+    own="own/",
+    replicas="own/replicas",
+    retire="op/retire/",
+    decode_configuration=decode_configuration,
+    decode_target=decode_target,
+)
+
+
+class MemoryStore:
+    """A store that can be taken away and can forget its history.
+
+    Attributes
+    ----------
+    away : bool
+        Whether calls fail.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, Item] = {}
+        self.history: list[Item] = []
+        self.revision = 0
+        self.oldest = 0
+        self.away = False
+        self.calls = 0
+
+    def put(self, key: str, value: bytes | None) -> None:
+        """Write or remove an item."""
+        self.revision += 1
+        item = Item(key, value, Revision(self.revision))
+        self.history.append(item)
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = item
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.history.clear()
+        self.oldest = self.revision
+
+    def _call(self) -> None:
+        self.calls += 1
+        if self.away:
+            raise StoreUnavailable("away", may_have_run=False)
+
+    async def read(self, key: str) -> Item | None:
+        """Return an item."""
+        self._call()
+        return self.items.get(key)
+
+    async def list(self, prefix: str) -> Listing:
+        """Return the items below a prefix."""
+        self._call()
+        items = tuple(item for key, item in self.items.items() if key.startswith(prefix))
+        return Listing(items, Revision(self.revision))
+
+    async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
+        """Return events after a revision, after a short wait."""
+        await asyncio.sleep(SHORT_S)
+        self._call()
+        if after < self.oldest:
+            raise HistoryGone(prefix)
+        events = [
+            item for item in self.history if item.revision > after and item.key.startswith(prefix)
+        ]
+        return Listing(tuple(events), Revision(self.revision))
+
+    async def compare_and_swap(self, key: str, revision: Revision, value: bytes) -> Item | None:
+        """Write an item under a condition."""
+        self._call()
+        held = self.items.get(key)
+        if (held.revision if held else 0) != revision:
+            return held
+        self.put(key, value)
+        return None
--- /dev/null
+++ b/waxwingglade/follow/tests/test_following.py
@@ -0,0 +1,142 @@
+"""Following the store, and one process following another."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from unittest import mock
+
+from waxwingglade.base import ConfigVersion, ZoneId
+from waxwingglade.follow.feed import Beliefs, FeedFollower
+from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.model import Configuration, Replica, Revision, TargetList, View
+from waxwingglade.follow.store import StoreUnavailable
+from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.follow.watcher import Watcher
+
+PATIENCE_S = 5.0
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(PATIENCE_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+class WatcherTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        for name in ("TARGETS_PACE_S", "FIRST_PAUSE_S", "LONGEST_PAUSE_S"):
+            patch = mock.patch(f"waxwingglade.follow.watcher.{name}", 0.01)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.now = 1000.0
+        self.store = MemoryStore()
+        self.store.put("op/config", b'{"version": 4}')
+        self.store.put("targets/a", b"ready")
+        self.store.put("targets/b", b"ready")
+        self.watcher = Watcher(self.store, KEYS, clock=lambda: self.now)
+        self.watcher.start()
+        self.addAsyncCleanup(self.watcher.stop)
+        await until(lambda: self.names() == {"a", "b"} and self.watcher.view.version == 4)
+
+    def names(self) -> set[str]:
+        """Return the targets that are believed to be there."""
+        return {target.target for target in self.watcher.view.targets.targets}
+
+    async def test_changes_are_seen_and_versions_only_rise(self) -> None:
+        self.store.put("op/config", b'{"version": 9}')
+        await until(lambda: self.watcher.view.version == 9)
+        self.store.put("op/config", b'{"version": 7}')
+        self.store.put("targets/a", b"leaving")
+        await until(lambda: any(t.leaving for t in self.watcher.view.targets.targets))
+        self.assertEqual(self.watcher.view.version, 9)
+
+    async def test_a_configuration_that_cannot_be_read_leaves_the_last_one(self) -> None:
+        self.store.put("op/config", b"nonsense")
+        self.store.put("targets/c", b"ready")
+        await until(lambda: "c" in self.names())
+        self.assertEqual(self.watcher.view.version, 4)
+
+    async def test_what_changed_while_the_history_went_is_read_anew(self) -> None:
+        self.store.away = True
+        await until(lambda: len(self.watcher.in_outage) == 3)
+        self.store.put("op/config", b'{"version": 9}')
+        self.store.put("targets/a", b"leaving")
+        self.store.compact()
+        self.store.away = False
+        await until(lambda: self.watcher.view.version == 9)
+        await until(lambda: any(t.leaving for t in self.watcher.view.targets.targets))
+
+    async def test_a_target_that_is_gone_on_a_calm_store_goes_at_once(self) -> None:
+        self.store.put("targets/a", None)
+        await until(lambda: self.names() == {"b"})
+
+    async def test_a_target_that_lapsed_in_an_outage_may_come_back(self) -> None:
+        self.store.away = True
+        await until(lambda: len(self.watcher.in_outage) == 3)
+        self.store.put("targets/a", None)
+        self.store.put("targets/b", None)
+        self.store.away = False
+        await until(lambda: len(self.watcher.missing) == 2)
+        self.assertEqual(self.names(), {"a", "b"})
+        self.store.put("targets/b", b"ready")
+        await until(lambda: len(self.watcher.missing) == 1)
+        self.now += 3.0
+        self.store.put("targets/b", b"ready")
+        await until(lambda: self.names() == {"b"})
+
+
+class FeedTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.now = 1000.0
+        self.sources = {name: Beliefs(lambda: self.now) for name in ("near", "far")}
+        self.gone: set[str] = set()
+        self.own = Beliefs(lambda: self.now)
+        replicas = [Replica(name, name, name, ZoneId(name)) for name in self.sources]
+        self.follower = FeedFollower(self.own, lambda: replicas, self._ask)
+
+    async def _ask(self, address: str, message: Follow, timeout_s: float) -> Followed:
+        await asyncio.sleep(0)
+        if address in self.gone:
+            raise StoreUnavailable("gone", may_have_run=False)
+        quick = Follow(message.version, message.targets_revision, message.epoch, 0.005)
+        return await self.sources[address].answer(quick)
+
+    def _tell(self, name: str, version: int) -> None:
+        view = View(Configuration(ConfigVersion(version), (), ()), TargetList(Revision(version)))
+        self.sources[name].merge(view, self.now)
+
+    async def test_the_nearest_source_that_knows_enough_is_followed(self) -> None:
+        self._tell("near", 3)
+        self.follower.start()
+        self.addAsyncCleanup(self.follower.stop)
+        await until(lambda: self.own.view.version == 3)
+        self.gone.add("near")
+        self._tell("far", 5)
+        await until(lambda: self.own.view.version == 5)
+        self.assertEqual(self.follower.source, "far")
+
+    async def test_a_source_that_is_cut_off_from_the_store_is_left(self) -> None:
+        self._tell("near", 3)
+        self.follower.start()
+        self.addAsyncCleanup(self.follower.stop)
+        await until(lambda: self.own.view.version == 3)
+        self.now += 5.0
+        self._tell("far", 6)
+        await until(lambda: self.own.view.version == 6)
+        self.now += 5.0
+        await until(lambda: self.follower.exhausted)
+        self.assertEqual(self.own.view.version, 6)
+
+    async def test_news_is_passed_on_at_once_and_only_news(self) -> None:
+        self._tell("near", 3)
+        source = self.sources["near"]
+        known = Follow(ConfigVersion(3), Revision(3), 0, 0.0)
+        answer = await source.answer(known)
+        self.assertIsNone(answer.view.configuration)
+        waiting = asyncio.create_task(source.answer(Follow(ConfigVersion(3), Revision(3), 0, 5.0)))
+        await asyncio.sleep(0)
+        self._tell("near", 4)
+        async with asyncio.timeout(1.0):
+            answer = await waiting
+        self.assertEqual(answer.view.version, 4)
--- /dev/null
+++ b/waxwingglade/ingress/tests/builders.py
@@ -0,0 +1,54 @@
+"""Routes, targets and calls for tests of the ingress."""
+
+from typing import Any
+
+from waxwingglade.base import ConfigVersion, ProgramId, TargetId, ZoneId
+from waxwingglade.follow.model import (
+    CallKind,
+    Configuration,
+    EngineTraits,
+    Revision,
+    Route,
+    RouteName,
+    Service,
+    ServiceName,
+    Share,
+    Target,
+    TargetList,
+)
+from waxwingglade.ingress.dialect import Call, PromptPart, RequestId
+
+ENGINES = Service(ServiceName("engines"), 100, EngineTraits(16, 500_000, 30))
+NOTES = Service(ServiceName("notes"), 100)
+
+
+def route(prefix: str, host: str = "shop", **fields: Any) -> Route:
+    """Return a route."""
+    shares = fields.pop("shares", (Share(ServiceName("notes"), 1.0),))
+    kind = fields.pop("kind", CallKind.IDEMPOTENT)
+    return Route(RouteName(prefix), host, prefix, kind, shares, 1.0, **fields)
+
+
+def configuration(*routes: Route) -> Configuration:
+    """Return a configuration with some routes."""
+    return Configuration(ConfigVersion(1), routes, (ENGINES, NOTES))
+
+
+def target(name: str, service: str = "notes", zone: str = "zone-a", **fields: Any) -> Target:
+    """Return a registered target."""
+    slots = fields.pop("slots", 8)
+    return Target(TargetId(name), ServiceName(service), name, ZoneId(zone), slots, **fields)
+
+
+def targets(*registered: Target, revision: int = 1) -> TargetList:
+    """Return a list of targets."""
+    return TargetList(Revision(revision), registered)
+
+
+def call(name: str = "request", program: str = "", parts: tuple[str, ...] = ()) -> Call:
+    """Return a call, with prompt parts of 10,000 tokens each."""
+    made = Call(RequestId(name), "POST", "/", "shop", [])
+    made.prompt_parts = tuple(PromptPart(part, 10_000) for part in parts)
+    if program:
+        made.program = ProgramId(program)
+    return made
--- /dev/null
+++ b/waxwingglade/ingress/tests/test_choices.py
@@ -0,0 +1,124 @@
+"""Routes, events and the choice of a target."""
+
+import unittest
+from collections import Counter
+
+from waxwingglade.base import TargetId, ZoneId
+from waxwingglade.follow.model import ServiceName, Share
+from waxwingglade.ingress.balance import Balancer
+from waxwingglade.ingress.dialect import LoadStamp
+from waxwingglade.ingress.events import EventSplitter, StreamError
+from waxwingglade.ingress.routes import RouteTable
+from waxwingglade.ingress.tests.builders import (
+    ENGINES,
+    NOTES,
+    call,
+    configuration,
+    route,
+    target,
+    targets,
+)
+
+
+class RoutesTest(unittest.TestCase):
+    def test_the_longest_prefix_of_the_host_wins(self) -> None:
+        table = RouteTable(configuration(route("/a/"), route("/a/b/"), route("/a/", "other")))
+        self.assertEqual(table.match("shop", "/a/b/c?d=/x/").prefix, "/a/b/")
+        self.assertEqual(table.match("shop", "/a/bc").prefix, "/a/")
+        self.assertEqual(table.match("shop:80", "/a/").prefix, "/a/")
+        self.assertIsNone(table.match("shop", "/b/"))
+        self.assertIsNone(table.match("shop", "/a"))
+        self.assertIsNone(table.match("none", "/a/"))
+
+    def test_a_split_follows_its_weights_and_keeps_together(self) -> None:
+        shares = (Share(ServiceName("x"), 90.0), Share(ServiceName("y"), 10.0))
+        split = route("/a/", shares=shares)
+        table = RouteTable(configuration(split))
+        chosen = Counter(table.service_for(split, f"program-{n}") for n in range(2000))
+        self.assertAlmostEqual(chosen[ServiceName("y")] / 2000, 0.1, delta=0.03)
+        again = RouteTable(configuration(split))
+        self.assertEqual(again.service_for(split, "p"), table.service_for(split, "p"))
+
+
+class EventsTest(unittest.TestCase):
+    def test_events_are_whole_and_unchanged_however_the_bytes_come(self) -> None:
+        raw = b"id: 1\ndata: one\n\nx-version: 2\nid: 2\ndata: a\ndata: b\n\n: note\n\n"
+        for step in (1, 3, 1000):
+            splitter = EventSplitter()
+            events = []
+            for start in range(0, len(raw), step):
+                events += splitter.feed(raw[start : start + step])
+            self.assertEqual(b"".join(event.raw for event in events), raw)
+            self.assertEqual([event.number for event in events], [1, 2, None])
+            self.assertEqual([event.data for event in events], [b"one", b"a\nb", None])
+            self.assertFalse(splitter.rest)
+
+    def test_a_cut_event_is_seen(self) -> None:
+        splitter = EventSplitter()
+        self.assertEqual(splitter.feed(b"id: 1\ndata: on"), [])
+        self.assertTrue(splitter.rest)
+
+    def test_an_id_must_be_a_number(self) -> None:
+        with self.assertRaises(StreamError):
+            EventSplitter().feed(b"id: x\n\n")
+
+
+class BalancerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.balancer = Balancer(ZoneId("zone-a"), lambda: self.now)
+
+    def test_leaving_tried_and_gone_targets_are_left_out(self) -> None:
+        self.balancer.update(targets(target("a"), target("b", leaving=True), target("c")))
+        self.assertEqual(self.balancer.choose(NOTES, call(), ["a"]).target.target, "c")
+        gone = self.balancer.update(targets(target("a"), revision=2))
+        self.assertEqual({one.target for one in gone}, {"b", "c"})
+        self.assertIsNone(self.balancer.choose(NOTES, call(), ["a"]))
+
+    def test_own_sends_count_at_once_and_reports_fade(self) -> None:
+        self.balancer.update(targets(target("a"), target("b")))
+        for number in range(10):
+            choice = self.balancer.choose(NOTES, call(f"r{number}"), [])
+            self.balancer.sent(choice.target.target, call())
+        loads = [state.in_flight for state in self.balancer.states.values()]
+        self.assertEqual(loads, [5, 5])
+        self.balancer.heard(TargetId("a"), LoadStamp(8, 10, 8))
+        self.assertEqual(self.balancer.choose(NOTES, call(), []).target.target, "b")
+        state = self.balancer.states[TargetId("a")]
+        busy = state.load(self.now)
+        self.now += 5.0
+        self.assertLess(state.load(self.now), busy - 5)
+
+    def test_a_target_that_fails_again_is_spared_for_a_while(self) -> None:
+        self.balancer.update(targets(target("a"), target("b")))
+        for _ in range(2):
+            self.balancer.failed(TargetId("a"))
+        chosen = {self.balancer.choose(NOTES, call(str(n)), []).target.target for n in range(20)}
+        self.assertEqual(chosen, {"b"})
+        self.assertEqual(self.balancer.choose(NOTES, call(), ["b"]).target.target, "a")
+        self.now += 1.0
+        chosen = {self.balancer.choose(NOTES, call(str(n)), []).target.target for n in range(20)}
+        self.assertEqual(chosen, {"a", "b"})
+
+    def test_entries_agree_on_where_a_program_goes(self) -> None:
+        engines = [target(f"e{n}", "engines", slots=16) for n in range(6)]
+        other = Balancer(ZoneId("zone-a"), lambda: self.now)
+        for balancer in (self.balancer, other):
+            balancer.update(targets(*engines))
+        chosen = []
+        for number in range(40):
+            turn = call(f"r{number}", f"p{number}", ("shared", f"own-{number}"))
+            one = self.balancer.choose(ENGINES, turn, []).target.target
+            self.assertEqual(other.choose(ENGINES, turn, []).target.target, one)
+            chosen.append(one)
+        self.assertEqual(len(set(chosen)), 3, "a shared part is read at half of the targets")
+
+    def test_a_program_leaves_a_crowded_target(self) -> None:
+        engines = [target(f"e{n}", "engines", slots=4) for n in range(4)]
+        self.balancer.update(targets(*engines))
+        turn = call("r", "p", ("shared", "own"))
+        first = self.balancer.choose(ENGINES, turn, []).target.target
+        self.balancer.sent(first, turn)
+        self.assertEqual(self.balancer.choose(ENGINES, turn, []).target.target, first)
+        self.balancer.heard(first, LoadStamp(4, 20, 4))
+        self.assertNotEqual(self.balancer.choose(ENGINES, turn, []).target.target, first)
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -268,11 +268,15 @@
             return "to be emptied"
         if len(replicas.members) <= self.wanted:
             return None
+        return self._why_spare(member, replicas)
+
+    def _why_spare(self, member: Member, replicas: ReplicaSet) -> str | None:
+        """Return why a set with more members than wanted can do without one of them."""
         if self.silent_s(member) > SILENT_S:
             return "silent"
-        if all(self.silent_s(other) < SILENT_S / 2 for other in replicas.members):
-            return "to spread the members" if member is _surplus(replicas.members) else None
-        return None
+        if any(self.silent_s(other) >= SILENT_S / 2 for other in replicas.members):
+            return None
+        return "to spread the members" if member is _surplus(replicas.members) else None
 
     def _may_empty(self, member: Member, replicas: ReplicaSet) -> bool:
         """Return whether a member may go now: another has joined for it, or none has come."""
--- /dev/null
+++ b/waxwingglade/ledger/tests/test_membership.py
@@ -0,0 +1,250 @@
+"""The set of members through wiped disks, additions, retirements and cuts, on a store in memory."""
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from waxwingglade.base import WaxwinggladeError
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet, witnesses_of
+from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.follow.watcher import Watcher
+from waxwingglade.ledger.membership import Membership
+from waxwingglade.ledger.messages import Ping, TurnBegun
+from waxwingglade.ledger.tests.builders import Cluster, Silence, begin, end, turn
+
+PATIENCE_S = 20.0
+QUICK = {
+    "LOOK_S": 0.01,
+    "PING_S": 0.02,
+    "SILENT_S": 0.3,
+    "ELSEWHERE_S": 1.2,
+    "STANDBY_S": 0.3,
+}
+
+
+class Machine:
+    """A replica with its watcher and its membership, as in a process."""
+
+    def __init__(self, cluster: "Machines", vm: str) -> None:
+        self.cluster = cluster
+        self.vm = vm
+        self.replica = cluster.replicas[vm]
+        self.member = cluster.members[vm]
+        self.watcher = Watcher(cluster.store, KEYS, self._changed)
+        self.membership = Membership(
+            self.member,
+            self.replica,
+            self.watcher,
+            cluster.store,
+            self._ask,
+            wanted=3,
+            zones=3,
+            replicas_key=KEYS.replicas,
+            status_prefix="status/",
+        )
+        self.membership.heard_of = lambda _: None
+        self.tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Read the disk and begin to follow and to change."""
+        self.replica.open()
+        self.watcher.start()
+        self.tasks = [
+            asyncio.create_task(self.membership.ping_forever()),
+            asyncio.create_task(self.membership.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop as if killed."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.watcher.stop()
+        await self.replica.stop()
+
+    def _changed(self) -> None:
+        task = asyncio.ensure_future(self.replica.learn_members(self.watcher.view.replicas))
+        self.tasks.append(task)
+
+    async def _ask(self, member: Member, message: Any, timeout_s: float) -> Any:
+        if not isinstance(message, Ping):
+            return await self.cluster.ask(self.vm, member, message)
+        self.cluster._lose(self.vm, member.vm)
+        other = self.cluster.machines.get(member.vm)
+        if other is None:
+            raise Silence("down")
+        return other.membership.answer_ping(message)
+
+
+class Machines(Cluster):
+    """Machines that join and leave."""
+
+    def __init__(self) -> None:
+        super().__init__(size=0)
+        self.store = MemoryStore()
+        self.machines: dict[str, Machine] = {}
+
+    async def begin_on(self, vm: str) -> Machine:
+        """Add a machine with an empty disk."""
+        self.add(vm)
+        machine = self.machines[vm] = Machine(self, vm)
+        machine.start()
+        return machine
+
+    async def take_away(self, vm: str) -> None:
+        """Stop a machine for good."""
+        await self.machines.pop(vm).stop()
+        del self.replicas[vm]
+
+    async def ask(self, sender: str, member: Member, message: Any) -> Any:
+        """Carry a request, unless the receiver is down."""
+        if member.vm not in self.replicas:
+            raise Silence("down")
+        return await super().ask(sender, member, message)
+
+    @property
+    def set_now(self) -> ReplicaSet:
+        """The set of members in the store."""
+        watcher = Watcher(self.store, KEYS)
+        if KEYS.replicas in self.store.items:
+            watcher.take_replicas(self.store.items[KEYS.replicas])
+        return watcher.view.replicas
+
+    def vms(self) -> set[str]:
+        """Return the VMs of a settled set, or nothing."""
+        replicas = self.set_now
+        return {member.vm for member in replicas.members} if replicas.settled else set()
+
+    async def stop_all(self) -> None:
+        """Stop all machines."""
+        for machine in self.machines.values():
+            await machine.stop()
+        self.folder.cleanup()
+
+
+class MembershipTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        for name, value in QUICK.items():
+            patch = mock.patch(f"waxwingglade.ledger.membership.{name}", value)
+            patch.start()
+            self.addCleanup(patch.stop)
+        patch = mock.patch("waxwingglade.follow.watcher.TARGETS_PACE_S", 0.01)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.machines = Machines()
+        self.addAsyncCleanup(self.machines.stop_all)
+        for vm in ("vm-0", "vm-1", "vm-2"):
+            await self.machines.begin_on(vm)
+        await self.until(lambda: self.machines.vms() == {"vm-0", "vm-1", "vm-2"})
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def keep(self, vm: str, number: int) -> None:
+        """Keep a turn through a coordinator, trying until it is kept."""
+        coordinator = self.machines.coordinator(vm)
+        async with asyncio.timeout(PATIENCE_S):
+            while not (await coordinator.end(end(number))).kept:
+                await asyncio.sleep(0.01)
+
+    async def find(self, vm: str, number: int) -> None:
+        """Check that a turn is found through a coordinator."""
+        coordinator = self.machines.coordinator(vm)
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                try:
+                    answer = await coordinator.begin(begin(900, previous=f"turn-{number}"))
+                except WaxwinggladeError:
+                    continue
+                if isinstance(answer, TurnBegun):
+                    break
+                await asyncio.sleep(0.01)
+        self.assertEqual(answer.chain, (turn(number),))
+
+    def disk(self, vm: str) -> str:
+        """Return the name of a machine's disk."""
+        return self.machines.replicas[vm].disk
+
+    async def test_a_wiped_disk_joins_as_another_member_and_holds_everything(self) -> None:
+        self.machines.isolate("vm-2")
+        await self.keep("vm-0", 1)
+        self.machines.heal()
+        old = self.disk("vm-0")
+        await self.machines.take_away("vm-0")
+        await self.machines.begin_on("vm-0")
+        await self.until(
+            lambda: self.machines.set_now.settled
+            and {m.disk for m in self.machines.set_now.members}
+            == {self.disk(vm) for vm in ("vm-0", "vm-1", "vm-2")}
+        )
+        self.assertNotEqual(self.disk("vm-0"), old)
+        await self.machines.take_away("vm-1")
+        await self.find("vm-0", 1)
+
+    async def test_a_machine_that_is_added_stands_by(self) -> None:
+        await self.machines.begin_on("vm-9")
+        await asyncio.sleep(0.2)
+        self.assertEqual(self.machines.vms(), {"vm-0", "vm-1", "vm-2"})
+
+    async def test_a_machine_replaced_elsewhere_is_removed(self) -> None:
+        await self.keep("vm-0", 1)
+        await self.machines.take_away("vm-0")
+        await self.machines.begin_on("vm-10")
+        await self.until(lambda: self.machines.vms() == {"vm-1", "vm-2", "vm-10"})
+        await self.machines.take_away("vm-1")
+        await self.find("vm-10", 1)
+
+    async def test_a_standby_joins_before_a_machine_is_emptied(self) -> None:
+        await self.keep("vm-0", 1)
+        await self.machines.begin_on("vm-9")
+        await asyncio.sleep(0.1)
+        self.machines.store.put("op/retire/vm-1", b"{}")
+        await self.until(lambda: "status/vm-1" in self.machines.store.items)
+        await self.until(lambda: b"completed" in self.machines.store.items["status/vm-1"].value)
+        self.assertEqual(self.machines.vms(), {"vm-0", "vm-2", "vm-9"})
+
+    async def test_a_wipe_right_after_an_emptying_without_standby(self) -> None:
+        """Two members are left; the disk of one is lost while a new machine joins."""
+        await self.keep("vm-0", 1)
+        self.machines.store.put("op/retire/vm-1", b"{}")
+        await self.until(lambda: self.machines.vms() == {"vm-0", "vm-2"})
+        await self.machines.take_away("vm-0")
+        await self.machines.begin_on("vm-9")
+        await self.until(lambda: {"vm-2", "vm-9"} <= self.machines.vms())
+        await self.find("vm-9", 1)
+        await self.machines.begin_on("vm-0")
+        await self.until(
+            lambda: self.disk("vm-0") in {m.disk for m in self.machines.set_now.members}
+            and self.machines.vms() == {"vm-0", "vm-2", "vm-9"}
+        )
+
+    async def test_a_cut_machine_stays_while_no_other_can_stand_in(self) -> None:
+        self.machines.isolate("vm-2")
+        await asyncio.sleep(0.6)
+        self.assertEqual(self.machines.vms(), {"vm-0", "vm-1", "vm-2"})
+        await self.keep("vm-0", 1)
+        self.machines.heal()
+
+    async def test_no_set_changes_while_the_store_is_away(self) -> None:
+        self.machines.store.away = True
+        await self.machines.take_away("vm-0")
+        await self.machines.begin_on("vm-10")
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.machines.vms(), {"vm-0", "vm-1", "vm-2"})
+        await self.keep("vm-1", 1)
+        self.machines.store.away = False
+        await self.until(lambda: self.machines.vms() == {"vm-1", "vm-2", "vm-10"})
+
+
+class WitnessesTest(unittest.TestCase):
+    def test_every_majority_meets_the_witnesses(self) -> None:
+        for size in range(1, 12):
+            majority = size // 2 + 1
+            self.assertGreater(witnesses_of(size) + majority, size)
+            self.assertLessEqual(witnesses_of(size) - 1 + majority, size)
--- /dev/null
+++ b/waxwingglade/platform/tests/test_wire.py
@@ -0,0 +1,133 @@
+"""Decoding of the platform's names."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from waxwingglade.base import FormatError, SettingsError
+from waxwingglade.follow.model import CallKind, Share
+from waxwingglade.ingress.dialect import PromptPart, Send
+from waxwingglade.platform.headers import read_answer, read_call, target_headers
+from waxwingglade.platform.registry import decode_configuration, decode_target
+from waxwingglade.platform.settings import load_node_settings
+from waxwingglade.transport import HttpResponse
+
+TURN = [
+    ("Host", "Shop.example"),
+    ("X-Waxwingglade-Request-Id", "r1"),
+    ("x-waxwingglade-program-id", "p1"),
+    ("X-Waxwingglade-Token-Budget", "4608"),
+    ("X-Waxwingglade-Token-Count", "1840,576"),
+    ("X-Waxwingglade-Prompt-Prefix", "5c1e:800, 91bd:410"),
+    ("X-Waxwingglade-Previous-Turn", "r0"),
+    ("X-Waxwingglade-Deadline-Ms", "3000"),
+    ("X-Waxwingglade-Hold", "mine"),
+    ("Kv-From", "10.0.0.1:1/2"),
+    ("Connection", "keep-alive, X-Private"),
+    ("X-Private", "secret"),
+    ("Content-Length", "4"),
+]
+
+
+class HeadersTest(unittest.TestCase):
+    def test_a_turn_is_read(self) -> None:
+        call = read_call("POST", "/a/b?c", TURN)
+        self.assertEqual((call.request, call.program, call.host), ("r1", "p1", "shop.example"))
+        self.assertEqual((call.token_budget, call.max_output_tokens), (4608, 576))
+        self.assertEqual(call.prompt_parts, (PromptPart("5c1e", 800), PromptPart("91bd", 410)))
+        self.assertEqual((call.previous_turn, call.deadline_s), ("r0", 3.0))
+
+    def test_what_concerns_one_connection_or_is_set_here_does_not_pass(self) -> None:
+        call = read_call("POST", "/", TURN)
+        names = [name for name, _ in call.headers]
+        self.assertEqual(
+            names[:3], ["Host", "X-Waxwingglade-Request-Id", "x-waxwingglade-program-id"]
+        )
+        for name in ("X-Waxwingglade-Hold", "Kv-From", "X-Private", "Content-Length"):
+            self.assertNotIn(name, names)
+
+    def test_what_is_left_of_the_time_is_sent(self) -> None:
+        call = read_call("POST", "/", TURN)
+        headers = target_headers(call, Send("i-1", 1.2345, 4, 7, 0.5))
+        values = dict(headers)
+        self.assertEqual(values["X-Waxwingglade-Deadline-Ms"], "1234")
+        self.assertEqual(values["X-Waxwingglade-Expect-Instance"], "i-1")
+        self.assertEqual(values["Last-Event-Id"], "7")
+        self.assertEqual([name for name, _ in headers].count("X-Waxwingglade-Deadline-Ms"), 1)
+
+    def test_wrong_numbers_are_named(self) -> None:
+        for name in ("X-Waxwingglade-Token-Count", "X-Waxwingglade-Deadline-Ms"):
+            with self.assertRaisesRegex(FormatError, name):
+                read_call("POST", "/", [(name, "many")])
+
+    def test_promises_of_a_server(self) -> None:
+        seal = ("X-Waxwingglade-Server-Seal", "s")
+        refused = read_answer(HttpResponse(503, [("X-Waxwingglade-Not-Run", "1")]))
+        self.assertTrue(refused.not_run)
+        self.assertTrue(read_answer(HttpResponse(421, [])).not_run)
+        self.assertFalse(read_answer(HttpResponse(503, [seal])).not_run)
+        self.assertTrue(read_answer(HttpResponse(200, [seal])).certified)
+        coded = read_answer(HttpResponse(200, [seal, ("Content-Encoding", "gzip")]))
+        self.assertFalse(coded.certified)
+
+    def test_a_load_that_cannot_be_read_tells_nothing(self) -> None:
+        load = ("X-Waxwingglade-Server-Load", "3,1,8")
+        self.assertEqual(read_answer(HttpResponse(200, [load])).load.waiting, 1)
+        self.assertIsNone(read_answer(HttpResponse(200, [(load[0], "many")])).load)
+
+
+class RegistryTest(unittest.TestCase):
+    def test_a_configuration_is_read(self) -> None:
+        split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+        route = {
+            "name": "r",
+            "host": "h",
+            "path_prefix": "/p/",
+            "kind": "streaming",
+            "timeout_ms": 3000,
+            "traffic_split": split,
+            "retain": True,
+            "unknown": 1,
+        }
+        service = {"name": "a", "engine": {"slots": 16, "kv_capacity": 9, "stride": 30}}
+        value = json.dumps({"version": 7, "routes": [route], "services": [service]})
+        configuration = decode_configuration(value.encode())
+        read = configuration.routes[0]
+        self.assertEqual((configuration.version, read.kind), (7, CallKind.STREAM))
+        self.assertEqual(read.shares, (Share("a", 90), Share("b", 10)))
+        self.assertTrue(read.keeps_turns)
+        self.assertFalse(read.idempotent)
+        self.assertEqual(configuration.services[0].engine.tokens_per_event, 30)
+
+    def test_a_target_is_read(self) -> None:
+        value = b'{"service":"a","address":"1:2","zone":"z","slots":4,"state":"draining","seq":9}'
+        target = decode_target("servers/i-1", value)
+        self.assertEqual((target.target, target.leaving, target.slots), ("i-1", True, 4))
+
+    def test_what_cannot_be_read_is_named(self) -> None:
+        with self.assertRaisesRegex(FormatError, "configuration"):
+            decode_configuration(b'{"version":"x"}')
+        with self.assertRaisesRegex(FormatError, "servers/i"):
+            decode_target("servers/i", b"{}")
+
+
+class SettingsTest(unittest.TestCase):
+    def load(self, text: str) -> object:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.yaml"
+            path.write_text(text)
+            return load_node_settings(path)
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        settings = self.load(
+            "{node_name: n, serves: [front], ip: 1.2.3.4, zone: z, port_range: [1, 2],"
+            " provider: {address: 'a:1'}, news: 1}"
+        )
+        self.assertEqual(settings.port_range, (1, 2))
+
+    def test_what_is_wrong_is_named(self) -> None:
+        with self.assertRaisesRegex(SettingsError, "node_name"):
+            self.load("{serves: []}")
+        with self.assertRaisesRegex(SettingsError, "boot.yaml"):
+            self.load("{")
