--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -93,7 +93,7 @@
 
 
 class FeedFollower:
-    """Follow another process, the nearest that knows enough.
+    """Follow another process, the nearest that knows enough and reaches a majority.
 
     Parameters
     ----------
@@ -121,6 +121,8 @@
         self.tried = 0
         self.source = ""
         self.good = False
+        self.quorum_at = float("-inf")
+        self.confirmed_at = float("-inf")
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -135,8 +137,14 @@
 
     @property
     def exhausted(self) -> bool:
-        """Whether no source knows enough: all of them were tried in vain."""
-        return not self.good and self.tried >= len(self.sources())
+        """Whether no source knows enough of the store: all of them were tried in vain."""
+        stale = self.beliefs.clock() - self.confirmed_at > FRESH_S
+        return stale and not self.good and self.tried >= len(self.sources())
+
+    @property
+    def quorum_age_s(self) -> float:
+        """Seconds since a source said that it reaches a majority of the ledger's members."""
+        return self.beliefs.clock() - self.quorum_at
 
     async def _follow(self) -> None:
         while True:
@@ -169,11 +177,13 @@
                 logger.bind(source=source.vm, reason=str(error)).warning("source lost")
                 self.source = ""
             return False
-        confirmed_at = self.beliefs.clock() - answer.age_s
-        if wait_s == 0.0:
-            confirmed_at = asked_at - answer.age_s
+        now = self.beliefs.clock()
+        confirmed_at = (now if wait_s else asked_at) - answer.age_s
         self.beliefs.merge(answer.view, confirmed_at)
-        return answer.age_s <= FRESH_S
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+        if answer.quorum:
+            self.quorum_at = now
+        return answer.age_s <= FRESH_S and answer.quorum
 
 
 def nearest_first(replicas: tuple[Replica, ...], zone: ZoneId, key: str) -> list[Replica]:
--- a/waxwingglade/follow/messages.py
+++ b/waxwingglade/follow/messages.py
@@ -20,10 +20,21 @@
 
 
 class Followed(Message):
-    """The newer parts of a view, and how long ago the store confirmed it, in seconds."""
+    """What a process knows.
+
+    Parameters
+    ----------
+    view : View
+        The newer parts of its view.
+    age_s : float
+        Seconds since the store confirmed it.
+    quorum : bool
+        Whether the process reaches a majority of the ledger's members.
+    """
 
     view: View
     age_s: float
+    quorum: bool = True
 
 
 __all__ = ["Follow", "Followed", "Message"]
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -52,6 +52,14 @@
 """Seconds between reads of the store while no replica is known."""
 
 LINK_IDLE_S = 30.0
+QUORUM_S = 1.2
+"""Seconds without word of a majority of the ledger after which callers should go elsewhere.  Word
+comes twice a second; the balancer takes two seconds more to act on it."""
+
+AWAY_RETRY_S = 0.8
+"""Seconds after which a caller may come back to an entry that reaches no majority: by then the
+balancer sends it elsewhere."""
+
 SUCCESSES_LOGGED_PER_S = 20.0
 """Lines a second for requests that ended well; failures have their own bound."""
 
@@ -164,8 +172,17 @@
 
     @property
     def ready(self) -> bool:
-        """Whether the balancer should send callers here."""
-        return self.table is not None and not self.draining
+        """Whether the balancer should send callers here.
+
+        An entry that reaches no majority of the ledger serves no turn.  In a zone that is cut off
+        none does; once all of them say so, the balancer sends the callers to other zones.
+        """
+        return self.table is not None and not self.draining and self.reaches_ledger
+
+    @property
+    def reaches_ledger(self) -> bool:
+        """Whether a replica said lately that it reaches a majority."""
+        return self.follower.quorum_age_s < QUORUM_S
 
     def replicas(self) -> list[Replica]:
         """Return the ledger's members, the nearest first."""
@@ -249,7 +266,7 @@
     def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
         """Begin to read a request."""
         assert isinstance(request_conn, HTTP1Connection)
-        exchange = Exchange(request_conn, self._serve, lambda: self.draining)
+        exchange = Exchange(request_conn, self._serve, lambda: not self.ready)
         self.open_exchanges[server_conn] = exchange
         return exchange
 
@@ -316,7 +333,8 @@
             exchange.abort()
             return
         request = serving.call.request if serving else ""
-        status, headers, body = own_answer(self.dialect, self.settings, request, refusal)
+        retry_s = self.settings.retry_after_s if self.reaches_ledger else AWAY_RETRY_S
+        status, headers, body = own_answer(self.dialect, retry_s, request, refusal)
         try:
             await exchange.answer(status, headers, body)
         except CallerGone:
--- a/waxwingglade/ingress/serving.py
+++ b/waxwingglade/ingress/serving.py
@@ -18,7 +18,6 @@
 from waxwingglade.ingress.dialect import Call, Dialect
 from waxwingglade.ingress.exchange import Exchange
 from waxwingglade.ingress.routes import RouteTable
-from waxwingglade.ingress.settings import IngressSettings
 from waxwingglade.ledger.messages import TurnId
 from waxwingglade.transport import Broken
 from waxwingglade.transport.http1 import HeaderList
@@ -114,12 +113,12 @@
 
 
 def own_answer(
-    dialect: Dialect, settings: IngressSettings, request: str, refusal: Refusal
+    dialect: Dialect, retry_after_s: float, request: str, refusal: Refusal
 ) -> tuple[int, HeaderList, bytes]:
     """Return status, headers and body of an answer that this system gives itself."""
     headers = [*dialect.own_headers(request), ("Content-Type", "text/plain")]
     if refusal.status == UNAVAILABLE:
-        headers.append(("Retry-After", f"{settings.retry_after_s:.2f}"))
+        headers.append(("Retry-After", f"{retry_after_s:.2f}"))
     return refusal.status, headers, (refusal.reason + "\n").encode()
 
 
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -34,7 +34,7 @@
 
 RETRY_PAUSE_S = 0.03
 AVOID_S = 1.0
-"""Seconds for which a replica that gave no answer is asked last."""
+"""Seconds for which a replica that gave no answer, or reached no majority, is asked last."""
 
 
 class LedgerClient:
@@ -120,7 +120,9 @@
                 except WaxwinggladeError as error:
                     logger.warning("replica {}: {}", replica.vm, error)
                     continue
-                if good(answer) and not isinstance(answer, Unavailable):
+                if isinstance(answer, Unavailable):
+                    self.avoided[replica.address] = self.clock() + AVOID_S
+                elif good(answer):
                     return answer
             if self.clock() + RETRY_PAUSE_S >= end_at:
                 return answer
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -46,8 +46,11 @@
 STANDBY_S = 2.0
 """Seconds that a replica on standby has to join before a VM that is to be emptied leaves without."""
 
-PING_S = 0.4
-PING_ANSWER_S = 0.35
+PING_S = 0.2
+PING_ANSWER_S = 0.25
+QUORUM_S = 0.6
+"""Seconds of silence after which a member no longer counts as reached, for telling entries."""
+
 SILENT_S = 2.0
 """Seconds of silence after which a member that the set can spare is removed; longer than a restart
 of a process, and short of the five seconds within which a replacement must count."""
@@ -152,6 +155,13 @@
         if answer.replicas is not None:
             self.heard_of(answer.replicas)
 
+    @property
+    def quorum(self) -> bool:
+        """Whether a majority of the members was heard lately."""
+        members = self.replicas.members
+        heard = [member for member in members if self.silent_s(member) < QUORUM_S]
+        return bool(members) and len(heard) >= self.replicas.majority
+
     def silent_s(self, member: Member) -> float:
         """Return the seconds for which a member has given no sign of life."""
         if member.disk == self.own.disk:
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -213,7 +213,8 @@
 
     async def follow(self, message: Follow) -> Followed:
         """Tell what is known."""
-        return await self.beliefs.answer(message)
+        answer = await self.beliefs.answer(message)
+        return msgspec.structs.replace(answer, quorum=self.membership.quorum)
 
     async def ping(self, message: Ping) -> Any:
         """Give a sign of life."""
--- a/waxwingglade/transport/tests/test_http1.py
+++ b/waxwingglade/transport/tests/test_http1.py
@@ -36,7 +36,7 @@
         self.server = await asyncio.start_server(
             lambda reader, writer: self.accepted.put_nowait((reader, writer)), "127.0.0.1", 0
         )
-        self.address = "127.0.0.1:{}".format(self.server.sockets[0].getsockname()[1])
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
         self.connection = await open_connection(self.address, 5.0)
         self.reader, self.writer = await self.accepted.get()
         self.addCleanup(self.server.close)
