Let a ledger that is too small grow at once, and refuse turns early where it can't be reached

A set below the wanted size now takes any replica after a second, and turns wait 0.1 s while no majority is known.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -37,7 +37,7 @@
 )
 from waxwingglade.ingress.settings import IngressSettings
 from waxwingglade.ingress.streaming import serve_stream
-from waxwingglade.ledger.client import LedgerClient
+from waxwingglade.ledger.client import BEGIN_S, LedgerClient
 from waxwingglade.ledger.messages import LedgerMessage
 from waxwingglade.transport import ConnectionPool
 from waxwingglade.transport.links import Codec, LinkFailed, Links
@@ -52,11 +52,15 @@
 """Seconds between reads of the store while no replica is known."""
 
 LINK_IDLE_S = 30.0
-QUORUM_S = 1.2
+QUORUM_S = 0.8
 """Seconds without word of a majority of the ledger after which callers should go elsewhere.  Word
 comes twice a second; the balancer takes two seconds more to act on it."""
 
-AWAY_RETRY_S = 0.8
+HOPELESS_S = 0.1
+"""Seconds that a turn waits for the ledger while no majority is reached; a decision takes some 5 ms,
+and a caller that is refused early can go elsewhere."""
+
+AWAY_RETRY_S = 1.0
 """Seconds after which a caller may come back to an entry that reaches no majority: by then the
 balancer sends it elsewhere."""
 
@@ -316,7 +320,8 @@
         try:
             async with asyncio.timeout(left_s):
                 if is_stream(serving.route):
-                    await serve_stream(serving, attempts, self.ledger, self._priority)
+                    patience_s = BEGIN_S if self.reaches_ledger else HOPELESS_S
+                    await serve_stream(serving, attempts, self.ledger, self._priority, patience_s)
                 else:
                     await serve_plain(serving, attempts, self._priority)
         except TimeoutError as error:
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -62,11 +62,21 @@
 
 
 async def serve_stream(
-    serving: Serving, attempts: Attempts, ledger: LedgerClient, priority: Priority
+    serving: Serving,
+    attempts: Attempts,
+    ledger: LedgerClient,
+    priority: Priority,
+    patience_s: float,
 ) -> None:
-    """Serve a call whose events are passed on as they come."""
+    """Serve a call whose events are passed on as they come.
+
+    Parameters
+    ----------
+    patience_s : float
+        Seconds to wait for the ledger's leave.
+    """
     relay = Relay(last_event=serving.call.last_event if serving.route.resumable else None)
-    prompt = await _begin_turn(serving, ledger)
+    prompt = await _begin_turn(serving, ledger, patience_s)
     ended = False
     try:
         await _relay_attempts(serving, attempts, relay, prompt, priority)
@@ -79,8 +89,8 @@
             _settle(serving, ledger, relay)
 
 
-async def _begin_turn(serving: Serving, ledger: LedgerClient) -> bytes:
-    """Reserve the turn's tokens, and return the whole prompt."""
+async def _begin_turn(serving: Serving, ledger: LedgerClient, patience_s: float) -> bytes:
+    """Reserve the turn's tokens within `patience_s` seconds, and return the whole prompt."""
     call = serving.call
     previous = call.previous_turn if serving.route.keeps_turns else None
     budget = _budget(serving)
@@ -94,7 +104,7 @@
         previous,
     )
     asked_at = time.monotonic()
-    answer = await ledger.begin(message, serving.time_left())
+    answer = await ledger.begin(message, min(serving.time_left(), patience_s))
     serving.trace.reserved_s = round(time.monotonic() - asked_at, 4)
     if isinstance(answer, TurnBegun):
         return b"".join(turn.asked + turn.answered for turn in answer.chain) + call.body
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -43,6 +43,9 @@
 """Seconds of silence after which a member is replaced from another zone, too: longer than the cuts
 of a zone, which end by themselves."""
 
+BALANCE_S = 1.0
+"""Seconds after its start for which a replica leaves a missing place to one in a zone with fewer."""
+
 STANDBY_S = 2.0
 """Seconds that a replica on standby has to join before a VM that is to be emptied leaves without."""
 
@@ -224,7 +227,7 @@
             return True
         at_home = [member for member in members if member.zone == self.own.zone]
         if len(members) < self.wanted:
-            patient = self.clock() - self.started_at > ELSEWHERE_S
+            patient = self.clock() - self.started_at > BALANCE_S
             return patient or len(at_home) < self._fair_share()
         if any(member.vm in self.watcher.retiring for member in members):
             return True
--- a/waxwingglade/ledger/tests/test_membership.py
+++ b/waxwingglade/ledger/tests/test_membership.py
@@ -22,6 +22,7 @@
     "SILENT_S": 0.3,
     "ELSEWHERE_S": 1.2,
     "STANDBY_S": 0.3,
+    "BALANCE_S": 0.1,
 }
 
 
@@ -224,6 +225,17 @@
             and self.machines.vms() == {"vm-0", "vm-2", "vm-9"}
         )
 
+    async def test_a_set_that_is_too_small_grows_at_once(self) -> None:
+        """A member is replaced in its zone while the set has one member fewer than wanted."""
+        with mock.patch("waxwingglade.ledger.membership.ELSEWHERE_S", 1000.0):
+            self.machines.store.put("op/retire/vm-1", b"{}")
+            await self.until(lambda: self.machines.vms() == {"vm-0", "vm-2"})
+            await self.keep("vm-0", 1)
+            await self.machines.take_away("vm-0")
+            await self.machines.begin_on("vm-10")
+            await self.until(lambda: {"vm-2", "vm-10"} <= self.machines.vms())
+            await self.find("vm-10", 1)
+
     async def test_a_cut_machine_stays_while_no_other_can_stand_in(self) -> None:
         self.machines.isolate("vm-2")
         await asyncio.sleep(0.6)
