--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -1,7 +1,7 @@
 """Choose a target for a request: the least expected time, with what need not be read again.
 
-Entries decide alone.  What they must agree on without talking, where a shared part of a prompt
-lives and which target a program prefers, follows from rendezvous hashing of names that all know.
+Entries decide alone.  What those of a zone must agree on without talking, where a shared part of a
+prompt lives and which target a program prefers, follows from rendezvous hashing of names.
 """
 
 from collections import OrderedDict, deque
@@ -11,7 +11,7 @@
 import xxhash
 
 from waxwingglade.base import Clock, ProgramId, TargetId, ZoneId, monotonic
-from waxwingglade.follow.model import EngineTraits, Service, ServiceName, Target, TargetList
+from waxwingglade.follow.model import Service, ServiceName, Target, TargetList
 from waxwingglade.ingress.dialect import Call, LoadStamp
 
 PREFILL_TOKENS_PER_S = 247_000.0
@@ -31,15 +31,24 @@
 LOAD_TRUST_S = 0.5
 """Seconds in which half of the trust in a reported load is lost; reports lag by 0.2 s."""
 
-OTHER_ZONE_S = 0.003
-"""Seconds of a round trip between zones."""
+OTHER_ZONE_S = 0.03
+"""Seconds that a target in another zone counts as slower.  The round trip takes only 3 ms more; the
+rest keeps answers from hanging on a cut between zones, and bytes within the zone."""
+
+OTHER_ZONE_LOAD = 1.0
+"""The same for plain services, as a share of a target's slots."""
 
 FIRST_EJECTION_S = 0.5
 LONGEST_EJECTION_S = 4.0
 """Seconds for which a target that failed gets no work while others are left; doubled."""
 
-PACE_SMOOTHING = 0.25
+PACE_SMOOTHING = 0.15
+SLOW_FROM = 1.6
+"""How many times slower than the others a target must have been to count as slow; answers of one
+service differ by about as much by themselves."""
+
 MAX_PACE = 10.0
+FAILURES_TO_EJECT = 2
 REMEMBERED = 4_000
 """Programs whose last target is remembered."""
 
@@ -57,7 +66,7 @@
         self.stamped_at = float("-inf")
         self.failures = 0
         self.ejected_until = float("-inf")
-        self.pace = 1.0
+        self.unit_s: float | None = None
         self.held: OrderedDict[str, None] = OrderedDict()
 
     def load(self, now: float) -> float:
@@ -76,6 +85,17 @@
         self.foreign = max(0.0, stamp.running + stamp.waiting - own)
         self.stamped_at = now
 
+    def pace(self, usual_s: float) -> float:
+        """Return how many times slower than usual the target is, 1 if it is not clearly slow."""
+        if self.unit_s is None or usual_s <= 0:
+            return 1.0
+        return min(MAX_PACE, max(1.0, self.unit_s / usual_s / SLOW_FROM))
+
+    def learn(self, unit_s: float) -> None:
+        """Take in how long a unit of work took."""
+        before = unit_s if self.unit_s is None else self.unit_s
+        self.unit_s = before + PACE_SMOOTHING * (unit_s - before)
+
     def remember(self, part: str) -> None:
         """Note that the target has read a part of a prompt."""
         self.held[part] = None
@@ -152,15 +172,16 @@
         usable = [state for state in states if state.ejected_until <= now] or states
         if not usable:
             return None
+        usual_s = _usual_unit_s(self.by_service.get(service.name, ()))
         if service.engine is not None:
-            costs = self._engine_costs(service.engine, call, usable, now)
+            costs = self._engine_costs(call, usable, usual_s, now)
         else:
-            costs = self._plain_costs(call, usable, now)
+            costs = self._plain_costs(call, usable, usual_s, now)
         cost, _, state = min(costs, key=lambda entry: entry[:2])
         return Choice(state.target, cost, state.load(now), min(now - state.stamped_at, 1e6))
 
     def _engine_costs(
-        self, engine: EngineTraits, call: Call, states: list[TargetState], now: float
+        self, call: Call, states: list[TargetState], usual_s: float, now: float
     ) -> list[tuple[float, int, TargetState]]:
         shared = call.prompt_parts[0] if len(call.prompt_parts) > 1 else None
         homes = _homes(shared.part, states) if shared else set()
@@ -174,7 +195,7 @@
                 seconds += TURN_S * (load - slots + 1) / slots
             fresh, again = self._tokens_to_read(call, state, shared is not None, homes, preferred)
             seconds += (fresh + SHARED_WEIGHT * again) / PREFILL_TOKENS_PER_S * (1 + load / slots)
-            seconds *= state.pace
+            seconds *= state.pace(usual_s)
             if state.target.zone != self.zone:
                 seconds += OTHER_ZONE_S
             costs.append((seconds, _weight(call.request, state.target.target), state))
@@ -210,20 +231,24 @@
         last = self.last_target.get(call.program)
         if last is not None:
             return last
-        names = [state.target.target for state in states if state.target.target in homes]
+        names = [
+            state.target.target
+            for state in states
+            if state.target.target in homes and state.target.zone == self.zone
+        ]
         return max(names, key=lambda name: _weight(call.program, name), default=None)
 
     def _plain_costs(
-        self, call: Call, states: list[TargetState], now: float
+        self, call: Call, states: list[TargetState], usual_s: float, now: float
     ) -> list[tuple[float, int, TargetState]]:
         costs = []
         key = call.affinity or call.request
         for state in states:
             slots = max(1, state.target.slots)
             load = state.load(now)
-            cost = (max(0.0, load - slots + 1) + load / slots) * state.pace
+            cost = (1 + max(0.0, load - slots + 1) + load / slots) * state.pace(usual_s)
             if state.target.zone != self.zone:
-                cost += 0.1
+                cost += OTHER_ZONE_LOAD
             costs.append((round(cost, 1), _weight(key, state.target.target), state))
         return costs
 
@@ -256,15 +281,22 @@
         if load is not None:
             state.report(self.clock(), load)
 
-    def succeeded(self, target: TargetId, seconds: float, expected_s: float) -> None:
-        """Note a whole answer, and how long it took against what was expected."""
+    def succeeded(self, target: TargetId, unit_s: float) -> None:
+        """Note a whole answer.
+
+        Parameters
+        ----------
+        target : TargetId
+            Who gave it.
+        unit_s : float
+            Seconds for a unit of work: an event of a stream, or a plain answer.
+        """
         state = self.states.get(target)
         if state is None:
             return
         state.failures = 0
         state.ejected_until = float("-inf")
-        ratio = min(MAX_PACE, max(0.5, seconds / max(expected_s, 1e-3)))
-        state.pace += PACE_SMOOTHING * (ratio - state.pace)
+        state.learn(unit_s)
 
     def failed(self, target: TargetId) -> None:
         """Note that a target broke off or could not be reached."""
@@ -272,9 +304,10 @@
         if state is None:
             return
         state.failures += 1
-        if state.failures < 2:
+        if state.failures < FAILURES_TO_EJECT:
             return
-        pause_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2 ** (state.failures - 2))
+        doublings = state.failures - FAILURES_TO_EJECT
+        pause_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
         state.ejected_until = self.clock() + pause_s
 
 
@@ -283,9 +316,21 @@
 
 
 def _homes(part: str, states: list[TargetState]) -> set[TargetId]:
-    """Return the targets where a shared part is read: half of them, two at least."""
-    names = sorted((state.target.target for state in states), key=lambda name: _weight(part, name))
-    return set(names[: max(2, (len(names) + 1) // 2)])
+    """Return the targets where a shared part is read: half of those of each zone."""
+    zones: dict[ZoneId, list[TargetId]] = {}
+    for state in states:
+        zones.setdefault(state.target.zone, []).append(state.target.target)
+    homes: set[TargetId] = set()
+    for names in zones.values():
+        names.sort(key=lambda name: _weight(part, name))
+        homes.update(names[: (len(names) + 1) // 2])
+    return homes
+
+
+def _usual_unit_s(states: Iterable[TargetState]) -> float:
+    """Return the median of the targets' seconds for a unit of work, 0 if none is known."""
+    known = sorted(state.unit_s for state in states if state.unit_s is not None)
+    return known[(len(known) - 1) // 2] if known else 0.0
 
 
 __all__ = ["Balancer", "Choice"]
--- a/waxwingglade/ingress/serving.py
+++ b/waxwingglade/ingress/serving.py
@@ -155,7 +155,8 @@
         head.record.seconds = round(attempts.balancer.clock() - head.sent_at, 4)
         status = head.response.status
         check_status(status, head.facts.certified)
-        attempts.balancer.succeeded(head.choice.target.target, 1.0, 1.0)
+        if status < 500:
+            attempts.balancer.succeeded(head.choice.target.target, head.record.seconds)
         await serving.exchange.answer(status, head.response.headers, body)
         return
 
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -194,7 +194,9 @@
             attempts.close(head.choice, head.connection)
         head.record.verdict = Verdict.RAN
         head.record.seconds = round(attempts.balancer.clock() - head.sent_at, 4)
-        attempts.balancer.succeeded(head.choice.target.target, 1.0, 1.0)
+        if relay.events:
+            unit_s = head.record.seconds / relay.events
+            attempts.balancer.succeeded(head.choice.target.target, unit_s)
         return
 
 
--- a/waxwingglade/ingress/tests/test_choices.py
+++ b/waxwingglade/ingress/tests/test_choices.py
@@ -113,6 +113,21 @@
             chosen.append(one)
         self.assertEqual(len(set(chosen)), 3, "a shared part is read at half of the targets")
 
+    def test_the_own_zone_comes_first_until_it_is_crowded_or_slow(self) -> None:
+        self.balancer.update(targets(target("a"), target("b", zone="zone-b")))
+        chosen = {self.balancer.choose(NOTES, call(str(n)), []).target.target for n in range(20)}
+        self.assertEqual(chosen, {"a"})
+        self.balancer.heard(TargetId("a"), LoadStamp(8, 6, 8))
+        self.assertEqual(self.balancer.choose(NOTES, call(), []).target.target, "b")
+
+    def test_a_slow_target_gets_less(self) -> None:
+        self.balancer.update(targets(target("a"), target("b")))
+        for _ in range(20):
+            self.balancer.succeeded(TargetId("a"), 0.2)
+            self.balancer.succeeded(TargetId("b"), 0.02)
+        chosen = {self.balancer.choose(NOTES, call(str(n)), []).target.target for n in range(20)}
+        self.assertEqual(chosen, {"b"})
+
     def test_a_program_leaves_a_crowded_target(self) -> None:
         engines = [target(f"e{n}", "engines", slots=4) for n in range(4)]
         self.balancer.update(targets(*engines))
--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -22,6 +22,10 @@
 retransmits, and short against the deadlines of requests, so that there is time to try again when a
 peer lost power or was cut off."""
 
+KEEPALIVE_S = 1
+"""Seconds after which a silent connection is probed, and between probes: a peer that is gone while
+an answer is awaited is noticed after some two seconds, and one that is only slow is not disturbed."""
+
 READ_HIGH_WATER_BYTES = 256 * 1024
 """Received bytes that wait for their reader before the connection stops reading."""
 
@@ -110,8 +114,10 @@
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         own_socket = transport.get_extra_info("socket")
-        if own_socket is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
-            own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
+        own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
+        own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Keep received bytes for the reader; bytes on an idle connection spoil it."""
