--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -20,6 +20,7 @@
 HOST = "shop.example"
 PATIENCE_S = 30.0
 GRACE_S = 8
+METRICS_PORT = 9464
 ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "north"}
 STREAM, CALL, ORDER = "/turns/", "/notes/", "/orders/"
 TOKENS_PER_EVENT = 10
@@ -95,6 +96,8 @@
         self.zone = list(ZONES)[number % len(ZONES)]
         self.folder = cluster.folder / self.name
         self.folder.mkdir()
+        # An address of its own, since the port of the metrics page is the same on every VM.
+        self.ip = f"127.0.{1 if purpose == 'front' else 2}.{number + 1}"
         front, ready, first = free_ports(3)
         self.port, self.ready_port = front, ready
         self.settings = self.folder / "boot.yaml"
@@ -103,10 +106,10 @@
         content = {
             "node_name": self.name,
             "serves": [purpose],
-            "ip": "127.0.0.1",
+            "ip": self.ip,
             "zone": self.zone,
             "zones": ZONES,
-            "listen": {"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+            "listen": {"front": f"{self.ip}:{front}", "ready": f"{self.ip}:{ready}"},
             "port_range": [first, first],
             "bootstrap": True,
             "data_dir": str(data) if purpose == "storage" else None,
@@ -201,7 +204,7 @@
 
     async def _is_ready(self, entry: Node) -> bool:
         try:
-            connection = await open_connection(f"127.0.0.1:{entry.ready_port}", 1.0)
+            connection = await open_connection(f"{entry.ip}:{entry.ready_port}", 1.0)
             connection.send(HttpRequest("GET", "/v1/ready", [("Host", "ready")]))
             head = await connection.read_head(lambda _: True)
             connection.close()
@@ -231,7 +234,7 @@
         pairs = [("Host", HOST), ("X-Waxwingglade-Request-Id", request)]
         for name, value in headers.items():
             pairs.append(("X-Waxwingglade-" + name.replace("_", "-").title(), str(value)))
-        connection = await open_connection(f"127.0.0.1:{entry.port}", 2.0)
+        connection = await open_connection(f"{entry.ip}:{entry.port}", 2.0)
         try:
             async with asyncio.timeout(timeout_s):
                 connection.send(HttpRequest(method, path, pairs, body))
@@ -241,6 +244,15 @@
             connection.close()
         return response
 
+    async def page(self, node: Node) -> str:
+        """Return the metrics of a process."""
+        connection = await open_connection(f"{node.ip}:{METRICS_PORT}", 2.0)
+        connection.send(HttpRequest("GET", "/metrics", [("Host", "metrics")]))
+        await connection.read_head(lambda _: True)
+        body = await connection.read_body(10_000_000)
+        connection.close()
+        return body.decode()
+
     async def turn(
         self, entry: Node, request: str, body: bytes, **headers: str | int
     ) -> HttpResponse:
--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -63,6 +63,19 @@
             self.assertTrue(headers["x-waxwingglade-expect-instance"].startswith("i-"))
             self.assertLessEqual(int(headers["x-waxwingglade-deadline-ms"]), 5000)
 
+        with self.subTest("metrics and logs tell what happened"):
+            page = await self.cluster.page(self.one)
+            self.assertIn('waxwingglade_ingress_requests_total{route="turns",status="200"}', page)
+            page = await self.cluster.page(self.cluster.ledgers[0])
+            self.assertIn("waxwingglade_ledger_answers_total", page)
+            await self.cluster.until(lambda: self._logged("t5"))
+            line = self._logged("t5")[0]
+            self.assertEqual((line["status"], line["reason"]), (404, "no such turn"))
+
+    def _logged(self, request: str) -> list[dict]:
+        lines = self.one.logs() + self.two.logs()
+        return [line for line in lines if line.get("request") == request]
+
     async def _spend_budget(self) -> None:
         """Each turn may generate 40 tokens and does; a budget of 100 holds two of them."""
         statuses = []
--- a/waxwingglade/base/logs.py
+++ b/waxwingglade/base/logs.py
@@ -16,6 +16,12 @@
 QUEUE_LINES = 5_000
 """Lines that wait for a slow reader; some 2 MB."""
 
+LINES_PER_S = 60.0
+"""Lines of one kind a second; the rest is counted in the next line of that kind."""
+
+MOST_KINDS = 200
+"""Kinds of lines that are bounded by themselves; further ones share a bound."""
+
 IDLE_S = 0.05
 """Seconds between looks of the writing thread while there is nothing to write."""
 
@@ -97,9 +103,17 @@
         Least severe level that is logged.
     """
     writer = LineWriter(sys.stdout.buffer)
+    samplers: dict[str, Sampler] = {}
 
     def sink(message: Any) -> None:
         record = message.record
+        # Lines are bounded by what they say, so that one kind cannot drown another.
+        kind = record["message"] if len(samplers) < MOST_KINDS else ""
+        sampler = samplers.setdefault(kind, Sampler(LINES_PER_S))
+        if not sampler.allows():
+            return
+        if left_out := sampler.take_left_out():
+            record["extra"]["same_left_out"] = left_out
         fields = {
             "time": round(record["time"].timestamp(), 3),
             "level": record["level"].name,
--- a/waxwingglade/follow/store.py
+++ b/waxwingglade/follow/store.py
@@ -4,6 +4,7 @@
 write that may still arrive late can do no harm, because its condition no longer holds.
 """
 
+from collections import Counter
 from typing import Protocol
 
 import msgspec
@@ -48,7 +49,15 @@
 
 
 class Store(Protocol):
-    """What the daemons ask of the platform's key-value service."""
+    """What the daemons ask of the platform's key-value service.
+
+    Attributes
+    ----------
+    calls : Counter
+        Calls made, by what they were for; every call is priced, refused ones too.
+    """
+
+    calls: Counter[str]
 
     async def read(self, key: str) -> Item | None:
         """Return an item, linearizable."""
--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections import Counter
 
 from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId
 from waxwingglade.follow.model import Configuration, Revision, ServiceName, Target
@@ -52,7 +53,7 @@
         self.revision = 0
         self.oldest = 0
         self.away = False
-        self.calls = 0
+        self.calls: Counter[str] = Counter()
 
     def put(self, key: str, value: bytes | None) -> None:
         """Write or remove an item."""
@@ -70,7 +71,7 @@
         self.oldest = self.revision
 
     def _call(self) -> None:
-        self.calls += 1
+        self.calls["all"] += 1
         if self.away:
             raise StoreUnavailable("away", may_have_run=False)
 
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import time
-from collections import Counter
 from typing import Any
 
 import zmq.asyncio
@@ -24,6 +23,7 @@
 from waxwingglade.ingress.balance import Balancer
 from waxwingglade.ingress.dialect import Dialect
 from waxwingglade.ingress.exchange import CallerGone, Exchange
+from waxwingglade.ingress.metrics import IngressMetrics
 from waxwingglade.ingress.routes import RouteTable
 from waxwingglade.ingress.serving import (
     Refusal,
@@ -41,6 +41,7 @@
 from waxwingglade.ledger.messages import LedgerMessage
 from waxwingglade.transport import ConnectionPool
 from waxwingglade.transport.links import Codec, LinkFailed, Links
+from waxwingglade.transport.page import serve_metrics, serve_page
 
 LOOK_S = 0.2
 """Seconds between looks at connections, the view's age and the sources of it."""
@@ -110,18 +111,19 @@
         self.open_exchanges: dict[object, Exchange] = {}
         self.running: set[asyncio.Task] = set()
         self.callers: HTTPServer | None = None
-        self.ready_server: HTTPServer | None = None
+        self.pages: list[HTTPServer] = []
+        self.metrics = IngressMetrics()
         self.tasks: list[asyncio.Task] = []
         self.successes = Sampler(SUCCESSES_LOGGED_PER_S)
         self.failures = Sampler(FAILURES_LOGGED_PER_S)
-        self.statuses: Counter[int] = Counter()
 
     # Start and stop
 
     async def start(self) -> None:
         """Begin to follow and to serve."""
         self.callers = self._listen(self, self.settings.callers)
-        self.ready_server = self._listen(ReadyPage(self), self.settings.ready)
+        self.pages = [serve_page(self.settings.ready, ".*", lambda: (self.ready_status, ""))]
+        self.pages += serve_metrics(self.settings.metrics, lambda: self.metrics.text(self))
         self.follower.start()
         self.tasks = [start_task(self._find_replicas()), start_task(self._look_forever())]
         logger.bind(vm=self.settings.vm, callers=self.settings.callers).info("started")
@@ -158,10 +160,9 @@
 
     async def stop(self) -> None:
         """Close everything."""
-        for server in (self.callers, self.ready_server):
-            if server is not None:
-                server.stop()
-                await server.close_all_connections()
+        for server in [*([self.callers] if self.callers else []), *self.pages]:
+            server.stop()
+            await server.close_all_connections()
         for task in [*self.tasks, *self.running]:
             task.cancel()
         await asyncio.gather(*self.tasks, *self.running, return_exceptions=True)
@@ -183,6 +184,11 @@
         """
         return self.table is not None and not self.draining and self.reaches_ledger
 
+    @property
+    def ready_status(self) -> int:
+        """Answer to the balancer's question."""
+        return 200 if self.ready else 503
+
     @property
     def reaches_ledger(self) -> bool:
         """Whether a replica said lately that it reaches a majority."""
@@ -348,7 +354,8 @@
     def _log(self, exchange: Exchange, serving: Serving | None, trace: Trace) -> None:
         """Write one line for a call: always bounded, failures with a larger bound."""
         status = exchange.status
-        self.statuses[status] += 1
+        seconds = time.monotonic() - exchange.arrived_at
+        self.metrics.note(exchange, trace, seconds)
         good = 200 <= status < 300 and not trace.reason
         sampler = self.successes if good else self.failures
         if not sampler.allows():
@@ -364,7 +371,7 @@
             epoch=self.beliefs.view.replicas.epoch,
             status=status,
             reason=trace.reason,
-            seconds=round(time.monotonic() - exchange.arrived_at, 4),
+            seconds=round(seconds, 4),
             first_event_s=trace.first_event_s,
             reserved_s=trace.reserved_s,
             kept_s=trace.kept_s,
@@ -385,24 +392,4 @@
         ).info("request")
 
 
-class ReadyPage(HTTPServerConnectionDelegate):
-    """Answers the balancer: 200 while callers should come here."""
-
-    def __init__(self, ingress: Ingress) -> None:
-        self.ingress = ingress
-
-    def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
-        """Begin to read a question."""
-        return Exchange(request_conn, self._answer, lambda: False)
-
-    def _answer(self, exchange: Exchange) -> asyncio.Task:
-        return start_task(self._write(exchange))
-
-    async def _write(self, exchange: Exchange) -> None:
-        try:
-            await exchange.answer(200 if self.ingress.ready else 503, [], b"")
-        except CallerGone:
-            return
-
-
 __all__ = ["Ingress"]
--- /dev/null
+++ b/waxwingglade/ingress/metrics.py
@@ -0,0 +1,92 @@
+"""What an entry on a platform counts and times, for Prometheus."""
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+if TYPE_CHECKING:
+    from waxwingglade.ingress.entry import Ingress
+    from waxwingglade.ingress.exchange import Exchange
+    from waxwingglade.ingress.serving import Trace
+
+PREFIX = "waxwingglade_ingress_"
+MOST_ROUTES = 50
+"""Routes with series of their own; a configuration may have hundreds, the rest counts as one."""
+
+OTHER_ROUTE = "other"
+SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.41, 1.0, 2.0, 3.0, 5.0, float("inf"))
+"""Upper bounds in seconds; the aims to the first event, 0.2 and 0.41 s, are among them."""
+
+
+class IngressMetrics:
+    """Counters and histograms of one entry."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.routes: set[str] = set()
+        self.requests = self._add(Counter, "requests_total", "Answers by route and status.")
+        self.refusals = self._add(Counter, "refusals_total", "Answers of this system by reason.")
+        self.attempts = self._add(Counter, "attempts_total", "Sendings to targets by verdict.")
+        self.seconds = self._time("request_seconds", "From a request's head to its answer's end.")
+        self.first_event = self._time("first_event_seconds", "To the first event of a stream.")
+        self.reserve = self._time("reserve_seconds", "Waiting for the ledger to begin a turn.")
+        self.keep = self._time("keep_seconds", "Waiting for the ledger to keep a turn.")
+        self.state = self._add(Gauge, "state", "What the entry believes, and its resources.")
+
+    def _add(self, kind: type, name: str, text: str):
+        collector = kind(PREFIX + name, text)
+        self.registry.register(collector)
+        return collector
+
+    def _time(self, name: str, text: str) -> Histogram:
+        histogram = Histogram(PREFIX + name, text, buckets=SECONDS)
+        self.registry.register(histogram)
+        return histogram
+
+    def note(self, exchange: "Exchange", trace: "Trace", seconds: float) -> None:
+        """Count one request."""
+        route = self._label(trace.route)
+        labels = {"route": route}
+        self.requests.inc({**labels, "status": str(exchange.status)})
+        self.seconds.observe(labels, seconds)
+        if trace.first_event_s is not None:
+            self.first_event.observe(labels, trace.first_event_s)
+        if trace.reserved_s is not None:
+            self.reserve.observe({}, trace.reserved_s)
+        if trace.kept_s is not None:
+            self.keep.observe({}, trace.kept_s)
+        if trace.reason:
+            self.refusals.inc({**labels, "status": str(exchange.status)})
+        for record in trace.attempts.records if trace.attempts else []:
+            verdict = record.verdict.value if record.verdict else "open"
+            self.attempts.inc({"verdict": verdict})
+
+    def _label(self, route: str) -> str:
+        if route in self.routes:
+            return route
+        if len(self.routes) >= MOST_ROUTES:
+            return OTHER_ROUTE
+        self.routes.add(route)
+        return route
+
+    def text(self, ingress: "Ingress") -> str:
+        """Return all metrics in Prometheus's text format."""
+        facts = {
+            "configuration_version": float(ingress.beliefs.view.version),
+            "view_age_seconds": min(ingress.beliefs.age_s, 1e6),
+            "ledger_epoch": float(ingress.beliefs.view.replicas.epoch),
+            "ledger_reached": float(ingress.reaches_ledger),
+            "ready": float(ingress.ready),
+            "running_requests": float(len(ingress.running)),
+            "caller_connections": float(len(ingress.open_exchanges)),
+            "target_connections_opened": float(ingress.pool.opened),
+            "targets": float(len(ingress.balancer.states)),
+        }
+        for name, value in facts.items():
+            self.state.set({"name": name}, value)
+        content, _ = render(self.registry, ["text/plain"])
+        return content.decode()
+
+
+__all__ = ["IngressMetrics"]
--- a/waxwingglade/ingress/settings.py
+++ b/waxwingglade/ingress/settings.py
@@ -18,6 +18,8 @@
         ``IP:PORT`` for callers.
     ready : str
         ``IP:PORT`` where the balancer asks whether this entry takes callers.
+    metrics : str
+        ``IP:PORT`` of the metrics page; empty for none.
     connect_timeout_s : float
         For a connection to a target.  A round trip takes some 3 ms; an opening packet that was
         dropped is sent again after a second, so another target is quicker.
@@ -37,6 +39,7 @@
     zone: ZoneId
     callers: str
     ready: str
+    metrics: str = ""
     connect_timeout_s: float = 0.35
     answer_grace_s: float = 0.12
     drain_wait_s: float = 4.4
--- /dev/null
+++ b/waxwingglade/ledger/metrics.py
@@ -0,0 +1,56 @@
+"""What a ledger process counts and times, for Prometheus."""
+
+from typing import TYPE_CHECKING
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+if TYPE_CHECKING:
+    from waxwingglade.ledger.node import LedgerNode
+
+PREFIX = "waxwingglade_ledger_"
+SECONDS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, float("inf"))
+"""Upper bounds in seconds; a round between zones takes 3 to 8 ms."""
+
+
+class LedgerMetrics:
+    """Counters and histograms of one ledger process."""
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.answers = Counter(PREFIX + "answers_total", "Answers by request and kind.")
+        self.seconds = Histogram(PREFIX + "seconds", "Time of an answer.", buckets=SECONDS)
+        self.state = Gauge(PREFIX + "state", "What the process holds and believes.")
+        for collector in (self.answers, self.seconds, self.state):
+            self.registry.register(collector)
+
+    def note(self, request: str, answer: str, seconds: float) -> None:
+        """Count one answer."""
+        self.answers.inc({"request": request, "answer": answer})
+        self.seconds.observe({"request": request}, seconds)
+
+    def text(self, node: "LedgerNode") -> str:
+        """Return all metrics in Prometheus's text format."""
+        replica, journal = node.replica, node.replica.journal
+        facts = {
+            "turns": len(replica.turns),
+            "accounts": len(replica.slots),
+            "members": len(replica.replicas.members),
+            "epoch": replica.replicas.epoch,
+            "settled": replica.replicas.settled,
+            "quorum": node.membership.quorum,
+            "view_age_seconds": min(node.beliefs.age_s, 1e6),
+            "configuration_version": node.beliefs.view.version,
+            "disk_bytes": sum(journal.segments.values()),
+            "disk_flushes": journal.flushes,
+            "disk_failing": journal.failing,
+        }
+        for name, value in facts.items():
+            self.state.set({"name": name}, float(value))
+        for purpose, calls in node.store.calls.items():
+            self.state.set({"name": f"store_calls_{purpose}"}, float(calls))
+        content, _ = render(self.registry, ["text/plain"])
+        return content.decode()
+
+
+__all__ = ["LedgerMetrics"]
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -8,8 +8,9 @@
 import msgspec
 import zmq.asyncio
 from loguru import logger
+from tornado.httpserver import HTTPServer
 
-from waxwingglade.base import WaxwinggladeError, ZoneId
+from waxwingglade.base import WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.feed import Beliefs, FeedFollower, nearest_first
 from waxwingglade.follow.messages import Follow, Followed
@@ -28,8 +29,10 @@
     ToReplica,
     Unavailable,
 )
+from waxwingglade.ledger.metrics import LedgerMetrics
 from waxwingglade.ledger.replica import Replica
 from waxwingglade.transport.links import Codec, LinkFailed, Links, LinkServer
+from waxwingglade.transport.page import serve_metrics
 
 LINK_IDLE_S = 30.0
 """Seconds after which a connection to a process that is no longer a member is closed."""
@@ -54,6 +57,8 @@
         Availability zones.
     status_prefix : str
         Where the state of orders to empty a VM is written.
+    metrics : str
+        ``IP:PORT`` of the metrics page; empty for none.
     """
 
     vm: str
@@ -63,6 +68,7 @@
     wanted_members: int
     zones: int
     status_prefix: str
+    metrics: str = ""
 
 
 class LedgerNode:
@@ -115,6 +121,8 @@
             ToReplica: self.to_replica,
         }
         self.tasks: list[asyncio.Task] = []
+        self.metrics = LedgerMetrics()
+        self.pages: list[HTTPServer] = []
 
     async def start(self) -> None:
         """Read the disk, and begin to answer and to follow."""
@@ -122,6 +130,7 @@
         if self.replica.replicas.epoch:
             self.beliefs.merge(View(replicas=self.replica.replicas), float("-inf"))
         self.server.start(self.settings.endpoint)
+        self.pages = serve_metrics(self.settings.metrics, lambda: self.metrics.text(self))
         self.watcher.start()
         self.follower.start()
         self.tasks = [
@@ -138,6 +147,8 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        for page in self.pages:
+            page.stop()
         await self.follower.stop()
         await self.watcher.stop()
         await self.server.stop()
@@ -206,10 +217,15 @@
         if handler is None:
             logger.warning("{} is no request", type(message).__name__)
             return None
+        asked_at = monotonic()
         try:
-            return await handler(message)
+            answer = await handler(message)
         except WaxwinggladeError as error:
-            return Unavailable(str(error))
+            answer = Unavailable(str(error))
+        if not isinstance(message, Follow):
+            kinds = type(message).__name__, type(answer).__name__
+            self.metrics.note(*kinds, monotonic() - asked_at)
+        return answer
 
     async def follow(self, message: Follow) -> Followed:
         """Tell what is known."""
--- a/waxwingglade/platform/__main__.py
+++ b/waxwingglade/platform/__main__.py
@@ -35,6 +35,15 @@
 """Seconds that a process waits at its end for a slow reader of its logs."""
 
 
+EXIT_SETTINGS = 2
+USAGE = """usage: python -m waxwingglade.platform ROLE | check FILE
+ROLE is front (an entry) or storage (a ledger process); the path of the settings file is in the
+environment.  check names what is wrong with a settings file, with exit status 2.
+"""
+
+METRICS_PORT = 9464
+"""Port of the metrics page, the same on every machine; deploy/system.toml names it too."""
+
 TAKE_SHARE = 0.55
 """Share of the grace for which a process that stops still takes requests: longer than the balancer
 needs to notice, three seconds, and leaving as much for the longest request."""
@@ -55,6 +64,7 @@
             zone=settings.zone,
             callers=settings.listen["front"],
             ready=settings.listen["ready"],
+            metrics=f"{settings.ip}:{METRICS_PORT}",
             drain_wait_s=TAKE_SHARE * grace_s,
             drain_timeout_s=END_SHARE * grace_s,
         ),
@@ -82,6 +92,7 @@
             folder=Path(settings.data_dir),
             wanted_members=2 * settings.fault_tolerance.machines + 1,
             zones=len(settings.zones),
+            metrics=f"{settings.ip}:{METRICS_PORT}",
             status_prefix=registry.RETIRE_STATUS_PREFIX,
         ),
         PlatformStore(settings.provider.address),
@@ -97,24 +108,61 @@
 
 async def run(purpose: Purpose) -> None:
     """Run a process for a purpose until it gets SIGTERM."""
-    settings = load_node_settings(settings_path())
+    path = settings_path()
+    settings = load_node_settings(path)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: logger.info("settings file changed"))
+    loop.add_signal_handler(signal.SIGHUP, lambda: note_change(path, settings))
     await RUNNERS[purpose](settings, stop)
 
 
+def note_change(path: Path, settings: NodeSettings) -> None:
+    """Log what a changed settings file means; the present settings stay in force till a restart.
+
+    Addresses and folders can't change under a running process; a file that is wrong must not stop
+    one that serves.
+    """
+    try:
+        changed = load_node_settings(path)
+    except SettingsError as error:
+        logger.bind(outcome="kept the present settings").error("reload: {}", error)
+        return
+    names = [
+        name
+        for name in settings.__struct_fields__
+        if getattr(settings, name) != getattr(changed, name)
+    ]
+    logger.bind(changed=names, outcome="in force after a restart").info("reload")
+
+
+def check(path: Path) -> int:
+    """Check a settings file, print the outcome, and return the exit status."""
+    try:
+        settings = load_node_settings(path)
+    except SettingsError as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_SETTINGS
+    sys.stdout.write(f"{path}: {settings.node_name} in {settings.zone}, good\n")
+    return 0
+
+
 def main() -> None:
-    """Run the process that the command line names."""
-    purpose = Purpose(sys.argv[1])
+    """Run the process that the command line names, or check a settings file."""
+    arguments = sys.argv[1:]
+    if len(arguments) == 2 and arguments[0] == "check":
+        raise SystemExit(check(Path(arguments[1])))
+    if len(arguments) != 1 or arguments[0] not in {purpose.value for purpose in Purpose}:
+        sys.stderr.write(USAGE)
+        raise SystemExit(EXIT_SETTINGS)
+    purpose = Purpose(arguments[0])
     logs = start_logs(purpose.name.lower())
     try:
         asyncio.run(run(purpose))
         logger.info("stopped")
     except SettingsError as error:
         logger.error("settings: {}", error)
-        raise SystemExit(2) from error
+        raise SystemExit(EXIT_SETTINGS) from error
     finally:
         logs.stop(LOG_PATIENCE_S)
 
