--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -189,6 +189,11 @@
         record.reason = str(error)
         self.balancer.failed(choice.target.target)
 
+    def answered(self, head: Head) -> None:
+        """Note that an answer was read to its end."""
+        head.record.verdict = Verdict.RAN
+        head.record.seconds = round(self.balancer.clock() - head.sent_at, 4)
+
     def broke_off(self, head: Head, error: Exception) -> None:
         """Note that an answer ended before it was whole."""
         head.record.verdict = Verdict.MAY_HAVE_RUN
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -223,17 +223,18 @@
 
     async def _find_replicas(self) -> None:
         """Read from the store who the ledger's members are, while none is known."""
+        reader = Watcher(self.store, self.keys)
         while not self.beliefs.view.replicas.members:
-            await asyncio.sleep(FIND_PAUSE_S * (0.5 + random.random()))
-            reader = Watcher(self.store, self.keys)
             try:
                 item = await self.store.read(self.keys.replicas)
             except StoreUnavailable as error:
                 logger.bind(reason=str(error)).info("members not read")
-                continue
+                item = None
             if item is not None:
                 reader.take_replicas(item)
                 self.beliefs.merge(reader.view, float("-inf"))
+                continue
+            await asyncio.sleep(FIND_PAUSE_S * (0.5 + random.random()))
 
     async def _look_forever(self) -> None:
         lost_at: float | None = None
--- a/waxwingglade/ingress/serving.py
+++ b/waxwingglade/ingress/serving.py
@@ -5,11 +5,12 @@
 
 import msgspec
 
-from waxwingglade.base import FormatError, Verdict
+from waxwingglade.base import FormatError
 from waxwingglade.follow.model import CallKind, Route, Service
 from waxwingglade.ingress.attempt import (
     MAX_ANSWER_BYTES,
     Attempts,
+    Head,
     MayHaveRun,
     NoTarget,
     NotTaken,
@@ -24,6 +25,7 @@
 
 BAD_REQUEST, BUDGET_SPENT, NOT_FOUND = 400, 402, 404
 BAD_GATEWAY, UNAVAILABLE, TIMED_OUT = 502, 503, 504
+SERVER_ERRORS = 500
 
 MIN_SEND_S = 0.01
 """Seconds of its time that a call must have left to be worth sending."""
@@ -122,40 +124,61 @@
     return refusal.status, headers, (refusal.reason + "\n").encode()
 
 
-async def serve_plain(
-    serving: Serving, attempts: Attempts, priority: Callable[[Serving], int | None]
-) -> None:
-    """Serve a call whose answer is passed on once it is whole."""
-    route = serving.route
+Priority = Callable[[Serving], int | None]
+
+
+async def open_answer(
+    serving: Serving,
+    attempts: Attempts,
+    body: bytes,
+    priority: Priority,
+    last_event: int | None = None,
+) -> Head:
+    """Send a call until a target has taken it, and return the head of its answer.
+
+    Raises
+    ------
+    Refusal
+        If no target took the call, or one may have run it that may not run twice.
+    """
     while True:
         if serving.time_left() < MIN_SEND_S:
             raise out_of_time(attempts)
         if not attempts.may_try:
             raise gave_up(attempts)
         try:
-            head = await attempts.open(serving.call.body, priority(serving), None)
+            return await attempts.open(body, priority(serving), last_event)
         except NoTarget as error:
             raise gave_up(attempts) from error
         except NotTaken:
             continue
         except MayHaveRun as error:
-            if route.idempotent and attempts.may_try:
-                continue
-            raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+            give_up_unless_repeatable(serving, attempts, error)
+
+
+def give_up_unless_repeatable(serving: Serving, attempts: Attempts, error: Exception) -> None:
+    """Raise the final answer of a call that a target broke off, unless it may be sent again."""
+    if serving.route.idempotent and attempts.may_try:
+        return
+    raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+
+
+async def serve_plain(serving: Serving, attempts: Attempts, priority: Priority) -> None:
+    """Serve a call whose answer is passed on once it is whole."""
+    while True:
+        head = await open_answer(serving, attempts, serving.call.body, priority)
         try:
             body = await head.connection.read_body(MAX_ANSWER_BYTES)
         except Broken as error:
             attempts.broke_off(head, error)
-            if route.idempotent and attempts.may_try:
-                continue
-            raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+            give_up_unless_repeatable(serving, attempts, error)
+            continue
         finally:
             attempts.close(head.choice, head.connection)
-        head.record.verdict = Verdict.RAN
-        head.record.seconds = round(attempts.balancer.clock() - head.sent_at, 4)
+        attempts.answered(head)
         status = head.response.status
         check_status(status, head.facts.certified)
-        if status < 500:
+        if status < SERVER_ERRORS:
             attempts.balancer.succeeded(head.choice.target.target, head.record.seconds)
         await serving.exchange.answer(status, head.response.headers, body)
         return
@@ -192,12 +215,14 @@
 
 
 __all__ = [
+    "Priority",
     "Refusal",
     "Serving",
     "Trace",
     "check_status",
-    "gave_up",
+    "give_up_unless_repeatable",
     "is_stream",
+    "open_answer",
     "out_of_time",
     "own_answer",
     "read_call",
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -1,31 +1,21 @@
 """Serve a call that is answered by events, and keep turns and budgets."""
 
 import time
-from collections.abc import Callable
 
 import msgspec
 
-from waxwingglade.base import Verdict
-from waxwingglade.ingress.attempt import (
-    MAX_ANSWER_BYTES,
-    Attempts,
-    Head,
-    MayHaveRun,
-    NoTarget,
-    NotTaken,
-)
+from waxwingglade.ingress.attempt import MAX_ANSWER_BYTES, Attempts, Head
 from waxwingglade.ingress.events import Event, EventSplitter, StreamError
 from waxwingglade.ingress.serving import (
-    BAD_GATEWAY,
     BUDGET_SPENT,
-    MIN_SEND_S,
     NOT_FOUND,
     UNAVAILABLE,
+    Priority,
     Refusal,
     Serving,
     check_status,
-    gave_up,
-    out_of_time,
+    give_up_unless_repeatable,
+    open_answer,
 )
 from waxwingglade.ledger.client import LedgerClient
 from waxwingglade.ledger.journal import now_s
@@ -40,7 +30,6 @@
 from waxwingglade.transport import Broken
 
 OK = 200
-Priority = Callable[[Serving], int | None]
 
 
 class Relay(msgspec.Struct):
@@ -167,33 +156,17 @@
     serving: Serving, attempts: Attempts, relay: Relay, prompt: bytes, priority: Priority
 ) -> None:
     """Send the call until a stream has come to its end, or an answer of another kind is given."""
-    resumable = serving.route.resumable
     while True:
-        if serving.time_left() < MIN_SEND_S:
-            raise out_of_time(attempts)
-        if not attempts.may_try:
-            raise gave_up(attempts)
-        try:
-            head = await attempts.open(prompt, priority(serving), relay.last_event)
-        except NoTarget as error:
-            raise gave_up(attempts) from error
-        except NotTaken:
-            continue
-        except MayHaveRun as error:
-            if resumable and attempts.may_try:
-                continue
-            raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+        head = await open_answer(serving, attempts, prompt, priority, relay.last_event)
         try:
             await _relay_answer(serving, attempts, head, relay)
         except (Broken, StreamError) as error:
             attempts.broke_off(head, error)
-            if resumable and attempts.may_try:
-                continue
-            raise Refusal(BAD_GATEWAY, f"the target broke off: {error}") from error
+            give_up_unless_repeatable(serving, attempts, error)
+            continue
         finally:
             attempts.close(head.choice, head.connection)
-        head.record.verdict = Verdict.RAN
-        head.record.seconds = round(attempts.balancer.clock() - head.sent_at, 4)
+        attempts.answered(head)
         if relay.events:
             unit_s = head.record.seconds / relay.events
             attempts.balancer.succeeded(head.choice.target.target, unit_s)
--- /dev/null
+++ b/waxwingglade/ledger/catch_up.py
@@ -0,0 +1,112 @@
+"""Read what other members hold, so that nothing acknowledged is missing in a replica."""
+
+from collections.abc import Callable
+
+from loguru import logger
+
+from waxwingglade.base import ProgramId, WaxwinggladeError
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet, witnesses_of
+from waxwingglade.ledger.coordinator import Ask
+from waxwingglade.ledger.messages import Fetch, Fetched, Held, ListHeld, OtherEpoch, TurnId
+from waxwingglade.ledger.replica import Replica
+
+SYNC_ANSWER_S = 2.0
+"""Seconds for an answer when catching up; one has up to a megabyte."""
+
+FETCH_NAMES = 500
+"""Turns asked for at once."""
+
+
+async def catch_up(
+    replica: Replica, replicas: ReplicaSet, ask: Ask, heard_of: Callable[[ReplicaSet], None]
+) -> None:
+    """Read what enough members hold; from then on they refuse older sets of members.
+
+    Parameters
+    ----------
+    replica : Replica
+        Where what is read goes.
+    replicas : ReplicaSet
+        The set of members; `replica` need not be one yet.
+    ask : callable
+        Sends a request to a member.
+    heard_of : callable
+        Called with a newer set that a member knows.
+
+    Raises
+    ------
+    WaxwinggladeError
+        If too few members answer.
+    """
+    read = 0
+    for member in replicas.members:
+        if member.disk == replica.disk:
+            # A member that has just joined cannot vouch for what came before.
+            read += replicas.joining != replica.disk
+            continue
+        try:
+            await _read_from(replica, member, replicas, ask, heard_of)
+        except WaxwinggladeError as error:
+            logger.bind(member=member.vm, reason=str(error)).debug("not read from")
+            continue
+        read += 1
+    needed = _needed(replicas)
+    if read < needed:
+        raise WaxwinggladeError(f"only {read} of {needed} members could be read")
+
+
+def _needed(replicas: ReplicaSet) -> int:
+    """Return how many members have to be read.
+
+    What counts for a set that is not settled are the majorities of the set before, without the
+    member that has joined or with the one that was removed.
+    """
+    if replicas.settled:
+        return replicas.witnesses
+    change = -1 if replicas.joining else 1
+    return witnesses_of(len(replicas.members) + change)
+
+
+async def _read_from(
+    replica: Replica,
+    member: Member,
+    replicas: ReplicaSet,
+    ask: Ask,
+    heard_of: Callable[[ReplicaSet], None],
+) -> None:
+    held = await ask(member, ListHeld(replicas), SYNC_ANSWER_S)
+    if isinstance(held, OtherEpoch):
+        heard_of(held.replicas)
+    if not isinstance(held, Held):
+        raise WaxwinggladeError(f"{member.vm} goes by another set of members")
+    turns = [turn for turn in held.turns if turn not in replica.turns]
+    programs = [
+        program
+        for program, ballot in held.accounts.items()
+        if program not in replica.slots or replica.slots[program].accepted < ballot
+    ]
+    await _fetch(replica, member, ask, turns, programs)
+    logger.bind(member=member.vm, turns=len(turns), accounts=len(programs)).info("read from")
+
+
+async def _fetch(
+    replica: Replica, member: Member, ask: Ask, turns: list[TurnId], programs: list[ProgramId]
+) -> None:
+    while turns or programs:
+        asked = Fetch(tuple(turns[:FETCH_NAMES]), tuple(programs[:FETCH_NAMES]))
+        answer = await ask(member, asked, SYNC_ANSWER_S)
+        if not isinstance(answer, Fetched):
+            raise WaxwinggladeError(f"{member.vm} did not answer")
+        await replica.take_in(answer)
+        programs = programs[FETCH_NAMES:]
+        if not answer.turns:
+            # The rest has expired there in the meantime.
+            turns = turns[FETCH_NAMES:]
+            continue
+        got = {turn.turn for turn in answer.turns}
+        last = max(index for index, turn in enumerate(asked.turns) if turn in got)
+        turns = turns[last + 1 :]
+
+
+__all__ = ["catch_up"]
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -19,20 +19,14 @@
 
 from waxwingglade.base import Clock, WaxwinggladeError, monotonic
 from waxwingglade.follow.model import Replica as Member
-from waxwingglade.follow.model import ReplicaSet, witnesses_of
+from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.follow.store import Store
 from waxwingglade.follow.watcher import Watcher
+from waxwingglade.ledger.catch_up import catch_up
 from waxwingglade.ledger.coordinator import Ask
 from waxwingglade.ledger.messages import (
-    Fetch,
-    Fetched,
-    Held,
-    ListHeld,
-    OtherEpoch,
     Ping,
     Pong,
-    ProgramId,
-    TurnId,
 )
 from waxwingglade.ledger.replica import Replica
 
@@ -58,12 +52,6 @@
 """Seconds of silence after which a member that the set can spare is removed; longer than a restart
 of a process, and short of the five seconds within which a replacement must count."""
 
-SYNC_ANSWER_S = 2.0
-"""Seconds for an answer when catching up; one has up to a megabyte."""
-
-FETCH_NAMES = 500
-"""Turns asked for at once."""
-
 RETIRING, RETIRED = "running", "completed"
 
 
@@ -211,7 +199,7 @@
             return
         if not self._is_needed(replicas):
             return
-        await self._catch_up(replicas)
+        await catch_up(self.replica, replicas, self.ask, self.heard_of)
         members = (*replicas.members, self.own)
         joined = ReplicaSet(replicas.epoch + 1, members, False, self.own.disk)
         await self._change(joined, "joining")
@@ -243,7 +231,7 @@
 
     async def _settle(self, replicas: ReplicaSet) -> None:
         if self.synced_epoch < replicas.epoch:
-            await self._catch_up(replicas)
+            await catch_up(self.replica, replicas, self.ask, self.heard_of)
             self.synced_epoch = replicas.epoch
         synced = [
             member
@@ -353,68 +341,6 @@
             self.watcher.take_replicas(item)
             await self.replica.learn_members(self.watcher.view.replicas)
 
-    # Catching up
-
-    async def _catch_up(self, replicas: ReplicaSet) -> None:
-        """Read what enough members hold, so that nothing acknowledged is missing here.
-
-        Raises
-        ------
-        WaxwinggladeError
-            If too few members answer.
-        """
-        needed = replicas.witnesses
-        if not replicas.settled:
-            # What counts are the majorities of the set before, without the one that has joined or
-            # with the one that was removed.
-            change = -1 if replicas.joining else 1
-            needed = witnesses_of(len(replicas.members) + change)
-        read = 0
-        for member in replicas.members:
-            if member.disk == self.own.disk:
-                # A member that has just joined cannot vouch for what came before.
-                read += replicas.joining != self.own.disk
-                continue
-            try:
-                await self._read_from(member, replicas)
-            except WaxwinggladeError as error:
-                logger.bind(member=member.vm, reason=str(error)).debug("not read from")
-                continue
-            read += 1
-        if read < needed:
-            raise WaxwinggladeError(f"only {read} of {needed} members could be read")
-
-    async def _read_from(self, member: Member, replicas: ReplicaSet) -> None:
-        held = await self.ask(member, ListHeld(replicas), SYNC_ANSWER_S)
-        if isinstance(held, OtherEpoch):
-            self.heard_of(held.replicas)
-        if not isinstance(held, Held):
-            raise WaxwinggladeError(f"{member.vm} goes by another set of members")
-        turns = [turn for turn in held.turns if turn not in self.replica.turns]
-        programs = [
-            program
-            for program, ballot in held.accounts.items()
-            if program not in self.replica.slots or self.replica.slots[program].accepted < ballot
-        ]
-        await self._fetch(member, turns, programs)
-        logger.bind(member=member.vm, turns=len(turns), accounts=len(programs)).info("read from")
-
-    async def _fetch(self, member: Member, turns: list[TurnId], programs: list[ProgramId]) -> None:
-        while turns or programs:
-            asked = Fetch(tuple(turns[:FETCH_NAMES]), tuple(programs[:FETCH_NAMES]))
-            answer = await self.ask(member, asked, SYNC_ANSWER_S)
-            if not isinstance(answer, Fetched):
-                raise WaxwinggladeError(f"{member.vm} did not answer")
-            await self.replica.take_in(answer)
-            programs = programs[FETCH_NAMES:]
-            if not answer.turns:
-                # The rest has expired there in the meantime.
-                turns = turns[FETCH_NAMES:]
-                continue
-            got = {turn.turn for turn in answer.turns}
-            last = max(index for index, turn in enumerate(asked.turns) if turn in got)
-            turns = turns[last + 1 :]
-
 
 def _surplus(members: tuple[Member, ...]) -> Member | None:
     """Return the last member of a zone that has more than another, if there is one."""
