Tell callers to come back after a second when a turn met no majority

Cause: at the onset of a cut a turn was refused with 0.1 s to come back, so a program used up its retries before the balancer had sent it to another zone (2 to 3 s). Losing and regaining the majority is logged.

--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -200,6 +200,26 @@
             answer = await self._until_turn("t4", previous_turn="t1")
             self.assertEqual(self.runs(answer)[-1].body, kept(b"first") + b"next")
 
+    async def test_without_a_majority_turns_are_refused_and_callers_sent_elsewhere(self) -> None:
+        self.assertEqual((await self.cluster.turn(self.one, "t1", b"first")).status, 200)
+        for node in self.cluster.ledgers[1:]:
+            node.signal(signal.SIGSTOP)
+        await self.cluster.until(lambda: "quorum" in str(self._majority_lost()))
+        answer = await self.cluster.turn(self.one, "t2", b"next", previous_turn="t1")
+        self.assertEqual(answer.status, 503)
+        self.assertGreaterEqual(float(answer.header("Retry-After")), 0.5)
+        self.assertEqual(self.runs("t2"), [])
+        plain = await self.cluster.call(self.one, "POST", CALL)
+        self.assertEqual((plain.status, plain.header("Connection")), (200, "close"))
+        for node in self.cluster.ledgers[1:]:
+            node.signal(signal.SIGCONT)
+        await self.cluster.until_ready(self.one)
+        self.assertTrue(await self._until_turn("t3", previous_turn="t1"))
+
+    def _majority_lost(self) -> list[str]:
+        lines = self.cluster.entries[0].logs()
+        return [line["event"] for line in lines if line["event"] == "ledger quorum lost"]
+
     def _is_only_member(self, vm: str, disk: str) -> bool:
         value = self.cluster.store.value("waxwingglade/replicas") or b""
         return (
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -61,10 +61,6 @@
 """Seconds that a turn waits for the ledger while no majority is reached; a decision takes some 5 ms,
 and a caller that is refused early can go elsewhere."""
 
-AWAY_RETRY_S = 1.0
-"""Seconds after which a caller may come back to an entry that reaches no majority: by then the
-balancer sends it elsewhere."""
-
 SUCCESSES_LOGGED_PER_S = 20.0
 """Lines a second for requests that ended well; failures have their own bound."""
 
@@ -108,6 +104,7 @@
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
         self.draining = False
+        self.reached_before = False
         self.open_exchanges: dict[object, Exchange] = {}
         self.running: set[asyncio.Task] = set()
         self.callers: HTTPServer | None = None
@@ -240,6 +237,7 @@
         lost_at: float | None = None
         while True:
             await asyncio.sleep(LOOK_S)
+            self._log_quorum()
             self.pool.sweep()
             await self.links.keep_only(
                 {member.address for member in self.beliefs.view.replicas.members}, LINK_IDLE_S
@@ -252,6 +250,14 @@
             elif time.monotonic() - lost_at > LOST_AFTER_S:
                 self._use_watcher()
 
+    def _log_quorum(self) -> None:
+        """Log when a majority of the ledger is lost and reached again."""
+        if self.reaches_ledger == self.reached_before:
+            return
+        self.reached_before = self.reaches_ledger
+        event = "ledger quorum regained" if self.reached_before else "ledger quorum lost"
+        logger.bind(epoch=self.beliefs.view.replicas.epoch, ready=self.ready).warning(event)
+
     def _use_watcher(self) -> None:
         """Follow the store itself: no replica knows enough."""
         if self.watcher is None:
@@ -345,8 +351,9 @@
             exchange.abort()
             return
         request = serving.call.request if serving else ""
-        retry_s = self.settings.retry_after_s if self.reaches_ledger else AWAY_RETRY_S
-        status, headers, body = own_answer(self.dialect, retry_s, request, refusal)
+        status, headers, body = own_answer(
+            self.dialect, self.settings.retry_after_s, request, refusal
+        )
         try:
             await exchange.answer(status, headers, body)
         except CallerGone:
--- a/waxwingglade/ingress/serving.py
+++ b/waxwingglade/ingress/serving.py
@@ -40,12 +40,15 @@
         Status of the answer.
     reason : str
         One line for the caller and the log.
+    retry_after_s : float or None
+        After which a caller whose request did not run may come back; None for the usual time.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(self, status: int, reason: str, retry_after_s: float | None = None) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        self.retry_after_s = retry_after_s
 
 
 class Trace(msgspec.Struct):
@@ -115,12 +118,13 @@
 
 
 def own_answer(
-    dialect: Dialect, retry_after_s: float, request: str, refusal: Refusal
+    dialect: Dialect, usual_retry_s: float, request: str, refusal: Refusal
 ) -> tuple[int, HeaderList, bytes]:
     """Return status, headers and body of an answer that this system gives itself."""
     headers = [*dialect.own_headers(request), ("Content-Type", "text/plain")]
     if refusal.status == UNAVAILABLE:
-        headers.append(("Retry-After", f"{retry_after_s:.2f}"))
+        retry_s = refusal.retry_after_s or usual_retry_s
+        headers.append(("Retry-After", f"{retry_s:.2f}"))
     return refusal.status, headers, (refusal.reason + "\n").encode()
 
 
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -30,6 +30,9 @@
 from waxwingglade.transport import Broken
 
 OK = 200
+AWAY_RETRY_S = 1.0
+"""Seconds after which a caller may come back with a turn for which no majority was reached; the
+balancer takes two to three to send it to another zone."""
 
 
 class Relay(msgspec.Struct):
@@ -103,7 +106,8 @@
     if isinstance(answer, NoSuchTurn):
         raise Refusal(NOT_FOUND, "no such turn")
     _settle(serving, ledger, Relay())
-    raise Refusal(UNAVAILABLE, f"not run: the ledger did not decide: {answer.reason}")
+    reason = f"not run: the ledger did not decide: {answer.reason}"
+    raise Refusal(UNAVAILABLE, reason, AWAY_RETRY_S)
 
 
 def _budget(serving: Serving) -> int | None:
