Vouch for a set of members only once it is durable, and remove segments in the writing thread

Found by reading: a second request under a new set of members was answered while the first one's write was still on its way, so a loss of power could have forgotten the refusal of the older set; and segments were removed beside the thread that writes. Tests for both; the first fails before.

--- a/waxwingglade/ledger/journal.py
+++ b/waxwingglade/ledger/journal.py
@@ -208,8 +208,13 @@
         self.file, self.active, self.size = file, number, size
         self.segments[number] = size
 
-    def drop_before(self, number: int) -> None:
-        """Remove the segments below a number; blocks on the disk."""
+    async def drop(self, number: int) -> None:
+        """Remove the segments below a number."""
+        loop = asyncio.get_running_loop()
+        # By the writing thread, which alone changes the list of segments.
+        await loop.run_in_executor(self.thread, self._drop_before, number)
+
+    def _drop_before(self, number: int) -> None:
         for old in sorted(self.segments):
             if old >= number:
                 return
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -118,6 +118,7 @@
         self.cache: OrderedDict[TurnId, Turn] = OrderedDict()
         self.cached_bytes = 0
         self.replicas = ReplicaSet()
+        self.members_written: asyncio.Future[Place] | None = None
         self.handlers = {
             Prepare: self.prepare,
             Accept: self.accept,
@@ -163,10 +164,12 @@
     async def learn_members(self, replicas: ReplicaSet) -> None:
         """Go over to a newer set of members, durably."""
         known = (self.replicas.epoch, self.replicas.settled)
-        if (replicas.epoch, replicas.settled) <= known:
-            return
-        self.replicas = replicas
-        await self._write(_MembersRecord(replicas))
+        if (replicas.epoch, replicas.settled) > known:
+            self.replicas = replicas
+            self.members_written = self._write(_MembersRecord(replicas))
+        if self.members_written is not None:
+            # Others rely on the refusal of older sets, which must outlive a loss of power.
+            await asyncio.shield(self.members_written)
 
     async def handle(self, message: ReplicaRequest) -> Any:
         """Answer a request of a coordinator, or of another replica."""
@@ -361,7 +364,7 @@
                 self._write(_AcceptRecord(program, slot.promised, slot.accepted, slot.account))
             )
         await asyncio.gather(*writes)
-        await asyncio.to_thread(self.journal.drop_before, min(oldest, active))
+        await self.journal.drop(min(oldest, active))
 
 
 __all__ = ["Replica"]
--- a/waxwingglade/ledger/tests/test_coordinator.py
+++ b/waxwingglade/ledger/tests/test_coordinator.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 from waxwingglade.ledger.messages import (
     BudgetSpent,
     Find,
+    ListHeld,
     NoSuchTurn,
     TurnBegun,
     TurnId,
     Unavailable,
 )
-from waxwingglade.ledger.tests.builders import Cluster, begin, end, turn
+from waxwingglade.ledger.tests.builders import PROGRAM, Cluster, begin, end, turn
 
 TURN = 100
 BUDGET = 1000
@@ -97,6 +99,33 @@
         await self.cluster.replicas["vm-2"].learn_members(newer)
         self.assertIsInstance(await self.one.begin(begin(1)), Unavailable)
 
+    async def test_a_set_of_members_is_durable_before_it_is_vouched_for(self) -> None:
+        """A second request under a new set waits for the first one's write."""
+        replica = self.cluster.replicas["vm-0"]
+        newer = self.cluster.set.__class__(2, self.cluster.set.members, True)
+        first = asyncio.create_task(replica.learn_members(newer))
+        await asyncio.sleep(0)
+        await replica.list_held(ListHeld(newer))
+        self.assertTrue(replica.members_written.done())
+        await first
+
+    async def test_old_segments_go_and_what_is_kept_stays(self) -> None:
+        replica = self.cluster.replicas["vm-0"]
+        await self.one.begin(begin(7, 600, BUDGET))
+        with mock.patch("waxwingglade.ledger.journal.SEGMENT_BYTES", 1):
+            for number in range(3):
+                await replica._store_turn(turn(number, expires_at=10.0))
+            await replica._store_turn(turn(9))
+        before = len(replica.journal.segments)
+        replica.wall_clock = lambda: 500.0
+        replica.forget_expired()
+        await replica._drop_segments()
+        self.assertLess(len(replica.journal.segments), before)
+        replica = await self.cluster.restart("vm-0")
+        self.assertEqual(set(replica.turns), {"turn-9"})
+        self.assertEqual(replica.slots[PROGRAM].account.open, {"turn-7": 600})
+        self.assertEqual(replica.replicas, self.cluster.set)
+
     async def test_expired_turns_go_and_the_ancestors_of_kept_ones_stay(self) -> None:
         replica = self.cluster.replicas["vm-0"]
         await replica._store_turn(turn(1, expires_at=10.0))
--- a/waxwingglade/ledger/tests/test_journal.py
+++ b/waxwingglade/ledger/tests/test_journal.py
@@ -72,7 +72,7 @@
             journal = await self._written(*(b"x" * 400 for _ in range(3)))
             place = await journal.append(b"last")
             self.assertGreater(place.segment, 1)
-            journal.drop_before(place.segment)
+            await journal.drop(place.segment)
             await journal.stop()
         _, contents = await self._opened()
         self.assertEqual(contents, [b"last"])
