Bound what the log writer holds while its reader is stuck, and test the store's client

The test of a full pipe failed: a batch of any size was taken out of the queue before it was written, so twice the bound could wait in memory. Batches have 200 lines now.

--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -244,6 +244,23 @@
                 await asyncio.sleep(0.1)
         raise AssertionError("not served")
 
+    async def test_a_caller_that_leaves_stops_the_work(self) -> None:
+        for engine in self.cluster.engines:
+            engine.event_s = 0.5
+        running = asyncio.create_task(self.cluster.turn(self.one, "left", b"first"))
+        engines = self.cluster.engines
+        await self.cluster.until(lambda: any(engine.active for engine in engines))
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        await self.cluster.until(lambda: not any(engine.active for engine in engines))
+        with self.subTest("and its reservation is settled by what it was handed"):
+            for number in range(2):
+                answer = await self.cluster.turn(
+                    self.two, f"after{number}", b"x", program_id="p1", token_budget=100
+                )
+                self.assertIn(answer.status, (200, 402))
+            self.assertEqual(len(self.runs("after0")), 1)
+
     async def test_a_stop_cuts_off_no_request(self) -> None:
         for engine in self.cluster.engines:
             engine.event_s = 0.4
--- a/waxwingglade/base/logs.py
+++ b/waxwingglade/base/logs.py
@@ -16,6 +16,9 @@
 QUEUE_LINES = 5_000
 """Lines that wait for a slow reader; some 2 MB."""
 
+BATCH_LINES = 200
+"""Lines written at once; what is being written counts beyond the queue."""
+
 LINES_PER_S = 60.0
 """Lines of one kind a second; the rest is counted in the next line of that kind."""
 
@@ -76,14 +79,16 @@
             time.sleep(IDLE_S)
 
     def _write_queued(self) -> None:
-        batch = []
         while self.lines:
+            self._write_batch()
+
+    def _write_batch(self) -> None:
+        batch = []
+        while self.lines and len(batch) < BATCH_LINES:
             batch.append(self.lines.popleft())
         if self.dropped > self.reported:
             batch.append(_encode({"event": "log lines dropped", "count": self.dropped}) + b"\n")
             self.reported = self.dropped
-        if not batch:
-            return
         try:
             self.stream.write(b"".join(batch))
             self.stream.flush()
--- /dev/null
+++ b/waxwingglade/platform/tests/test_store.py
@@ -0,0 +1,72 @@
+"""The client of the platform's store against a stand-in: conditions, lost answers, gaps, pages."""
+
+import unittest
+from unittest import mock
+
+from waxwingglade.follow.store import HistoryGone, StoreUnavailable
+from waxwingglade.platform.store import PlatformStore
+from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
+
+
+class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.standin = MetadataStore()
+        self.standin.start()
+        self.addAsyncCleanup(self.standin.stop)
+        self.store = PlatformStore(self.standin.address)
+        self.addAsyncCleanup(self.store.close)
+
+    async def test_a_conditional_write(self) -> None:
+        self.assertIsNone(await self.store.compare_and_swap("own/a", 0, b"one"))
+        item = await self.store.read("own/a")
+        self.assertEqual(item.value, b"one")
+        self.assertIsNone(await self.store.compare_and_swap("own/a", item.revision, b"two"))
+        held = await self.store.compare_and_swap("own/a", item.revision, b"three")
+        self.assertEqual(held.value, b"two")
+        self.assertIsNone(await self.store.read("own/none"))
+
+    async def test_a_write_whose_answer_was_lost_is_read_back(self) -> None:
+        self.standin.fault = StoreFault.LOST_ANSWERS
+        self.assertIsNone(await self.store.compare_and_swap("own/a", 0, b"one"))
+        self.assertEqual(self.standin.value("own/a"), b"one")
+
+    async def test_a_busy_store_did_nothing(self) -> None:
+        self.standin.fault = StoreFault.BUSY
+        with self.assertRaises(StoreUnavailable) as caught:
+            await self.store.compare_and_swap("own/a", 0, b"one")
+        self.assertFalse(caught.exception.may_have_run)
+        self.assertIsNone(self.standin.value("own/a"))
+
+    async def test_a_silent_store_may_have_done_it(self) -> None:
+        self.standin.fault = StoreFault.SILENT
+        with (
+            mock.patch("waxwingglade.platform.store.ANSWER_TIMEOUT_S", 0.05),
+            self.assertRaises(StoreUnavailable) as caught,
+        ):
+            await self.store._call("read", "GET", "/v1/kv-key?key=a", 0.05)
+        self.assertTrue(caught.exception.may_have_run)
+
+    async def test_a_listing_of_many_pages_and_a_watch_from_its_revision(self) -> None:
+        for number in range(120):
+            self.standin.put(f"servers/{number:03d}", {"n": number})
+        listing = await self.store.list("servers/")
+        self.assertEqual(len(listing.items), 120)
+        self.standin.put("servers/007", {"n": 0})
+        self.standin.put("op/config", {})
+        self.standin.remove("servers/008")
+        events = await self.store.watch("servers/", listing.revision, 1.0)
+        self.assertEqual(
+            [(event.key, event.value is None) for event in events.items],
+            [("servers/007", False), ("servers/008", True)],
+        )
+
+    async def test_a_watch_whose_history_is_gone(self) -> None:
+        self.standin.put("servers/a", {})
+        self.standin.compact()
+        with self.assertRaises(HistoryGone):
+            await self.store.watch("servers/", 0, 0.1)
+
+    async def test_calls_are_counted_by_purpose(self) -> None:
+        await self.store.list("servers/")
+        await self.store.read("own/a")
+        self.assertEqual(self.store.calls, {"list": 1, "read": 1})
