Join within two seconds: read members at the same time, and do not wait for those that are gone

Ruled out: the store (its calls took 4 ms) and the disk. Members are read at the same time until enough have answered, and a replica joins beside a silent one of its zone after a second. A test with a member that never answers fails before (hangs) and passes now.

--- a/waxwingglade/ledger/catch_up.py
+++ b/waxwingglade/ledger/catch_up.py
@@ -1,5 +1,6 @@
 """Read what other members hold, so that nothing acknowledged is missing in a replica."""
 
+import asyncio
 from collections.abc import Callable
 
 from loguru import logger
@@ -39,19 +40,24 @@
     WaxwinggladeError
         If too few members answer.
     """
-    read = 0
-    for member in replicas.members:
-        if member.disk == replica.disk:
-            # A member that has just joined cannot vouch for what came before.
-            read += replicas.joining != replica.disk
-            continue
-        try:
-            await _read_from(replica, member, replicas, ask, heard_of)
-        except WaxwinggladeError as error:
-            logger.bind(member=member.vm, reason=str(error)).debug("not read from")
-            continue
-        read += 1
+    # A member that has just joined cannot vouch for what came before.
+    is_old_member = any(member.disk == replica.disk for member in replicas.members)
+    read = int(is_old_member and replicas.joining != replica.disk)
     needed = _needed(replicas)
+    tasks = [
+        asyncio.ensure_future(_read_from(replica, member, replicas, ask, heard_of))
+        for member in replicas.members
+        if member.disk != replica.disk
+    ]
+    try:
+        for next_read in asyncio.as_completed(tasks):
+            if read >= needed:
+                return
+            read += await next_read
+    finally:
+        # Members that are gone must not hold up the rest.
+        for task in tasks:
+            task.cancel()
     if read < needed:
         raise WaxwinggladeError(f"only {read} of {needed} members could be read")
 
@@ -74,12 +80,22 @@
     replicas: ReplicaSet,
     ask: Ask,
     heard_of: Callable[[ReplicaSet], None],
-) -> None:
-    held = await ask(member, ListHeld(replicas), SYNC_ANSWER_S)
-    if isinstance(held, OtherEpoch):
-        heard_of(held.replicas)
-    if not isinstance(held, Held):
-        raise WaxwinggladeError(f"{member.vm} goes by another set of members")
+) -> bool:
+    """Read what one member holds; return whether that was possible."""
+    try:
+        held = await ask(member, ListHeld(replicas), SYNC_ANSWER_S)
+        if isinstance(held, OtherEpoch):
+            heard_of(held.replicas)
+        if not isinstance(held, Held):
+            raise WaxwinggladeError(f"{member.vm} goes by another set of members")
+        await _take_missing(replica, member, ask, held)
+    except WaxwinggladeError as error:
+        logger.bind(member=member.vm, reason=str(error)).debug("not read from")
+        return False
+    return True
+
+
+async def _take_missing(replica: Replica, member: Member, ask: Ask, held: Held) -> None:
     turns = [turn for turn in held.turns if turn not in replica.turns]
     programs = [
         program
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -40,6 +40,10 @@
 BALANCE_S = 1.0
 """Seconds after its start for which a replica leaves a missing place to one in a zone with fewer."""
 
+SUCCEED_S = 1.0
+"""Seconds of silence after which a replica joins beside a member of its zone; which of the two
+stays is decided later, when both or only one is heard."""
+
 STANDBY_S = 2.0
 """Seconds that a replica on standby has to join before a VM that is to be emptied leaves without."""
 
@@ -219,7 +223,7 @@
             return patient or len(at_home) < self._fair_share()
         if any(member.vm in self.watcher.retiring for member in members):
             return True
-        if any(self.silent_s(member) > SILENT_S for member in at_home):
+        if any(self.silent_s(member) > SUCCEED_S for member in at_home):
             return True
         if any(self.silent_s(member) > ELSEWHERE_S for member in members):
             return True
--- a/waxwingglade/ledger/tests/test_membership.py
+++ b/waxwingglade/ledger/tests/test_membership.py
@@ -11,6 +11,7 @@
 from waxwingglade.follow.model import ReplicaSet, witnesses_of
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
 from waxwingglade.follow.watcher import Watcher
+from waxwingglade.ledger.catch_up import catch_up
 from waxwingglade.ledger.membership import Membership
 from waxwingglade.ledger.messages import Ping, TurnBegun
 from waxwingglade.ledger.tests.builders import Cluster, Silence, begin, end, turn
@@ -22,6 +23,7 @@
     "SILENT_S": 0.3,
     "ELSEWHERE_S": 1.2,
     "STANDBY_S": 0.3,
+    "SUCCEED_S": 0.2,
     "BALANCE_S": 0.1,
 }
 
@@ -254,6 +256,31 @@
         await self.until(lambda: self.machines.vms() == {"vm-1", "vm-2", "vm-10"})
 
 
+class CatchUpTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_member_that_never_answers_holds_nothing_up(self) -> None:
+        cluster = Cluster()
+        self.addAsyncCleanup(cluster.close)
+        await cluster.start()
+        await cluster.coordinator("vm-0").end(end(1))
+        joiner = cluster.add("vm-9")
+        joiner.open()
+
+        async def ask(member: Member, message: Any, timeout_s: float) -> Any:
+            if member.vm == "vm-1":
+                await asyncio.Event().wait()
+            return await cluster.replicas[member.vm].handle(message)
+
+        async with asyncio.timeout(PATIENCE_S):
+            await catch_up(joiner, cluster.set, ask, lambda _: None)
+        self.assertIn("turn-1", joiner.turns)
+        with self.assertRaises(WaxwinggladeError):
+            await catch_up(joiner, cluster.set, _refuse, lambda _: None)
+
+
+async def _refuse(member: Member, message: Any, timeout_s: float) -> Any:
+    raise Silence("down")
+
+
 class WitnessesTest(unittest.TestCase):
     def test_every_majority_meets_the_witnesses(self) -> None:
         for size in range(1, 12):
