--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -13,6 +13,7 @@
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import EMPTY_VIEW, Replica, View
+from waxwingglade.transport.links import LinkFailed, Links
 
 FRESH_S = 1.0
 """Age in seconds up to which a view is good enough.  Changes must be in force after two seconds, so
@@ -186,9 +187,21 @@
         return answer.age_s <= FRESH_S and answer.quorum
 
 
+def ask_over(links: Links) -> Ask:
+    """Return a function that asks processes for what they know over links."""
+
+    async def ask(address: str, message: Follow, timeout_s: float) -> Followed:
+        answer = await links.to(address).request(message, timeout_s)
+        if not isinstance(answer, Followed):
+            raise LinkFailed(f"{address} answered with {type(answer).__name__}", sent=True)
+        return answer
+
+    return ask
+
+
 def nearest_first(replicas: tuple[Replica, ...], zone: ZoneId, key: str) -> list[Replica]:
     """Return replicas with those of a zone first; `key` spreads their followers over the others."""
     return sorted(replicas, key=lambda replica: (replica.zone != zone, hash((key, replica.disk))))
 
 
-__all__ = ["FRESH_S", "Beliefs", "FeedFollower", "nearest_first"]
+__all__ = ["FRESH_S", "Beliefs", "FeedFollower", "ask_over", "nearest_first"]
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -108,7 +108,6 @@
         self.clock = clock
         self.view = EMPTY_VIEW
         self.checked_at = float("-inf")
-        self.config_checked_at = float("-inf")
         self.retiring: dict[str, Revision] = {}
         self.replicas_revision = Revision(0)
         self.replicas_known = asyncio.Event()
@@ -189,8 +188,6 @@
     def _note_checked(self, prefix: str, at: float) -> None:
         if prefix == self.keys.targets:
             self.checked_at = at
-        if prefix == self.keys.operators:
-            self.config_checked_at = at
 
     def _note_outage(self, prefix: str, reason: str) -> None:
         if not self.in_outage:
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -14,8 +14,7 @@
 
 from waxwingglade.base.logs import Sampler
 from waxwingglade.base.tasks import start_task
-from waxwingglade.follow.feed import Beliefs, FeedFollower, nearest_first
-from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.feed import Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.model import ClientLimits, Replica, View
 from waxwingglade.follow.store import Store, StoreUnavailable
 from waxwingglade.follow.watcher import Keys, Watcher
@@ -40,7 +39,7 @@
 from waxwingglade.ledger.client import BEGIN_S, LedgerClient
 from waxwingglade.ledger.messages import LedgerMessage
 from waxwingglade.transport import ConnectionPool
-from waxwingglade.transport.links import Codec, LinkFailed, Links
+from waxwingglade.transport.links import Codec, Links
 from waxwingglade.transport.page import serve_metrics, serve_page
 
 LOOK_S = 0.2
@@ -100,7 +99,7 @@
         self.balancer = Balancer(settings.zone)
         self.pool = ConnectionPool(settings.connect_timeout_s)
         self.ledger = LedgerClient(self.links, self.replicas)
-        self.follower = FeedFollower(self.beliefs, self.replicas, self._ask_feed)
+        self.follower = FeedFollower(self.beliefs, self.replicas, ask_over(self.links))
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
         self.draining = False
@@ -212,12 +211,6 @@
         params.max_body_size = limits.max_body_bytes
         params.header_timeout = limits.idle_timeout_s
 
-    async def _ask_feed(self, address: str, message: Follow, timeout_s: float) -> Followed:
-        answer = await self.links.to(address).request(message, timeout_s)
-        if not isinstance(answer, Followed):
-            raise LinkFailed(f"{address} answered with {type(answer).__name__}", sent=True)
-        return answer
-
     async def _find_replicas(self) -> None:
         """Read from the store who the ledger's members are, while none is known."""
         reader = Watcher(self.store, self.keys)
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from waxwingglade.base import wall
 from waxwingglade.ingress.attempt import MAX_ANSWER_BYTES, Attempts, Head
 from waxwingglade.ingress.events import Event, EventSplitter, StreamError
 from waxwingglade.ingress.serving import (
@@ -18,7 +19,6 @@
     open_answer,
 )
 from waxwingglade.ledger.client import LedgerClient
-from waxwingglade.ledger.journal import now_s
 from waxwingglade.ledger.messages import (
     BeginTurn,
     BudgetSpent,
@@ -126,7 +126,7 @@
             previous,
             serving.call.body,
             b"".join(relay.data),
-            now_s() + serving.route.retention_s,
+            wall() + serving.route.retention_s,
         )
     return EndTurn(serving.turn, program, used, kept)
 
--- a/waxwingglade/ledger/journal.py
+++ b/waxwingglade/ledger/journal.py
@@ -9,7 +9,6 @@
 import secrets
 import struct
 import threading
-import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
@@ -262,9 +261,4 @@
         os.close(handle)
 
 
-def now_s() -> float:
-    """Return the calendar time in seconds."""
-    return time.time()
-
-
-__all__ = ["Journal", "Place", "now_s"]
+__all__ = ["Journal", "Place"]
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -12,7 +12,7 @@
 
 from waxwingglade.base import WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.tasks import start_task
-from waxwingglade.follow.feed import Beliefs, FeedFollower, nearest_first
+from waxwingglade.follow.feed import Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet, View
@@ -31,7 +31,7 @@
 )
 from waxwingglade.ledger.metrics import LedgerMetrics
 from waxwingglade.ledger.replica import Replica
-from waxwingglade.transport.links import Codec, LinkFailed, Links, LinkServer
+from waxwingglade.transport.links import Codec, Links, LinkServer
 from waxwingglade.transport.page import serve_metrics
 
 LINK_IDLE_S = 30.0
@@ -111,7 +111,7 @@
         )
         self.membership.heard_of = self.heard_of
         self.follower = FeedFollower(
-            self.beliefs, self._sources, self.ask_feed, lambda: not self.beliefs.fresh
+            self.beliefs, self._sources, ask_over(self.links), lambda: not self.beliefs.fresh
         )
         self.handlers: dict[type, Callable[[Any], Any]] = {
             BeginTurn: self.coordinator.begin,
@@ -193,13 +193,6 @@
 
     # Asking
 
-    async def ask_feed(self, address: str, message: Follow, timeout_s: float) -> Followed:
-        """Ask another process for what it knows."""
-        answer = await self.links.to(address).request(message, timeout_s)
-        if not isinstance(answer, Followed):
-            raise LinkFailed(f"{address} answered with {type(answer).__name__}", sent=True)
-        return answer
-
     async def ask_member(self, member: Member, message: Any, timeout_s: float) -> Any:
         """Ask a member, or this process's own replica."""
         if isinstance(message, Ping):
