Follow the store by one watch, so that a view is never confirmed without its configuration

Cause, by reasoning: each ledger process had three watches, and only that of the targets confirmed its view. Ruled out: entries that were cut off (other ones, and exempt), the feed from process to process (versions only rise, lost answers are asked for again).

Change: one paced watch of all keys, given up 0.6 s after its wait of 0.5 s. A test with a watch that falls silent fails before (confirmed after the write, without it) and passes now. Calls are fewer: one watch each 0.85 s in place of one each 0.9 s and two each 5 s.

Also: catching up ended with a wait that was never awaited (a RuntimeWarning in the logs).

--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -10,6 +10,8 @@
 from waxwingglade.follow.watcher import Keys
 
 SHORT_S = 0.01
+SILENCE_S = 0.2
+"""Seconds after which a watch that hears nothing breaks off."""
 
 
 def decode_configuration(value: bytes) -> Configuration:
@@ -45,6 +47,8 @@
     ----------
     away : bool
         Whether calls fail.
+    silenced : str or None
+        Key whose watches hear nothing, do not end in time and at last break off.
     """
 
     def __init__(self) -> None:
@@ -53,6 +57,7 @@
         self.revision = 0
         self.oldest = 0
         self.away = False
+        self.silenced: str | None = None
         self.calls: Counter[str] = Counter()
 
     def put(self, key: str, value: bytes | None) -> None:
@@ -90,6 +95,9 @@
         """Return events after a revision, after a short wait."""
         await asyncio.sleep(SHORT_S)
         self._call()
+        if self.silenced is not None and self.silenced.startswith(prefix):
+            await asyncio.sleep(SILENCE_S)
+            raise StoreUnavailable("no answer", may_have_run=False)
         if after < self.oldest:
             raise HistoryGone(prefix)
         events = [
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -1,6 +1,7 @@
 """Following the store, and one process following another."""
 
 import asyncio
+import time
 import unittest
 from collections.abc import Callable
 from unittest import mock
@@ -10,7 +11,7 @@
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Configuration, Replica, Revision, TargetList, View
 from waxwingglade.follow.store import StoreUnavailable
-from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.follow.tests.builders import KEYS, SHORT_S, SILENCE_S, MemoryStore
 from waxwingglade.follow.watcher import Watcher
 
 PATIENCE_S = 5.0
@@ -25,7 +26,7 @@
 
 class WatcherTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        for name in ("TARGETS_PACE_S", "FIRST_PAUSE_S", "LONGEST_PAUSE_S"):
+        for name in ("PACE_S", "FIRST_PAUSE_S", "LONGEST_PAUSE_S"):
             patch = mock.patch(f"waxwingglade.follow.watcher.{name}", 0.01)
             patch.start()
             self.addCleanup(patch.stop)
@@ -59,7 +60,7 @@
 
     async def test_what_changed_while_the_history_went_is_read_anew(self) -> None:
         self.store.away = True
-        await until(lambda: len(self.watcher.in_outage) == 3)
+        await until(lambda: self.watcher.in_outage)
         self.store.put("op/config", b'{"version": 9}')
         self.store.put("targets/a", b"leaving")
         self.store.compact()
@@ -67,13 +68,26 @@
         await until(lambda: self.watcher.view.version == 9)
         await until(lambda: any(t.leaving for t in self.watcher.view.targets.targets))
 
+    async def test_a_view_is_confirmed_only_with_the_configuration_of_that_time(self) -> None:
+        self.store.silenced = "op/config"
+        await asyncio.sleep(4 * SHORT_S)
+        written_at = self.now
+        self.store.put("op/config", b'{"version": 9}')
+        self.now += 1.0
+        silent_until = time.monotonic() + 2 * SILENCE_S
+        while self.watcher.view.version != 9:
+            self.assertLessEqual(self.watcher.confirmed_at, written_at)
+            if time.monotonic() > silent_until:
+                self.store.silenced = None
+            await asyncio.sleep(0.005)
+
     async def test_a_target_that_is_gone_on_a_calm_store_goes_at_once(self) -> None:
         self.store.put("targets/a", None)
         await until(lambda: self.names() == {"b"})
 
     async def test_a_target_that_lapsed_in_an_outage_may_come_back(self) -> None:
         self.store.away = True
-        await until(lambda: len(self.watcher.in_outage) == 3)
+        await until(lambda: self.watcher.in_outage)
         self.store.put("targets/a", None)
         self.store.put("targets/b", None)
         self.store.away = False
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -1,8 +1,8 @@
 """Follow the store: configuration, targets and the ledger's members, with few calls.
 
-One task follows each part.  Operators and members change their keys rarely, so their watches wait
-long; targets write a sign of life every second or so, so that watch is paced and takes the changes
-of a while in one call.
+One watch covers all keys, so that its answer confirms all that is believed at once: with a watch for
+each part, one that heard nothing more went unnoticed for its whole wait while the others kept the
+view looking fresh.  It is paced, and takes the changes of a while in one call.
 """
 
 import asyncio
@@ -25,15 +25,15 @@
 )
 from waxwingglade.follow.store import HistoryGone, Item, Listing, Store, StoreUnavailable
 
-TARGETS_PACE_S = 0.4
-"""Seconds between watches of the targets; a fifth of the two seconds within which a target that
-leaves must get no more work."""
+EVERYTHING = ""
+"""Prefix of all keys."""
 
-TARGETS_WAIT_S = 0.5
-"""Seconds that a watch of the targets waits; its answer also shows that the store is there."""
+PACE_S = 0.35
+"""Seconds between watches; a fifth of the two seconds within which a changed configuration is in
+force and a target that leaves gets no more work."""
 
-QUIET_WAIT_S = 5.0
-"""Seconds that a watch of rarely changed keys waits."""
+WAIT_S = 0.5
+"""Seconds that a watch waits; its answer also shows that the store is there."""
 
 RETURN_S = 2.2
 """Seconds after an outage of the store for which a target that is missing may still come back;
@@ -88,7 +88,7 @@
     view : View
         What is believed.
     checked_at : float
-        When the store last confirmed the targets; -inf before.
+        When the store last confirmed the view; -inf before.
     retiring : dict
         VMs that operators want emptied, with the revision of the order.
     replicas_revision : Revision
@@ -114,100 +114,90 @@
         self.targets: dict[str, Target] = {}
         self.missing: dict[str, float] = {}
         self.outage_until = float("-inf")
-        self.in_outage: set[str] = set()
-        self.tasks: list[asyncio.Task] = []
+        self.in_outage = False
+        self.task: asyncio.Task | None = None
 
     def start(self) -> None:
         """Begin to follow."""
-        keys = self.keys
-        self.tasks = [
-            start_task(self._follow(keys.operators, QUIET_WAIT_S, 0.0, self._take_operators)),
-            start_task(self._follow(keys.own, QUIET_WAIT_S, 0.0, self._take_own)),
-            start_task(
-                self._follow(keys.targets, TARGETS_WAIT_S, TARGETS_PACE_S, self._take_targets)
-            ),
-        ]
+        self.task = start_task(self._follow())
 
     async def stop(self) -> None:
         """Stop to follow."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
-        self.tasks = []
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+        self.task = None
 
     @property
     def confirmed_at(self) -> float:
-        """When the store last confirmed the targets, once the configuration was read too."""
+        """When the store last confirmed the view, once the configuration was read too."""
         if self.view.configuration is None:
             return float("-inf")
         return self.checked_at
 
-    async def _follow(
-        self, prefix: str, wait_s: float, pace_s: float, take: Callable[[Listing, bool], None]
-    ) -> None:
-        """Keep one prefix up to date: a listing, then watches from its revision."""
+    async def _follow(self) -> None:
+        """Keep the view up to date: a listing, then watches from its revision."""
         revision: Revision | None = None
         pause_s = FIRST_PAUSE_S
         while True:
             try:
-                revision = await self._step(prefix, revision, wait_s, take)
+                revision = await self._step(revision)
             except HistoryGone as error:
-                logger.bind(prefix=prefix).info("history gone, reading anew: {}", error)
+                logger.info("history gone, reading anew: {}", error)
                 revision = None
                 continue
             except StoreUnavailable as error:
-                self._note_outage(prefix, str(error))
+                self._note_outage(str(error))
                 await asyncio.sleep(pause_s * (0.5 + random.random()))
                 pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
                 continue
             pause_s = FIRST_PAUSE_S
-            self._note_answer(prefix)
-            if pace_s:
-                await asyncio.sleep(pace_s)
+            await asyncio.sleep(PACE_S)
 
-    async def _step(
-        self,
-        prefix: str,
-        revision: Revision | None,
-        wait_s: float,
-        take: Callable[[Listing, bool], None],
-    ) -> Revision:
+    async def _step(self, revision: Revision | None) -> Revision:
         asked_at = self.clock()
         if revision is None:
-            listing = await self.store.list(prefix)
-            self._note_answer(prefix)
-            take(listing, True)
-            self._note_checked(prefix, asked_at)
+            listing = await self.store.list(EVERYTHING)
+            self._take(listing, True)
+            self.checked_at = asked_at
             return listing.revision
-        events = await self.store.watch(prefix, revision, wait_s)
-        self._note_answer(prefix)
-        take(events, False)
-        self._note_checked(prefix, self.clock())
+        events = await self.store.watch(EVERYTHING, revision, WAIT_S)
+        self._take(events, False)
+        self.checked_at = self.clock()
         return max(revision, events.revision)
 
-    def _note_checked(self, prefix: str, at: float) -> None:
-        if prefix == self.keys.targets:
-            self.checked_at = at
-
-    def _note_outage(self, prefix: str, reason: str) -> None:
+    def _take(self, listing: Listing, whole: bool) -> None:
+        """Take in all items, or those that have changed."""
+        self._note_answer()
+        parts: dict[str, list[Item]] = {
+            prefix: [] for prefix in (self.keys.operators, self.keys.own, self.keys.targets)
+        }
+        for item in listing.items:
+            for prefix, items in parts.items():
+                if item.key.startswith(prefix):
+                    items.append(item)
+        self._take_operators(parts[self.keys.operators], whole)
+        self._take_own(parts[self.keys.own])
+        self._take_targets(parts[self.keys.targets], listing.revision, whole)
+
+    def _note_outage(self, reason: str) -> None:
         if not self.in_outage:
-            logger.bind(prefix=prefix, reason=reason).warning("store lost")
-        self.in_outage.add(prefix)
+            logger.bind(reason=reason).warning("store lost")
+        self.in_outage = True
 
-    def _note_answer(self, prefix: str) -> None:
-        if prefix not in self.in_outage:
+    def _note_answer(self) -> None:
+        if not self.in_outage:
             return
-        self.in_outage.discard(prefix)
+        self.in_outage = False
         self.outage_until = self.clock()
-        if not self.in_outage:
-            logger.info("store regained")
+        logger.info("store regained")
 
     # What operators wrote
 
-    def _take_operators(self, listing: Listing, whole: bool) -> None:
+    def _take_operators(self, items: list[Item], whole: bool) -> None:
         if whole:
             self.retiring = {}
-        for item in listing.items:
+        for item in items:
             if item.key == self.keys.configuration:
                 self._take_configuration(item)
             elif item.key.startswith(self.keys.retire):
@@ -235,8 +225,8 @@
 
     # What this system wrote
 
-    def _take_own(self, listing: Listing, whole: bool) -> None:
-        for item in listing.items:
+    def _take_own(self, items: list[Item]) -> None:
+        for item in items:
             if item.key == self.keys.replicas and item.value is not None:
                 self.take_replicas(item)
         self.replicas_known.set()
@@ -255,15 +245,15 @@
 
     # What targets wrote
 
-    def _take_targets(self, listing: Listing, whole: bool) -> None:
+    def _take_targets(self, items: list[Item], revision: Revision, whole: bool) -> None:
         now = self.clock()
         before = dict(self.targets)
         if whole:
-            present = {item.key for item in listing.items}
+            present = {item.key for item in items}
             for key in list(self.targets):
                 if key not in present:
                     self._lose(key, now)
-        for item in listing.items:
+        for item in items:
             if item.value is None:
                 self._lose(item.key, now)
             else:
@@ -273,7 +263,7 @@
                 self.missing.pop(key)
                 self.targets.pop(key, None)
         if self.targets != before or not self.view.targets.revision:
-            targets = TargetList(listing.revision, tuple(self.targets.values()))
+            targets = TargetList(revision, tuple(self.targets.values()))
             self._log_targets(before)
             self._replace(self.view.merged(View(targets=targets)))
 
--- a/waxwingglade/ledger/catch_up.py
+++ b/waxwingglade/ledger/catch_up.py
@@ -50,10 +50,10 @@
         if member.disk != replica.disk
     ]
     try:
-        for next_read in asyncio.as_completed(tasks):
-            if read >= needed:
-                return
-            read += await next_read
+        unread = set(tasks)
+        while unread and read < needed:
+            ended, unread = await asyncio.wait(unread, return_when=asyncio.FIRST_COMPLETED)
+            read += sum(task.result() for task in ended)
     finally:
         # Members that are gone must not hold up the rest.
         for task in tasks:
--- a/waxwingglade/ledger/tests/test_membership.py
+++ b/waxwingglade/ledger/tests/test_membership.py
@@ -134,7 +134,7 @@
             patch = mock.patch(f"waxwingglade.ledger.membership.{name}", value)
             patch.start()
             self.addCleanup(patch.stop)
-        patch = mock.patch("waxwingglade.follow.watcher.TARGETS_PACE_S", 0.01)
+        patch = mock.patch("waxwingglade.follow.watcher.PACE_S", 0.01)
         patch.start()
         self.addCleanup(patch.stop)
         self.machines = Machines()
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -24,6 +24,11 @@
 ANSWER_TIMEOUT_S = 1.5
 """Seconds for an answer; the store is slow at times by a factor of fifty, some 200 ms."""
 
+WATCH_MARGIN_S = 0.6
+"""Seconds beyond its wait after which a watch is taken for dead.  With the wait this leaves a second
+of the two within which a changed configuration is in force, and a store that is slow by a factor of
+a hundred, 400 ms, still answers in time."""
+
 PAGE_LIMIT = 1000
 """Pages of one listing, against a store that would never say that it is done."""
 
@@ -126,7 +131,7 @@
             f"/v1/kv-watch?path_prefix={quote(prefix, safe='')}"
             f"&after={after}&wait_ms={int(wait_s * 1000)}"
         )
-        response = await self._call("watch", "GET", path, wait_s + ANSWER_TIMEOUT_S)
+        response = await self._call("watch", "GET", path, wait_s + WATCH_MARGIN_S)
         if response.status == _GONE:
             raise HistoryGone(f"{prefix} after {after}")
         events = msgspec.json.decode(response.body, type=_Events)
