Take a chain of turns from the replica at hand, and ask others only for what is missing

Cause: to begin a turn, the process that an entry asked sent the search for its previous turn to all members, and each answered with the whole chain, some 17 kB a turn, over the zones. Its own replica holds all of it nearly always.

The test counts searches that leave the process: two before, none now.

--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -85,6 +85,8 @@
 
     Parameters
     ----------
+    own_disk : str
+        Disk of the replica in this process; asking it costs no message.
     members : callable
         The present set of members.
     ask : callable
@@ -97,11 +99,13 @@
 
     def __init__(
         self,
+        own_disk: str,
         members: Callable[[], ReplicaSet],
         ask: Ask,
         heard_of: Callable[[ReplicaSet], None],
         wall_clock: Clock = wall,
     ) -> None:
+        self.own_disk = own_disk
         self.members = members
         self.ask = ask
         self.heard_of = heard_of
@@ -280,6 +284,8 @@
         while True:
             replicas = self._usable_members()
             message = Find(replicas.epoch, turn)
+            if (chain := await self._find_here(replicas, message)) is not None:
+                return chain
             absent = 0
             partial: dict[TurnId, Turn] = {}
             refused = False
@@ -301,6 +307,20 @@
                 raise NoMajority(f"{absent} of {len(replicas.members)} members without the turn")
             await asyncio.sleep(FIRST_PAUSE_S)
 
+    async def _find_here(self, replicas: ReplicaSet, message: Find) -> tuple[Turn, ...] | None:
+        """Return the chain up to a turn if this process's replica holds all of it.
+
+        It mostly does.  When all members were asked at once, each sent the whole chain, the turns
+        before included: SAVED.
+        """
+        for member in replicas.members:
+            if member.disk != self.own_disk:
+                continue
+            answer = await self._one(member, message)
+            if isinstance(answer, Found) and answer.whole:
+                return answer.chain
+        return None
+
     # Rounds
 
     async def _majority(self, replicas: ReplicaSet, message: Any, wanted: type) -> list[Any]:
--- a/waxwingglade/ledger/tests/builders.py
+++ b/waxwingglade/ledger/tests/builders.py
@@ -38,6 +38,7 @@
         self.replicas: dict[str, Replica] = {}
         self.members: dict[str, Member] = {}
         self.cut: set[tuple[str, str]] = set()
+        self.carried: list[tuple[str, str, Any]] = []
         self.loss = 0.0
         for number in range(size):
             self.add(f"vm-{number}")
@@ -82,6 +83,7 @@
     def coordinator(self, vm: str) -> Coordinator:
         """Return a coordinator in the process of a replica."""
         return Coordinator(
+            self.replicas[vm].disk,
             lambda: self.replicas[vm].replicas,
             lambda member, message, timeout_s: self.ask(vm, member, message),
             lambda _: None,
@@ -89,6 +91,8 @@
 
     async def ask(self, sender: str, member: Member, message: Any) -> Any:
         """Carry a request and its answer, unless one of them is lost."""
+        if sender != member.vm:
+            self.carried.append((sender, member.vm, message))
         self._lose(sender, member.vm)
         await asyncio.sleep(self.random.random() * 0.002)
         replica = self.replicas[member.vm]
--- a/waxwingglade/ledger/tests/test_coordinator.py
+++ b/waxwingglade/ledger/tests/test_coordinator.py
@@ -41,6 +41,12 @@
         answer = await self.two.begin(begin(4, previous="turn-3"))
         self.assertEqual(answer, TurnBegun((turn(1), turn(2, 1), turn(3, 2))))
 
+    async def test_a_chain_that_is_here_is_asked_of_nobody_else(self) -> None:
+        await self.one.end(end(1))
+        await self.one.begin(begin(2, previous="turn-1"))
+        asked = [message for _, _, message in self.cluster.carried if isinstance(message, Find)]
+        self.assertEqual(asked, [])
+
     async def test_no_such_turn_needs_enough_witnesses(self) -> None:
         self.assertIsInstance(await self.one.begin(begin(2, previous="turn-9")), NoSuchTurn)
         self.cluster.isolate("vm-0")
