Promise a proposer its next ballot with each acceptance, so that no change is lost

Found by reading: a process that had the last word on an account proposes again without asking for promises. Replicas accepted that ballot (n+1, A) where nothing newer was promised, while another process could have (n+1, B) promised and accepted by a majority. If A sorts after B, whoever asked next took A's account, which no majority had accepted, and B's reservation was gone: a program could go over its budget. The new test plays it with three replicas; a turn beyond the budget was granted before, and is refused now.

Whoever accepts a ballot now also promises the next one to the same process, and only that one may be proposed without a round of promises. A replica that catches up takes what was accepted elsewhere below a promise of its own, too (test): it is no vote.

--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -2,8 +2,8 @@
 
 An account is a register of its own.  A process that wants to change it proposes the changed account
 under a ballot; it holds once a majority of the members has accepted it.  Usually the last proposal
-was this process's own, and one round of messages is enough; otherwise a round of promises comes
-first, which returns what was accepted last.  Nobody owns an account, so nothing has to be taken
+was this process's own, and one round of messages is enough, since whoever accepted it also promised
+the next ballot; otherwise a round of promises comes first, which returns what was accepted last.  Nobody owns an account, so nothing has to be taken
 over when a process dies.
 """
 
@@ -11,7 +11,7 @@
 import random
 import secrets
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, TypeVar
 
 import msgspec
@@ -225,12 +225,13 @@
         change: Callable[[Account], tuple[Account, T]],
     ) -> T:
         last = self.last.pop(program, None)
-        ballot = self._next_ballot(program)
         after: Ballot | None = None
-        account = NEW_ACCOUNT
         if last is not None and last.epoch == replicas.epoch:
-            account, after = last.account, last.ballot
+            # The members that accepted the last ballot have promised the next one with it.
+            account, after, ballot = last.account, last.ballot, last.ballot.next()
+            self.numbers[program] = max(self.numbers.get(program, 0), ballot.number)
         else:
+            ballot = self._next_ballot(program)
             account = await self._promises(replicas, program, ballot)
         changed, result = change(account)
         message = Accept(replicas.epoch, program, ballot, changed, after)
@@ -351,11 +352,14 @@
     def _note_rejection(self, program: ProgramId, answer: Rejected) -> None:
         self.numbers[program] = max(self.numbers.get(program, 0), answer.promised.number)
 
-    async def _answers(self, replicas: ReplicaSet, message: Any) -> Any:
+    async def _answers(self, replicas: ReplicaSet, message: Any) -> AsyncIterator[Any]:
         """Yield the members' answers as they come, None for a member that gives none."""
-        tasks = [asyncio.ensure_future(self._one(member, message)) for member in replicas.members]
-        for next_answer in asyncio.as_completed(tasks):
-            yield await next_answer
+        answers: asyncio.Queue[Any] = asyncio.Queue()
+        for member in replicas.members:
+            asking = asyncio.ensure_future(self.ask(member, message, ROUND_S))
+            asking.add_done_callback(lambda asked: answers.put_nowait(_outcome(asked)))
+        for _ in replicas.members:
+            yield await answers.get()
 
     async def _one(self, member: Member, message: Any) -> Any:
         try:
@@ -364,6 +368,18 @@
             return None
 
 
+def _outcome(asked: asyncio.Future[Any]) -> Any:
+    """Return a member's answer, None if it gave none."""
+    if asked.cancelled():
+        return None
+    error = asked.exception()
+    if error is None:
+        return asked.result()
+    if not isinstance(error, WaxwinggladeError):
+        logger.opt(exception=error).error("asking a member failed")
+    return None
+
+
 class _Overtaken(Exception):
     """Another proposal, or another set of members, came first."""
 
--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -25,6 +25,10 @@
     number: int = 0
     proposer: str = ""
 
+    def next(self) -> "Ballot":
+        """Return the ballot that whoever accepts this one also promises to the same process."""
+        return Ballot(self.number + 1, self.proposer)
+
 
 NO_BALLOT = Ballot()
 
@@ -147,6 +151,10 @@
     settled: bool
 
 
+class Busy(Message):
+    """The process has as much to decide as it can answer in time; it did nothing."""
+
+
 class Unavailable(Message):
     """The request was not decided: too few replicas answered."""
 
@@ -177,7 +185,8 @@
     Parameters
     ----------
     after : Ballot or None
-        If set, accept only if nothing was promised since the proposer's last proposal `after`.
+        If set, this is the ballot promised with `after`, the proposer's last proposal, so that no
+        round of promises came before it; accept only if nothing was promised since.
     """
 
     epoch: int
@@ -314,6 +323,7 @@
     | EndTurn
     | TurnEnded
     | Unavailable
+    | Busy
     | Follow
     | Followed
     | Prepare
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -205,13 +205,16 @@
         slot = self.slots.setdefault(message.program, Slot())
         late = message.ballot < slot.promised or message.ballot <= slot.accepted
         if message.after is not None:
-            late = late or slot.promised != message.after
+            late = late or slot.promised != message.after.next()
         if late:
             return Rejected(slot.promised)
-        slot.promised = slot.accepted = message.ballot
+        # The proposer's next ballot is promised along with this one.  Without that, another's ballot
+        # of the same number could be promised elsewhere, and the one that sorts last would win,
+        # whether a majority had accepted it or not.
+        slot.promised, slot.accepted = message.ballot.next(), message.ballot
         slot.account = message.account
         await self._write(
-            _AcceptRecord(message.program, message.ballot, message.ballot, message.account)
+            _AcceptRecord(message.program, slot.promised, message.ballot, message.account)
         )
         return Accepted()
 
@@ -322,11 +325,13 @@
         writes = [self._store_turn(turn) for turn in fetched.turns]
         for program, (ballot, account) in fetched.accounts.items():
             slot = self.slots.setdefault(program, Slot())
-            if ballot <= slot.accepted or ballot < slot.promised:
+            if ballot <= slot.accepted:
                 continue
-            slot.promised = slot.accepted = ballot
+            # What was accepted elsewhere is taken even below a promise: it is no vote, and the next
+            # round of promises must find it.
+            slot.promised, slot.accepted = max(slot.promised, ballot.next()), ballot
             slot.account = account
-            writes.append(self._write(_AcceptRecord(program, ballot, ballot, account)))
+            writes.append(self._write(_AcceptRecord(program, slot.promised, ballot, account)))
         await asyncio.gather(*writes)
 
     # Expiry
--- a/waxwingglade/ledger/tests/test_coordinator.py
+++ b/waxwingglade/ledger/tests/test_coordinator.py
@@ -5,10 +5,14 @@
 from unittest import mock
 
 from waxwingglade.ledger.messages import (
+    Account,
+    Ballot,
     BudgetSpent,
+    Fetched,
     Find,
     ListHeld,
     NoSuchTurn,
+    Prepare,
     TurnBegun,
     TurnId,
     Unavailable,
@@ -78,6 +82,29 @@
             await self.one.begin(begin(number, TURN, BUDGET))
         self.assertIsInstance(await self.two.begin(begin(99, TURN, BUDGET)), BudgetSpent)
 
+    async def test_a_change_that_held_outlives_one_that_met_no_majority(self) -> None:
+        """The first has the lower name; the second followed its process's own last proposal."""
+        self.one.name, self.two.name = "zz", "aa"
+        await self.one.begin(begin(1, TURN, BUDGET))
+        self.cluster.isolate("vm-0")
+        self.assertIsInstance(await self.one.begin(begin(2, TURN, BUDGET)), Unavailable)
+        self.assertIsInstance(await self.two.begin(begin(3, BUDGET - TURN, BUDGET)), TurnBegun)
+        self.cluster.heal()
+        self.cluster.isolate("vm-2")
+        third = self.cluster.coordinator("vm-1")
+        answer = await third.begin(begin(4, TURN, BUDGET))
+        self.assertIsInstance(answer, BudgetSpent)
+
+    async def test_what_was_accepted_elsewhere_is_taken_in_below_a_promise(self) -> None:
+        replica = self.cluster.replicas["vm-0"]
+        promise = Ballot(5, "x")
+        await replica.prepare(Prepare(self.cluster.set.epoch, PROGRAM, promise))
+        account = Account(spent=7)
+        await replica.take_in(Fetched((), {PROGRAM: (Ballot(2, "a"), account)}))
+        replica = await self.cluster.restart("vm-0")
+        slot = replica.slots[PROGRAM]
+        self.assertEqual((slot.promised, slot.account), (promise, account))
+
     async def test_a_budget_is_not_called_spent_by_a_side_without_a_majority(self) -> None:
         await self.one.begin(begin(1, BUDGET, BUDGET))
         self.cluster.isolate("vm-0")
