--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -13,6 +13,7 @@
 from tornado.httpserver import HTTPServer
 
 from waxwingglade.base import WaxwinggladeError, ZoneId, monotonic
+from waxwingglade.base.logs import Sampler
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.feed import Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.messages import Follow, Followed
@@ -51,6 +52,9 @@
 MOST_ENDING = 4 * MOST_BEGINNING
 """Turns that it ends at once: more, since a turn that ends takes load away."""
 
+REFUSALS_LOGGED_PER_S = 2.0
+"""Lines a second for turns that are refused; they must not add to the load."""
+
 MOST_AT_ONCE = {BeginTurn: MOST_BEGINNING, EndTurn: MOST_ENDING}
 
 LINK_IDLE_S = 30.0
@@ -140,6 +144,7 @@
             ToReplica: self.to_replica,
         }
         self.working: Counter[type] = Counter()
+        self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
         self.tasks: list[asyncio.Task] = []
         self.metrics = LedgerMetrics()
         self.pages: list[HTTPServer] = []
@@ -236,6 +241,7 @@
         asked_at = monotonic()
         kind = type(message)
         if self.working[kind] >= MOST_AT_ONCE.get(kind, sys.maxsize):
+            self._log_busy(message)
             return self._note(message, Busy(), asked_at)
         self.working[kind] += 1
         try:
@@ -246,6 +252,16 @@
             self.working[kind] -= 1
         return self._note(message, answer, asked_at)
 
+    def _log_busy(self, message: BeginTurn | EndTurn) -> None:
+        """Log a refusal; the entry's own line has the rest of them."""
+        if self.refusals.allows():
+            logger.bind(
+                turn=message.turn,
+                beginning=self.working[BeginTurn],
+                ending=self.working[EndTurn],
+                left_out=self.refusals.take_left_out(),
+            ).warning("too much to do")
+
     def _note(self, message: Any, answer: Any, asked_at: float) -> Any:
         if not isinstance(message, Follow):
             kinds = type(message).__name__, type(answer).__name__
