Ask further replicas after a tenth of a second, not after 30 ms

A round takes some 60 ms in a crowd, so the rest was asked without need, two thirds more messages, and all were avoided as silent for two seconds.

--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -56,9 +56,9 @@
 """Seconds for one round of messages; a round trip between zones takes some 3 ms and a flush 1 ms,
 so this is only reached by members that are gone or stalled."""
 
-HEDGE_S = 0.03
-"""Seconds after which the members that were not needed are asked, too; ten round trips between zones,
-so that it takes a member that is gone or stands still."""
+HEDGE_S = 0.1
+"""Seconds after which the members that were not needed are asked, too.  A round takes 3 to 8 ms, and
+some 60 ms in a crowd; asking all of a ledger that is merely busy would make it busier."""
 
 AVOID_S = 2.0
 """Seconds for which a member that gave no answer is asked last."""
--- a/waxwingglade/ledger/tests/builders.py
+++ b/waxwingglade/ledger/tests/builders.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import tempfile
+from collections import deque
 from pathlib import Path
 from typing import Any
 
@@ -15,6 +16,8 @@
 
 PROGRAM = ProgramId("program-1")
 FAR_FUTURE = 4e9
+CARRIED_KEPT = 100
+"""Messages between replicas that are remembered, with sender and receiver."""
 
 
 class Silence(WaxwinggladeError):
@@ -38,7 +41,7 @@
         self.replicas: dict[str, Replica] = {}
         self.members: dict[str, Member] = {}
         self.cut: set[tuple[str, str]] = set()
-        self.carried: list[tuple[str, str, Any]] = []
+        self.carried: deque[tuple[str, str, Any]] = deque(maxlen=CARRIED_KEPT)
         self.loss = 0.0
         for number in range(size):
             self.add(f"vm-{number}")
