--- a/waxwingglade/ledger/catch_up.py
+++ b/waxwingglade/ledger/catch_up.py
@@ -8,9 +8,9 @@
 from waxwingglade.base import ProgramId, WaxwinggladeError
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet, witnesses_of
-from waxwingglade.ledger.coordinator import Ask
 from waxwingglade.ledger.messages import Fetch, Fetched, Held, ListHeld, OtherEpoch, TurnId
 from waxwingglade.ledger.replica import Replica
+from waxwingglade.ledger.rounds import Ask
 
 SYNC_ANSWER_S = 2.0
 """Seconds for an answer when catching up; one has up to a megabyte."""
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -3,23 +3,21 @@
 An account is a register of its own.  A process that wants to change it proposes the changed account
 under a ballot; it holds once a majority of the members has accepted it.  Usually the last proposal
 was this process's own, and one round of messages is enough, since whoever accepted it also promised
-the next ballot; otherwise a round of promises comes first, which returns what was accepted last.  Nobody owns an account, so nothing has to be taken
-over when a process dies.
+the next ballot; otherwise a round of promises comes first, which returns what was accepted last.
+Nobody owns an account, so nothing has to be taken over when a process dies.
 """
 
 import asyncio
 import random
 import secrets
 from collections import defaultdict
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
-from functools import partial
-from typing import Any, TypeVar
+from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
-import xxhash
 from loguru import logger
 
-from waxwingglade.base import Clock, ProgramId, WaxwinggladeError, monotonic, wall
+from waxwingglade.base import Clock, ProgramId, wall
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.account import Reservation, committed, reserve, settle
@@ -41,28 +39,15 @@
     OtherEpoch,
     Prepare,
     Promised,
-    Rejected,
     Turn,
     TurnBegun,
     TurnEnded,
     TurnId,
     Unavailable,
 )
+from waxwingglade.ledger.rounds import Ask, NoMajority, Rounds
 
 T = TypeVar("T")
-Ask = Callable[[Member, Any, float], Awaitable[Any]]
-
-ROUND_S = 0.25
-"""Seconds for one round of messages; a round trip between zones takes some 3 ms and a flush 1 ms,
-so this is only reached by members that are gone or stalled."""
-
-HEDGE_S = 0.1
-"""Seconds after which the members that were not needed are asked, too.  A round takes 3 to 8 ms, and
-some 60 ms in a crowd; asking all of a ledger that is merely busy would make it busier."""
-
-AVOID_S = 2.0
-"""Seconds for which a member that gave no answer is asked last."""
-
 DECIDE_S = 0.9
 """Seconds after which a change that found no majority is given up."""
 
@@ -77,10 +62,6 @@
 """Accounts whose last proposal is remembered, for changes in one round."""
 
 
-class NoMajority(WaxwinggladeError):
-    """Too few members answered; whether a change holds is not known."""
-
-
 class LastProposal(msgspec.Struct, frozen=True):
     """The account that this process saw accepted last, and under what."""
 
@@ -115,9 +96,8 @@
         wall_clock: Clock = wall,
     ) -> None:
         self.own = own
-        self.avoided: dict[str, float] = {}
         self.members = members
-        self.ask = ask
+        self.rounds = Rounds(own, ask, heard_of, self._note_rejection)
         self.heard_of = heard_of
         self.wall_clock = wall_clock
         self.name = secrets.token_hex(4)
@@ -245,8 +225,8 @@
             account = await self._promises(replicas, program, ballot)
         changed, result = change(account)
         message = Accept(replicas.epoch, program, ballot, changed, after)
-        order = self._nearest_first(replicas, program)
-        answers = await self._majority(order, replicas.majority, message, Accepted)
+        order = self.rounds.nearest_first(replicas, program)
+        answers = await self.rounds.majority(order, replicas.majority, message, Accepted)
         if len(answers) < replicas.majority:
             raise _Overtaken
         self._remember(program, LastProposal(replicas.epoch, ballot, changed))
@@ -255,8 +235,8 @@
     async def _promises(self, replicas: ReplicaSet, program: ProgramId, ballot: Ballot) -> Account:
         """Return the account that was accepted last, after a majority's promise."""
         message = Prepare(replicas.epoch, program, ballot)
-        order = self._nearest_first(replicas, program)
-        answers = await self._majority(order, replicas.majority, message, Promised)
+        order = self.rounds.nearest_first(replicas, program)
+        answers = await self.rounds.majority(order, replicas.majority, message, Promised)
         if len(answers) < replicas.majority:
             raise _Overtaken
         newest = max(answers, key=lambda answer: answer.accepted)
@@ -285,7 +265,7 @@
             order = list(replicas.members)
             message = Keep(replicas.epoch, turn)
             # All are asked at once, so that each has the turn at hand when it is continued.
-            answers = await self._majority(order, len(order), message, Kept)
+            answers = await self.rounds.majority(order, len(order), message, Kept)
             if len(answers) >= replicas.majority:
                 return
             await asyncio.sleep(pause_s)
@@ -305,7 +285,7 @@
             absent = 0
             partial: dict[TurnId, Turn] = {}
             refused = False
-            async for answer in self._answers(replicas, message):
+            async for answer in self.rounds.answers(replicas, message):
                 if isinstance(answer, OtherEpoch):
                     self.heard_of(answer.replicas)
                     refused = True
@@ -332,143 +312,14 @@
         for member in replicas.members:
             if member.disk != self.own.disk:
                 continue
-            answer = await self._one(member, message)
+            answer = await self.rounds.ask_one(member, message)
             if isinstance(answer, Found) and answer.whole:
                 return answer.chain
         return None
 
-    # Rounds
-
-    async def _majority(
-        self, order: list[Member], first: int, message: Any, wanted: type
-    ) -> list[Any]:
-        """Bring a majority to accept or promise something; return its answers.
-
-        Accounts are changed at as many members as are needed, and at the others only once one of these
-        has refused or has not answered within `HEDGE_S`.  A member that was left out learns of a change
-        when its promise is asked for.  Five replicas at 160 turns/s took 6.9 ms of processor time a
-        turn when all were asked, and 4.5 ms now; a turn was begun in 16 and in 4 ms at the median.
-
-        Parameters
-        ----------
-        order : list of Member
-            All members, in the order in which they are asked.
-        first : int
-            How many of them are asked at once.
-
-        Raises
-        ------
-        NoMajority
-            If too few members answered at all.
-        """
-        asking = _Asking(self.ask, message)
-        asking.add(order[:first])
-        majority = len(order) // 2 + 1
-        good = []
-        refused = 0
-        while asking.open:
-            answered = await asking.next(HEDGE_S if len(asking.asked) < len(order) else None)
-            if answered is None:
-                self._avoid(asking.open)
-                asking.add(order)
-                continue
-            member, answer = answered
-            if isinstance(answer, wanted):
-                good.append(answer)
-            elif isinstance(answer, Rejected):
-                refused += 1
-                self._note_rejection(message.program, answer)
-            elif isinstance(answer, OtherEpoch):
-                refused += 1
-                self.heard_of(answer.replicas)
-            elif answer is None:
-                self._avoid([member])
-            if len(good) >= majority:
-                return good
-            if not isinstance(answer, wanted):
-                asking.add(order)
-        if not refused:
-            raise NoMajority(f"{len(good)} of {len(order)} members answered")
-        return good
-
-    def _nearest_first(self, replicas: ReplicaSet, program: ProgramId) -> list[Member]:
-        """Return the members in the order in which they are asked: those that answer, and near."""
-        now = monotonic()
-
-        def order(member: Member) -> tuple[bool, bool, bool, int]:
-            avoided = self.avoided.get(member.disk, 0.0) > now
-            weight = xxhash.xxh32_intdigest(f"{program}|{member.disk}".encode())
-            return avoided, member.disk != self.own.disk, member.zone != self.own.zone, weight
-
-        return sorted(replicas.members, key=order)
-
-    def _avoid(self, members: Iterable[Member]) -> None:
-        for member in members:
-            self.avoided[member.disk] = monotonic() + AVOID_S
-
-    def _note_rejection(self, program: ProgramId, answer: Rejected) -> None:
-        self.numbers[program] = max(self.numbers.get(program, 0), answer.promised.number)
-
-    async def _answers(self, replicas: ReplicaSet, message: Any) -> AsyncIterator[Any]:
-        """Yield the answers of all members as they come, None for a member that gives none."""
-        asking = _Asking(self.ask, message)
-        asking.add(replicas.members)
-        while asking.open:
-            answered = await asking.next(None)
-            assert answered is not None
-            yield answered[1]
-
-    async def _one(self, member: Member, message: Any) -> Any:
-        try:
-            return await self.ask(member, message, ROUND_S)
-        except WaxwinggladeError:
-            return None
-
-
-class _Asking:
-    """A request under way to several members, each of which is asked once."""
-
-    def __init__(self, ask: Ask, message: Any) -> None:
-        self.ask = ask
-        self.message = message
-        self.asked: set[str] = set()
-        self.open: list[Member] = []
-        self.answers: asyncio.Queue[tuple[Member, Any]] = asyncio.Queue()
-
-    def add(self, members: Iterable[Member]) -> None:
-        """Ask further members."""
-        for member in members:
-            if member.disk in self.asked:
-                continue
-            self.asked.add(member.disk)
-            self.open.append(member)
-            asking = asyncio.ensure_future(self.ask(member, self.message, ROUND_S))
-            asking.add_done_callback(partial(self._answered, member))
-
-    def _answered(self, member: Member, asked: asyncio.Future[Any]) -> None:
-        self.answers.put_nowait((member, _outcome(asked)))
-
-    async def next(self, timeout_s: float | None) -> tuple[Member, Any] | None:
-        """Return the next member that has answered and its answer; None if none does in time."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                member, answer = await self.answers.get()
-        except TimeoutError:
-            return None
-        self.open.remove(member)
-        return member, answer
-
-
-def _outcome(asked: asyncio.Future[Any]) -> Any:
-    """Return a member's answer, None if it gave none."""
-    if asked.cancelled():
-        return None
-    error = asked.exception()
-    if error is None:
-        return asked.result()
-    if not isinstance(error, WaxwinggladeError):
-        logger.opt(exception=error).error("asking a member failed")
-    return None
+    def _note_rejection(self, program: ProgramId, promised: Ballot) -> None:
+        """Use a higher ballot than the one that stood in the way."""
+        self.numbers[program] = max(self.numbers.get(program, 0), promised.number)
 
 
 class _Overtaken(Exception):
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -23,12 +23,12 @@
 from waxwingglade.follow.store import Store
 from waxwingglade.follow.watcher import Watcher
 from waxwingglade.ledger.catch_up import catch_up
-from waxwingglade.ledger.coordinator import Ask
 from waxwingglade.ledger.messages import (
     Ping,
     Pong,
 )
 from waxwingglade.ledger.replica import Replica
+from waxwingglade.ledger.rounds import Ask
 
 LOOK_S = 0.25
 """Seconds between looks whether the set has to change."""
--- /dev/null
+++ b/waxwingglade/ledger/rounds.py
@@ -0,0 +1,206 @@
+"""Rounds of messages among the replicas: ask several members the same until enough have answered."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from functools import partial
+from typing import Any
+
+import xxhash
+from loguru import logger
+
+from waxwingglade.base import ProgramId, WaxwinggladeError, monotonic
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.ledger.messages import Ballot, OtherEpoch, Rejected
+
+Ask = Callable[[Member, Any, float], Awaitable[Any]]
+"""Sends a request to a member and returns its answer within some seconds."""
+
+ROUND_S = 0.25
+"""Seconds for one round of messages; a round trip between zones takes some 3 ms and a flush 1 ms,
+so this is only reached by members that are gone or stalled."""
+
+HEDGE_S = 0.1
+"""Seconds after which the members that were not needed are asked, too.  A round takes 3 to 8 ms, and
+some 60 ms in a crowd; asking all of a ledger that is merely busy would make it busier."""
+
+AVOID_S = 2.0
+"""Seconds for which a member that gave no answer is asked last."""
+
+
+class NoMajority(WaxwinggladeError):
+    """Too few members answered; whether a change holds is not known."""
+
+
+class Rounds:
+    """Asks the members of the ledger on behalf of one process.
+
+    Parameters
+    ----------
+    own : Member
+        The replica in this process; asking it costs no message.
+    ask : callable
+        Sends a request to a member and returns the answer; raises `WaxwinggladeError` if none.
+    heard_of : callable
+        Called with a set of members that some replica knows.
+    rejected : callable
+        Called with a program and the ballot that stood in the way of its proposal.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        ask: Ask,
+        heard_of: Callable[[ReplicaSet], None],
+        rejected: Callable[[ProgramId, Ballot], None],
+    ) -> None:
+        self.own = own
+        self.ask = ask
+        self.heard_of = heard_of
+        self.rejected = rejected
+        self.avoided: dict[str, float] = {}
+
+    async def majority(
+        self, order: list[Member], first: int, message: Any, wanted: type
+    ) -> list[Any]:
+        """Bring a majority to accept or promise something; return its answers.
+
+        Accounts are changed at as many members as are needed, and at the others only once one of these
+        has refused or has not answered within `HEDGE_S`.  A member that was left out learns of a change
+        when its promise is asked for.  Five replicas at 160 turns/s took 6.9 ms of processor time a
+        turn when all were asked, and 4.5 ms now; a turn was begun in 16 and in 4 ms at the median.
+
+        Parameters
+        ----------
+        order : list of Member
+            All members, in the order in which they are asked.
+        first : int
+            How many of them are asked at once.
+        message : ReplicaRequest
+            What they are asked.
+        wanted : type
+            Type of a good answer.
+
+        Returns
+        -------
+        list
+            The good answers; fewer than a majority if too many refused.
+
+        Raises
+        ------
+        NoMajority
+            If too few members answered at all.
+        """
+        asking = _Asking(self.ask, message)
+        asking.add(order[:first])
+        needed = len(order) // 2 + 1
+        good = []
+        refused = 0
+        while asking.open:
+            answered = await asking.next(HEDGE_S if len(asking.asked) < len(order) else None)
+            if answered is None:
+                self._avoid(asking.open)
+                asking.add(order)
+                continue
+            member, answer = answered
+            if isinstance(answer, wanted):
+                good.append(answer)
+                if len(good) >= needed:
+                    return good
+                continue
+            refused += self._is_refusal(member, message, answer)
+            asking.add(order)
+        if not refused:
+            raise NoMajority(f"{len(good)} of {len(order)} members answered")
+        return good
+
+    def _is_refusal(self, member: Member, message: Any, answer: Any) -> bool:
+        """Return whether a member refused, and note what it said; if not, it gave no answer."""
+        if isinstance(answer, Rejected):
+            self.rejected(message.program, answer.promised)
+            return True
+        if isinstance(answer, OtherEpoch):
+            self.heard_of(answer.replicas)
+            return True
+        self._avoid([member])
+        return False
+
+    def nearest_first(self, replicas: ReplicaSet, program: ProgramId) -> list[Member]:
+        """Return the members in the order in which they are asked: those that answer, and near."""
+        now = monotonic()
+
+        def order(member: Member) -> tuple[bool, bool, bool, int]:
+            avoided = self.avoided.get(member.disk, 0.0) > now
+            weight = xxhash.xxh32_intdigest(f"{program}|{member.disk}".encode())
+            return avoided, member.disk != self.own.disk, member.zone != self.own.zone, weight
+
+        return sorted(replicas.members, key=order)
+
+    def _avoid(self, members: Iterable[Member]) -> None:
+        for member in members:
+            self.avoided[member.disk] = monotonic() + AVOID_S
+
+    async def answers(self, replicas: ReplicaSet, message: Any) -> AsyncIterator[Any]:
+        """Yield the answers of all members as they come, None for a member that gives none."""
+        asking = _Asking(self.ask, message)
+        asking.add(replicas.members)
+        while asking.open:
+            answered = await asking.next(None)
+            assert answered is not None
+            yield answered[1]
+
+    async def ask_one(self, member: Member, message: Any) -> Any:
+        """Return one member's answer, None if it gives none."""
+        try:
+            return await self.ask(member, message, ROUND_S)
+        except WaxwinggladeError:
+            return None
+
+
+class _Asking:
+    """A request under way to several members, each of which is asked once."""
+
+    def __init__(self, ask: Ask, message: Any) -> None:
+        self.ask = ask
+        self.message = message
+        self.asked: set[str] = set()
+        self.open: list[Member] = []
+        self.answers: asyncio.Queue[tuple[Member, Any]] = asyncio.Queue()
+
+    def add(self, members: Iterable[Member]) -> None:
+        """Ask further members."""
+        for member in members:
+            if member.disk in self.asked:
+                continue
+            self.asked.add(member.disk)
+            self.open.append(member)
+            asking = asyncio.ensure_future(self.ask(member, self.message, ROUND_S))
+            asking.add_done_callback(partial(self._answered, member))
+
+    def _answered(self, member: Member, asked: asyncio.Future[Any]) -> None:
+        self.answers.put_nowait((member, _outcome(asked)))
+
+    async def next(self, timeout_s: float | None) -> tuple[Member, Any] | None:
+        """Return the next member that has answered and its answer; None if none does in time."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                member, answer = await self.answers.get()
+        except TimeoutError:
+            return None
+        self.open.remove(member)
+        return member, answer
+
+
+def _outcome(asked: asyncio.Future[Any]) -> Any:
+    """Return a member's answer, None if it gave none."""
+    if asked.cancelled():
+        return None
+    error = asked.exception()
+    if error is None:
+        return asked.result()
+    if not isinstance(error, WaxwinggladeError):
+        logger.opt(exception=error).error("asking a member failed")
+    return None
+
+
+__all__ = ["Ask", "NoMajority", "Rounds"]
