Call a turn busy only if no replica may have begun it

Found by reading the change: after a replica that gave no answer, and so may have reserved the turn's tokens, two busy ones in the next pass, or one as the time ended, made the answer Busy, and the entry then settled nothing: the reservation counted as spent for the rest of the program. The test has a replica that falls silent and others that are busy; it failed before.

--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -37,7 +37,7 @@
 replicas as fit into `ASK_S`: a ledger that can't keep up must not be asked more for it."""
 
 MOST_BUSY = 2
-"""Replicas in a row that may answer that they have too much to do."""
+"""Replicas that may answer that they have too much to do before a caller is refused."""
 
 RETRY_PAUSE_S = 0.05
 AVOID_S = 1.0
@@ -138,25 +138,30 @@
     async def _try(self, message: Any, timeout_s: float, good: Callable[[Any], bool]) -> Any:
         """Ask one replica after the other until an answer is good or the time is over.
 
-        Where two have too much to do, no more are asked: that would be more to do.
+        Where the first two have too much to do, no more are asked: that would be more to do.  `Busy` is
+        returned only then, when nobody else was asked, so it says that nothing was done.
         """
         end_at = self.clock() + timeout_s
+        last: Any = None
+        busy = 0
         while True:
-            answers = []
             for replica in self._in_order(message):
                 left_s = end_at - self.clock()
                 if left_s <= 0:
-                    return answers[-1] if answers else None
+                    return last
                 answer = await self._ask(replica, message, min(ASK_S, left_s))
-                answers.append(answer)
-                if isinstance(answer, Unavailable | Busy | None):
+                if answer is None or isinstance(answer, Unavailable | Busy):
                     self.avoided[replica.address] = self.clock() + AVOID_S
                 elif good(answer):
                     return answer
-                if answers[-MOST_BUSY:] == [Busy()] * MOST_BUSY == answers:
-                    return answer
+                if isinstance(answer, Busy):
+                    busy += 1
+                    if busy == MOST_BUSY and last is None:
+                        return answer
+                    continue
+                last = answer or Unavailable("no replica answered")
             if self.clock() + RETRY_PAUSE_S >= end_at:
-                return next((answer for answer in answers if not isinstance(answer, Busy)), None)
+                return last
             await asyncio.sleep(RETRY_PAUSE_S)
 
     async def _ask(self, replica: Replica, message: Any, timeout_s: float) -> Any:
--- a/waxwingglade/ledger/tests/test_client.py
+++ b/waxwingglade/ledger/tests/test_client.py
@@ -8,7 +8,7 @@
 from waxwingglade.base import ProgramId, ZoneId
 from waxwingglade.follow.model import Replica
 from waxwingglade.ledger.client import MOST_BUSY, LedgerClient
-from waxwingglade.ledger.messages import BeginTurn, Busy, EndTurn, TurnEnded, TurnId
+from waxwingglade.ledger.messages import BeginTurn, Busy, EndTurn, TurnEnded, TurnId, Unavailable
 from waxwingglade.transport.links import LinkFailed
 
 MESSAGE = EndTurn(TurnId("t"), ProgramId("p"), 40)
@@ -69,6 +69,17 @@
         self.assertEqual(await client.begin(begin, 20.0), Busy())
         self.assertEqual(len(self.links.asked), MOST_BUSY)
 
+    async def test_a_turn_that_somebody_may_have_begun_is_not_called_busy(self) -> None:
+        replicas = [Replica(f"disk-{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(3)]
+        client = LedgerClient(self.links, lambda: replicas, ZoneId("zone"))
+        begin = BeginTurn(TurnId("t"), ProgramId("p"), 40, 100)
+        asking = asyncio.create_task(client.begin(begin, 0.3))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.links.cut_off, self.links.busy = False, True
+        self.assertIsInstance(await asking, Unavailable)
+        self.assertTrue(self.links.asked)
+
     async def test_entries_of_a_zone_ask_the_same_replica_of_it_for_a_program(self) -> None:
         replicas = [Replica(f"d{n}", f"vm-{n}", f"a-{n}", ZoneId(f"z{n % 3}")) for n in range(9)]
         first = set()
