--- a/waxwingglade/standins/engine.py
+++ b/waxwingglade/standins/engine.py
@@ -1,4 +1,4 @@
-"""A stand-in for a model engine over HTTP, for tests, the demo and the bench."""
+"""A stand-in for a model engine over HTTP, for tests, the demo and the benchmarks."""
 
 import asyncio
 from collections.abc import Sequence
--- a/waxwingglade/standins/tool.py
+++ b/waxwingglade/standins/tool.py
@@ -1,4 +1,4 @@
-"""A stand-in for a plain service with tools, for tests, the demo and the bench."""
+"""A stand-in for a plain service with tools, for tests, the demo and the benchmarks."""
 
 import asyncio
 from http import HTTPStatus
