Sort the replicas once for a turn, and raise an account's ballot number in one place

Found by reading the change. The entry sorted the ledger's members by zone for each turn, and its client sorted them again by zone and program; the client now takes them as they are, and its order is total, so it is the same. Raising the number of a program's next ballot stood twice in the coordinator.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -98,7 +98,9 @@
         self.beliefs.listeners.append(self._view_changed)
         self.balancer = Balancer(settings.zone)
         self.pool = ConnectionPool(settings.connect_timeout_s)
-        self.ledger = LedgerClient(self.links, self.replicas, settings.zone)
+        self.ledger = LedgerClient(
+            self.links, lambda: self.beliefs.view.replicas.members, settings.zone
+        )
         self.follower = FeedFollower(self.beliefs, self.replicas, ask_over(self.links))
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 import xxhash
@@ -52,7 +52,7 @@
     links : Links
         Connections to replicas.
     replicas : callable
-        The replicas.
+        The replicas, in any order.
     zone : ZoneId
         Availability zone of the entry.
     clock : Clock
@@ -62,7 +62,7 @@
     def __init__(
         self,
         links: Links,
-        replicas: Callable[[], list[Replica]],
+        replicas: Callable[[], Iterable[Replica]],
         zone: ZoneId,
         clock: Clock = monotonic,
     ) -> None:
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -97,7 +97,7 @@
     ) -> None:
         self.own = own
         self.members = members
-        self.rounds = Rounds(own, ask, heard_of, self._note_rejection)
+        self.rounds = Rounds(own, ask, heard_of, self._pass_by)
         self.heard_of = heard_of
         self.wall_clock = wall_clock
         self.name = secrets.token_hex(4)
@@ -218,7 +218,7 @@
         if last is not None and last.epoch == replicas.epoch:
             # The majority that accepted the last ballot has promised the next one with it.
             account, ballot = last.account, last.ballot.next()
-            self.numbers[program] = max(self.numbers.get(program, 0), ballot.number)
+            self._pass_by(program, ballot)
         else:
             ballot = self._next_ballot(program)
             account = await self._promises(replicas, program, ballot)
@@ -316,9 +316,9 @@
                 return answer.chain
         return None
 
-    def _note_rejection(self, program: ProgramId, promised: Ballot) -> None:
-        """Use a higher ballot than the one that stood in the way."""
-        self.numbers[program] = max(self.numbers.get(program, 0), promised.number)
+    def _pass_by(self, program: ProgramId, ballot: Ballot) -> None:
+        """Use higher ballots from now on than one that is used, or that stood in the way."""
+        self.numbers[program] = max(self.numbers.get(program, 0), ballot.number)
 
 
 class _Overtaken(Exception):
