--- a/waxwingglade/ledger/tests/builders.py
+++ b/waxwingglade/ledger/tests/builders.py
@@ -33,6 +33,11 @@
         Replicas, each in a zone of its own.
     seed : int
         Of the faults.
+
+    Attributes
+    ----------
+    delays : dict
+        Seconds by which the answers of some VMs come late.
     """
 
     def __init__(self, size: int = 3, seed: int = 1) -> None:
@@ -43,6 +48,7 @@
         self.cut: set[tuple[str, str]] = set()
         self.carried: deque[tuple[str, str, Any]] = deque(maxlen=CARRIED_KEPT)
         self.loss = 0.0
+        self.delays: dict[str, float] = {}
         for number in range(size):
             self.add(f"vm-{number}")
         self.set = ReplicaSet(1, tuple(self.members.values()), True)
@@ -97,7 +103,7 @@
         if sender != member.vm:
             self.carried.append((sender, member.vm, message))
         self._lose(sender, member.vm)
-        await asyncio.sleep(self.random.random() * 0.002)
+        await asyncio.sleep(self.random.random() * 0.002 + self.delays.get(member.vm, 0.0))
         replica = self.replicas[member.vm]
         if replica.disk != member.disk:
             raise Silence("wiped")
--- /dev/null
+++ b/waxwingglade/ledger/tests/test_changing_sets.py
@@ -0,0 +1,81 @@
+"""What is kept while the set of members changes.
+
+Users saw a conversation end: its last turn had been answered whole, and a fifth of a second later the
+next one was answered that no such turn exists.  No log of it is left; the order of events is the one
+that the code allows.  A replica with an empty disk had read what the others held, and joined.  One
+member learnt of the new set first, so it refused the copy of a turn that the two others still kept
+under the set before, which made it durable.  Then the next turn was begun through the member that had
+refused.  It did not hold the turn, neither did the new member, and two of four members without it were
+taken for a proof that it was never kept.
+
+The cause: evidence about what a set kept was judged by the size of the set that follows it.  Of a set
+that is not settled, the new member knows nothing of what came before.
+
+The evidence: the record shows the turn answered whole, and the refusal 192 ms later and 12 ms after the
+next turn was sent, so enough members had said that they were without it.  Two of three members of a
+settled set can't both be without a turn that two of them hold, so the set had just changed.  On that
+rule the first test gets the refusal that users saw.
+"""
+
+import unittest
+
+from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.ledger.messages import NoSuchTurn, TurnBegun
+from waxwingglade.ledger.tests.builders import Cluster, begin, end, turn
+
+LATE_S = 0.02
+"""Delay of those members whose answers come last."""
+
+
+class ChangingSets(unittest.IsolatedAsyncioTestCase):
+    async def start(self, size: int) -> None:
+        """Start a settled set of some members, vm-0 and so on."""
+        self.cluster = Cluster(size)
+        self.addAsyncCleanup(self.cluster.close)
+        await self.cluster.start()
+
+    def joined(self, vm: str) -> ReplicaSet:
+        """Return the set that follows when a replica with an empty disk joins."""
+        replica = self.cluster.add(vm)
+        replica.open()
+        members = (*self.cluster.set.members, self.cluster.members[vm])
+        return ReplicaSet(self.cluster.set.epoch + 1, members, False, replica.disk)
+
+    async def keep_before(self, vms: list[str], following: ReplicaSet) -> None:
+        """Keep a turn under the present set at some members; the others know the next one already."""
+        for vm, replica in self.cluster.replicas.items():
+            if vm not in vms:
+                await replica.learn_members(following)
+        ended = await self.cluster.coordinator(vms[0]).end(end(1))
+        self.assertTrue(ended.kept)
+        holders = {vm for vm, replica in self.cluster.replicas.items() if "turn-1" in replica.turns}
+        self.assertEqual(holders, set(vms))
+
+    async def test_a_turn_kept_just_before_a_member_joined_is_known_just_after(self) -> None:
+        await self.start(3)
+        following = self.joined("vm-3")
+        await self.keep_before(["vm-0", "vm-1"], following)
+        await self.cluster.use(following)
+        self.cluster.delays = {"vm-0": LATE_S, "vm-1": LATE_S}
+        answer = await self.cluster.coordinator("vm-2").begin(begin(2, previous="turn-1"))
+        self.assertEqual(answer, TurnBegun((turn(1),)))
+
+    async def test_a_turn_that_was_never_kept_is_denied_while_a_member_joins(self) -> None:
+        await self.start(3)
+        following = self.joined("vm-3")
+        await self.cluster.use(following)
+        answer = await self.cluster.coordinator("vm-2").begin(begin(2, previous="turn-9"))
+        self.assertIsInstance(answer, NoSuchTurn)
+
+    async def test_a_turn_kept_by_a_new_member_of_five_is_not_denied(self) -> None:
+        """Three of five hold it; two of the four older members do not."""
+        await self.start(4)
+        following = self.joined("vm-4")
+        await self.cluster.use(following)
+        self.cluster.isolate("vm-2")
+        self.cluster.isolate("vm-3")
+        self.assertTrue((await self.cluster.coordinator("vm-0").end(end(1))).kept)
+        self.cluster.heal()
+        self.cluster.delays = {"vm-0": LATE_S, "vm-1": LATE_S, "vm-4": LATE_S}
+        answer = await self.cluster.coordinator("vm-2").begin(begin(2, previous="turn-1"))
+        self.assertEqual(answer, TurnBegun((turn(1),)))
