Deny a turn only on the word of members that met every majority of the set before

Cause of the LOST that users saw: while a set is not settled, a turn that some members do not have was judged absent by the new set's size. The member that has just joined counted though it was no member when the turn was kept (two of four without it), and after a removal one of two was enough.

Change: a set knows which members prove an absence: one of every majority of its own and, until it is settled, of the set that it follows, where the member that joins does not count.

--- a/waxwingglade/follow/model.py
+++ b/waxwingglade/follow/model.py
@@ -3,6 +3,7 @@
 All types are immutable and go between processes as they are.
 """
 
+from collections.abc import Set
 from enum import Enum
 from typing import NewType
 
@@ -224,6 +225,23 @@
         """Members of which every majority contains one."""
         return witnesses_of(len(self.members))
 
+    def meet_earlier(self, disks: Set[str]) -> bool:
+        """Return whether members include one of every majority that earlier sets decided with.
+
+        Once the set is settled, its own majorities hold all of that.  Before, what counts are those of
+        the set that it follows: the member that has joined was none of that one, and the member that was
+        removed may have been one of the majority.  To judge by the new set's size denied turns that were
+        kept: in a set of four, the new member and one that had missed a turn passed for a proof.
+        """
+        if self.settled:
+            return len(disks) >= self.witnesses
+        size_before = len(self.members) + (-1 if self.joining else 1)
+        return len(disks - {self.joining}) >= witnesses_of(size_before)
+
+    def meet_all(self, disks: Set[str]) -> bool:
+        """Return whether members include one of every majority, of this set and of earlier ones."""
+        return len(disks) >= self.witnesses and self.meet_earlier(disks)
+
 
 def witnesses_of(members: int) -> int:
     """Return how many of a number of members every majority of them meets."""
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -273,18 +273,18 @@
     async def _find(self, turn: TurnId) -> tuple[Turn, ...] | None:
         """Return the chain up to a turn; None if it certainly does not exist.
 
-        A turn that was answered whole is held by a majority.  If as many members as every majority
-        shares do not have it, it was not.
+        A turn that was answered whole is held by a majority of the set of that time.  If the members
+        without it include one of every such majority, it was not.
         """
         while True:
             replicas = self._usable_members()
             message = Find(replicas.epoch, turn)
             if (chain := await self._find_here(replicas, message)) is not None:
                 return chain
-            absent = 0
+            absent: set[str] = set()
             partial: dict[TurnId, Turn] = {}
             refused = False
-            async for answer in self.rounds.answers(replicas, message):
+            async for member, answer in self.rounds.answers(replicas, message):
                 if isinstance(answer, OtherEpoch):
                     self.heard_of(answer.replicas)
                     refused = True
@@ -293,13 +293,16 @@
                 if answer.whole:
                     return answer.chain
                 partial.update({part.turn: part for part in answer.chain})
-                absent += not answer.chain
+                if not answer.chain:
+                    absent.add(member.disk)
                 if (chain := _join(partial, turn)) is not None:
                     return chain
-                if absent >= replicas.witnesses:
+                if replicas.meet_all(absent):
                     return None
             if not refused:
-                raise NoMajority(f"{absent} of {len(replicas.members)} members without the turn")
+                raise NoMajority(
+                    f"{len(absent)} of {len(replicas.members)} members without the turn"
+                )
             await asyncio.sleep(FIRST_PAUSE_S)
 
     async def _find_here(self, replicas: ReplicaSet, message: Find) -> tuple[Turn, ...] | None:
--- a/waxwingglade/ledger/rounds.py
+++ b/waxwingglade/ledger/rounds.py
@@ -141,14 +141,16 @@
         for member in members:
             self.avoided[member.disk] = monotonic() + AVOID_S
 
-    async def answers(self, replicas: ReplicaSet, message: Any) -> AsyncIterator[Any]:
-        """Yield the answers of all members as they come, None for a member that gives none."""
+    async def answers(
+        self, replicas: ReplicaSet, message: Any
+    ) -> AsyncIterator[tuple[Member, Any]]:
+        """Yield all members and their answers as they come, None for one that gives none."""
         asking = _Asking(self.ask, message)
         asking.add(replicas.members)
         while asking.open:
             answered = await asking.next(None)
             assert answered is not None
-            yield answered[1]
+            yield answered
 
     async def ask_one(self, member: Member, message: Any) -> Any:
         """Return one member's answer, None if it gives none."""
--- a/waxwingglade/ledger/tests/test_changing_sets.py
+++ b/waxwingglade/ledger/tests/test_changing_sets.py
@@ -9,7 +9,8 @@
 taken for a proof that it was never kept.
 
 The cause: evidence about what a set kept was judged by the size of the set that follows it.  Of a set
-that is not settled, the new member knows nothing of what came before.
+that is not settled, the new member knows nothing of what came before, and a majority of the set before
+may include the member that was removed.
 
 The evidence: the record shows the turn answered whole, and the refusal 192 ms later and 12 ms after the
 next turn was sent, so enough members had said that they were without it.  Two of three members of a
@@ -20,7 +21,7 @@
 import unittest
 
 from waxwingglade.follow.model import ReplicaSet
-from waxwingglade.ledger.messages import NoSuchTurn, TurnBegun
+from waxwingglade.ledger.messages import NoSuchTurn, TurnBegun, Unavailable
 from waxwingglade.ledger.tests.builders import Cluster, begin, end, turn
 
 LATE_S = 0.02
@@ -41,6 +42,11 @@
         members = (*self.cluster.set.members, self.cluster.members[vm])
         return ReplicaSet(self.cluster.set.epoch + 1, members, False, replica.disk)
 
+    def without(self, vm: str) -> ReplicaSet:
+        """Return the set that follows when a member is removed."""
+        rest = tuple(member for member in self.cluster.set.members if member.vm != vm)
+        return ReplicaSet(self.cluster.set.epoch + 1, rest, False)
+
     async def keep_before(self, vms: list[str], following: ReplicaSet) -> None:
         """Keep a turn under the present set at some members; the others know the next one already."""
         for vm, replica in self.cluster.replicas.items():
@@ -79,3 +85,22 @@
         self.cluster.delays = {"vm-0": LATE_S, "vm-1": LATE_S, "vm-4": LATE_S}
         answer = await self.cluster.coordinator("vm-2").begin(begin(2, previous="turn-1"))
         self.assertEqual(answer, TurnBegun((turn(1),)))
+
+    async def test_a_turn_is_not_denied_while_its_holders_cannot_be_asked(self) -> None:
+        await self.start(3)
+        following = self.joined("vm-3")
+        await self.keep_before(["vm-0", "vm-1"], following)
+        await self.cluster.use(following)
+        self.cluster.isolate("vm-0")
+        self.cluster.isolate("vm-1")
+        answer = await self.cluster.coordinator("vm-2").begin(begin(2, previous="turn-1"))
+        self.assertIsInstance(answer, Unavailable)
+
+    async def test_a_turn_kept_just_before_a_member_was_removed_is_known_just_after(self) -> None:
+        await self.start(3)
+        following = self.without("vm-2")
+        await self.keep_before(["vm-0", "vm-2"], following)
+        await self.cluster.use(following)
+        self.cluster.delays = {"vm-0": LATE_S}
+        answer = await self.cluster.coordinator("vm-1").begin(begin(2, previous="turn-1"))
+        self.assertEqual(answer, TurnBegun((turn(1),)))
