Count only members of the set before as read, and vouch for a copy under one set only

The same cause elsewhere, found by reading: (1) a replica that settles a new set counted the member that had just joined as read, though that one had read under the set before, where more was still kept; (2) a copy whose write was under way while its replica went on to a newer set was still acknowledged under the older one, so whoever had read the replica meanwhile missed it; (3) a replica counts itself as read before its refusal of older sets is on its own disk. Each could lose a turn or a settled account after further members are lost.

Change: catching up asks the set which members are enough, as denying a turn does; a copy that ends under a newer set is refused and sent again; catching up waits for the own refusal.

--- a/waxwingglade/ledger/catch_up.py
+++ b/waxwingglade/ledger/catch_up.py
@@ -7,7 +7,7 @@
 
 from waxwingglade.base import ProgramId, WaxwinggladeError
 from waxwingglade.follow.model import Replica as Member
-from waxwingglade.follow.model import ReplicaSet, witnesses_of
+from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.messages import Fetch, Fetched, Held, ListHeld, OtherEpoch, TurnId
 from waxwingglade.ledger.replica import Replica
 from waxwingglade.ledger.rounds import Ask
@@ -40,38 +40,25 @@
     WaxwinggladeError
         If too few members answer.
     """
-    # A member that has just joined cannot vouch for what came before.
-    is_old_member = any(member.disk == replica.disk for member in replicas.members)
-    read = int(is_old_member and replicas.joining != replica.disk)
-    needed = _needed(replicas)
-    tasks = [
-        asyncio.ensure_future(_read_from(replica, member, replicas, ask, heard_of))
+    # This replica counts as read, so it has to refuse older sets as durably as the others.
+    await replica.learn_members(replicas)
+    read = {member.disk for member in replicas.members if member.disk == replica.disk}
+    tasks = {
+        asyncio.ensure_future(_read_from(replica, member, replicas, ask, heard_of)): member.disk
         for member in replicas.members
         if member.disk != replica.disk
-    ]
+    }
     try:
         unread = set(tasks)
-        while unread and read < needed:
+        while unread and not replicas.meet_earlier(read):
             ended, unread = await asyncio.wait(unread, return_when=asyncio.FIRST_COMPLETED)
-            read += sum(task.result() for task in ended)
+            read |= {tasks[task] for task in ended if task.result()}
     finally:
         # Members that are gone must not hold up the rest.
         for task in tasks:
             task.cancel()
-    if read < needed:
-        raise WaxwinggladeError(f"only {read} of {needed} members could be read")
-
-
-def _needed(replicas: ReplicaSet) -> int:
-    """Return how many members have to be read.
-
-    What counts for a set that is not settled are the majorities of the set before, without the
-    member that has joined or with the one that was removed.
-    """
-    if replicas.settled:
-        return replicas.witnesses
-    change = -1 if replicas.joining else 1
-    return witnesses_of(len(replicas.members) + change)
+    if not replicas.meet_earlier(read):
+        raise WaxwinggladeError(f"only {len(read)} of {len(replicas.members)} members were read")
 
 
 async def _read_from(
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -222,7 +222,9 @@
         if refusal := self._refused(message.epoch):
             return refusal
         await self._store_turn(message.turn)
-        return Kept()
+        # Whoever read this replica under a newer set, while the turn was being written, was not told of
+        # it: it must not count as kept under the older one.
+        return self._refused(message.epoch) or Kept()
 
     async def _store_turn(self, turn: Turn) -> None:
         if turn.turn in self.turns:
--- a/waxwingglade/ledger/tests/test_changing_sets.py
+++ b/waxwingglade/ledger/tests/test_changing_sets.py
@@ -18,10 +18,17 @@
 rule the first test gets the refusal that users saw.
 """
 
+import asyncio
 import unittest
+from typing import Any
+from unittest import mock
 
+from waxwingglade.base import WaxwinggladeError
+from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
-from waxwingglade.ledger.messages import NoSuchTurn, TurnBegun, Unavailable
+from waxwingglade.ledger.catch_up import catch_up
+from waxwingglade.ledger.journal import Place
+from waxwingglade.ledger.messages import Held, Keep, NoSuchTurn, OtherEpoch, TurnBegun, Unavailable
 from waxwingglade.ledger.tests.builders import Cluster, begin, end, turn
 
 LATE_S = 0.02
@@ -57,6 +64,15 @@
         holders = {vm for vm, replica in self.cluster.replicas.items() if "turn-1" in replica.turns}
         self.assertEqual(holders, set(vms))
 
+    async def catch_up(self, vm: str) -> None:
+        """Let a replica read what the others of its set hold."""
+        await catch_up(
+            self.cluster.replicas[vm],
+            self.cluster.replicas[vm].replicas,
+            lambda member, message, timeout_s: self.cluster.ask(vm, member, message),
+            lambda _: None,
+        )
+
     async def test_a_turn_kept_just_before_a_member_joined_is_known_just_after(self) -> None:
         await self.start(3)
         following = self.joined("vm-3")
@@ -104,3 +120,46 @@
         self.cluster.delays = {"vm-0": LATE_S}
         answer = await self.cluster.coordinator("vm-1").begin(begin(2, previous="turn-1"))
         self.assertEqual(answer, TurnBegun((turn(1),)))
+
+    async def test_to_have_read_the_new_member_does_not_count(self) -> None:
+        """It has read under the set before, while more was still being kept there."""
+        await self.start(3)
+        following = self.joined("vm-3")
+        await self.keep_before(["vm-0", "vm-1"], following)
+        await self.cluster.use(following)
+        self.cluster.isolate("vm-0")
+        self.cluster.isolate("vm-1")
+        with self.assertRaises(WaxwinggladeError):
+            await self.catch_up("vm-2")
+        self.cluster.heal()
+        await self.catch_up("vm-2")
+        self.assertIn("turn-1", self.cluster.replicas["vm-2"].turns)
+
+    async def test_a_copy_is_not_vouched_for_once_a_newer_set_is_known(self) -> None:
+        """Whoever read this replica under the newer set may not have been told of it."""
+        await self.start(3)
+        replica = self.cluster.replicas["vm-0"]
+        keeping = asyncio.create_task(replica.keep(Keep(self.cluster.set.epoch, turn(1))))
+        await asyncio.sleep(0)
+        await replica.learn_members(self.without("vm-2"))
+        self.assertIsInstance(await keeping, OtherEpoch)
+
+    async def test_a_replica_that_counts_itself_as_read_refuses_older_sets_durably(self) -> None:
+        """Else it could keep turns under an older set again after a loss of power."""
+        await self.start(3)
+        replica = self.cluster.replicas["vm-0"]
+        following = self.joined("vm-3")
+        unwritten: asyncio.Future[Place] = asyncio.get_running_loop().create_future()
+        with mock.patch.object(replica.journal, "append", return_value=unwritten):
+            learning = asyncio.create_task(replica.learn_members(following))
+            await asyncio.sleep(0)
+
+        async def answer(member: Member, message: Any, timeout_s: float) -> Held:
+            return Held((), {})
+
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(LATE_S):
+                await catch_up(replica, following, answer, lambda _: None)
+        unwritten.set_result(Place(1, 0, 0))
+        await catch_up(replica, following, answer, lambda _: None)
+        await learning
