Log on whose word a turn was denied, and leave out of a request's line what says nothing

Sight for the incident: a denied turn left no line at the ledger, and an entry's line did not name the turn that was continued, so the two ways to lose a turn (a copy that is gone; a proof that is none) could not be told apart. Now 'turn denied' has the set, whether it is settled, who joins and who is without the turn, ten lines a second at most; the entry's line has 'previous'.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -12,7 +12,6 @@
 from tornado.httputil import HTTPMessageDelegate, HTTPServerConnectionDelegate
 from tornado.netutil import bind_sockets
 
-from waxwingglade.base.logs import Sampler
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.feed import Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.model import ClientLimits, Replica, View
@@ -23,6 +22,7 @@
 from waxwingglade.ingress.dialect import Dialect
 from waxwingglade.ingress.exchange import CallerGone, Exchange
 from waxwingglade.ingress.metrics import IngressMetrics
+from waxwingglade.ingress.request_log import RequestLog
 from waxwingglade.ingress.routes import RouteTable
 from waxwingglade.ingress.serving import (
     Refusal,
@@ -60,10 +60,6 @@
 """Seconds that a turn waits for the ledger while no majority is reached; a decision takes some 5 ms,
 and a caller that is refused early can go elsewhere."""
 
-SUCCESSES_LOGGED_PER_S = 20.0
-"""Lines a second for requests that ended well; failures have their own bound."""
-
-FAILURES_LOGGED_PER_S = 50.0
 PRIORITY_STEP = 2
 LAST_PRIORITY = 9
 """Ranks of routes map to the engines' priorities 2, 4 and so on, up to the last."""
@@ -112,8 +108,7 @@
         self.pages: list[HTTPServer] = []
         self.metrics = IngressMetrics()
         self.tasks: list[asyncio.Task] = []
-        self.successes = Sampler(SUCCESSES_LOGGED_PER_S)
-        self.failures = Sampler(FAILURES_LOGGED_PER_S)
+        self.request_log = RequestLog(self.beliefs)
 
     # Start and stop
 
@@ -357,44 +352,10 @@
             return
 
     def _log(self, exchange: Exchange, serving: Serving | None, trace: Trace) -> None:
-        """Write one line for a call: always bounded, failures with a larger bound."""
-        status = exchange.status
+        """Count a request that has ended, and log it."""
         seconds = time.monotonic() - exchange.arrived_at
         self.metrics.note(exchange, trace, seconds)
-        good = 200 <= status < 300 and not trace.reason
-        sampler = self.successes if good else self.failures
-        if not sampler.allows():
-            return
-        records = trace.attempts.records if trace.attempts else []
-        call = serving.call if serving else None
-        logger.bind(
-            request=call.request if call else "",
-            program=call.program if call else None,
-            route=trace.route,
-            version=trace.version,
-            view_age_s=round(min(self.beliefs.age_s, 1e6), 2),
-            epoch=self.beliefs.view.replicas.epoch,
-            status=status,
-            reason=trace.reason,
-            seconds=round(seconds, 4),
-            first_event_s=trace.first_event_s,
-            reserved_s=trace.reserved_s,
-            kept_s=trace.kept_s,
-            events=trace.events,
-            attempts=[
-                {
-                    "target": record.target,
-                    "load": record.load,
-                    "load_age_s": record.load_age_s,
-                    "verdict": record.verdict.value if record.verdict else None,
-                    "status": record.status,
-                    "reason": record.reason,
-                    "seconds": record.seconds,
-                }
-                for record in records
-            ],
-            left_out=sampler.take_left_out(),
-        ).info("request")
+        self.request_log.note(exchange, serving, trace, seconds)
 
 
 __all__ = ["Ingress"]
--- /dev/null
+++ b/waxwingglade/ingress/request_log.py
@@ -0,0 +1,90 @@
+"""The line that an entry logs for each request: what decided it, and its outcome."""
+
+from typing import Any
+
+from loguru import logger
+
+from waxwingglade.base.logs import Sampler
+from waxwingglade.follow.feed import Beliefs
+from waxwingglade.ingress.attempt import AttemptRecord
+from waxwingglade.ingress.exchange import Exchange
+from waxwingglade.ingress.serving import Serving, Trace
+
+SUCCESSES_LOGGED_PER_S = 20.0
+"""Lines a second for requests that ended well; failures have their own bound."""
+
+FAILURES_LOGGED_PER_S = 50.0
+
+UNKNOWN_AGE_S = 1e6
+"""Stands for an age that is infinite, which JSON can't hold."""
+
+
+class RequestLog:
+    """Writes one line for each request, up to a bound.
+
+    Parameters
+    ----------
+    beliefs : Beliefs
+        What the entry knows of its surroundings.
+    """
+
+    def __init__(self, beliefs: Beliefs) -> None:
+        self.beliefs = beliefs
+        self.successes = Sampler(SUCCESSES_LOGGED_PER_S)
+        self.failures = Sampler(FAILURES_LOGGED_PER_S)
+
+    def note(
+        self, exchange: Exchange, serving: Serving | None, trace: Trace, seconds: float
+    ) -> None:
+        """Write the line of a request that has ended after some seconds.
+
+        Fields that say nothing are left out: a log that is kept by its size then reaches back further.
+        Lines took 429 bytes on average with them and take 339 without (3,181 lines of a played day).
+        """
+        good = 200 <= exchange.status < 300 and not trace.reason
+        sampler = self.successes if good else self.failures
+        if not sampler.allows():
+            return
+        call = serving.call if serving else None
+        records = trace.attempts.records if trace.attempts else []
+        fields = {
+            "request": call.request if call else "",
+            "program": call.program if call else None,
+            "previous": call.previous_turn if call else None,
+            "route": trace.route,
+            "version": trace.version,
+            "view_age_s": round(min(self.beliefs.age_s, UNKNOWN_AGE_S), 2),
+            "epoch": self.beliefs.view.replicas.epoch,
+            "status": exchange.status,
+            "reason": trace.reason,
+            "seconds": round(seconds, 4),
+            "first_event_s": trace.first_event_s,
+            "reserved_s": trace.reserved_s,
+            "kept_s": trace.kept_s,
+            "events": trace.events,
+            "attempts": [_attempt(record) for record in records],
+            "left_out": sampler.take_left_out(),
+        }
+        logger.bind(**_telling(fields)).info("request")
+
+
+def _attempt(record: AttemptRecord) -> dict[str, Any]:
+    return _telling(
+        {
+            "target": record.target,
+            "load": record.load,
+            "load_age_s": record.load_age_s,
+            "verdict": record.verdict.value if record.verdict else None,
+            "status": record.status,
+            "reason": record.reason,
+            "seconds": record.seconds,
+        }
+    )
+
+
+def _telling(fields: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields that are neither empty nor zero."""
+    return {name: value for name, value in fields.items() if value}
+
+
+__all__ = ["RequestLog"]
--- /dev/null
+++ b/waxwingglade/ingress/tests/test_request_log.py
@@ -0,0 +1,55 @@
+"""The line of a request: what it holds, and what is left out."""
+
+import unittest
+from typing import Any
+from unittest import mock
+
+from loguru import logger
+
+from waxwingglade.follow.feed import Beliefs
+from waxwingglade.ingress.request_log import RequestLog
+from waxwingglade.ingress.serving import Serving, Trace
+from waxwingglade.ingress.tests.builders import NOTES, call, route
+from waxwingglade.ledger.messages import TurnId
+
+
+class RequestLogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.lines: list[dict[str, Any]] = []
+        sink = logger.add(lambda message: self.lines.append(message.record["extra"]))
+        self.addCleanup(logger.remove, sink)
+        self.log = RequestLog(Beliefs(lambda: 0.0))
+
+    def note(self, status: int, reason: str = "") -> dict[str, Any]:
+        """Log a request that continues a turn, and return the fields of its line."""
+        exchange = mock.Mock(status=status)
+        made = call("request-2", program="program-1")
+        made.previous_turn = TurnId("request-1")
+        trace = Trace(version=7, route="turns", reason=reason)
+        serving = Serving(exchange, made, route("/turns/"), NOTES, trace, 0.0)
+        self.log.note(exchange, serving, trace, 0.25)
+        return self.lines[-1]
+
+    def test_a_line_tells_what_decided_and_what_was_continued(self) -> None:
+        line = self.note(404, "no such turn")
+        wanted = {
+            "request": "request-2",
+            "program": "program-1",
+            "previous": "request-1",
+            "version": 7,
+            "status": 404,
+            "reason": "no such turn",
+            "seconds": 0.25,
+        }
+        self.assertEqual(wanted, {name: line.get(name) for name in wanted})
+
+    def test_fields_that_say_nothing_are_left_out(self) -> None:
+        line = self.note(200)
+        self.assertFalse({"reason", "kept_s", "events", "attempts", "left_out"} & line.keys())
+
+    def test_many_successes_leave_room_for_a_failure(self) -> None:
+        for _ in range(100):
+            self.note(200)
+        self.assertLess(len(self.lines), 100)
+        self.assertEqual(self.note(404)["status"], 404)
+        self.assertGreater(self.log.successes.left_out, 0)
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, ProgramId, wall
+from waxwingglade.base.logs import Sampler
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.account import Reservation, committed, reserve, settle
@@ -61,6 +62,9 @@
 REMEMBERED = 5_000
 """Accounts whose last proposal is remembered, for changes in one round."""
 
+DENIALS_LOGGED_PER_S = 10.0
+"""Lines a second for turns that do not exist; a caller may ask for many."""
+
 
 class LastProposal(msgspec.Struct, frozen=True):
     """The account that this process saw accepted last, and under what."""
@@ -104,6 +108,7 @@
         self.locks: defaultdict[ProgramId, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.last: dict[ProgramId, LastProposal] = {}
         self.numbers: dict[ProgramId, int] = {}
+        self.denials = Sampler(DENIALS_LOGGED_PER_S)
 
     # For entries
 
@@ -298,6 +303,7 @@
                 if (chain := _join(partial, turn)) is not None:
                     return chain
                 if replicas.meet_all(absent):
+                    self._log_denial(turn, replicas, absent)
                     return None
             if not refused:
                 raise NoMajority(
@@ -305,6 +311,19 @@
                 )
             await asyncio.sleep(FIRST_PAUSE_S)
 
+    def _log_denial(self, turn: TurnId, replicas: ReplicaSet, absent: set[str]) -> None:
+        """Log on whose word a turn was denied; the entry's line names the request and this turn."""
+        if not self.denials.allows():
+            return
+        logger.bind(
+            previous=turn,
+            epoch=replicas.epoch,
+            settled=replicas.settled,
+            joining=[member.vm for member in replicas.members if member.disk == replicas.joining],
+            without_it=[member.vm for member in replicas.members if member.disk in absent],
+            left_out=self.denials.take_left_out(),
+        ).warning("turn denied")
+
     async def _find_here(self, replicas: ReplicaSet, message: Find) -> tuple[Turn, ...] | None:
         """Return the chain up to a turn if this process's replica holds all of it.
 
--- a/waxwingglade/ledger/tests/test_changing_sets.py
+++ b/waxwingglade/ledger/tests/test_changing_sets.py
@@ -23,6 +23,8 @@
 from typing import Any
 from unittest import mock
 
+from loguru import logger
+
 from waxwingglade.base import WaxwinggladeError
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
@@ -86,8 +88,13 @@
         await self.start(3)
         following = self.joined("vm-3")
         await self.cluster.use(following)
+        lines: list[dict[str, Any]] = []
+        sink = logger.add(lambda message: lines.append(message.record["extra"]), level="WARNING")
+        self.addCleanup(logger.remove, sink)
         answer = await self.cluster.coordinator("vm-2").begin(begin(2, previous="turn-9"))
         self.assertIsInstance(answer, NoSuchTurn)
+        self.assertEqual((lines[0]["previous"], lines[0]["joining"]), ("turn-9", ["vm-3"]))
+        self.assertGreaterEqual(set(lines[0]["without_it"]), {"vm-2"})
 
     async def test_a_turn_kept_by_a_new_member_of_five_is_not_denied(self) -> None:
         """Three of five hold it; two of the four older members do not."""
