--- /dev/null
+++ b/waxwingglade/platform/tests/silent_store.py
@@ -0,0 +1,140 @@
+"""The platform's store behind connections that can fall silent, for tests in virtual time."""
+
+import asyncio
+import base64
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from waxwingglade.transport import HttpRequest, HttpResponse
+
+ROUND_TRIP_S = 0.004
+CONFIGURATION_KEY = "op/config"
+
+
+class SilentStore:
+    """Items of the store, and the connections to it.
+
+    Attributes
+    ----------
+    silent : bool
+        Whether the store answers nothing; what is asked meanwhile is never answered.
+    opened_by : float
+        Time up to which opened connections are silent for good, in seconds of the loop.
+    """
+
+    def __init__(self) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.version = 1
+        self.revision = 1
+        self.changed = asyncio.Event()
+        self.silent = False
+        self.opened_by = float("-inf")
+        self.oldest = 0
+
+    def configure(self, version: int) -> None:
+        """Write a version of the configuration."""
+        self.version = version
+        self.revision += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def be_silent(self) -> None:
+        """Begin not to answer, also not what was asked before."""
+        self.silent = True
+        self.opened_by = self.loop.time()
+
+    def return_(self) -> None:
+        """Answer what is asked from now on, on connections that are opened from now on."""
+        self.silent = False
+        self.opened_by = self.loop.time()
+
+    def silence_connections(self) -> None:
+        """Let all open connections fall silent for good."""
+        self.opened_by = self.loop.time()
+
+    def item(self) -> dict[str, Any]:
+        """Return the configuration's item as it goes over the wire."""
+        value = json.dumps({"version": self.version}).encode()
+        return {
+            "key": CONFIGURATION_KEY,
+            "value": base64.b64encode(value).decode(),
+            "revision": self.revision,
+        }
+
+    async def answer(self, path: str) -> dict[str, Any]:
+        """Answer a listing or a watch."""
+        await asyncio.sleep(ROUND_TRIP_S)
+        parts = urlsplit(path)
+        if parts.path == "/v1/kv-range":
+            return {"items": [self.item()], "has_more": False, "current_rev": self.revision}
+        query = parse_qs(parts.query)
+        after, wait_s = int(query["after"][0]), int(query["wait_ms"][0]) / 1000
+        if after >= self.revision:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+        events = [self.item()] if after < self.revision else []
+        return {"events": events, "current_rev": self.revision}
+
+
+class SilentConnection:
+    """A connection to the store, as `Http1Connection` is used by its client."""
+
+    def __init__(self, store: SilentStore) -> None:
+        self.store = store
+        self.opened_at = store.loop.time()
+        self.path = ""
+        self.body = b""
+        self.usable = True
+
+    def send(self, request: HttpRequest) -> None:
+        """Keep the request."""
+        self.path = request.path
+        self.usable = False
+
+    async def read_head(self, is_ours: Callable[[HttpResponse], bool]) -> HttpResponse:
+        """Return the answer's head, if there is an answer."""
+        await self._speak()
+        answer = await self.store.answer(self.path)
+        await self._speak()
+        self.body = json.dumps(answer).encode()
+        return HttpResponse(200, [])
+
+    async def _speak(self) -> None:
+        """Wait for ever if the connection is silent."""
+        if self.store.silent or self.opened_at <= self.store.opened_by:
+            await asyncio.Event().wait()
+
+    async def read_body(self, limit: int) -> bytes:
+        """Return the answer's body."""
+        self.usable = True
+        return self.body
+
+
+class SilentPool:
+    """Kept connections to the store, as the client's pool."""
+
+    def __init__(self, store: SilentStore) -> None:
+        self.store = store
+        self.idle: list[SilentConnection] = []
+
+    async def take(self, address: str) -> SilentConnection:
+        """Return a kept connection or a new one."""
+        return self.idle.pop() if self.idle else SilentConnection(self.store)
+
+    def give_back(self, address: str, connection: SilentConnection) -> None:
+        """Keep a connection whose answer was read."""
+        if connection.usable:
+            self.idle.append(connection)
+
+    def forget(self, address: str) -> None:
+        """Close the idle connections."""
+        self.idle.clear()
+
+    def close(self) -> None:
+        """Close everything."""
+        self.idle.clear()
