--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -41,7 +41,13 @@
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
-"""Pause after a failed call, doubled up to the longest: calls are priced when they fail, too."""
+"""Pause between failed calls, doubled up to the longest: calls are priced when they fail, too.  It is
+counted from the beginning of the call, since both add up to how late the return of a silent store is
+noticed: with a pause after the timeout a version was known up to 2.3 s after it (virtual time, 50
+moments), past the two seconds within which it is to be in force."""
+
+SHORTEST_PAUSE_S = 0.05
+"""Pause after a call that took longer than that, so that a failure is never asked about at once."""
 
 
 class Keys(msgspec.Struct, frozen=True):
@@ -140,6 +146,7 @@
         revision: Revision | None = None
         pause_s = FIRST_PAUSE_S
         while True:
+            asked_at = self.clock()
             try:
                 revision = await self._step(revision)
             except HistoryGone as error:
@@ -148,7 +155,8 @@
                 continue
             except StoreUnavailable as error:
                 self._note_outage(str(error))
-                await asyncio.sleep(pause_s * (0.5 + random.random()))
+                next_at = asked_at + pause_s * (0.5 + random.random())
+                await asyncio.sleep(max(SHORTEST_PAUSE_S, next_at - self.clock()))
                 pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
                 continue
             pause_s = FIRST_PAUSE_S
