Give each cluster of a test loopback addresses of its own

Cause, shown by a run of two at once: the port of the metrics page is the same on every VM, and two clusters used the same addresses, so one process had no page ('no metrics page') and the test read that of the other cluster: 4 of 6 runs failed, and the soak's 'no metrics page' fits it too.

Change: a cluster reserves a network of loopback addresses for as long as it lives.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -21,6 +21,9 @@
 PATIENCE_S = 30.0
 GRACE_S = 8
 METRICS_PORT = 9464
+NETWORKS = range(1, 250)
+"""Second numbers of loopback addresses; a cluster uses those of one."""
+
 ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "north"}
 STREAM, CALL, ORDER = "/turns/", "/notes/", "/orders/"
 TOKENS_PER_EVENT = 10
@@ -37,6 +40,23 @@
     return ports
 
 
+def reserve_network() -> tuple[socket.socket, str]:
+    """Return the beginning of loopback addresses that no other cluster uses, and what reserves them.
+
+    The port of the metrics page is the same on every VM.  Two clusters with the same addresses, in two
+    runs at the same time, took each other's pages: four of six runs of the calm day failed.
+    """
+    for number in NETWORKS:
+        reserved = socket.socket()
+        try:
+            reserved.bind((f"127.{number}.0.1", METRICS_PORT))
+        except OSError:
+            reserved.close()
+            continue
+        return reserved, f"127.{number}"
+    raise RuntimeError("no loopback network is free")
+
+
 def configuration(version: int, extra: list[dict] | None = None) -> dict:
     """Return a configuration of the operator, as it lies in the store."""
     common = {"host": HOST, "timeout_ms": 5000, "target_latency_ms": 200, "priority": 1}
@@ -97,7 +117,7 @@
         self.folder = cluster.folder / self.name
         self.folder.mkdir()
         # An address of its own, since the port of the metrics page is the same on every VM.
-        self.ip = f"127.0.{1 if purpose == 'front' else 2}.{number + 1}"
+        self.ip = f"{cluster.network}.{1 if purpose == 'front' else 2}.{number + 1}"
         front, ready, first = free_ports(3)
         self.port, self.ready_port = front, ready
         self.caller_port = front
@@ -162,6 +182,7 @@
     """A store, servers, three ledger processes and entries."""
 
     def __init__(self, entries: int = 2, ledgers: int = 3) -> None:
+        self.reserved, self.network = reserve_network()
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = Path(self.temporary.name)
         self.store = MetadataStore()
@@ -195,6 +216,7 @@
         for server in [*self.engines, *self.notes]:
             await server.stop()
         await self.store.stop()
+        self.reserved.close()
         self.temporary.cleanup()
 
     def members(self) -> list[str]:
