Keep targets that lapsed while the store was away also where following it begins

Symptom: in the users' record of the late configuration a tenth of the programs were refused for some seconds after the silence.

Cause: entries without a source follow the store themselves, and their first listing after the outage was taken for all there is; it had a higher revision than the list that knew better.

Change: a watcher is told what the process knows, and what is missing of that may come back within the time that a lapsed entry has. The first listing of a process that knew nothing and began in an outage yields to every other list until then.

--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -102,6 +102,73 @@
         await until(lambda: self.names() == {"b"})
 
 
+class BeginningInAnOutage(unittest.IsolatedAsyncioTestCase):
+    """A process that begins to follow the store while that is away, and its targets' entries lapse.
+
+    Users saw a tenth of their programs refused for four seconds after an outage of the store.  The order
+    of events: entries had no source left and began to follow the store themselves; in the outage the
+    entries of all targets lapsed, though the targets lived; the store came back, and the first listing
+    was taken for all there is, by its revision even instead of what others knew better.  Requests were
+    refused for want of a target till the targets had registered again.  The evidence: two of nine plays of
+    a day with such an outage had refusals of that kind, at entries that followed the store.
+    """
+
+    async def asyncSetUp(self) -> None:
+        for name in ("PACE_S", "FIRST_PAUSE_S", "LONGEST_PAUSE_S"):
+            patch = mock.patch(f"waxwingglade.follow.watcher.{name}", 0.01)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.now = 1000.0
+        self.store = MemoryStore()
+        self.store.put("op/config", b'{"version": 4}')
+        for number in range(20):
+            self.store.put("targets/a", b"ready" if number % 2 else b"cold")
+        self.store.put("targets/b", b"ready")
+        before = self.watch()
+        await until(lambda: len(before.view.targets.targets) == 2)
+        self.known = before.view
+        await before.stop()
+        self.store.away = True
+        self.store.put("targets/a", None)
+        self.store.put("targets/b", None)
+
+    def watch(self, known: TargetList = TargetList()) -> Watcher:
+        """Begin to follow the store."""
+        watcher = Watcher(self.store, KEYS, clock=lambda: self.now, known=known)
+        watcher.start()
+        self.addAsyncCleanup(watcher.stop)
+        return watcher
+
+    def names(self, view: View) -> set[str]:
+        """Return the targets of a view."""
+        return {target.target for target in view.targets.targets}
+
+    async def test_what_was_known_before_may_come_back(self) -> None:
+        watcher = self.watch(self.known.targets)
+        self.store.away = False
+        await until(lambda: watcher.view.version == 4)
+        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        self.store.put("targets/b", b"ready")
+        await until(lambda: len(watcher.missing) == 1)
+        self.now += 3.0
+        self.store.put("targets/b", b"ready")
+        await until(lambda: self.names(watcher.view) == {"b"})
+        self.assertEqual(self.names(self.known.merged(watcher.view)), {"b"})
+
+    async def test_a_first_listing_does_not_displace_what_others_know(self) -> None:
+        watcher = self.watch()
+        await until(lambda: watcher.in_outage)
+        self.store.put("targets/c", b"ready")
+        self.store.away = False
+        await until(lambda: self.names(watcher.view) == {"c"})
+        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        self.store.put("targets/b", b"ready")
+        await until(lambda: self.names(watcher.view) == {"b", "c"})
+        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        self.now += 3.0
+        await until(lambda: self.names(self.known.merged(watcher.view)) == {"b", "c"})
+
+
 class FeedTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.now = 1000.0
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -88,6 +88,9 @@
         Called after each change of the view.
     clock : Clock
         Monotonic seconds.
+    known : TargetList
+        Targets that the process knows already.  One that begins to follow the store does so because
+        nothing was confirmed for a while, so those of them that are missing may have lapsed with it.
 
     Attributes
     ----------
@@ -107,6 +110,7 @@
         keys: Keys,
         changed: Callable[[], None] = lambda: None,
         clock: Clock = monotonic,
+        known: TargetList = TargetList(),
     ) -> None:
         self.store = store
         self.keys = keys
@@ -117,10 +121,12 @@
         self.retiring: dict[str, Revision] = {}
         self.replicas_revision = Revision(0)
         self.replicas_known = asyncio.Event()
-        self.targets: dict[str, Target] = {}
+        self.targets = {keys.targets + target.target: target for target in known.targets}
         self.missing: dict[str, float] = {}
         self.outage_until = float("-inf")
-        self.in_outage = False
+        self.in_outage = bool(known.targets)
+        self.partial_until = float("-inf")
+        self.partial = False
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -198,6 +204,8 @@
             return
         self.in_outage = False
         self.outage_until = self.clock()
+        if not self.targets:
+            self.partial_until = self.outage_until + RETURN_S
         logger.info("store regained")
 
     # What operators wrote
@@ -270,10 +278,20 @@
             if now >= until:
                 self.missing.pop(key)
                 self.targets.pop(key, None)
-        if self.targets != before or not self.view.targets.revision:
-            targets = TargetList(revision, tuple(self.targets.values()))
+        partial, self.partial = self.partial, now < self.partial_until
+        if self.targets != before or not self.view.targets.revision or partial != self.partial:
             self._log_targets(before)
-            self._replace(self.view.merged(View(targets=targets)))
+            self._replace(self.view.merged(View(targets=self._target_list(revision))))
+
+    def _target_list(self, revision: Revision) -> TargetList:
+        """Return the targets as of a revision.
+
+        What a process that knew none finds right after an outage may lack targets that lapsed in it.  Such
+        a list has a revision below all that others have, so it only serves where nothing is known.
+        """
+        if self.partial:
+            revision = Revision(self.view.targets.revision + 1)
+        return TargetList(revision, tuple(self.targets.values()))
 
     def _keep(self, item: Item) -> None:
         assert item.value is not None
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -256,7 +256,8 @@
             logger.bind(age_s=round(min(self.beliefs.age_s, 1e6), 2)).warning(
                 "no source, following the store"
             )
-            self.watcher = Watcher(self.store, self.keys, self._watcher_changed)
+            known = self.beliefs.view.targets
+            self.watcher = Watcher(self.store, self.keys, self._watcher_changed, known=known)
             self.watcher.start()
         self._watcher_changed()
 
