Deny a turn only on the word of a majority of one's own set

The members that still answer under the old set are those without the turn, and of a set of even size the witnesses are only half: the other half and a member that joined are a majority of the next. With a set of two, after a machine was emptied with nobody to stand in, a member in a cut zone denied turns on its own word for as long as the cut lasted.

Change: a majority of the asker's own set has to be without the turn; single steps of the set have majorities that meet, so none of the next set can have kept it. Members of a set of three: as before. The test that looks for a turn after a change no longer overlooks a denial on the way to finding it.

--- a/waxwingglade/follow/model.py
+++ b/waxwingglade/follow/model.py
@@ -239,8 +239,14 @@
         return len(disks - {self.joining}) >= witnesses_of(size_before)
 
     def meet_all(self, disks: Set[str]) -> bool:
-        """Return whether members include one of every majority, of this set and of earlier ones."""
-        return len(disks) >= self.witnesses and self.meet_earlier(disks)
+        """Return whether members include one of every majority, of this set and of those beside it.
+
+        They are those of earlier sets and of the next one, which whoever asks may not have heard of.  A
+        majority that still goes by this set shows that none of the next has decided anything yet.  The
+        witnesses do not: of a set of even size they are half, and the other half with a member that has
+        joined is a majority of the next.
+        """
+        return len(disks) >= self.majority and self.meet_earlier(disks)
 
 
 def witnesses_of(members: int) -> int:
--- a/waxwingglade/ledger/tests/test_changing_sets.py
+++ b/waxwingglade/ledger/tests/test_changing_sets.py
@@ -20,6 +20,7 @@
 
 import asyncio
 import unittest
+from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
@@ -36,6 +37,9 @@
 LATE_S = 0.02
 """Delay of those members whose answers come last."""
 
+Following = Callable[[Cluster], ReplicaSet]
+"""Returns the set that follows a cluster's present one."""
+
 
 class ChangingSets(unittest.IsolatedAsyncioTestCase):
     async def start(self, size: int) -> None:
@@ -170,3 +174,75 @@
         unwritten.set_result(Place(1, 0, 0))
         await catch_up(replica, following, answer, lambda _: None)
         await learning
+
+
+class StaleCoordinator(unittest.IsolatedAsyncioTestCase):
+    """A turn was kept under the set that follows the one by which the coordinator goes.
+
+    The members that have not heard of the new set answer under the old one, and are without the turn.
+    Of an old set of even size the witnesses are only half, and the other half and the member that joined
+    are a majority of the new set: half of a set is no proof.
+    """
+
+    async def deny(
+        self, size: int, following_of: Following, knowing: list[str], asker: str
+    ) -> None:
+        """Keep a turn under the next set, and continue it by the set before; it must not be denied."""
+        cluster = Cluster(size)
+        self.addAsyncCleanup(cluster.close)
+        await cluster.start()
+        following = following_of(cluster)
+        for vm in knowing:
+            await cluster.replicas[vm].learn_members(following)
+        ended = await cluster.coordinator(knowing[0]).end(end(1))
+        self.assertTrue(ended.kept)
+        answer = await cluster.coordinator(asker).begin(begin(2, previous="turn-1"))
+        self.assertNotIsInstance(answer, NoSuchTurn)
+
+    @staticmethod
+    def joined(vm: str) -> Following:
+        """Return the set that follows when a replica with an empty disk joins."""
+
+        def following(cluster: Cluster) -> ReplicaSet:
+            replica = cluster.add(vm)
+            replica.open()
+            members = (*cluster.set.members, cluster.members[vm])
+            return ReplicaSet(cluster.set.epoch + 1, members, False, replica.disk)
+
+        return following
+
+    @staticmethod
+    def without(vm: str) -> Following:
+        """Return the set that follows when a member is removed."""
+
+        def following(cluster: Cluster) -> ReplicaSet:
+            rest = tuple(member for member in cluster.set.members if member.vm != vm)
+            return ReplicaSet(cluster.set.epoch + 1, rest, False)
+
+        return following
+
+    async def test_two_become_three(self) -> None:
+        await self.deny(2, self.joined("vm-2"), ["vm-0", "vm-2"], "vm-1")
+
+    async def test_four_become_five(self) -> None:
+        await self.deny(4, self.joined("vm-4"), ["vm-0", "vm-1", "vm-4"], "vm-2")
+
+    async def test_four_become_three_asked_of_one_that_stays(self) -> None:
+        await self.deny(4, self.without("vm-3"), ["vm-0", "vm-1"], "vm-2")
+
+    async def test_four_become_three_asked_of_the_one_removed(self) -> None:
+        await self.deny(4, self.without("vm-3"), ["vm-0", "vm-1"], "vm-3")
+
+    async def test_four_that_it_thinks_unsettled_become_three(self) -> None:
+        """The asker has not heard that the set of four was settled, either."""
+        cluster = Cluster(4)
+        self.addAsyncCleanup(cluster.close)
+        joining = cluster.members["vm-3"].disk
+        cluster.set = ReplicaSet(1, cluster.set.members, False, joining)
+        await cluster.start()
+        following = self.without("vm-1")(cluster)
+        for vm in ("vm-0", "vm-3"):
+            await cluster.replicas[vm].learn_members(following)
+        self.assertTrue((await cluster.coordinator("vm-0").end(end(1))).kept)
+        answer = await cluster.coordinator("vm-2").begin(begin(2, previous="turn-1"))
+        self.assertNotIsInstance(answer, NoSuchTurn)
--- a/waxwingglade/ledger/tests/test_membership.py
+++ b/waxwingglade/ledger/tests/test_membership.py
@@ -9,11 +9,12 @@
 from waxwingglade.base import WaxwinggladeError
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet, witnesses_of
+from waxwingglade.follow.store import StoreUnavailable
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
 from waxwingglade.follow.watcher import Watcher
 from waxwingglade.ledger.catch_up import catch_up
 from waxwingglade.ledger.membership import Membership
-from waxwingglade.ledger.messages import Ping, TurnBegun
+from waxwingglade.ledger.messages import NoSuchTurn, Ping, TurnBegun
 from waxwingglade.ledger.tests.builders import Cluster, Silence, begin, end, turn
 
 PATIENCE_S = 20.0
@@ -82,6 +83,16 @@
         return other.membership.answer_ping(message)
 
 
+class StoreForNobody(MemoryStore):
+    """The same store, for a machine that it turns away."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.__dict__ = store.__dict__
+
+    def _call(self) -> None:
+        raise StoreUnavailable("turned away", may_have_run=False)
+
+
 class Machines(Cluster):
     """Machines that join and leave."""
 
@@ -108,6 +119,11 @@
             raise Silence("down")
         return await super().ask(sender, member, message)
 
+    def turn_away(self, vm: str) -> None:
+        """Let the store refuse all calls of a machine."""
+        machine = self.machines[vm]
+        machine.watcher.store = machine.membership.store = StoreForNobody(self.store)
+
     @property
     def set_now(self) -> ReplicaSet:
         """The set of members in the store."""
@@ -165,6 +181,7 @@
                     answer = await coordinator.begin(begin(900, previous=f"turn-{number}"))
                 except WaxwinggladeError:
                     continue
+                self.assertNotIsInstance(answer, NoSuchTurn)
                 if isinstance(answer, TurnBegun):
                     break
                 await asyncio.sleep(0.01)
@@ -255,6 +272,24 @@
         self.machines.store.away = False
         await self.until(lambda: self.machines.vms() == {"vm-1", "vm-2", "vm-10"})
 
+    async def test_a_member_that_is_cut_off_denies_nothing_on_its_own_word(self) -> None:
+        """A machine is emptied with nobody to stand in; a zone is cut off; a new machine joins outside.
+
+        Turns are kept outside by two of three.  Inside, the one member that is there still goes by the set
+        of two, of which half is no majority of the next set but meets every majority of its own.
+        """
+        self.machines.store.put("op/retire/vm-1", b"{}")
+        await self.until(lambda: self.machines.vms() == {"vm-0", "vm-2"})
+        await self.machines.take_away("vm-1")
+        await self.until(lambda: self.machines.machines["vm-2"].membership.replicas.settled)
+        self.machines.turn_away("vm-2")
+        await self.machines.begin_on("vm-9")
+        self.machines.isolate("vm-2")
+        await self.until(lambda: self.machines.vms() == {"vm-0", "vm-2", "vm-9"})
+        await self.keep("vm-0", 1)
+        answer = await self.machines.coordinator("vm-2").begin(begin(2, previous="turn-1"))
+        self.assertNotIsInstance(answer, NoSuchTurn)
+
 
 class CatchUpTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_member_that_never_answers_holds_nothing_up(self) -> None:
