Refuse a turn that goes on where its route is not known, instead of denying it

Its line in the log named neither the request nor the turn before, so it could not be told from other refusals.

Change: such a turn is refused as not run; the line of a refused call names it.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -292,13 +292,11 @@
 
     async def _serve_call(self, exchange: Exchange) -> None:
         trace = Trace()
-        serving: Serving | None = None
         try:
-            serving = read_call(exchange, self.dialect, self.table, trace)
-            await self._serve_in_time(serving)
+            await self._serve_in_time(read_call(exchange, self.dialect, self.table, trace))
         except Refusal as refusal:
             trace.reason = refusal.reason
-            await self._refuse(exchange, serving, refusal)
+            await self._refuse(exchange, trace, refusal)
         except CallerGone:
             trace.reason = "the caller has left"
         except asyncio.CancelledError:
@@ -309,7 +307,7 @@
             exchange.abort()
             raise
         finally:
-            self._log(exchange, serving, trace)
+            self._log(exchange, trace)
 
     async def _serve_in_time(self, serving: Serving) -> None:
         left_s = serving.time_left() + self.settings.answer_grace_s
@@ -339,11 +337,11 @@
             return None
         return min(LAST_PRIORITY, (serving.route.rank + 1) * PRIORITY_STEP)
 
-    async def _refuse(self, exchange: Exchange, serving: Serving | None, refusal: Refusal) -> None:
+    async def _refuse(self, exchange: Exchange, trace: Trace, refusal: Refusal) -> None:
         if exchange.answered:
             exchange.abort()
             return
-        request = serving.call.request if serving else ""
+        request = trace.call.request if trace.call else ""
         status, headers, body = own_answer(
             self.dialect, self.settings.retry_after_s, request, refusal
         )
@@ -352,11 +350,11 @@
         except CallerGone:
             return
 
-    def _log(self, exchange: Exchange, serving: Serving | None, trace: Trace) -> None:
+    def _log(self, exchange: Exchange, trace: Trace) -> None:
         """Count a request that has ended, and log it."""
         seconds = time.monotonic() - exchange.arrived_at
         self.metrics.note(exchange, trace, seconds)
-        self.request_log.note(exchange, serving, trace, seconds)
+        self.request_log.note(exchange, trace, seconds)
 
 
 __all__ = ["Ingress"]
--- a/waxwingglade/ingress/request_log.py
+++ b/waxwingglade/ingress/request_log.py
@@ -8,7 +8,7 @@
 from waxwingglade.follow.feed import Beliefs
 from waxwingglade.ingress.attempt import AttemptRecord
 from waxwingglade.ingress.exchange import Exchange
-from waxwingglade.ingress.serving import Serving, Trace
+from waxwingglade.ingress.serving import Trace
 
 SUCCESSES_LOGGED_PER_S = 20.0
 """Lines a second for requests that ended well; failures have their own bound."""
@@ -33,9 +33,7 @@
         self.successes = Sampler(SUCCESSES_LOGGED_PER_S)
         self.failures = Sampler(FAILURES_LOGGED_PER_S)
 
-    def note(
-        self, exchange: Exchange, serving: Serving | None, trace: Trace, seconds: float
-    ) -> None:
+    def note(self, exchange: Exchange, trace: Trace, seconds: float) -> None:
         """Write the line of a request that has ended after some seconds.
 
         Fields that say nothing are left out: a log that is kept by its size then reaches back further.
@@ -45,7 +43,7 @@
         sampler = self.successes if good else self.failures
         if not sampler.allows():
             return
-        call = serving.call if serving else None
+        call = trace.call
         records = trace.attempts.records if trace.attempts else []
         fields = {
             "request": call.request if call else "",
--- a/waxwingglade/ingress/serving.py
+++ b/waxwingglade/ingress/serving.py
@@ -56,12 +56,15 @@
 
     Parameters
     ----------
+    call : Call or None
+        The call, once it could be read.
     version : int
         Configuration version that it was served under.
     reason : str
         Why it ended as it did, where that is not plain from the status.
     """
 
+    call: Call | None = None
     version: int = 0
     route: str = ""
     reason: str = ""
@@ -100,11 +103,16 @@
         call = dialect.read_call(exchange.method, exchange.path, exchange.header_list())
     except FormatError as error:
         raise Refusal(BAD_REQUEST, str(error)) from error
+    trace.call = call
     call.body = exchange.body
     if table is None:
         raise Refusal(UNAVAILABLE, "no configuration is known yet")
     trace.version = table.configuration.version
     route = table.match(call.host, call.path)
+    if route is None and call.previous_turn is not None:
+        # The turn before was served, so the route was there: this version may be older than that.  The
+        # caller would give the conversation up on a 404, and there is no proof that the turn is unknown.
+        raise Refusal(UNAVAILABLE, "not run: no route for a turn that goes on")
     if route is None:
         raise Refusal(NOT_FOUND, "no route")
     trace.route = route.name
--- a/waxwingglade/ingress/tests/test_request_log.py
+++ b/waxwingglade/ingress/tests/test_request_log.py
@@ -8,8 +8,8 @@
 
 from waxwingglade.follow.feed import Beliefs
 from waxwingglade.ingress.request_log import RequestLog
-from waxwingglade.ingress.serving import Serving, Trace
-from waxwingglade.ingress.tests.builders import NOTES, call, route
+from waxwingglade.ingress.serving import Trace
+from waxwingglade.ingress.tests.builders import call
 from waxwingglade.ledger.messages import TurnId
 
 
@@ -25,9 +25,7 @@
         exchange = mock.Mock(status=status)
         made = call("request-2", program="program-1")
         made.previous_turn = TurnId("request-1")
-        trace = Trace(version=7, route="turns", reason=reason)
-        serving = Serving(exchange, made, route("/turns/"), NOTES, trace, 0.0)
-        self.log.note(exchange, serving, trace, 0.25)
+        self.log.note(exchange, Trace(made, version=7, route="turns", reason=reason), 0.25)
         return self.lines[-1]
 
     def test_a_line_tells_what_decided_and_what_was_continued(self) -> None:
