Vouch for a view only as of when it was asked for, and tell lists of targets that others lack

(2) A target whose time to come back ended with a list of the same revision stayed in the list, and one that came back was not told of to entries that had dropped it. (3) An answer of the store that can't be read, or a 404 to a watch, ended following for good, with one line in the log. (4) Connection and answer of a call had a timeout each.

Left: an answer of the store that is late by less than 0.6 s confirms a view as of its arrival.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -183,7 +183,9 @@
                 self.source = ""
             return False
         now = self.beliefs.clock()
-        confirmed_at = (now if wait_s else asked_at) - answer.age_s
+        # What was read later than it was awaited for lay here while this VM stood still.
+        in_time = wait_s > 0 and now - asked_at <= wait_s + ANSWER_S
+        confirmed_at = (now if in_time else asked_at) - answer.age_s
         self.beliefs.merge(answer.view, confirmed_at)
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         # A source that has lost the majority says so at once.  Where another still reaches it, that
--- a/waxwingglade/follow/store.py
+++ b/waxwingglade/follow/store.py
@@ -12,6 +12,11 @@
 from waxwingglade.base import WaxwinggladeError
 from waxwingglade.follow.model import Revision
 
+WATCH_MARGIN_S = 0.6
+"""Seconds beyond its wait after which a watch is taken for dead.  With the wait this leaves a second
+of the two within which a changed configuration is in force, and a store that is slow by a factor of
+a hundred, 400 ms, still answers in time."""
+
 
 class StoreUnavailable(WaxwinggladeError):
     """The store gave no answer, or said that it did nothing.
@@ -81,4 +86,4 @@
         """
 
 
-__all__ = ["HistoryGone", "Item", "Listing", "Store", "StoreUnavailable"]
+__all__ = ["WATCH_MARGIN_S", "HistoryGone", "Item", "Listing", "Store", "StoreUnavailable"]
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -12,9 +12,9 @@
 from waxwingglade.follow.feed import Beliefs, FeedFollower
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Configuration, Replica, Revision, TargetList, View
-from waxwingglade.follow.store import StoreUnavailable
+from waxwingglade.follow.store import Listing, StoreUnavailable
 from waxwingglade.follow.tests.builders import KEYS, SHORT_S, SILENCE_S, MemoryStore
-from waxwingglade.follow.watcher import Watcher
+from waxwingglade.follow.watcher import RETURN_S, Watcher
 
 PATIENCE_S = 5.0
 
@@ -101,6 +101,49 @@
         self.store.put("targets/b", b"ready")
         await until(lambda: self.names() == {"b"})
 
+    async def test_a_target_that_stays_away_is_dropped_with_the_next_change(self) -> None:
+        """Its time may end at a revision that others have already as one with it."""
+        await self.watcher.stop()
+        revision = Revision(self.store.revision)
+        self.watcher._note_outage("away")
+        self.store.put("targets/a", None)
+        self.store.put("targets/c", b"ready")
+        revision = await self.watcher._step(revision)
+        self.assertEqual(self.names(), {"a", "b", "c"})
+        self.now += RETURN_S + 0.1
+        revision = await self.watcher._step(revision)
+        self.store.put("own/sign-of-life", b"")
+        await self.watcher._step(revision)
+        self.assertEqual(self.names(), {"b", "c"})
+
+    async def test_a_target_that_came_back_is_told_anew(self) -> None:
+        """An entry that followed the store for a while may have dropped it."""
+        await self.watcher.stop()
+        revision = Revision(self.store.revision)
+        self.watcher._note_outage("away")
+        self.store.put("targets/a", None)
+        revision = await self.watcher._step(revision)
+        self.store.put("targets/a", b"ready")
+        await self.watcher._step(revision)
+        self.assertEqual(self.watcher.view.targets.revision, self.store.revision)
+
+    async def test_an_answer_that_lay_here_confirms_only_what_was_known_when_it_was_asked(
+        self,
+    ) -> None:
+        """The VM stood still for five seconds, while the answer waited to be read."""
+        await self.watcher.stop()
+        watch = self.store.watch
+
+        async def stand_still(prefix: str, after: Revision, wait_s: float) -> Listing:
+            answer = await watch(prefix, after, wait_s)
+            self.now += 5.0
+            return answer
+
+        asked_at = self.now
+        with mock.patch.object(self.store, "watch", stand_still):
+            await self.watcher._step(Revision(self.store.revision))
+        self.assertEqual(self.watcher.confirmed_at, asked_at)
+
 
 class BeginningInAnOutage(unittest.IsolatedAsyncioTestCase):
     """A process that begins to follow the store while that is away, and its targets' entries lapse.
@@ -191,6 +234,25 @@
         view = View(Configuration(ConfigVersion(version), (), ()), TargetList(Revision(version)))
         self.sources[name].merge(view, self.now)
 
+    async def test_an_answer_that_lay_here_confirms_only_what_was_known_when_it_was_asked(
+        self,
+    ) -> None:
+        """This VM stood still for five seconds, while the answer waited to be read."""
+        self._tell("near", 4)
+        source = self.follower.sources()[0]
+        self.follower.source = source.address
+        asked_at = self.now
+        ask = self.follower.ask
+
+        async def stand_still(address: str, message: Follow, timeout_s: float) -> Followed:
+            answer = await ask(address, message, timeout_s)
+            self.now += 5.0
+            return answer
+
+        self.follower.ask = stand_still
+        await self.follower._ask(source)
+        self.assertLessEqual(self.own.confirmed_at, asked_at)
+
     async def test_the_nearest_source_that_knows_enough_is_followed(self) -> None:
         self._tell("near", 3)
         self.follower.start()
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -23,7 +23,14 @@
     TargetList,
     View,
 )
-from waxwingglade.follow.store import HistoryGone, Item, Listing, Store, StoreUnavailable
+from waxwingglade.follow.store import (
+    WATCH_MARGIN_S,
+    HistoryGone,
+    Item,
+    Listing,
+    Store,
+    StoreUnavailable,
+)
 
 EVERYTHING = ""
 """Prefix of all keys."""
@@ -127,6 +134,7 @@
         self.in_outage = bool(known.targets)
         self.partial_until = float("-inf")
         self.partial = False
+        self.unpublished = False
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -177,7 +185,9 @@
             return listing.revision
         events = await self.store.watch(EVERYTHING, revision, WAIT_S)
         self._take(events, False)
-        self.checked_at = self.clock()
+        now = self.clock()
+        # An answer that comes later than any does was held up here, for example while the VM stood still.
+        self.checked_at = now if now - asked_at < WAIT_S + WATCH_MARGIN_S else asked_at
         return max(revision, events.revision)
 
     def _take(self, listing: Listing, whole: bool) -> None:
@@ -279,9 +289,15 @@
                 self.missing.pop(key)
                 self.targets.pop(key, None)
         partial, self.partial = self.partial, now < self.partial_until
-        if self.targets != before or not self.view.targets.revision or partial != self.partial:
-            self._log_targets(before)
-            self._replace(self.view.merged(View(targets=self._target_list(revision))))
+        self._log_targets(before)
+        if self.targets != before or partial != self.partial or not self.view.targets.revision:
+            self.unpublished = True
+        if self.unpublished:
+            targets = self._target_list(revision)
+            self._replace(self.view.merged(View(targets=targets)))
+            # One that waited until its time was over may be dropped without a change of the store; the
+            # list then has the revision of the one before and is taken only with the next change.
+            self.unpublished = self.view.targets is not targets
 
     def _target_list(self, revision: Revision) -> TargetList:
         """Return the targets as of a revision.
@@ -300,7 +316,9 @@
         except FormatError as error:
             logger.error("target not read: {}", error)
             return
-        self.missing.pop(item.key, None)
+        if self.missing.pop(item.key, None) is not None:
+            # Others may have dropped it meanwhile, so the list is told anew though it is the same.
+            self.unpublished = True
         self.targets[item.key] = target
 
     def _lose(self, key: str, now: float) -> None:
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -2,13 +2,21 @@
 
 import asyncio
 import base64
+import binascii
 from collections import Counter
+from typing import TypeVar
 from urllib.parse import quote
 
 import msgspec
 
 from waxwingglade.follow.model import Revision
-from waxwingglade.follow.store import HistoryGone, Item, Listing, StoreUnavailable
+from waxwingglade.follow.store import (
+    WATCH_MARGIN_S,
+    HistoryGone,
+    Item,
+    Listing,
+    StoreUnavailable,
+)
 from waxwingglade.transport import (
     Broken,
     ConnectionPool,
@@ -26,11 +34,6 @@
 while the store was silent is never answered, so this counts against the two seconds within which a
 changed configuration is in force: with 1.5 s a process that started in a silence knew it 2.7 s after."""
 
-WATCH_MARGIN_S = 0.6
-"""Seconds beyond its wait after which a watch is taken for dead.  With the wait this leaves a second
-of the two within which a changed configuration is in force, and a store that is slow by a factor of
-a hundred, 400 ms, still answers in time."""
-
 PAGE_LIMIT = 1000
 """Pages of one listing, against a store that would never say that it is done."""
 
@@ -44,6 +47,9 @@
 _NOTHING_DONE = (429, 503)
 
 
+Wire = TypeVar("Wire")
+
+
 class _WireItem(msgspec.Struct):
     key: str
     revision: int
@@ -108,7 +114,7 @@
         response = await self._call("read", "GET", f"/v1/kv-key?key={quote(key, safe='')}")
         if response.status == _NOT_FOUND:
             return None
-        return _item(msgspec.json.decode(response.body, type=_WireItem))
+        return _item(_decoded(response, _WireItem))
 
     async def list(self, prefix: str) -> Listing:
         """Return all items below a prefix, and the revision of the first page."""
@@ -118,7 +124,7 @@
         after = ""
         for _ in range(PAGE_LIMIT):
             response = await self._call("list", "GET", path + after)
-            page = msgspec.json.decode(response.body, type=_Page)
+            page = _decoded(response, _Page)
             items += [_item(item) for item in page.items]
             if revision is None:
                 revision = Revision(page.current_rev)
@@ -136,7 +142,7 @@
         response = await self._call("watch", "GET", path, wait_s + WATCH_MARGIN_S)
         if response.status == _GONE:
             raise HistoryGone(f"{prefix} after {after}")
-        events = msgspec.json.decode(response.body, type=_Events)
+        events = _decoded(response, _Events)
         return Listing(tuple(_item(event) for event in events.events), Revision(events.current_rev))
 
     async def compare_and_swap(self, key: str, revision: Revision, value: bytes) -> Item | None:
@@ -178,13 +184,14 @@
         if body:
             headers.append(("Content-Type", "application/json"))
         request = HttpRequest(method, path, headers, body)
+        end_at = asyncio.get_running_loop().time() + timeout_s
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(end_at):
                 connection = await self.pool.take(self.address)
         except (NotConnected, TimeoutError) as error:
             raise StoreUnavailable(str(error) or "no connection", may_have_run=False) from error
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout_at(end_at):
                 connection.send(request)
                 response = await connection.read_head(lambda _: True)
                 response.body = await connection.read_body(MAX_BODY_BYTES)
@@ -205,8 +212,21 @@
         self.pool.close()
 
 
+def _decoded(response: HttpResponse, kind: type[Wire]) -> Wire:
+    """Decode an answer; `StoreUnavailable` for one that is none, or whoever follows would end."""
+    if response.status != _OK:
+        raise StoreUnavailable(f"status {response.status} for a read", may_have_run=False)
+    try:
+        return msgspec.json.decode(response.body, type=kind)
+    except msgspec.DecodeError as error:
+        raise StoreUnavailable(f"answer not read: {error}", may_have_run=False) from error
+
+
 def _item(wire: _WireItem) -> Item:
-    value = None if wire.deleted or wire.value is None else base64.b64decode(wire.value)
+    try:
+        value = None if wire.deleted or wire.value is None else base64.b64decode(wire.value)
+    except binascii.Error as error:
+        raise StoreUnavailable(f"{wire.key} not read: {error}", may_have_run=False) from error
     return Item(wire.key, value, Revision(wire.revision))
 
 
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -6,6 +6,7 @@
 from waxwingglade.follow.store import HistoryGone, StoreUnavailable
 from waxwingglade.platform.store import PlatformStore
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
+from waxwingglade.transport import HttpResponse
 
 
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
@@ -70,3 +71,14 @@
         await self.store.list("servers/")
         await self.store.read("own/a")
         self.assertEqual(self.store.calls, {"list": 1, "read": 1})
+
+    async def test_an_answer_that_is_none_is_a_failure_like_others(self) -> None:
+        """Whoever follows the store would end by it and never hear of a change again."""
+        for status, body in ((200, b"<html>"), (404, b""), (412, b"{}")):
+            answer = HttpResponse(status, [], body)
+            with (
+                self.subTest(status=status),
+                mock.patch.object(self.store, "_call", return_value=answer),
+                self.assertRaises(StoreUnavailable),
+            ):
+                await self.store.watch("servers/", 0, 0.1)
