--- /dev/null
+++ b/waxwingglade/follow/targets.py
@@ -0,0 +1,136 @@
+"""The targets that are registered in the store, and those whose entries may only have lapsed."""
+
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+
+from waxwingglade.base import Clock, FormatError
+from waxwingglade.follow.model import Revision, Target, TargetList
+from waxwingglade.follow.store import Item
+
+RETURN_S = 2.2
+"""Seconds after an outage of the store for which a target that is missing may still come back;
+targets that live have registered again within two seconds."""
+
+
+class RegisteredTargets:
+    """One process's own list of targets.
+
+    Parameters
+    ----------
+    prefix : str
+        Beginning of the keys of targets.
+    decode : callable
+        Reads a target from its key and value; `FormatError` if that can't be.
+    clock : Clock
+        Monotonic seconds.
+    known : TargetList
+        Targets that the process knows already.
+
+    Attributes
+    ----------
+    missing : dict
+        Until when targets that are no longer registered may come back, by key.
+    partial : bool
+        Whether the list may lack targets that live.
+    """
+
+    def __init__(
+        self,
+        prefix: str,
+        decode: Callable[[str, bytes], Target],
+        clock: Clock,
+        known: TargetList,
+    ) -> None:
+        self.decode = decode
+        self.clock = clock
+        self.targets = {prefix + target.target: target for target in known.targets}
+        self.published = TargetList()
+        self.unpublished = False
+        self.missing: dict[str, float] = {}
+        self.outage_until = float("-inf")
+        self.partial_until = float("-inf")
+        self.partial = False
+
+    def note_return(self) -> None:
+        """Note that the store is back: entries of targets that live may have lapsed meanwhile."""
+        self.outage_until = self.clock()
+        if not self.targets:
+            self.partial_until = self.outage_until + RETURN_S
+
+    def take(self, items: Iterable[Item], revision: Revision, whole: bool) -> TargetList | None:
+        """Take in all entries, or those that have changed; return the list if it is to be told."""
+        now = self.clock()
+        before = dict(self.targets)
+        if whole:
+            present = {item.key for item in items}
+            for key in list(self.targets):
+                if key not in present:
+                    self._lose(key, now)
+        for item in items:
+            if item.value is None:
+                self._lose(item.key, now)
+            else:
+                self._keep(item.key, item.value)
+        for key, until in list(self.missing.items()):
+            if now >= until:
+                self.missing.pop(key)
+                self.targets.pop(key, None)
+        partial, self.partial = self.partial, now < self.partial_until
+        self._log(before)
+        if self.targets != before or partial != self.partial or not self.published.revision:
+            self.unpublished = True
+        return self._list(revision) if self.unpublished else None
+
+    def note_published(self, targets: TargetList) -> None:
+        """Note the list that is told to others.
+
+        One that waited until its time was over may be dropped without a change of the store; the list then
+        has the revision of the one before, and is taken only with the next change.
+        """
+        self.published = targets
+        self.unpublished = targets.targets != tuple(self.targets.values())
+
+    def _list(self, revision: Revision) -> TargetList:
+        """Return the targets as of a revision.
+
+        What a process that knew none finds right after an outage may lack targets that lapsed in it.  Such
+        a list has a revision below all that others have, so it only serves where nothing is known.
+        """
+        if self.partial:
+            revision = Revision(self.published.revision + 1)
+        return TargetList(revision, tuple(self.targets.values()))
+
+    def _keep(self, key: str, value: bytes) -> None:
+        try:
+            target = self.decode(key, value)
+        except FormatError as error:
+            logger.error("target not read: {}", error)
+            return
+        if self.missing.pop(key, None) is not None:
+            # Others may have dropped it meanwhile, so the list is told anew though it is the same.
+            self.unpublished = True
+        self.targets[key] = target
+
+    def _lose(self, key: str, now: float) -> None:
+        """Drop a target, unless its entry may only have lapsed while the store was away."""
+        target = self.targets.get(key)
+        if target is None or key in self.missing:
+            return
+        if not target.leaving and now - self.outage_until < RETURN_S:
+            self.missing[key] = self.outage_until + RETURN_S
+            return
+        del self.targets[key]
+
+    def _log(self, before: dict[str, Target]) -> None:
+        for key in before.keys() - self.targets.keys():
+            logger.bind(target=before[key].target).info("target gone")
+        for key, target in self.targets.items():
+            old = before.get(key)
+            if old is None:
+                logger.bind(target=target.target, service=target.service).info("target new")
+            elif target.leaving and not old.leaving:
+                logger.bind(target=target.target).info("target leaving")
+
+
+__all__ = ["RETURN_S", "RegisteredTargets"]
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -13,8 +13,9 @@
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Configuration, Replica, Revision, TargetList, View
 from waxwingglade.follow.store import Listing, StoreUnavailable
+from waxwingglade.follow.targets import RETURN_S
 from waxwingglade.follow.tests.builders import KEYS, SHORT_S, SILENCE_S, MemoryStore
-from waxwingglade.follow.watcher import RETURN_S, Watcher
+from waxwingglade.follow.watcher import Watcher
 
 PATIENCE_S = 5.0
 
@@ -93,10 +94,10 @@
         self.store.put("targets/a", None)
         self.store.put("targets/b", None)
         self.store.away = False
-        await until(lambda: len(self.watcher.missing) == 2)
+        await until(lambda: len(self.watcher.targets.missing) == 2)
         self.assertEqual(self.names(), {"a", "b"})
         self.store.put("targets/b", b"ready")
-        await until(lambda: len(self.watcher.missing) == 1)
+        await until(lambda: len(self.watcher.targets.missing) == 1)
         self.now += 3.0
         self.store.put("targets/b", b"ready")
         await until(lambda: self.names() == {"b"})
@@ -192,7 +193,7 @@
         await until(lambda: watcher.view.version == 4)
         self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
         self.store.put("targets/b", b"ready")
-        await until(lambda: len(watcher.missing) == 1)
+        await until(lambda: len(watcher.targets.missing) == 1)
         self.now += 3.0
         self.store.put("targets/b", b"ready")
         await until(lambda: self.names(watcher.view) == {"b"})
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -31,6 +31,7 @@
     Store,
     StoreUnavailable,
 )
+from waxwingglade.follow.targets import RegisteredTargets
 
 EVERYTHING = ""
 """Prefix of all keys."""
@@ -42,10 +43,6 @@
 WAIT_S = 0.5
 """Seconds that a watch waits; its answer also shows that the store is there."""
 
-RETURN_S = 2.2
-"""Seconds after an outage of the store for which a target that is missing may still come back;
-targets that live have registered again within two seconds."""
-
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
 """Pause between failed calls, doubled up to the longest: calls are priced when they fail, too.  It is
@@ -128,13 +125,8 @@
         self.retiring: dict[str, Revision] = {}
         self.replicas_revision = Revision(0)
         self.replicas_known = asyncio.Event()
-        self.targets = {keys.targets + target.target: target for target in known.targets}
-        self.missing: dict[str, float] = {}
-        self.outage_until = float("-inf")
+        self.targets = RegisteredTargets(keys.targets, keys.decode_target, clock, known)
         self.in_outage = bool(known.targets)
-        self.partial_until = float("-inf")
-        self.partial = False
-        self.unpublished = False
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -202,7 +194,10 @@
                     items.append(item)
         self._take_operators(parts[self.keys.operators], whole)
         self._take_own(parts[self.keys.own])
-        self._take_targets(parts[self.keys.targets], listing.revision, whole)
+        targets = self.targets.take(parts[self.keys.targets], listing.revision, whole)
+        if targets is not None:
+            self._replace(self.view.merged(View(targets=targets)))
+            self.targets.note_published(self.view.targets)
 
     def _note_outage(self, reason: str) -> None:
         if not self.in_outage:
@@ -213,9 +208,7 @@
         if not self.in_outage:
             return
         self.in_outage = False
-        self.outage_until = self.clock()
-        if not self.targets:
-            self.partial_until = self.outage_until + RETURN_S
+        self.targets.note_return()
         logger.info("store regained")
 
     # What operators wrote
@@ -269,78 +262,6 @@
         self.replicas_revision = item.revision
         self._replace(self.view.merged(View(replicas=replicas)))
 
-    # What targets wrote
-
-    def _take_targets(self, items: list[Item], revision: Revision, whole: bool) -> None:
-        now = self.clock()
-        before = dict(self.targets)
-        if whole:
-            present = {item.key for item in items}
-            for key in list(self.targets):
-                if key not in present:
-                    self._lose(key, now)
-        for item in items:
-            if item.value is None:
-                self._lose(item.key, now)
-            else:
-                self._keep(item)
-        for key, until in list(self.missing.items()):
-            if now >= until:
-                self.missing.pop(key)
-                self.targets.pop(key, None)
-        partial, self.partial = self.partial, now < self.partial_until
-        self._log_targets(before)
-        if self.targets != before or partial != self.partial or not self.view.targets.revision:
-            self.unpublished = True
-        if self.unpublished:
-            targets = self._target_list(revision)
-            self._replace(self.view.merged(View(targets=targets)))
-            # One that waited until its time was over may be dropped without a change of the store; the
-            # list then has the revision of the one before and is taken only with the next change.
-            self.unpublished = self.view.targets is not targets
-
-    def _target_list(self, revision: Revision) -> TargetList:
-        """Return the targets as of a revision.
-
-        What a process that knew none finds right after an outage may lack targets that lapsed in it.  Such
-        a list has a revision below all that others have, so it only serves where nothing is known.
-        """
-        if self.partial:
-            revision = Revision(self.view.targets.revision + 1)
-        return TargetList(revision, tuple(self.targets.values()))
-
-    def _keep(self, item: Item) -> None:
-        assert item.value is not None
-        try:
-            target = self.keys.decode_target(item.key, item.value)
-        except FormatError as error:
-            logger.error("target not read: {}", error)
-            return
-        if self.missing.pop(item.key, None) is not None:
-            # Others may have dropped it meanwhile, so the list is told anew though it is the same.
-            self.unpublished = True
-        self.targets[item.key] = target
-
-    def _lose(self, key: str, now: float) -> None:
-        """Drop a target, unless its entry may only have lapsed while the store was away."""
-        target = self.targets.get(key)
-        if target is None or key in self.missing:
-            return
-        if not target.leaving and now - self.outage_until < RETURN_S:
-            self.missing[key] = self.outage_until + RETURN_S
-            return
-        del self.targets[key]
-
-    def _log_targets(self, before: dict[str, Target]) -> None:
-        for key in before.keys() - self.targets.keys():
-            logger.bind(target=before[key].target).info("target gone")
-        for key, target in self.targets.items():
-            old = before.get(key)
-            if old is None:
-                logger.bind(target=target.target, service=target.service).info("target new")
-            elif target.leaving and not old.leaving:
-                logger.bind(target=target.target).info("target leaving")
-
     def _replace(self, view: View) -> None:
         if view is self.view:
             return
--- a/waxwingglade/ledger/tests/builders.py
+++ b/waxwingglade/ledger/tests/builders.py
@@ -62,6 +62,18 @@
         self.members[vm] = Member(replica.disk, vm, vm, ZoneId("zone-" + vm[-1]))
         return replica
 
+    def joined(self, vm: str) -> ReplicaSet:
+        """Return the set that follows when a new replica with an empty disk joins."""
+        replica = self.add(vm)
+        replica.open()
+        members = (*self.set.members, self.members[vm])
+        return ReplicaSet(self.set.epoch + 1, members, False, replica.disk)
+
+    def without(self, vm: str) -> ReplicaSet:
+        """Return the set that follows when a member is removed."""
+        rest = tuple(member for member in self.set.members if member.vm != vm)
+        return ReplicaSet(self.set.epoch + 1, rest, False)
+
     async def start(self) -> None:
         """Open all disks and tell every replica who the members are."""
         for replica in self.replicas.values():
--- a/waxwingglade/ledger/tests/test_changing_sets.py
+++ b/waxwingglade/ledger/tests/test_changing_sets.py
@@ -20,7 +20,6 @@
 
 import asyncio
 import unittest
-from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
@@ -37,9 +36,6 @@
 LATE_S = 0.02
 """Delay of those members whose answers come last."""
 
-Following = Callable[[Cluster], ReplicaSet]
-"""Returns the set that follows a cluster's present one."""
-
 
 class ChangingSets(unittest.IsolatedAsyncioTestCase):
     async def start(self, size: int) -> None:
@@ -48,18 +44,6 @@
         self.addAsyncCleanup(self.cluster.close)
         await self.cluster.start()
 
-    def joined(self, vm: str) -> ReplicaSet:
-        """Return the set that follows when a replica with an empty disk joins."""
-        replica = self.cluster.add(vm)
-        replica.open()
-        members = (*self.cluster.set.members, self.cluster.members[vm])
-        return ReplicaSet(self.cluster.set.epoch + 1, members, False, replica.disk)
-
-    def without(self, vm: str) -> ReplicaSet:
-        """Return the set that follows when a member is removed."""
-        rest = tuple(member for member in self.cluster.set.members if member.vm != vm)
-        return ReplicaSet(self.cluster.set.epoch + 1, rest, False)
-
     async def keep_before(self, vms: list[str], following: ReplicaSet) -> None:
         """Keep a turn under the present set at some members; the others know the next one already."""
         for vm, replica in self.cluster.replicas.items():
@@ -81,7 +65,7 @@
 
     async def test_a_turn_kept_just_before_a_member_joined_is_known_just_after(self) -> None:
         await self.start(3)
-        following = self.joined("vm-3")
+        following = self.cluster.joined("vm-3")
         await self.keep_before(["vm-0", "vm-1"], following)
         await self.cluster.use(following)
         self.cluster.delays = {"vm-0": LATE_S, "vm-1": LATE_S}
@@ -90,7 +74,7 @@
 
     async def test_a_turn_that_was_never_kept_is_denied_while_a_member_joins(self) -> None:
         await self.start(3)
-        following = self.joined("vm-3")
+        following = self.cluster.joined("vm-3")
         await self.cluster.use(following)
         lines: list[dict[str, Any]] = []
         sink = logger.add(lambda message: lines.append(message.record["extra"]), level="WARNING")
@@ -103,7 +87,7 @@
     async def test_a_turn_kept_by_a_new_member_of_five_is_not_denied(self) -> None:
         """Three of five hold it; two of the four older members do not."""
         await self.start(4)
-        following = self.joined("vm-4")
+        following = self.cluster.joined("vm-4")
         await self.cluster.use(following)
         self.cluster.isolate("vm-2")
         self.cluster.isolate("vm-3")
@@ -115,7 +99,7 @@
 
     async def test_a_turn_is_not_denied_while_its_holders_cannot_be_asked(self) -> None:
         await self.start(3)
-        following = self.joined("vm-3")
+        following = self.cluster.joined("vm-3")
         await self.keep_before(["vm-0", "vm-1"], following)
         await self.cluster.use(following)
         self.cluster.isolate("vm-0")
@@ -125,7 +109,7 @@
 
     async def test_a_turn_kept_just_before_a_member_was_removed_is_known_just_after(self) -> None:
         await self.start(3)
-        following = self.without("vm-2")
+        following = self.cluster.without("vm-2")
         await self.keep_before(["vm-0", "vm-2"], following)
         await self.cluster.use(following)
         self.cluster.delays = {"vm-0": LATE_S}
@@ -135,7 +119,7 @@
     async def test_to_have_read_the_new_member_does_not_count(self) -> None:
         """It has read under the set before, while more was still being kept there."""
         await self.start(3)
-        following = self.joined("vm-3")
+        following = self.cluster.joined("vm-3")
         await self.keep_before(["vm-0", "vm-1"], following)
         await self.cluster.use(following)
         self.cluster.isolate("vm-0")
@@ -152,14 +136,14 @@
         replica = self.cluster.replicas["vm-0"]
         keeping = asyncio.create_task(replica.keep(Keep(self.cluster.set.epoch, turn(1))))
         await asyncio.sleep(0)
-        await replica.learn_members(self.without("vm-2"))
+        await replica.learn_members(self.cluster.without("vm-2"))
         self.assertIsInstance(await keeping, OtherEpoch)
 
     async def test_a_replica_that_counts_itself_as_read_refuses_older_sets_durably(self) -> None:
         """Else it could keep turns under an older set again after a loss of power."""
         await self.start(3)
         replica = self.cluster.replicas["vm-0"]
-        following = self.joined("vm-3")
+        following = self.cluster.joined("vm-3")
         unwritten: asyncio.Future[Place] = asyncio.get_running_loop().create_future()
         with mock.patch.object(replica.journal, "append", return_value=unwritten):
             learning = asyncio.create_task(replica.learn_members(following))
@@ -184,14 +168,20 @@
     are a majority of the new set: half of a set is no proof.
     """
 
-    async def deny(
-        self, size: int, following_of: Following, knowing: list[str], asker: str
-    ) -> None:
-        """Keep a turn under the next set, and continue it by the set before; it must not be denied."""
+    async def start(self, size: int, settled: bool = True) -> Cluster:
+        """Start a set of some members, of which the last one has joined."""
         cluster = Cluster(size)
         self.addAsyncCleanup(cluster.close)
+        if not settled:
+            last = cluster.set.members[-1].disk
+            cluster.set = ReplicaSet(1, cluster.set.members, False, last)
         await cluster.start()
-        following = following_of(cluster)
+        return cluster
+
+    async def deny(
+        self, cluster: Cluster, following: ReplicaSet, knowing: list[str], asker: str
+    ) -> None:
+        """Keep a turn under the next set, and continue it by the set before; it must not be denied."""
         for vm in knowing:
             await cluster.replicas[vm].learn_members(following)
         ended = await cluster.coordinator(knowing[0]).end(end(1))
@@ -199,50 +189,23 @@
         answer = await cluster.coordinator(asker).begin(begin(2, previous="turn-1"))
         self.assertNotIsInstance(answer, NoSuchTurn)
 
-    @staticmethod
-    def joined(vm: str) -> Following:
-        """Return the set that follows when a replica with an empty disk joins."""
-
-        def following(cluster: Cluster) -> ReplicaSet:
-            replica = cluster.add(vm)
-            replica.open()
-            members = (*cluster.set.members, cluster.members[vm])
-            return ReplicaSet(cluster.set.epoch + 1, members, False, replica.disk)
-
-        return following
-
-    @staticmethod
-    def without(vm: str) -> Following:
-        """Return the set that follows when a member is removed."""
-
-        def following(cluster: Cluster) -> ReplicaSet:
-            rest = tuple(member for member in cluster.set.members if member.vm != vm)
-            return ReplicaSet(cluster.set.epoch + 1, rest, False)
-
-        return following
-
     async def test_two_become_three(self) -> None:
-        await self.deny(2, self.joined("vm-2"), ["vm-0", "vm-2"], "vm-1")
+        cluster = await self.start(2)
+        await self.deny(cluster, cluster.joined("vm-2"), ["vm-0", "vm-2"], "vm-1")
 
     async def test_four_become_five(self) -> None:
-        await self.deny(4, self.joined("vm-4"), ["vm-0", "vm-1", "vm-4"], "vm-2")
+        cluster = await self.start(4)
+        await self.deny(cluster, cluster.joined("vm-4"), ["vm-0", "vm-1", "vm-4"], "vm-2")
 
     async def test_four_become_three_asked_of_one_that_stays(self) -> None:
-        await self.deny(4, self.without("vm-3"), ["vm-0", "vm-1"], "vm-2")
+        cluster = await self.start(4)
+        await self.deny(cluster, cluster.without("vm-3"), ["vm-0", "vm-1"], "vm-2")
 
     async def test_four_become_three_asked_of_the_one_removed(self) -> None:
-        await self.deny(4, self.without("vm-3"), ["vm-0", "vm-1"], "vm-3")
+        cluster = await self.start(4)
+        await self.deny(cluster, cluster.without("vm-3"), ["vm-0", "vm-1"], "vm-3")
 
     async def test_four_that_it_thinks_unsettled_become_three(self) -> None:
         """The asker has not heard that the set of four was settled, either."""
-        cluster = Cluster(4)
-        self.addAsyncCleanup(cluster.close)
-        joining = cluster.members["vm-3"].disk
-        cluster.set = ReplicaSet(1, cluster.set.members, False, joining)
-        await cluster.start()
-        following = self.without("vm-1")(cluster)
-        for vm in ("vm-0", "vm-3"):
-            await cluster.replicas[vm].learn_members(following)
-        self.assertTrue((await cluster.coordinator("vm-0").end(end(1))).kept)
-        answer = await cluster.coordinator("vm-2").begin(begin(2, previous="turn-1"))
-        self.assertNotIsInstance(answer, NoSuchTurn)
+        cluster = await self.start(4, settled=False)
+        await self.deny(cluster, cluster.without("vm-1"), ["vm-0", "vm-3"], "vm-2")
