Create programs in logs that can lose a holder, where one can be had

Cause of the listed outage test: a log's holders are the peers known when it is opened. A third entry that starts late at load is missing among them, its place in the log needs the store, and a new program went into any log that could be appended to. With the store away and the one other holder killed the creation met too few copies for 3 s and was answered may_have_run.

Change: a new program goes into an open log that can lose as many holders as a new log could, both sets of holders counted while a log moves; where there is none, one is opened, which takes no store.

--- a/waxwingglade/process/ownership.py
+++ b/waxwingglade/process/ownership.py
@@ -62,11 +62,29 @@
 
 
 def log_for_new_program(entry: Entry, cut: CutPolicy) -> OwnedLog | None:
-    """Return the open log with the fewest programs, of those that can make records durable."""
+    """Return the open log with the fewest programs, of those that bear as much as a new one would.
+
+    One is opened where there is none: to change the holders of a log takes the store, a new log does
+    not, and until then a log with few holders stands still once it loses one.
+    """
     roll_logs(entry, cut)
     candidates = [entry.owned.get(log) for log in entry.open_logs[cut]]
     usable = [owned for owned in candidates if owned is not None and _can_append(entry, owned)]
-    return min(usable, key=lambda owned: len(owned.programs), default=None)
+    if not usable:
+        return None
+    copies = min(entry.settings.durability.copies, len(entry.members.usable()) + 1)
+    lasting = [owned for owned in usable if _to_spare(owned) >= _beyond_majority(copies, copies)]
+    return min(lasting or [open_log(entry, cut)], key=lambda owned: len(owned.programs))
+
+
+def _to_spare(owned: OwnedLog) -> int:
+    """Return how many holders a log can lose and still make records durable."""
+    sets = [owned.copies, *([owned.next_copies] if owned.next_copies is not None else [])]
+    return min(_beyond_majority(sum(map(owned.alive, refs)), len(refs)) for refs in sets)
+
+
+def _beyond_majority(alive: int, copies: int) -> int:
+    return alive - (copies // 2 + 1)
 
 
 def roll_logs(entry: Entry, cut: CutPolicy) -> None:
