--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -21,9 +21,6 @@
 PATIENCE_S = 30.0
 GRACE_S = 8
 METRICS_PORT = 9464
-NETWORK = 1 + os.getpid() % 250
-"""Second number of the loopback addresses of this test process's VMs."""
-
 ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "north"}
 STREAM, CALL, ORDER = "/turns/", "/notes/", "/orders/"
 TOKENS_PER_EVENT = 10
@@ -99,9 +96,8 @@
         self.zone = list(ZONES)[number % len(ZONES)]
         self.folder = cluster.folder / self.name
         self.folder.mkdir()
-        # An address of its own, since the port of the metrics page is the same on every VM.  Clusters
-        # of tests that run at the same time have networks of their own for the same reason.
-        self.ip = f"127.{NETWORK}.{1 if purpose == 'front' else 2}.{number + 1}"
+        # An address of its own, since the port of the metrics page is the same on every VM.
+        self.ip = f"127.0.{1 if purpose == 'front' else 2}.{number + 1}"
         front, ready, first = free_ports(3)
         self.port, self.ready_port = front, ready
         self.caller_port = front
