Keep the copies of a lost owner's logs while leaving, until they were taken over

An entry was killed and another told to stop 0.26 s later; as soon as the second took the first for gone it left, 3.0 s after the kill, with one of the two copies that the third holder still needed. That one had taken over three logs of four, 2.7 to 2.8 s after the kill; the fourth had '1 of 3 copies answered, 2 are needed' for good.

Change: a copy of a log whose owner is gone is waited for, too, for as long as the entry may take to leave; while it leaves it still looks in the store whether such a log was taken over without its hearing so.

--- a/waxwingglade/process/drain.py
+++ b/waxwingglade/process/drain.py
@@ -101,7 +101,10 @@
 
 
 async def _wait_for_copies(entry: Entry) -> None:
-    """Wait until the owners of other logs have replaced this entry as a holder."""
+    """Wait until the owners of other logs have replaced this entry as a holder.
+
+    A log that has just lost its owner is waited for as well: whoever takes it over needs most copies.
+    """
     while any(_is_needed(entry, copy) for copy in entry.copies.logs.values()):
         await asyncio.sleep(LOOK_S)
 
@@ -109,8 +112,7 @@
 def _is_needed(entry: Entry, copy: LogCopy) -> bool:
     if not entry.members.usable() or copy.owner is None:
         return False
-    in_use = any(entry.own.answers_to(ref.incarnation) for ref in copy.copies)
-    return in_use and entry.members.alive(copy.owner)
+    return any(entry.own.answers_to(ref.incarnation) for ref in copy.copies)
 
 
 async def take_from_leaving(entry: Entry, body: TakeLog) -> PeerBody:
--- a/waxwingglade/process/ownership.py
+++ b/waxwingglade/process/ownership.py
@@ -206,8 +206,6 @@
 
 
 def _look_for_orphans(entry: Entry) -> None:
-    if entry.members.state is EntryState.DRAINING:
-        return
     for log, copy in list(entry.copies.logs.items()):
         if log in entry.taking_over or log in entry.owned:
             continue
@@ -242,8 +240,9 @@
     if present is not None and await _serves(entry, present.owner, log):
         _forget_unless_holder(entry, present)
         return
-    adopted = await adopt(entry, log, fallback_of(log, copy))
-    if adopted.is_err():
+    # A leaving entry takes nothing over; it only finds out which of its copies others still need.
+    leaving = entry.members.state is EntryState.DRAINING
+    if leaving or (await adopt(entry, log, fallback_of(log, copy))).is_err():
         # Others may be at it, or too few copies can be reached: look again a little later.
         await asyncio.sleep(entry.settings.durability.suspect_after_s * random.uniform(0.5, 1.0))
 
