Let a leaving entry ask a peer to take over the logs that have lost their owner

Cause: a change of holders counts once a majority of the new ones hold the log, so a holder that the store names may not have been sent it. When the owner is killed then, only the other old holder knows of the loss; if that one leaves, it takes nothing over, and the log's programs are lost with it.

Change: a leaving entry asks a peer, one at a time, to take such a log over; as the owner itself did not ask, the peer first asks the copies whether it is gone.

--- a/waxwingglade/connection/log_messages.py
+++ b/waxwingglade/connection/log_messages.py
@@ -76,9 +76,18 @@
 
 
 class TakeLog(msgspec.Struct, frozen=True, tag="take_log", array_like=True):
-    """Ask a peer to take over a log from its owner, who is leaving."""
+    """Ask a peer to take over a log from its owner, who is leaving.
+
+    Parameters
+    ----------
+    log : LogId
+        The log.
+    orphaned : bool
+        Whether a leaving holder asks, as the owner seems to be gone.
+    """
 
     log: LogId
+    orphaned: bool = False
 
 
 class LogTaken(msgspec.Struct, frozen=True, tag="log_taken", array_like=True):
--- a/waxwingglade/process/drain.py
+++ b/waxwingglade/process/drain.py
@@ -116,11 +116,11 @@
 
 
 async def take_from_leaving(entry: Entry, body: TakeLog) -> PeerBody:
-    """Take over a log on request of its owner."""
+    """Take over a log on request of its owner, or of a holder that leaves when the owner is gone."""
     if entry.members.state is EntryState.DRAINING:
         text = "this entry cannot take the log now"
         return Refused(Failure(Verdict.NOT_RUN, ErrorCode.UNAVAILABLE, text, RETRY_AFTER_S))
     copy = entry.copies.logs.get(body.log)
     fallback = fallback_of(body.log, copy) if copy else None
-    taken = await adopt(entry, body.log, fallback, invited=True)
+    taken = await adopt(entry, body.log, fallback, invited=not body.orphaned)
     return Refused(taken.err_value) if taken.is_err() else LogTaken()
--- a/waxwingglade/process/ownership.py
+++ b/waxwingglade/process/ownership.py
@@ -22,8 +22,10 @@
     EntryState,
     FindLog,
     LogFound,
+    LogTaken,
     PeerBody,
     Refused,
+    TakeLog,
 )
 from waxwingglade.process.directory import FORMAT_VERSION, LogEntry
 from waxwingglade.process.entry import Entry
@@ -240,15 +242,33 @@
     if present is not None and await _serves(entry, present.owner, log):
         _forget_unless_holder(entry, present)
         return
-    # A leaving entry takes nothing over; it only finds out which of its copies others still need.
-    leaving = entry.members.state is EntryState.DRAINING
-    if leaving or (await adopt(entry, log, fallback_of(log, copy))).is_err():
+    if not await _is_rescued(entry, log, copy):
         # Others may be at it, or too few copies can be reached: look again a little later.
         await asyncio.sleep(entry.settings.durability.suspect_after_s * random.uniform(0.5, 1.0))
 
 
+async def _is_rescued(entry: Entry, log: LogId, copy: LogCopy) -> bool:
+    if entry.members.state is not EntryState.DRAINING:
+        return (await adopt(entry, log, fallback_of(log, copy))).is_ok()
+    # A leaving entry takes nothing over.  It may be the only one that knows of the loss: a holder
+    # that the store names need not have been sent the log yet.  One peer is asked at a time, as two
+    # would claim the log from each other.
+    usable = entry.members.usable()
+    holders = {ref.incarnation for ref in copy.copies}
+    holding = [ref for ref in usable if ref.as_holder().incarnation in holders]
+    if not usable:
+        return False
+    answer = await _ask(entry, random.choice(holding or usable), TakeLog(log, orphaned=True))
+    return answer.is_ok() and isinstance(answer.ok_value, LogTaken)
+
+
 def _place_in_ranking(entry: Entry, log: LogId, copy: LogCopy) -> int:
-    alive = [ref for ref in copy.copies if entry.members.staying(ref)]
+    stays = entry.members.state is EntryState.ALIVE
+    alive = [
+        ref
+        for ref in copy.copies
+        if entry.members.staying(ref) and (stays or not entry.own.answers_to(ref.incarnation))
+    ]
     ranked = rank(log, alive)
     places = [place for place, ref in enumerate(ranked) if entry.own.answers_to(ref.incarnation)]
     return places[0] if places else len(ranked)
--- a/waxwingglade/process/tests/test_leaving_copies.py
+++ b/waxwingglade/process/tests/test_leaving_copies.py
@@ -8,6 +8,10 @@
 it could see.  Once it took the killed one for gone, it left within milliseconds, while the third holder
 was about to take the logs over: it had done so for three of four, and needed both copies for the fourth.
 
+In another run the third holder was named in the store just before the kill and had not been sent the log
+yet: a majority of the new holders is enough for a change.  Only the leaving entry knew that the log had
+lost its owner, and it takes nothing over; it left after its 30 s.  So it asks a peer to do it.
+
 The evidence: the kept logs of seed 84 of the short form, in which the three were taken over 2.7 to 2.8 s
 after the kill and the leaving entry ended 3.0 s after it.
 """
@@ -16,8 +20,19 @@
 import unittest
 from unittest import mock
 
-from waxwingglade.base import ConfigVersion, EntryId, EntryRef, Epoch, Incarnation, LogId, ZoneId
-from waxwingglade.connection.peer_messages import EntryState
+from waxwingglade.base import (
+    ConfigVersion,
+    EntryId,
+    EntryRef,
+    Epoch,
+    ErrorCode,
+    Incarnation,
+    LogId,
+    Ok,
+    ZoneId,
+    not_run,
+)
+from waxwingglade.connection.peer_messages import EntryState, LogTaken, PeerBody, TakeLog
 from waxwingglade.process import drain as draining
 from waxwingglade.process import ownership
 from waxwingglade.process.directory import FORMAT_VERSION, LogEntry
@@ -84,6 +99,28 @@
             await asyncio.gather(leaving, return_exceptions=True)
         adopt.assert_not_called()
 
+    async def test_a_peer_is_asked_to_take_over_what_only_a_leaving_entry_holds(self) -> None:
+        asked: list[PeerBody] = []
+
+        async def request(body: PeerBody, timeout_s: float) -> Ok[LogTaken]:
+            if isinstance(body, TakeLog):
+                asked.append(body)
+                self.entry.copies.forget(LOG, Epoch(2))
+            return Ok(LogTaken())
+
+        link = mock.Mock(request=request)
+        with mock.patch.object(self.entry.links, "to", return_value=link):
+            async with asyncio.timeout(4 * SOON_S):
+                await self.leave()
+        self.assertEqual(asked, [TakeLog(LOG, True)])
+
+    async def test_others_are_asked_whether_the_owner_is_gone_unless_it_asks_itself(self) -> None:
+        refusal = mock.AsyncMock(return_value=not_run(ErrorCode.UNAVAILABLE, "not now"))
+        for orphaned in (True, False):
+            with mock.patch.object(draining, "adopt", refusal) as adopt:
+                await draining.take_from_leaving(self.entry, TakeLog(LOG, orphaned))
+            self.assertEqual(adopt.call_args.kwargs, {"invited": not orphaned})
+
     async def test_nobody_is_waited_for_where_no_peer_is_left(self) -> None:
         self.entry.members.hear(self.other, EntryState.DRAINING, ConfigVersion(0))
         async with asyncio.timeout(SOON_S):
