Test random changes of members with callers that go on at once from kept turns

Cause of the gap: no test let callers continue the newest turns, through all replicas, while a member joins beside live ones, is wiped or removed; so a kept turn that was denied was found by users first.

Change: a seeded test with the real membership on a store in memory: machines are emptied with a spare, wiped, cut off and succeeded, restarted; messages are late and lost, sets are learnt late; no kept turn may be denied or miss from a prompt, no budget exceeded. Machines and their quick times have a module of their own; a message to a machine that goes meanwhile is lost now instead of an error of the builder's.

--- a/waxwingglade/ledger/tests/builders.py
+++ b/waxwingglade/ledger/tests/builders.py
@@ -104,9 +104,9 @@
             self.carried.append((sender, member.vm, message))
         self._lose(sender, member.vm)
         await asyncio.sleep(self.random.random() * 0.002 + self.delays.get(member.vm, 0.0))
-        replica = self.replicas[member.vm]
-        if replica.disk != member.disk:
-            raise Silence("wiped")
+        replica = self.replicas.get(member.vm)
+        if replica is None or replica.disk != member.disk:
+            raise Silence("gone or wiped")
         answer = await replica.handle(message)
         self._lose(member.vm, sender)
         return answer
--- /dev/null
+++ b/waxwingglade/ledger/tests/machines.py
@@ -0,0 +1,158 @@
+"""Machines that join the ledger, leave it and change its set of members, on a store in memory."""
+
+import asyncio
+import contextlib
+import random
+import sys
+import time
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.follow.watcher import Watcher
+from waxwingglade.ledger.membership import Membership
+from waxwingglade.ledger.messages import Ping
+from waxwingglade.ledger.tests.builders import Cluster, Silence
+
+QUICK = {
+    "LOOK_S": 0.01,
+    "PING_S": 0.02,
+    "SILENT_S": 0.3,
+    "ELSEWHERE_S": 1.2,
+    "STANDBY_S": 0.3,
+    "SUCCEED_S": 0.2,
+    "BALANCE_S": 0.1,
+}
+
+SWITCH_S = 0.0002
+"""Seconds after which a thread gives way to another."""
+
+
+@contextlib.contextmanager
+def quick_times() -> Iterator[None]:
+    """Let members be suspected, replaced and removed within fractions of a second."""
+    with contextlib.ExitStack() as patches:
+        for name, value in QUICK.items():
+            patches.enter_context(mock.patch(f"waxwingglade.ledger.membership.{name}", value))
+        patches.enter_context(mock.patch("waxwingglade.follow.watcher.PACE_S", 0.01))
+        yield
+
+
+@contextlib.contextmanager
+def quick_disks(most_s: float) -> Iterator[None]:
+    """Let flushes take some time and nothing else: how busy the real disk is does not matter then."""
+
+    def flush(_file: int) -> None:
+        time.sleep(random.random() * most_s)
+
+    before_s = sys.getswitchinterval()
+    # The threads that write would otherwise wait 5 ms for a busy loop, each time.
+    sys.setswitchinterval(SWITCH_S)
+    try:
+        with mock.patch("os.fdatasync", flush), mock.patch("os.fsync", flush):
+            yield
+    finally:
+        sys.setswitchinterval(before_s)
+
+
+class Machine:
+    """A replica with its watcher and its membership, as in a process."""
+
+    def __init__(self, cluster: "Machines", vm: str) -> None:
+        self.cluster = cluster
+        self.vm = vm
+        self.replica = cluster.replicas[vm]
+        self.member = cluster.members[vm]
+        self.watcher = Watcher(cluster.store, KEYS, self._changed)
+        self.membership = Membership(
+            self.member,
+            self.replica,
+            self.watcher,
+            cluster.store,
+            self._ask,
+            wanted=3,
+            zones=3,
+            replicas_key=KEYS.replicas,
+            status_prefix="status/",
+        )
+        self.membership.heard_of = lambda _: None
+        self.tasks: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Read the disk and begin to follow and to change."""
+        self.replica.open()
+        self.watcher.start()
+        self.tasks = [
+            asyncio.create_task(self.membership.ping_forever()),
+            asyncio.create_task(self.membership.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop as if killed."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.watcher.stop()
+        await self.replica.stop()
+
+    def _changed(self) -> None:
+        task = asyncio.ensure_future(self.replica.learn_members(self.watcher.view.replicas))
+        self.tasks.append(task)
+
+    async def _ask(self, member: Member, message: Any, timeout_s: float) -> Any:
+        if not isinstance(message, Ping):
+            return await self.cluster.ask(self.vm, member, message)
+        self.cluster._lose(self.vm, member.vm)
+        other = self.cluster.machines.get(member.vm)
+        if other is None:
+            raise Silence("down")
+        return other.membership.answer_ping(message)
+
+
+class Machines(Cluster):
+    """Machines that join and leave."""
+
+    def __init__(self) -> None:
+        super().__init__(size=0)
+        self.store = MemoryStore()
+        self.machines: dict[str, Machine] = {}
+
+    async def begin_on(self, vm: str) -> Machine:
+        """Add a machine with an empty disk."""
+        self.add(vm)
+        machine = self.machines[vm] = Machine(self, vm)
+        machine.start()
+        return machine
+
+    async def take_away(self, vm: str) -> None:
+        """Stop a machine for good."""
+        await self.machines.pop(vm).stop()
+        del self.replicas[vm]
+
+    async def ask(self, sender: str, member: Member, message: Any) -> Any:
+        """Carry a request, unless the receiver is down."""
+        if member.vm not in self.replicas:
+            raise Silence("down")
+        return await super().ask(sender, member, message)
+
+    @property
+    def set_now(self) -> ReplicaSet:
+        """The set of members in the store."""
+        watcher = Watcher(self.store, KEYS)
+        if KEYS.replicas in self.store.items:
+            watcher.take_replicas(self.store.items[KEYS.replicas])
+        return watcher.view.replicas
+
+    def vms(self) -> set[str]:
+        """Return the VMs of a settled set, or nothing."""
+        replicas = self.set_now
+        return {member.vm for member in replicas.members} if replicas.settled else set()
+
+    async def stop_all(self) -> None:
+        """Stop all machines."""
+        for machine in self.machines.values():
+            await machine.stop()
+        self.folder.cleanup()
--- /dev/null
+++ b/waxwingglade/ledger/tests/random_sets.py
@@ -0,0 +1,310 @@
+"""Callers that continue turns through all replicas while the set of members changes, by a seed."""
+
+import asyncio
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from waxwingglade.base import ProgramId
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.ledger.coordinator import Coordinator
+from waxwingglade.ledger.messages import (
+    BeginTurn,
+    BudgetSpent,
+    EndTurn,
+    NoSuchTurn,
+    Turn,
+    TurnBegun,
+    TurnId,
+)
+from waxwingglade.ledger.replica import Replica
+from waxwingglade.ledger.tests.builders import FAR_FUTURE, Silence
+from waxwingglade.ledger.tests.machines import Machine, Machines
+
+CALLERS = 16
+SPENDERS = 4
+"""Callers whose turns have a budget, two of them one together; accounts cost most of the time."""
+
+BUDGET, MOST_TOKENS = 600, 40
+LOSS = 0.01
+"""Share of messages that are lost, and again of answers."""
+
+LATE_S = 0.03
+"""Most seconds by which the answers of a machine come late, drawn anew for each change."""
+
+LEARNT_LATE_S = 0.1
+"""Most seconds after which a machine learns of a new set; on VMs its watch of the store decides that."""
+
+SETTLED_S = 10.0
+"""Seconds within which the set has its three members again after a change."""
+
+LOOKED_FOR = 40
+"""Kept turns that are continued once more at the end, through every replica."""
+
+THINK_S = 0.01
+NEWEST = 2
+"""Turns of which one is continued; users go on from the newest, or from the one before it."""
+
+
+class LateMachine(Machine):
+    """A machine that learns of a new set a little later than others."""
+
+    def _changed(self) -> None:
+        replicas = self.watcher.view.replicas
+        delay_s = self.cluster.random.random() * LEARNT_LATE_S
+
+        async def learn() -> None:
+            await asyncio.sleep(delay_s)
+            await self.replica.learn_members(replicas)
+
+        self.tasks.append(asyncio.ensure_future(learn()))
+
+
+class RandomSets:
+    """Three members and spares, callers, and one change after the other.
+
+    Parameters
+    ----------
+    seed : int
+        Decides on the changes, the losses and what callers do, not on how they interleave.
+
+    Attributes
+    ----------
+    kept : list of TurnId
+        Turns that were acknowledged as kept, in this order.
+    broken : list of str
+        Promises that were broken.
+    changes : int
+        Changes of members that were brought about.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self.draw = random.Random(seed)
+        self.machines = Machines()
+        self.machines.random = random.Random(seed)
+        self.coordinators: dict[str, Coordinator] = {}
+        self.working: defaultdict[str, set[asyncio.Task]] = defaultdict(set)
+        self.numbers = itertools.count(1)
+        self.spares = itertools.count(10)
+        self.turns: dict[TurnId, Turn] = {}
+        self.kept: list[TurnId] = []
+        self.handed_out: defaultdict[ProgramId, int] = defaultdict(int)
+        self.broken: list[str] = []
+        self.changes = 0
+        self.refused = 0
+
+    async def run(self, seconds: float) -> None:
+        """Let callers work while the set changes for some seconds; then look for all turns."""
+        for number in range(3):
+            self._begin_on(f"vm-{number}")
+        await self._until_settled()
+        self.machines.loss = LOSS
+        callers = [asyncio.create_task(self._caller(number)) for number in range(CALLERS)]
+        end_at = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end_at:
+            actions = [*3 * [self._empty], *2 * [self._succeed], self._wipe, self._restart]
+            await self._change(self.draw.choice(actions))
+        for caller in callers:
+            caller.cancel()
+        ends = await asyncio.gather(*callers, return_exceptions=True)
+        self.broken += [repr(each) for each in ends if not isinstance(each, asyncio.CancelledError)]
+        self.machines.loss = 0.0
+        looked_for = self.draw.sample(self.kept, min(LOOKED_FOR, len(self.kept)))
+        await asyncio.gather(*(self._look_for(name) for name in looked_for))
+        for program, tokens in self.handed_out.items():
+            if tokens > BUDGET:
+                self.broken.append(f"{program}: {tokens} tokens of {BUDGET}")
+
+    async def stop(self) -> None:
+        """Stop all machines."""
+        for vm in list(self.machines.machines):
+            self._end_work(vm)
+        await self.machines.stop_all()
+
+    # Callers
+
+    async def _caller(self, number: int) -> None:
+        """Continue turns, each through a replica drawn anew."""
+        for generation in itertools.count():
+            program = (
+                ProgramId(f"program-{number // 2}-{generation}") if number < SPENDERS else None
+            )
+            while await self._turn(program):
+                await asyncio.sleep(self.draw.random() * THINK_S)
+
+    async def _turn(self, program: ProgramId | None) -> bool:
+        """Run one turn; return whether the program has budget left."""
+        name = TurnId(f"turn-{next(self.numbers)}")
+        previous = self.draw.choice([None, *self.kept[-NEWEST:]])
+        begun = await self._ask(
+            lambda coordinator: coordinator.begin(
+                BeginTurn(name, program, MOST_TOKENS, BUDGET, previous)
+            )
+        )
+        if isinstance(begun, BudgetSpent):
+            return False
+        if isinstance(begun, NoSuchTurn):
+            self.broken.append(f"{previous} was kept and is denied")
+        if not isinstance(begun, TurnBegun):
+            self.refused += 1
+            return True
+        if begun.chain != self._chain(previous):
+            self.broken.append(f"{name}: another prompt than that of {previous}")
+        used = self.draw.choice([0, 10, MOST_TOKENS])
+        if program is not None:
+            self.handed_out[program] += used
+        turn = Turn(name, previous, b"asked " + name.encode(), b"answered\n", FAR_FUTURE)
+        self.turns[name] = turn
+        ended = await self._ask(lambda each: each.end(EndTurn(name, program, used, turn)))
+        if ended is not None and ended.kept:
+            self.kept.append(name)
+        return True
+
+    def _chain(self, name: TurnId | None) -> tuple[Turn, ...]:
+        chain: list[Turn] = []
+        while name is not None:
+            chain.append(self.turns[name])
+            name = self.turns[name].previous
+        return tuple(reversed(chain))
+
+    async def _ask(self, request: Callable[[Coordinator], Awaitable[Any]]) -> Any:
+        """Ask a replica that is up; None if it is killed meanwhile."""
+        vm = self.draw.choice(list(self.coordinators) or [""])
+        if not vm:
+            await asyncio.sleep(THINK_S)
+            return None
+        task = asyncio.ensure_future(request(self.coordinators[vm]))
+        self.working[vm].add(task)
+        try:
+            await asyncio.wait([task])
+        finally:
+            self.working[vm].discard(task)
+        return None if task.cancelled() else task.result()
+
+    async def _look_for(self, name: TurnId) -> None:
+        """Continue a kept turn through every replica."""
+        for vm, coordinator in self.coordinators.items():
+            async with asyncio.timeout(SETTLED_S):
+                while True:
+                    begun = await coordinator.begin(BeginTurn(TurnId("look"), None, 0, 0, name))
+                    if isinstance(begun, TurnBegun | NoSuchTurn):
+                        break
+                    await asyncio.sleep(THINK_S)
+            if begun != TurnBegun(self._chain(name)):
+                self.broken.append(f"{name} was kept and is gone at {vm}")
+
+    # Changes
+
+    async def _change(self, action: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        for vm in self.machines.replicas:
+            self.machines.delays[vm] = self.draw.choice([0.0, self.draw.random() * LATE_S])
+        try:
+            async with asyncio.timeout(SETTLED_S):
+                await action()
+                await self._until_settled()
+                await self._take_spares_away()
+                await self._until_settled()
+        except TimeoutError:
+            self.broken.append(f"{action.__name__}: the members are {self.machines.set_now}")
+            raise
+        self.changes += 1
+
+    async def _take_spares_away(self) -> None:
+        members = self.machines.vms()
+        for vm in [vm for vm in self.machines.machines if members and vm not in members]:
+            await self._take_away(vm)
+
+    async def _empty(self) -> None:
+        """Empty a machine for which another stands by."""
+        leaving = self._any_member()
+        self._begin_on(self._spare_name())
+        self.machines.store.put(f"op/retire/{leaving}", b"{}")
+        await self._until(lambda: self.machines.vms() and leaving not in self.machines.vms())
+        self.machines.store.put(f"op/retire/{leaving}", None)
+
+    async def _wipe(self) -> None:
+        """Lose a disk; the machine starts again with an empty one."""
+        vm = self._any_member()
+        await self._take_away(vm)
+        self._begin_on(vm)
+        await self._until(lambda: self._holds_place(vm))
+
+    async def _succeed(self) -> None:
+        """Cut a member off until another of its zone stands in, or has not for a while."""
+        vm = self._any_member()
+        spare = self._spare_name(vm)
+        self._begin_on(spare)
+        self.machines.isolate(vm)
+        await asyncio.sleep(0.15 + self.draw.random() * 0.3)
+        self.machines.heal()
+
+    async def _restart(self) -> None:
+        """Kill a machine and start it again."""
+        vm = self._any_member()
+        folder = self.machines.replicas[vm].journal.folder
+        await self._take_away(vm)
+        await asyncio.sleep(self.draw.random() * 0.1)
+        self.machines.replicas[vm] = Replica(folder)
+        self._start(vm)
+
+    def _any_member(self) -> str:
+        return self.draw.choice(sorted(self.machines.vms()))
+
+    def _spare_name(self, beside: str | None = None) -> str:
+        """Return a name for a new machine, in the zone of another or in any."""
+        zone = beside[-1] if beside else str(self.draw.randrange(3))
+        return f"vm-{next(self.spares)}-{zone}"
+
+    def _holds_place(self, vm: str) -> bool:
+        return any(m.disk == self.machines.replicas[vm].disk for m in self.machines.set_now.members)
+
+    async def _until_settled(self) -> None:
+        await self._until(lambda: len(self.machines.vms()) == 3 and self._all_up())
+
+    def _all_up(self) -> bool:
+        disks = {replica.disk for replica in self.machines.replicas.values()}
+        return disks >= {member.disk for member in self.machines.set_now.members}
+
+    async def _until(self, condition: Callable[[], object]) -> None:
+        while not condition():
+            await asyncio.sleep(0.005)
+
+    # Machines
+
+    def _begin_on(self, vm: str) -> None:
+        self.machines.add(vm)
+        self._start(vm)
+
+    def _start(self, vm: str) -> None:
+        machine = self.machines.machines[vm] = LateMachine(self.machines, vm)
+        machine.start()
+        self.coordinators[vm] = self._coordinator(machine)
+
+    def _coordinator(self, machine: Machine) -> Coordinator:
+        async def ask(member: Member, message: Any, timeout_s: float) -> Any:
+            try:
+                async with asyncio.timeout(timeout_s):
+                    return await self.machines.ask(machine.vm, member, message)
+            except TimeoutError as error:
+                raise Silence("late") from error
+
+        def heard_of(replicas: Any) -> None:
+            machine.tasks.append(asyncio.ensure_future(machine.replica.learn_members(replicas)))
+
+        return Coordinator(machine.member, lambda: machine.replica.replicas, ask, heard_of)
+
+    def _end_work(self, vm: str) -> None:
+        """End the requests under way at a machine: nobody hears of them."""
+        self.coordinators.pop(vm, None)
+        for task in list(self.working[vm]):
+            task.cancel()
+
+    async def _take_away(self, vm: str) -> None:
+        self._end_work(vm)
+        await self.machines.take_away(vm)
+
+
+__all__ = ["RandomSets"]
