--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -12,9 +12,9 @@
 from waxwingglade.follow.feed import Beliefs, FeedFollower
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Configuration, Replica, Revision, TargetList, View
-from waxwingglade.follow.store import StoreUnavailable
+from waxwingglade.follow.store import Listing, StoreUnavailable
 from waxwingglade.follow.tests.builders import KEYS, SHORT_S, SILENCE_S, MemoryStore
-from waxwingglade.follow.watcher import Watcher
+from waxwingglade.follow.watcher import RETURN_S, Watcher
 
 PATIENCE_S = 5.0
 
@@ -101,6 +101,116 @@
         self.store.put("targets/b", b"ready")
         await until(lambda: self.names() == {"b"})
 
+    async def test_a_target_that_stays_away_is_dropped_with_the_next_change(self) -> None:
+        """Its time may end at a revision that others have already as one with it."""
+        await self.watcher.stop()
+        revision = Revision(self.store.revision)
+        self.watcher._note_outage("away")
+        self.store.put("targets/a", None)
+        self.store.put("targets/c", b"ready")
+        revision = await self.watcher._step(revision)
+        self.assertEqual(self.names(), {"a", "b", "c"})
+        self.now += RETURN_S + 0.1
+        revision = await self.watcher._step(revision)
+        self.store.put("own/sign-of-life", b"")
+        await self.watcher._step(revision)
+        self.assertEqual(self.names(), {"b", "c"})
+
+    async def test_a_target_that_came_back_is_told_anew(self) -> None:
+        """An entry that followed the store for a while may have dropped it."""
+        await self.watcher.stop()
+        revision = Revision(self.store.revision)
+        self.watcher._note_outage("away")
+        self.store.put("targets/a", None)
+        revision = await self.watcher._step(revision)
+        self.store.put("targets/a", b"ready")
+        await self.watcher._step(revision)
+        self.assertEqual(self.watcher.view.targets.revision, self.store.revision)
+
+    async def test_an_answer_that_lay_here_confirms_only_what_was_known_when_it_was_asked(
+        self,
+    ) -> None:
+        """The VM stood still for five seconds, while the answer waited to be read."""
+        await self.watcher.stop()
+        watch = self.store.watch
+
+        async def stand_still(prefix: str, after: Revision, wait_s: float) -> Listing:
+            answer = await watch(prefix, after, wait_s)
+            self.now += 5.0
+            return answer
+
+        asked_at = self.now
+        with mock.patch.object(self.store, "watch", stand_still):
+            await self.watcher._step(Revision(self.store.revision))
+        self.assertEqual(self.watcher.confirmed_at, asked_at)
+
+
+class BeginningInAnOutage(unittest.IsolatedAsyncioTestCase):
+    """A process that begins to follow the store while that is away, and its targets' entries lapse.
+
+    Users saw a tenth of their programs refused for four seconds after an outage of the store.  The order
+    of events: entries had no source left and began to follow the store themselves; in the outage the
+    entries of all targets lapsed, though the targets lived; the store came back, and the first listing
+    was taken for all there is, by its revision even instead of what others knew better.  Requests were
+    refused for want of a target till the targets had registered again.  The evidence: two of nine plays of
+    a day with such an outage had refusals of that kind, at entries that followed the store.
+    """
+
+    async def asyncSetUp(self) -> None:
+        for name in ("PACE_S", "FIRST_PAUSE_S", "LONGEST_PAUSE_S"):
+            patch = mock.patch(f"waxwingglade.follow.watcher.{name}", 0.01)
+            patch.start()
+            self.addCleanup(patch.stop)
+        self.now = 1000.0
+        self.store = MemoryStore()
+        self.store.put("op/config", b'{"version": 4}')
+        for number in range(20):
+            self.store.put("targets/a", b"ready" if number % 2 else b"cold")
+        self.store.put("targets/b", b"ready")
+        before = self.watch()
+        await until(lambda: len(before.view.targets.targets) == 2)
+        self.known = before.view
+        await before.stop()
+        self.store.away = True
+        self.store.put("targets/a", None)
+        self.store.put("targets/b", None)
+
+    def watch(self, known: TargetList = TargetList()) -> Watcher:
+        """Begin to follow the store."""
+        watcher = Watcher(self.store, KEYS, clock=lambda: self.now, known=known)
+        watcher.start()
+        self.addAsyncCleanup(watcher.stop)
+        return watcher
+
+    def names(self, view: View) -> set[str]:
+        """Return the targets of a view."""
+        return {target.target for target in view.targets.targets}
+
+    async def test_what_was_known_before_may_come_back(self) -> None:
+        watcher = self.watch(self.known.targets)
+        self.store.away = False
+        await until(lambda: watcher.view.version == 4)
+        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        self.store.put("targets/b", b"ready")
+        await until(lambda: len(watcher.missing) == 1)
+        self.now += 3.0
+        self.store.put("targets/b", b"ready")
+        await until(lambda: self.names(watcher.view) == {"b"})
+        self.assertEqual(self.names(self.known.merged(watcher.view)), {"b"})
+
+    async def test_a_first_listing_does_not_displace_what_others_know(self) -> None:
+        watcher = self.watch()
+        await until(lambda: watcher.in_outage)
+        self.store.put("targets/c", b"ready")
+        self.store.away = False
+        await until(lambda: self.names(watcher.view) == {"c"})
+        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        self.store.put("targets/b", b"ready")
+        await until(lambda: self.names(watcher.view) == {"b", "c"})
+        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        self.now += 3.0
+        await until(lambda: self.names(self.known.merged(watcher.view)) == {"b", "c"})
+
 
 class FeedTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -124,6 +234,25 @@
         view = View(Configuration(ConfigVersion(version), (), ()), TargetList(Revision(version)))
         self.sources[name].merge(view, self.now)
 
+    async def test_an_answer_that_lay_here_confirms_only_what_was_known_when_it_was_asked(
+        self,
+    ) -> None:
+        """This VM stood still for five seconds, while the answer waited to be read."""
+        self._tell("near", 4)
+        source = self.follower.sources()[0]
+        self.follower.source = source.address
+        asked_at = self.now
+        ask = self.follower.ask
+
+        async def stand_still(address: str, message: Follow, timeout_s: float) -> Followed:
+            answer = await ask(address, message, timeout_s)
+            self.now += 5.0
+            return answer
+
+        self.follower.ask = stand_still
+        await self.follower._ask(source)
+        self.assertLessEqual(self.own.confirmed_at, asked_at)
+
     async def test_the_nearest_source_that_knows_enough_is_followed(self) -> None:
         self._tell("near", 3)
         self.follower.start()
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -23,7 +23,14 @@
     TargetList,
     View,
 )
-from waxwingglade.follow.store import HistoryGone, Item, Listing, Store, StoreUnavailable
+from waxwingglade.follow.store import (
+    WATCH_MARGIN_S,
+    HistoryGone,
+    Item,
+    Listing,
+    Store,
+    StoreUnavailable,
+)
 
 EVERYTHING = ""
 """Prefix of all keys."""
@@ -88,6 +95,9 @@
         Called after each change of the view.
     clock : Clock
         Monotonic seconds.
+    known : TargetList
+        Targets that the process knows already.  One that begins to follow the store does so because
+        nothing was confirmed for a while, so those of them that are missing may have lapsed with it.
 
     Attributes
     ----------
@@ -107,6 +117,7 @@
         keys: Keys,
         changed: Callable[[], None] = lambda: None,
         clock: Clock = monotonic,
+        known: TargetList = TargetList(),
     ) -> None:
         self.store = store
         self.keys = keys
@@ -117,10 +128,13 @@
         self.retiring: dict[str, Revision] = {}
         self.replicas_revision = Revision(0)
         self.replicas_known = asyncio.Event()
-        self.targets: dict[str, Target] = {}
+        self.targets = {keys.targets + target.target: target for target in known.targets}
         self.missing: dict[str, float] = {}
         self.outage_until = float("-inf")
-        self.in_outage = False
+        self.in_outage = bool(known.targets)
+        self.partial_until = float("-inf")
+        self.partial = False
+        self.unpublished = False
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -171,7 +185,9 @@
             return listing.revision
         events = await self.store.watch(EVERYTHING, revision, WAIT_S)
         self._take(events, False)
-        self.checked_at = self.clock()
+        now = self.clock()
+        # An answer that comes later than any does was held up here, for example while the VM stood still.
+        self.checked_at = now if now - asked_at < WAIT_S + WATCH_MARGIN_S else asked_at
         return max(revision, events.revision)
 
     def _take(self, listing: Listing, whole: bool) -> None:
@@ -198,6 +214,8 @@
             return
         self.in_outage = False
         self.outage_until = self.clock()
+        if not self.targets:
+            self.partial_until = self.outage_until + RETURN_S
         logger.info("store regained")
 
     # What operators wrote
@@ -270,10 +288,26 @@
             if now >= until:
                 self.missing.pop(key)
                 self.targets.pop(key, None)
-        if self.targets != before or not self.view.targets.revision:
-            targets = TargetList(revision, tuple(self.targets.values()))
-            self._log_targets(before)
+        partial, self.partial = self.partial, now < self.partial_until
+        self._log_targets(before)
+        if self.targets != before or partial != self.partial or not self.view.targets.revision:
+            self.unpublished = True
+        if self.unpublished:
+            targets = self._target_list(revision)
             self._replace(self.view.merged(View(targets=targets)))
+            # One that waited until its time was over may be dropped without a change of the store; the
+            # list then has the revision of the one before and is taken only with the next change.
+            self.unpublished = self.view.targets is not targets
+
+    def _target_list(self, revision: Revision) -> TargetList:
+        """Return the targets as of a revision.
+
+        What a process that knew none finds right after an outage may lack targets that lapsed in it.  Such
+        a list has a revision below all that others have, so it only serves where nothing is known.
+        """
+        if self.partial:
+            revision = Revision(self.view.targets.revision + 1)
+        return TargetList(revision, tuple(self.targets.values()))
 
     def _keep(self, item: Item) -> None:
         assert item.value is not None
@@ -282,7 +316,9 @@
         except FormatError as error:
             logger.error("target not read: {}", error)
             return
-        self.missing.pop(item.key, None)
+        if self.missing.pop(item.key, None) is not None:
+            # Others may have dropped it meanwhile, so the list is told anew though it is the same.
+            self.unpublished = True
         self.targets[item.key] = target
 
     def _lose(self, key: str, now: float) -> None:
--- a/waxwingglade/ledger/tests/machines.py
+++ b/waxwingglade/ledger/tests/machines.py
@@ -11,6 +11,7 @@
 
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.follow.store import StoreUnavailable
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
 from waxwingglade.follow.watcher import Watcher
 from waxwingglade.ledger.membership import Membership
@@ -112,6 +113,16 @@
         return other.membership.answer_ping(message)
 
 
+class StoreForNobody(MemoryStore):
+    """The same store, for a machine that it turns away."""
+
+    def __init__(self, store: MemoryStore) -> None:
+        self.__dict__ = store.__dict__
+
+    def _call(self) -> None:
+        raise StoreUnavailable("turned away", may_have_run=False)
+
+
 class Machines(Cluster):
     """Machines that join and leave."""
 
@@ -138,6 +149,11 @@
             raise Silence("down")
         return await super().ask(sender, member, message)
 
+    def turn_away(self, vm: str) -> None:
+        """Let the store refuse all calls of a machine."""
+        machine = self.machines[vm]
+        machine.watcher.store = machine.membership.store = StoreForNobody(self.store)
+
     @property
     def set_now(self) -> ReplicaSet:
         """The set of members in the store."""
