Let the soak's members change beside live ones, disks go in series and connections fall silent

Cause of the gap: the soak had as many ledger processes as members, so a member only ever joined for one whose disk was lost, and the two others had to hold all that was kept: a turn that was kept could not be denied there. The check itself was right: it calls every 404 for a turn that was answered whole a broken promise, at any time; only a 404 at the turns' own path after the last fault was passed over, which is broken now, too.

Change: a fourth ledger process stands by, and a member may be emptied; all disks may be wiped one after the other; the open connections of a process, or of all to the store, may fall silent for good while new ones work.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -161,6 +161,12 @@
         """Whether the process has said so since it was last started."""
         return b'"event":"started"' in (self.folder / "log").read_bytes()[self.log_start :]
 
+    @property
+    def disk(self) -> str:
+        """Name of the disk's content, empty while the process has not written it."""
+        path = self.folder / "data" / "identity"
+        return path.read_text().strip() if path.exists() else ""
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self.process is not None
--- a/tests/prove/relay.py
+++ b/tests/prove/relay.py
@@ -47,6 +47,7 @@
         self.cuts: dict[tuple[int, int], CutMode] = {}
         self.changed = asyncio.Event()
         self.open: dict[tuple[int, int], set[asyncio.StreamWriter]] = {}
+        self.silent: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task] = set()
 
     async def add(
@@ -84,6 +85,13 @@
             for writer in self.open.get((source, target), set()).copy():
                 writer.transport.abort()
 
+    def silence(self, source: int, target: int) -> None:
+        """Swallow all bytes of the connections that are open now, for good; new ones work.
+
+        Neither end is told: so it looks where a device on the way forgets the connections that it knows.
+        """
+        self.silent |= self.open.get((source, target), set())
+
     def heal(self, number: int) -> None:
         """End the cuts of an entry, in both directions."""
         self.cuts = {pair: mode for pair, mode in self.cuts.items() if number not in pair}
@@ -125,6 +133,7 @@
             await asyncio.wait([forward, back], return_when=asyncio.FIRST_COMPLETED)
         finally:
             opened -= both
+            self.silent -= both
             for end in both:
                 end.transport.abort()
             for task in (forward, back):
@@ -138,6 +147,8 @@
             while data := await reader.read(CHUNK_BYTES):
                 while self.cuts.get(way) is CutMode.STALL:
                     await self.changed.wait()
+                if writer in self.silent:
+                    continue
                 if self.cuts.get(way) is CutMode.DELAY:
                     await asyncio.sleep(DELAY_S)
                 writer.write(data)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,6 +7,7 @@
 
 import typer
 
+from tests.soak.faults import FIRST_KINDS
 from tests.soak.regressions import REGRESSIONS
 from tests.soak.run import Size, soak
 
@@ -23,6 +24,8 @@
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
     size = Size(seconds, entries, programs)
+    if regressions:
+        size = Size(seconds, entries, programs, spares=0, kinds=FIRST_KINDS)
     failed = 0
     seeds = list(REGRESSIONS) if regressions else list(range(first, first + count))
     for seed in seeds:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -1,10 +1,12 @@
 """The daemons of the platform behind relays, so that each of their connections can be harmed."""
 
+import json
 import random
 import signal
 
 from tests.platform_cluster import Node, PlatformCluster
 from tests.prove.relay import ADDRESS, STORE, Relays
+from waxwingglade.platform.registry import REPLICAS_KEY
 from waxwingglade.standins.registered_server import RegisteredServer
 
 CALLERS = 200
@@ -13,6 +15,9 @@
 SERVERS = 300
 """Number of the first server; each has one of its own."""
 
+MEMBERS = 3
+"""Members of the ledger; further ledger processes stand by."""
+
 
 class SoakCluster(PlatformCluster):
     """Entries, ledger processes, servers and a store, with relays between them.
@@ -20,7 +25,9 @@
     Parameters
     ----------
     entries : int
-        Entries; there are always three ledger processes, one in each zone.
+        Entries.
+    spares : int
+        Ledger processes beside the three members, one in each zone.
 
     Attributes
     ----------
@@ -28,10 +35,11 @@
         Servers that were drained, with what they ran.
     """
 
-    def __init__(self, entries: int) -> None:
+    def __init__(self, entries: int, spares: int = 0) -> None:
         self.relays = Relays(dict)
         self.store_ports: dict[str, int] = {}
         self.wanted_entries = entries
+        self.wanted_ledgers = MEMBERS + spares
         self.server_numbers: dict[str, int] = {}
         self.retired: list[RegisteredServer] = []
 
@@ -40,16 +48,18 @@
         super().__init__(entries=0, ledgers=0)
         store_port = int(self.store.address.rpartition(":")[2])
         names = [f"front-{number}" for number in range(self.wanted_entries)]
-        names += [f"storage-{number}" for number in range(3)]
+        names += [f"storage-{number}" for number in range(self.wanted_ledgers)]
         for number, name in enumerate(names):
             self.store_ports[name] = await self.relays.add(STORE, store_port, source=number)
         self.entries = [Node(self, "front", number) for number in range(self.wanted_entries)]
-        self.ledgers = [Node(self, "storage", number) for number in range(3)]
+        self.ledgers = [Node(self, "storage", number) for number in range(self.wanted_ledgers)]
         for server in [*self.engines, *self.notes]:
             await self.admit(server)
-        for node in [*self.ledgers, *self.entries]:
+        for node in [*self.ledgers[:MEMBERS], *self.entries]:
+            node.start()
+        await self.until(lambda: len(self.members()) == MEMBERS)
+        for node in self.ledgers[MEMBERS:]:
             node.start()
-        await self.until(lambda: len(self.members()) == len(self.ledgers))
         for entry in self.entries:
             await self.until_ready(entry)
             entry.caller_port = await self.relays.add(
@@ -74,6 +84,14 @@
         """Return a process's number among the ends of relays."""
         return self.nodes().index(node)
 
+    def is_whole(self) -> bool:
+        """Return whether the ledger's set is settled and has three members, on disks of this moment."""
+        value = self.store.value(REPLICAS_KEY) or b"{}"
+        disks = {member[1]: member[0] for member in json.loads(value).get("members", [])}
+        return len(self.members()) == MEMBERS and all(
+            disks.get(node.name) in (None, node.disk) for node in self.ledgers
+        )
+
     def store_address(self, node: str) -> str:
         """Return the relay through which a process reaches the store."""
         return f"{ADDRESS}:{self.store_ports[node]}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from enum import Enum
 from pathlib import Path
 
@@ -13,12 +13,16 @@
 from tests.platform_cluster import GRACE_S, HOST, Node, configuration
 from tests.prove.relay import STORE, CutMode
 from tests.soak.cluster import CALLERS, SoakCluster
+from waxwingglade.platform.registry import RETIRE_PREFIX
 from waxwingglade.standins.metadata_store import StoreFault
 from waxwingglade.standins.registered_server import ServerFault
 
 SETTLE_S = 20.0
 """Seconds within which the ledger has three settled members again after one was harmed."""
 
+NOTICED_S = 3.0
+"""Seconds for which connections that have fallen silent count as a fault; they are noticed sooner."""
+
 TORN_BYTES = 37
 """Bytes of nonsense behind a journal's end, as a write that power cut short leaves them."""
 
@@ -46,6 +50,13 @@
     SERVER_FAULT = "a server misbehaves"
     SERVER_LEAVES = "a server drains and another comes"
     CONFIGURE = "the configuration grows by a route"
+    SILENT_LINKS = "open connections fall silent for good"
+    WIPE_SERIES = "all ledger processes lose their disks, one after the other"
+    EMPTY_LEDGER = "a ledger process is emptied while another stands by"
+
+
+FIRST_KINDS = tuple(FaultKind)[:20]
+"""The kinds that there were when the first seeds failed; with others the same seed is another run."""
 
 
 class Happening(msgspec.Struct):
@@ -76,9 +87,12 @@
         When each server said that it drains.
     """
 
-    def __init__(self, cluster: SoakCluster, draw: random.Random) -> None:
+    def __init__(
+        self, cluster: SoakCluster, draw: random.Random, kinds: Sequence[FaultKind]
+    ) -> None:
         self.cluster = cluster
         self.draw = draw
+        self.kinds = kinds
         self.happened: list[Happening] = []
         self.broken: list[str] = []
         self.version = 3
@@ -111,6 +125,9 @@
             FaultKind.SERVER_FAULT: self._server_fault,
             FaultKind.SERVER_LEAVES: self._server_leaves,
             FaultKind.CONFIGURE: self._configure,
+            FaultKind.SILENT_LINKS: self._silence,
+            FaultKind.WIPE_SERIES: self._wipe_series,
+            FaultKind.EMPTY_LEDGER: self._empty_ledger,
         }
 
     async def run(self, seconds: float) -> None:
@@ -118,7 +135,7 @@
         end_at = time.monotonic() + seconds
         tasks = []
         while time.monotonic() < end_at:
-            action = self.actions[self.draw.choice(list(FaultKind))]
+            action = self.actions[self.draw.choice(self.kinds)]
             tasks.append(asyncio.create_task(action(self.draw.uniform(0.3, 3.0))))
             await asyncio.sleep(self.draw.expovariate(1.2))
         await asyncio.gather(*tasks)
@@ -195,12 +212,34 @@
             else:
                 node.kill()
             if kind is FaultKind.WIPE_LEDGER:
-                for path in (node.folder / "data").iterdir():
-                    path.unlink()
+                _wipe(node.folder / "data")
             if kind is FaultKind.TEAR_JOURNAL:
                 _tear(node.folder / "data", self.draw)
             node.start()
-            await self._until_settled(node)
+            await self._until_settled()
+            self._end(happening)
+
+    async def _wipe_series(self, _lasts_s: float) -> None:
+        """Wipe one disk after the other, each as soon as the set is whole without the last one."""
+        async with self.ledger_lock:
+            happening = self._begin(FaultKind.WIPE_SERIES, "everywhere")
+            for node in self.draw.sample(self.cluster.ledgers, len(self.cluster.ledgers)):
+                async with self._lock(node):
+                    node.kill()
+                    _wipe(node.folder / "data")
+                    node.start()
+                    await self._until_settled()
+            self._end(happening)
+
+    async def _empty_ledger(self, _lasts_s: float) -> None:
+        """Have a member emptied; once it is, it may stand by again."""
+        async with self.ledger_lock:
+            leaving = self.draw.choice(sorted(self.cluster.members()) or ["nobody"])
+            happening = self._begin(FaultKind.EMPTY_LEDGER, leaving)
+            self.cluster.store.put(f"{RETIRE_PREFIX}{leaving}", {})
+            await self._until(lambda: leaving not in self.cluster.members())
+            self.cluster.store.remove(f"{RETIRE_PREFIX}{leaving}")
+            await self._until_settled()
             self._end(happening)
 
     async def _pause_ledger(self, lasts_s: float) -> None:
@@ -210,7 +249,7 @@
             node.signal(signal.SIGSTOP)
             await asyncio.sleep(lasts_s)
             node.signal(signal.SIGCONT)
-            await self._until_settled(node)
+            await self._until_settled()
             self._end(happening)
 
     async def _kill_all(self, lasts_s: float) -> None:
@@ -227,27 +266,21 @@
                 node.start()
             for lock in locks:
                 lock.release()
-            await self._until_settled(None)
+            await self._until_settled()
             self._end(happening)
 
-    async def _until_settled(self, node: Node | None) -> None:
+    async def _until_settled(self) -> None:
         """Wait until the ledger has its three members, a harmed one with the disk it has now."""
+        await self._until(self.cluster.is_whole)
+
+    async def _until(self, condition: Callable[[], bool]) -> None:
         try:
             async with asyncio.timeout(SETTLE_S):
-                while not self._is_settled(node):
+                while not condition():
                     await asyncio.sleep(0.1)
         except TimeoutError:
             self.broken.append(f"the ledger's members are {self.cluster.members()}")
 
-    def _is_settled(self, node: Node | None) -> bool:
-        if len(self.cluster.members()) != len(self.cluster.ledgers):
-            return False
-        if node is None:
-            return True
-        identity = node.folder / "data" / "identity"
-        value = self.cluster.store.value("waxwingglade/replicas") or b""
-        return identity.exists() and identity.read_bytes().strip() in value
-
     # The store
 
     async def _store(self, kind: FaultKind, fault: StoreFault, lasts_s: float) -> None:
@@ -291,6 +324,18 @@
         self.cluster.relays.heal(number)
         self._end(happening)
 
+    async def _silence(self, _lasts_s: float) -> None:
+        """Let the open connections of one process, or all of those to the store, fall silent."""
+        nodes = self.draw.choice([self.cluster.nodes(), [self.draw.choice(self.cluster.nodes())]])
+        where = nodes[0].name if len(nodes) == 1 else "everywhere"
+        happening = self._begin(FaultKind.SILENT_LINKS, where)
+        for node in nodes:
+            self.cluster.relays.silence(self.cluster.number_of(node), STORE)
+        if len(nodes) == 1:
+            self.cluster.relays.silence(CALLERS, self.cluster.number_of(nodes[0]))
+        await asyncio.sleep(NOTICED_S)
+        self._end(happening)
+
     def _cut(self, source: int, target: int) -> None:
         """Harm the connections between two ends, in one or both directions."""
         mode = self.draw.choice(list(CutMode))
@@ -322,6 +367,12 @@
         self.cluster.store.put("op/config", configuration(self.version, self.routes))
 
 
+def _wipe(folder: Path) -> None:
+    """Leave an empty disk."""
+    for path in folder.iterdir():
+        path.unlink()
+
+
 def _tear(folder: Path, draw: random.Random) -> None:
     """Leave the beginning of a write behind the newest segment's end."""
     segments = sorted(path for path in folder.iterdir() if path.name != "identity")
@@ -330,4 +381,4 @@
             segment.write(draw.randbytes(draw.randint(1, TORN_BYTES)))
 
 
-__all__ = ["FaultKind", "Faults", "Happening"]
+__all__ = ["FIRST_KINDS", "FaultKind", "Faults", "Happening"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from tests.platform_cluster import ORDER, Node
+from tests.platform_cluster import ORDER, STREAM, Node
 from tests.soak.checks import check, check_drained
 from tests.soak.cluster import SoakCluster
 from tests.soak.faults import FaultKind, Faults, Happening
@@ -27,20 +27,36 @@
     FaultKind.KILL_ALL,
     FaultKind.PAUSE_ENTRY,
     FaultKind.PAUSE_LEDGER,
+    FaultKind.SILENT_LINKS,
 }
 """Faults during which an entry need not know of a change within seconds."""
 
-HARMS_CALLERS = {FaultKind.KILL_ENTRY, FaultKind.KILL_ALL, FaultKind.PAUSE_ENTRY}
+HARMS_CALLERS = {
+    FaultKind.KILL_ENTRY,
+    FaultKind.KILL_ALL,
+    FaultKind.PAUSE_ENTRY,
+    FaultKind.SILENT_LINKS,
+}
 """Faults that may leave a caller of an entry without an answer; so may a harmed link of callers."""
 
 
 class Size(msgspec.Struct, frozen=True):
-    """How large a run is: seconds of faults, entries, and callers of two kinds."""
+    """How large a run is: seconds of faults, entries, callers of two kinds, and what may happen.
+
+    Parameters
+    ----------
+    spares : int
+        Ledger processes beside the three members.
+    kinds : tuple of FaultKind
+        Faults that are drawn from; with others the same seed is another run.
+    """
 
     seconds: float = 12.0
     entries: int = 3
     programs: int = 6
     plain: int = 4
+    spares: int = 1
+    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
 
 
 class Outcome(msgspec.Struct):
@@ -65,11 +81,11 @@
     kept : Path or None
         Folder where the logs of a run that broke a promise are kept.
     """
-    cluster = SoakCluster(size.entries)
+    cluster = SoakCluster(size.entries, size.spares)
     try:
         await cluster.open()
         callers = Callers(cluster, random.Random(seed))
-        faults = Faults(cluster, random.Random(seed + 1_000_000))
+        faults = Faults(cluster, random.Random(seed + 1_000_000), size.kinds)
         working = asyncio.create_task(callers.run(size.programs, size.plain))
         await faults.run(size.seconds)
         broken = faults.broken
@@ -91,7 +107,7 @@
     """Return which entries do not serve turns and the newest route in time."""
     broken = []
     for entry in cluster.entries:
-        paths = ["/turns/", *[route["path_prefix"] for route in faults.routes[-1:]]]
+        paths = [STREAM, *[route["path_prefix"] for route in faults.routes[-1:]]]
         for path in paths:
             if not await _serves(callers, entry, path):
                 broken.append(f"{entry.name} does not serve {path} after the last fault")
@@ -104,7 +120,7 @@
         attempt = await callers.send(path, b"recovered", entry=entry)
         if attempt.status == 200 and attempt.whole:
             return True
-        if attempt.status == 404:
+        if attempt.status == 404 and path != STREAM:
             # A route that is not in force yet; not a turn that is missing.
             callers.attempts.remove(attempt)
         await asyncio.sleep(0.2)
@@ -121,7 +137,7 @@
     for program, attempt in last.items():
         for _ in range(3):
             body = b"goes on"
-            later = await callers.send("/turns/", body, attempt.request, f"{program}-later", 400)
+            later = await callers.send(STREAM, body, attempt.request, f"{program}-later", 400)
             if later.status == 200:
                 break
         else:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,5 +1,6 @@
 """A short run of the soak, and the checks on histories that break a promise."""
 
+import asyncio
 import time
 import unittest
 from pathlib import Path
@@ -7,6 +8,7 @@
 import msgspec
 
 from tests.platform_cluster import ORDER, STREAM
+from tests.prove.relay import ADDRESS, Relays
 from tests.soak.checks import answer_to_turn, check, check_drained
 from tests.soak.run import Size, soak
 from tests.soak.workload import Attempt
@@ -45,6 +47,33 @@
         self.assertGreater(outcome.faults, 0)
 
 
+class SilentLinks(unittest.IsolatedAsyncioTestCase):
+    async def test_open_connections_fall_silent_and_new_ones_work(self) -> None:
+        async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while data := await reader.read(100):
+                writer.write(data)
+
+        server = await asyncio.start_server(echo, ADDRESS, 0)
+        relays = Relays(dict)
+        port = await relays.add(1, server.sockets[0].getsockname()[1], source=0)
+        old_reader, old_writer = await asyncio.open_connection(ADDRESS, port)
+        old_writer.write(b"before")
+        self.assertEqual(await old_reader.readexactly(6), b"before")
+        relays.silence(0, 1)
+        old_writer.write(b"lost")
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await old_reader.read(100)
+        self.assertFalse(old_reader.at_eof())
+        new_reader, new_writer = await asyncio.open_connection(ADDRESS, port)
+        new_writer.write(b"after")
+        self.assertEqual(await new_reader.readexactly(5), b"after")
+        for writer in (old_writer, new_writer):
+            writer.close()
+        await relays.close()
+        server.close()
+
+
 class Checks(unittest.TestCase):
     def test_good_histories_pass(self) -> None:
         first, second = turn("a"), turn("b")
