Let the soak's ledger processes falter, so that they learn of changes one after the other

Change: a fault in which the ledger processes stand still for moments of up to 60 ms, each at its own times. With it the soak finds the kept turn that was denied while the set changed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -23,6 +23,9 @@
 NOTICED_S = 3.0
 """Seconds for which connections that have fallen silent count as a fault; they are noticed sooner."""
 
+MOMENT_S = 0.06
+"""Longest moment that a process stands still, or runs in between: some ten rounds of messages."""
+
 TORN_BYTES = 37
 """Bytes of nonsense behind a journal's end, as a write that power cut short leaves them."""
 
@@ -53,6 +56,7 @@
     SILENT_LINKS = "open connections fall silent for good"
     WIPE_SERIES = "all ledger processes lose their disks, one after the other"
     EMPTY_LEDGER = "a ledger process is emptied while another stands by"
+    FALTER_LEDGERS = "ledger processes stand still for moments, each at its own times"
 
 
 FIRST_KINDS = tuple(FaultKind)[:20]
@@ -128,6 +132,7 @@
             FaultKind.SILENT_LINKS: self._silence,
             FaultKind.WIPE_SERIES: self._wipe_series,
             FaultKind.EMPTY_LEDGER: self._empty_ledger,
+            FaultKind.FALTER_LEDGERS: self._falter_ledgers,
         }
 
     async def run(self, seconds: float) -> None:
@@ -242,6 +247,24 @@
             await self._until_settled()
             self._end(happening)
 
+    async def _falter_ledgers(self, lasts_s: float) -> None:
+        """Let each learn of changes, and answer, a little before or after the others."""
+        happening = self._begin(FaultKind.FALTER_LEDGERS, "everywhere")
+        await asyncio.gather(*(self._falter(node, lasts_s) for node in self.cluster.ledgers))
+        self._end(happening)
+
+    async def _falter(self, node: Node, lasts_s: float) -> None:
+        end_at = time.monotonic() + lasts_s
+        while time.monotonic() < end_at:
+            await asyncio.sleep(self.draw.random() * MOMENT_S)
+            if self._lock(node).locked():
+                # It is killed, paused or stopped at present, as another fault has it.
+                continue
+            async with self._lock(node):
+                node.signal(signal.SIGSTOP)
+                await asyncio.sleep(self.draw.random() * MOMENT_S)
+                node.signal(signal.SIGCONT)
+
     async def _pause_ledger(self, lasts_s: float) -> None:
         node = self.draw.choice(self.cluster.ledgers)
         async with self.ledger_lock, self._lock(node):
