--- a/waxwingglade/ledger/tests/machines.py
+++ b/waxwingglade/ledger/tests/machines.py
@@ -1,7 +1,13 @@
-"""Machines with a replica, its watcher and its membership, on a store in memory."""
+"""Machines that join the ledger, leave it and change its set of members, on a store in memory."""
 
 import asyncio
+import contextlib
+import random
+import sys
+import time
+from collections.abc import Iterator
 from typing import Any
+from unittest import mock
 
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
@@ -12,6 +18,46 @@
 from waxwingglade.ledger.messages import Ping
 from waxwingglade.ledger.tests.builders import Cluster, Silence
 
+QUICK = {
+    "LOOK_S": 0.01,
+    "PING_S": 0.02,
+    "SILENT_S": 0.3,
+    "ELSEWHERE_S": 1.2,
+    "STANDBY_S": 0.3,
+    "SUCCEED_S": 0.2,
+    "BALANCE_S": 0.1,
+}
+
+SWITCH_S = 0.0002
+"""Seconds after which a thread gives way to another."""
+
+
+@contextlib.contextmanager
+def quick_times() -> Iterator[None]:
+    """Let members be suspected, replaced and removed within fractions of a second."""
+    with contextlib.ExitStack() as patches:
+        for name, value in QUICK.items():
+            patches.enter_context(mock.patch(f"waxwingglade.ledger.membership.{name}", value))
+        patches.enter_context(mock.patch("waxwingglade.follow.watcher.PACE_S", 0.01))
+        yield
+
+
+@contextlib.contextmanager
+def quick_disks(most_s: float) -> Iterator[None]:
+    """Let flushes take some time and nothing else: how busy the real disk is does not matter then."""
+
+    def flush(_file: int) -> None:
+        time.sleep(random.random() * most_s)
+
+    before_s = sys.getswitchinterval()
+    # The threads that write would otherwise wait 5 ms for a busy loop, each time.
+    sys.setswitchinterval(SWITCH_S)
+    try:
+        with mock.patch("os.fdatasync", flush), mock.patch("os.fsync", flush):
+            yield
+    finally:
+        sys.setswitchinterval(before_s)
+
 
 class Machine:
     """A replica with its watcher and its membership, as in a process."""
--- a/waxwingglade/ledger/tests/test_membership.py
+++ b/waxwingglade/ledger/tests/test_membership.py
@@ -12,29 +12,14 @@
 from waxwingglade.ledger.catch_up import catch_up
 from waxwingglade.ledger.messages import NoSuchTurn, TurnBegun
 from waxwingglade.ledger.tests.builders import PROGRAM, Cluster, Silence, begin, end, turn
-from waxwingglade.ledger.tests.machines import Machines
+from waxwingglade.ledger.tests.machines import Machines, quick_times
 
 PATIENCE_S = 20.0
-QUICK = {
-    "LOOK_S": 0.01,
-    "PING_S": 0.02,
-    "SILENT_S": 0.3,
-    "ELSEWHERE_S": 1.2,
-    "STANDBY_S": 0.3,
-    "SUCCEED_S": 0.2,
-    "BALANCE_S": 0.1,
-}
 
 
 class MembershipTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        for name, value in QUICK.items():
-            patch = mock.patch(f"waxwingglade.ledger.membership.{name}", value)
-            patch.start()
-            self.addCleanup(patch.stop)
-        patch = mock.patch("waxwingglade.follow.watcher.PACE_S", 0.01)
-        patch.start()
-        self.addCleanup(patch.stop)
+        self.enterContext(quick_times())
         self.machines = Machines()
         self.addAsyncCleanup(self.machines.stop_all)
         for vm in ("vm-0", "vm-1", "vm-2"):
--- a/waxwingglade/process/drain.py
+++ b/waxwingglade/process/drain.py
@@ -101,7 +101,10 @@
 
 
 async def _wait_for_copies(entry: Entry) -> None:
-    """Wait until the owners of other logs have replaced this entry as a holder."""
+    """Wait until the owners of other logs have replaced this entry as a holder.
+
+    A log that has just lost its owner is waited for as well: whoever takes it over needs most copies.
+    """
     while any(_is_needed(entry, copy) for copy in entry.copies.logs.values()):
         await asyncio.sleep(LOOK_S)
 
@@ -109,16 +112,15 @@
 def _is_needed(entry: Entry, copy: LogCopy) -> bool:
     if not entry.members.usable() or copy.owner is None:
         return False
-    in_use = any(entry.own.answers_to(ref.incarnation) for ref in copy.copies)
-    return in_use and entry.members.alive(copy.owner)
+    return any(entry.own.answers_to(ref.incarnation) for ref in copy.copies)
 
 
 async def take_from_leaving(entry: Entry, body: TakeLog) -> PeerBody:
-    """Take over a log on request of its owner."""
+    """Take over a log on request of its owner, or of a holder that leaves when the owner is gone."""
     if entry.members.state is EntryState.DRAINING:
         text = "this entry cannot take the log now"
         return Refused(Failure(Verdict.NOT_RUN, ErrorCode.UNAVAILABLE, text, RETRY_AFTER_S))
     copy = entry.copies.logs.get(body.log)
     fallback = fallback_of(body.log, copy) if copy else None
-    taken = await adopt(entry, body.log, fallback, invited=True)
+    taken = await adopt(entry, body.log, fallback, invited=not body.orphaned)
     return Refused(taken.err_value) if taken.is_err() else LogTaken()
--- a/waxwingglade/process/ownership.py
+++ b/waxwingglade/process/ownership.py
@@ -22,8 +22,10 @@
     EntryState,
     FindLog,
     LogFound,
+    LogTaken,
     PeerBody,
     Refused,
+    TakeLog,
 )
 from waxwingglade.process.directory import FORMAT_VERSION, LogEntry
 from waxwingglade.process.entry import Entry
@@ -62,11 +64,29 @@
 
 
 def log_for_new_program(entry: Entry, cut: CutPolicy) -> OwnedLog | None:
-    """Return the open log with the fewest programs, of those that can make records durable."""
+    """Return the open log with the fewest programs, of those that bear as much as a new one would.
+
+    One is opened where there is none: to change the holders of a log takes the store, a new log does
+    not, and until then a log with few holders stands still once it loses one.
+    """
     roll_logs(entry, cut)
     candidates = [entry.owned.get(log) for log in entry.open_logs[cut]]
     usable = [owned for owned in candidates if owned is not None and _can_append(entry, owned)]
-    return min(usable, key=lambda owned: len(owned.programs), default=None)
+    if not usable:
+        return None
+    copies = min(entry.settings.durability.copies, len(entry.members.usable()) + 1)
+    lasting = [owned for owned in usable if _to_spare(owned) >= _beyond_majority(copies, copies)]
+    return min(lasting or [open_log(entry, cut)], key=lambda owned: len(owned.programs))
+
+
+def _to_spare(owned: OwnedLog) -> int:
+    """Return how many holders a log can lose and still make records durable."""
+    sets = [owned.copies, *([owned.next_copies] if owned.next_copies is not None else [])]
+    return min(_beyond_majority(sum(map(owned.alive, refs)), len(refs)) for refs in sets)
+
+
+def _beyond_majority(alive: int, copies: int) -> int:
+    return alive - (copies // 2 + 1)
 
 
 def roll_logs(entry: Entry, cut: CutPolicy) -> None:
@@ -188,8 +208,6 @@
 
 
 def _look_for_orphans(entry: Entry) -> None:
-    if entry.members.state is EntryState.DRAINING:
-        return
     for log, copy in list(entry.copies.logs.items()):
         if log in entry.taking_over or log in entry.owned:
             continue
@@ -224,14 +242,33 @@
     if present is not None and await _serves(entry, present.owner, log):
         _forget_unless_holder(entry, present)
         return
-    adopted = await adopt(entry, log, fallback_of(log, copy))
-    if adopted.is_err():
+    if not await _is_rescued(entry, log, copy):
         # Others may be at it, or too few copies can be reached: look again a little later.
         await asyncio.sleep(entry.settings.durability.suspect_after_s * random.uniform(0.5, 1.0))
 
 
+async def _is_rescued(entry: Entry, log: LogId, copy: LogCopy) -> bool:
+    if entry.members.state is not EntryState.DRAINING:
+        return (await adopt(entry, log, fallback_of(log, copy))).is_ok()
+    # A leaving entry takes nothing over.  It may be the only one that knows of the loss: a holder
+    # that the store names need not have been sent the log yet.  One peer is asked at a time, as two
+    # would claim the log from each other.
+    usable = entry.members.usable()
+    holders = {ref.incarnation for ref in copy.copies}
+    holding = [ref for ref in usable if ref.as_holder().incarnation in holders]
+    if not usable:
+        return False
+    answer = await _ask(entry, random.choice(holding or usable), TakeLog(log, orphaned=True))
+    return answer.is_ok() and isinstance(answer.ok_value, LogTaken)
+
+
 def _place_in_ranking(entry: Entry, log: LogId, copy: LogCopy) -> int:
-    alive = [ref for ref in copy.copies if entry.members.staying(ref)]
+    stays = entry.members.state is EntryState.ALIVE
+    alive = [
+        ref
+        for ref in copy.copies
+        if entry.members.staying(ref) and (stays or not entry.own.answers_to(ref.incarnation))
+    ]
     ranked = rank(log, alive)
     places = [place for place, ref in enumerate(ranked) if entry.own.answers_to(ref.incarnation)]
     return places[0] if places else len(ranked)
