End all work for a caller that has closed its connection, in every state of its request

Cause: the HTTP server tells the object of a request of a close only while the request is being received. Afterwards a request went on to its end: targets worked on it, a refused one was sent to the next target, a turn went to an engine after its caller had left while the ledger was asked. Besides, a turn that was cut off while its beginning or its keeping was asked for left its reservation open, so that its program's budget was smaller by it.

Change: the request asks to be told of a close once it was received, and its task is cancelled then. Whatever cuts a turn off, also while the ledger is asked, its reservation is replaced.

--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -95,6 +95,8 @@
         if self.connection.stream.closed():
             self.gone = True
             return
+        # The server tells of a close by `on_connection_close` only while a request is being received.
+        self.connection.set_close_callback(self.on_connection_close)
         self.task = self.serve(self)
 
     def on_connection_close(self) -> None:
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -1,5 +1,6 @@
 """Serve a call that is answered by events, and keep turns and budgets."""
 
+import asyncio
 import time
 
 import msgspec
@@ -79,9 +80,11 @@
         await _relay_attempts(serving, attempts, relay, prompt, priority)
         if serving.exchange.done:
             return
-        ended = True
         await _end_turn(serving, ledger, relay)
+        ended = True
     finally:
+        # Whatever cuts a turn off, also while it is being kept, its reservation is replaced; settling
+        # one that is settled changes nothing.
         if not ended:
             _settle(serving, ledger, relay)
 
@@ -101,7 +104,12 @@
         previous,
     )
     asked_at = time.monotonic()
-    answer = await ledger.begin(message, min(serving.time_left(), patience_s))
+    try:
+        answer = await ledger.begin(message, min(serving.time_left(), patience_s))
+    except asyncio.CancelledError:
+        # The ledger may have reserved the tokens, and no other turn could use them any more.
+        _settle(serving, ledger, Relay())
+        raise
     serving.trace.reserved_s = round(time.monotonic() - asked_at, 4)
     if isinstance(answer, TurnBegun):
         return b"".join(turn.asked + turn.answered for turn in answer.chain) + call.body
--- /dev/null
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -0,0 +1,240 @@
+"""An entry in the test's own process: real connections to callers and targets, a ledger of its own."""
+
+import asyncio
+import time
+from enum import Enum
+from typing import Any, cast
+from unittest import mock
+
+from waxwingglade.base import ZoneId
+from waxwingglade.follow.model import CallKind, Route, ServiceName, Share, Target, View
+from waxwingglade.follow.store import Store
+from waxwingglade.ingress.entry import Ingress
+from waxwingglade.ingress.settings import IngressSettings
+from waxwingglade.ingress.tests.builders import configuration, route, target, targets
+from waxwingglade.ledger.client import LedgerClient
+from waxwingglade.ledger.messages import BeginTurn, EndTurn, TurnBegun
+from waxwingglade.platform.headers import DIALECT
+from waxwingglade.platform.process import KEYS
+from waxwingglade.transport import HttpRequest
+from waxwingglade.transport.http1 import Http1Connection, open_connection
+
+HOST = "shop"
+PLAIN, ONCE, TURNS = "/notes/", "/orders/", "/turns/"
+SEALED = "X-Waxwingglade-Server-Seal: seal\r\n"
+
+
+class Behaviour(Enum):
+    """What a target does with a request."""
+
+    ANSWER = "answers at once"
+    HOLD = "reads it and says nothing"
+    EVENT = "answers with one event and says no more"
+    EVENTS = "answers with a whole stream"
+    REFUSE = "promises not to run it, and is slow to finish saying so"
+
+
+class FakeTarget:
+    """A target that does what a test asks for.
+
+    Attributes
+    ----------
+    arrived : list of bytes
+        First line of each request that was read.
+    open : int
+        Connections that are open.
+    opened : int
+        Connections that there ever were.
+    proceed : asyncio.Event
+        Ends the waiting of `REFUSE`.
+    """
+
+    def __init__(self, behaviour: Behaviour = Behaviour.ANSWER) -> None:
+        self.behaviour = behaviour
+        self.arrived: list[bytes] = []
+        self.open = 0
+        self.opened = 0
+        self.proceed = asyncio.Event()
+        self.server: asyncio.Server | None = None
+        self.address = ""
+
+    async def start(self) -> None:
+        """Begin to accept connections."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    def stop(self) -> None:
+        """Accept no more."""
+        assert self.server is not None
+        self.server.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open += 1
+        self.opened += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(_length(head))
+                self.arrived.append(head.partition(b"\r\n")[0])
+                await self._answer(writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The entry has closed the connection, which is what tests wait for, or the test ends.
+        finally:
+            self.open -= 1
+            writer.close()
+
+    async def _answer(self, writer: asyncio.StreamWriter) -> None:
+        if self.behaviour is Behaviour.ANSWER:
+            writer.write(f"HTTP/1.1 200 OK\r\n{SEALED}Content-Length: 2\r\n\r\nok".encode())
+        if self.behaviour in (Behaviour.EVENT, Behaviour.EVENTS):
+            head = f"HTTP/1.1 200 OK\r\n{SEALED}Transfer-Encoding: chunked\r\n\r\n"
+            writer.write(head.encode() + b"11\r\nid: 1\ndata: one\n\n\r\n")
+        if self.behaviour is Behaviour.EVENTS:
+            writer.write(b"0\r\n\r\n")
+        if self.behaviour is Behaviour.REFUSE:
+            head = "HTTP/1.1 503 Full\r\nX-Waxwingglade-Not-Run: 1\r\nContent-Length: 2\r\n\r\n"
+            writer.write(head.encode())
+            await self.proceed.wait()
+            writer.write(b"no")
+
+
+def _length(head: bytes) -> int:
+    for line in head.lower().split(b"\r\n"):
+        if line.startswith(b"content-length:"):
+            return int(line.partition(b":")[2])
+    return 0
+
+
+class FakeLedger:
+    """A ledger that decides when a test lets it.
+
+    Attributes
+    ----------
+    begun, ended, settled : list
+        What was asked, in order.
+    may_begin, may_end : asyncio.Event
+        Set where it answers at once.
+    """
+
+    def __init__(self) -> None:
+        self.begun: list[BeginTurn] = []
+        self.ended: list[EndTurn] = []
+        self.settled: list[EndTurn] = []
+        self.may_begin = asyncio.Event()
+        self.may_end = asyncio.Event()
+        self.may_begin.set()
+        self.may_end.set()
+
+    async def begin(self, message: BeginTurn, timeout_s: float) -> TurnBegun:
+        """Begin a turn."""
+        self.begun.append(message)
+        await self.may_begin.wait()
+        return TurnBegun(())
+
+    async def end(self, message: EndTurn) -> bool:
+        """Keep a turn."""
+        self.ended.append(message)
+        await self.may_end.wait()
+        return True
+
+    def settle_later(self, message: EndTurn) -> None:
+        """Settle a reservation."""
+        self.settled.append(message)
+
+
+class EntryUnderTest:
+    """An entry that serves callers, with targets and routes of the test's own.
+
+    Parameters
+    ----------
+    fakes : FakeTarget
+        The targets of its one service.
+    fields : dict
+        Fields of all routes.
+    """
+
+    def __init__(self, *fakes: FakeTarget, **fields: Any) -> None:
+        self.fakes = fakes
+        self.fields = fields
+        self.ledger = FakeLedger()
+        settings = IngressSettings("vm", ZoneId("zone-a"), "127.0.0.1:0", "")
+        # Metrics register themselves once for a whole process.
+        with mock.patch("waxwingglade.ingress.entry.IngressMetrics"):
+            self.ingress = Ingress(settings, cast(Store, mock.Mock()), KEYS, DIALECT)
+        self.ingress.ledger = cast(LedgerClient, self.ledger)
+        self.ingress.follower.quorum_at = float("inf")
+        self.address = ""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+        for fake in self.fakes:
+            await fake.start()
+        self.ingress.callers = self.ingress._listen(self.ingress, "127.0.0.1:0")
+        (listening,) = self.ingress.callers._sockets.values()
+        self.address = f"127.0.0.1:{listening.getsockname()[1]}"
+        self.ingress.beliefs.merge(
+            View(configuration=configuration(*self._routes()), targets=targets(*self._targets())),
+            time.monotonic(),
+        )
+
+    async def stop(self) -> None:
+        """End everything."""
+        self.ledger.may_begin.set()
+        self.ledger.may_end.set()
+        for fake in self.fakes:
+            fake.proceed.set()
+            fake.stop()
+        assert self.ingress.callers is not None
+        self.ingress.callers.stop()
+        await self.ingress.callers.close_all_connections()
+        for task in list(self.ingress.running):
+            task.cancel()
+        await asyncio.gather(*self.ingress.running, return_exceptions=True)
+        self.ingress.pool.close()
+        self.ingress.links.close()
+        self.ingress.context.term()
+
+    def _routes(self) -> list[Route]:
+        fields = {"max_attempts": 2, "target_latency_s": 0.2, **self.fields}
+        return [
+            route(PLAIN, HOST, **fields),
+            route(ONCE, HOST, kind=CallKind.ONCE, **fields),
+            route(
+                TURNS,
+                HOST,
+                kind=CallKind.STREAM,
+                shares=(Share(ServiceName("notes"), 1.0),),
+                keeps_turns=True,
+                retention_s=60.0,
+                **fields,
+            ),
+        ]
+
+    def _targets(self) -> list[Target]:
+        return [target(fake.address) for fake in self.fakes]
+
+    async def send(self, path: str, request: str = "r1") -> Http1Connection:
+        """Send a request as a caller; return the connection, on which the answer comes."""
+        headers = [
+            ("Host", HOST),
+            ("X-Waxwingglade-Request-Id", request),
+            ("X-Waxwingglade-Program-Id", "p1"),
+            ("X-Waxwingglade-Token-Budget", "100"),
+            ("X-Waxwingglade-Token-Count", "10,10"),
+        ]
+        connection = await open_connection(self.address, 5.0)
+        connection.send(HttpRequest("POST", path, headers, b"body"))
+        return connection
+
+
+async def until(condition: Any, within_s: float) -> bool:
+    """Wait until a condition holds; return whether it came to hold in time."""
+    end_at = time.monotonic() + within_s
+    while not condition():
+        if time.monotonic() > end_at:
+            return False
+        await asyncio.sleep(0.005)
+    return True
+
+
+__all__ = ["ONCE", "PLAIN", "TURNS", "Behaviour", "EntryUnderTest", "FakeTarget", "until"]
