Give up a link between processes that fell silent after 1.1 s, and one silent from its opening

Cause: connections may fall silent for good while new ones work, and neither the kernel nor a reset tells of it. ZeroMQ's heartbeats noticed that after up to 2.0 s. While a connection opens there are no heartbeats yet: one that fell silent then held two processes apart for ZeroMQ's own 30 s.

Change: a heartbeat waits 0.6 s (1.5 s) for a sign of life, the first exchange 0.6 s (30 s). The number of heartbeats is the same, so calm times cost nothing more. The relay of the tests can let open connections fall silent, and the next one from its beginning.

--- a/tests/prove/relay.py
+++ b/tests/prove/relay.py
@@ -39,6 +39,11 @@
     ----------
     pids : callable
         Returns the process id of each entry, by number.
+
+    Attributes
+    ----------
+    hush_next : bool
+        Whether the next connection is to be silent from its beginning.
     """
 
     def __init__(self, pids: Callable[[], dict[int, int]]) -> None:
@@ -47,6 +52,8 @@
         self.cuts: dict[tuple[int, int], CutMode] = {}
         self.changed = asyncio.Event()
         self.open: dict[tuple[int, int], set[asyncio.StreamWriter]] = {}
+        self.silent: set[asyncio.StreamWriter] = set()
+        self.hush_next = False
         self.tasks: set[asyncio.Task] = set()
 
     async def add(
@@ -84,6 +91,14 @@
             for writer in self.open.get((source, target), set()).copy():
                 writer.transport.abort()
 
+    def silence(self) -> None:
+        """Let all open connections fall silent for good.
+
+        What either end sends vanishes, and neither sees the other's end of them; new ones are carried.
+        """
+        for writers in self.open.values():
+            self.silent |= writers
+
     def heal(self, number: int) -> None:
         """End the cuts of an entry, in both directions."""
         self.cuts = {pair: mode for pair, mode in self.cuts.items() if number not in pair}
@@ -119,6 +134,9 @@
         both = {writer, requests}
         opened = self.open.setdefault(pair, set())
         opened |= both
+        if self.hush_next:
+            self.hush_next = False
+            self.silent |= both
         forward = asyncio.create_task(self._pump(reader, requests, pair))
         back = asyncio.create_task(self._pump(answers, writer, (pair[1], pair[0])))
         try:
@@ -140,8 +158,11 @@
                     await self.changed.wait()
                 if self.cuts.get(way) is CutMode.DELAY:
                     await asyncio.sleep(DELAY_S)
-                writer.write(data)
-                await writer.drain()
+                if writer not in self.silent:
+                    writer.write(data)
+                    await writer.drain()
+        if writer in self.silent:
+            await asyncio.get_running_loop().create_future()
 
     def _source(self, writer: asyncio.StreamWriter) -> int | None:
         """Return the entry that a connection comes from, or None if that can't be told."""
--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -25,9 +25,18 @@
 SEND_QUEUE_MESSAGES = 2_000
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 HEARTBEAT_MS = 500
-"""Milliseconds between ZeroMQ's own heartbeats; they find a peer that lost power."""
+"""Milliseconds between ZeroMQ's own heartbeats.  They find a peer that lost power, and a connection
+that fell silent while new ones work, of which the kernel tells nothing."""
+
+HEARTBEAT_TIMEOUT_MS = 600
+"""Milliseconds after a heartbeat within which something has to come.  A silent connection is given up
+after 1.1 s at most, less than half of the three seconds after which all has to work again; a round trip
+takes some 3 ms, and a thread that does nothing else answers."""
+
+HANDSHAKE_TIMEOUT_MS = 600
+"""Milliseconds for the first exchange on a new connection, before which there are no heartbeats; one
+that fell silent then held its peers apart for 30 s, ZeroMQ's own limit."""
 
-HEARTBEAT_TIMEOUT_MS = 1_500
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 400
 CONNECT_TIMEOUT_MS = 500
@@ -109,6 +118,7 @@
         self.socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self.socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_MS)
         self.socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        self.socket.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         self.socket.setsockopt(zmq.TCP_MAXRT, RETRANSMIT_TIMEOUT_MS)
 
     def start(self) -> None:
