Test that the ledger and an entry work again soon after all links between them fell silent

Change: three ledger processes and an entry in the test's process, with relays on the links between them; turns must be decided, and the entry ready, within 1.8 s, and no member may be replaced.

--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -11,12 +11,19 @@
 import zmq
 
 from tests.prove.relay import ADDRESS, Relays
+from tests.silent_cluster import SilentCluster
 from waxwingglade.ledger.messages import LedgerMessage, Ping, Pong
 from waxwingglade.transport.links import Codec, LinkFailed, Links, LinkServer
 
 RECOVER_S = 1.5
 """Seconds within which processes have to reach each other again."""
 
+DECIDED_S = 1.8
+"""Seconds within which a turn has to be begun and kept, with all links silent when it is asked for."""
+
+READY_S = 1.8
+"""Seconds after which the entry has to take callers and all processes have to reach a majority."""
+
 ASK_S = 0.25
 PHASES = 8
 PHASE_S = 0.07
@@ -70,5 +77,31 @@
         self.assertLess(seconds, RECOVER_S)
 
 
+class SilentLedger(unittest.IsolatedAsyncioTestCase):
+    """The ledger and an entry, once all links between them have fallen silent."""
+
+    async def asyncSetUp(self) -> None:
+        self.cluster = SilentCluster()
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start()
+
+    async def test_turns_are_decided_again_and_the_entry_is_ready(self) -> None:
+        self.assertTrue(await self.cluster.begin_and_end())
+        epochs = [node.replica.replicas.epoch for node in self.cluster.nodes]
+        for number in range(4):
+            with self.subTest(number):
+                await asyncio.sleep(1.0 + 0.13 * number)
+                self.cluster.relays.silence()
+                silent_at = time.monotonic()
+                while not await self.cluster.begin_and_end():
+                    pass
+                decided_s = time.monotonic() - silent_at
+                await asyncio.sleep(silent_at + READY_S - time.monotonic())
+                self.assertTrue(self.cluster.entry.ready)
+                self.assertTrue(all(node.membership.quorum for node in self.cluster.nodes))
+                self.assertLess(decided_s, DECIDED_S)
+        self.assertEqual(epochs, [node.replica.replicas.epoch for node in self.cluster.nodes])
+
+
 if __name__ == "__main__":
     unittest.main()
