Notice that connections to targets have fallen silent, and give up what waits on them in time

Cause: kept connections to targets may all fall silent for good while new ones work; neither a reset, keep-alive nor the kernel tells of it. A request sent on one waited until its time was over and ended with 504, and the next took the next dead connection.

Change: a silence takes all connections that were open at its moment, so whatever came later on one of these rules it out. A sending that hears nothing for half its objective (the objective where it may not run twice; never less than four times the service's usual time) asks the pool whether such a moment is left. If so, all idle connections of that time are closed; a call that may be repeated is sent again to another target, and ends after 1 s if it was the last sending, so that the caller of a stream can resume in time; one that may run once waits on. A target is not blamed for it.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from waxwingglade.base import TargetId, Verdict
-from waxwingglade.follow.model import Service
+from waxwingglade.follow.model import CallKind, Route, Service
 from waxwingglade.ingress.balance import Balancer, Choice
 from waxwingglade.ingress.dialect import AnswerFacts, Call, Dialect, Send
 from waxwingglade.transport import (
@@ -16,6 +16,8 @@
     HttpRequest,
     HttpResponse,
     NotConnected,
+    Patience,
+    Silent,
 )
 
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
@@ -24,6 +26,18 @@
 MAX_CONNECT_FAILURES = 3
 """Targets that could not be reached before a call is given up; nothing was sent to them."""
 
+SHORTEST_SILENCE_S = 0.05
+"""Seconds without an answer that are no sign of a silent connection: many times a round trip of 3 ms,
+and as long as a process may stand still."""
+
+USUAL_TIMES = 4.0
+"""How many times its usual time a call may take before its connection is suspected; of work spread
+log-normally around its mean with a spread of 1, 3 in 100 take longer."""
+
+LAST_SILENCE_S = 1.0
+"""Seconds after which a silent sending that is the last one ends: half of the two seconds after which
+callers give up a stream without events, so that they come back on a new connection in time."""
+
 _PROMISES = (408, 421, 429, 503)
 """Statuses that tell the caller that the request did not run."""
 
@@ -72,8 +86,8 @@
         The call.
     service : Service
         Where it goes.
-    most : int
-        Targets to which it may be sent.
+    route : Route
+        Its route: how often it may be sent, and how long its answer may take.
     time_left : callable
         Seconds that a target may still work on it.
     """
@@ -85,7 +99,7 @@
         balancer: Balancer,
         call: Call,
         service: Service,
-        most: int,
+        route: Route,
         time_left: Callable[[], float],
     ) -> None:
         self.dialect = dialect
@@ -93,7 +107,7 @@
         self.balancer = balancer
         self.call = call
         self.service = service
-        self.most = most
+        self.route = route
         self.time_left = time_left
         self.records: list[AttemptRecord] = []
         self.tried: list[TargetId] = []
@@ -108,7 +122,7 @@
     @property
     def may_try(self) -> bool:
         """Whether the call may be sent once more."""
-        return self.sent < self.most and self.unreachable < MAX_CONNECT_FAILURES
+        return self.sent < self.route.max_attempts and self.unreachable < MAX_CONNECT_FAILURES
 
     async def open(self, body: bytes, priority: int | None, last_event: int | None) -> Head:
         """Send the call to the best target left, and return the head of its answer.
@@ -138,6 +152,7 @@
         try:
             self.sent += 1
             connection.send(request)
+            self.pool.watch(connection, self._patience(choice))
             response = await connection.read_head(self._is_ours)
         except Broken as error:
             self.close(choice, connection)
@@ -158,6 +173,22 @@
             await self._refused(head)
         return head
 
+    def _patience(self, choice: Choice) -> Patience:
+        """Return how long the connection of a sending may be silent.
+
+        A call that may be sent again is, early enough to be answered within its objective.  One that
+        may not run twice goes on, and only the other connections are given up.
+        """
+        route = self.route
+        again = route.idempotent and self.may_try
+        suspect_s = route.target_latency_s or LAST_SILENCE_S
+        if route.kind is not CallKind.STREAM:
+            suspect_s = max(suspect_s / 2 if again else suspect_s, USUAL_TIMES * choice.usual_s)
+        suspect_s = max(suspect_s, SHORTEST_SILENCE_S)
+        if not route.idempotent:
+            return Patience(suspect_s, None)
+        return Patience(suspect_s, suspect_s if again else max(suspect_s, LAST_SILENCE_S))
+
     async def _connect(self, choice: Choice, record: AttemptRecord) -> Http1Connection:
         try:
             return await self.pool.take(choice.target.address)
@@ -187,7 +218,8 @@
     def _broken(self, choice: Choice, record: AttemptRecord, error: Broken) -> None:
         record.verdict = Verdict.MAY_HAVE_RUN
         record.reason = str(error)
-        self.balancer.failed(choice.target.target)
+        if not isinstance(error, Silent):
+            self.balancer.failed(choice.target.target)
 
     def answered(self, head: Head) -> None:
         """Note that an answer was read to its end."""
@@ -198,7 +230,8 @@
         """Note that an answer ended before it was whole."""
         head.record.verdict = Verdict.MAY_HAVE_RUN
         head.record.reason = str(error)
-        self.balancer.failed(head.choice.target.target)
+        if not isinstance(error, Silent):
+            self.balancer.failed(head.choice.target.target)
 
     def close(self, choice: Choice, connection: Http1Connection) -> None:
         """Give a connection back, and count the call as ended there."""
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -105,12 +105,13 @@
 
 
 class Choice(msgspec.Struct, frozen=True):
-    """A target, and what spoke for it."""
+    """A target, and what spoke for it; `usual_s` is the time of a unit of work at its service."""
 
     target: Target
     cost_s: float
     load: float
     load_age_s: float
+    usual_s: float = 0.0
 
 
 class Balancer:
@@ -178,7 +179,8 @@
         else:
             costs = self._plain_costs(call, usable, usual_s, now)
         cost, _, state = min(costs, key=lambda entry: entry[:2])
-        return Choice(state.target, cost, state.load(now), min(now - state.stamped_at, 1e6))
+        age_s = min(now - state.stamped_at, 1e6)
+        return Choice(state.target, cost, state.load(now), age_s, usual_s)
 
     def _engine_costs(
         self, call: Call, states: list[TargetState], usual_s: float, now: float
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -318,7 +318,7 @@
             self.balancer,
             serving.call,
             serving.service,
-            serving.route.max_attempts,
+            serving.route,
             serving.time_left,
         )
         serving.trace.attempts = attempts
--- a/waxwingglade/ingress/tests/builders.py
+++ b/waxwingglade/ingress/tests/builders.py
@@ -26,7 +26,8 @@
     """Return a route."""
     shares = fields.pop("shares", (Share(ServiceName("notes"), 1.0),))
     kind = fields.pop("kind", CallKind.IDEMPOTENT)
-    return Route(RouteName(prefix), host, prefix, kind, shares, 1.0, **fields)
+    timeout_s = fields.pop("timeout_s", 1.0)
+    return Route(RouteName(prefix), host, prefix, kind, shares, timeout_s, **fields)
 
 
 def configuration(*routes: Route) -> Configuration:
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -47,6 +47,10 @@
         Connections that there ever were.
     proceed : asyncio.Event
         Ends the waiting of `REFUSE`.
+    delay_s : float
+        Seconds before an answer.
+    advertised : str
+        Address that the entry is told; its own where that is empty.
     """
 
     def __init__(self, behaviour: Behaviour = Behaviour.ANSWER) -> None:
@@ -57,6 +61,8 @@
         self.proceed = asyncio.Event()
         self.server: asyncio.Server | None = None
         self.address = ""
+        self.delay_s = 0.0
+        self.advertised = ""
 
     async def start(self) -> None:
         """Begin to accept connections."""
@@ -84,6 +90,7 @@
             writer.close()
 
     async def _answer(self, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(self.delay_s)
         if self.behaviour is Behaviour.ANSWER:
             writer.write(f"HTTP/1.1 200 OK\r\n{SEALED}Content-Length: 2\r\n\r\nok".encode())
         if self.behaviour in (Behaviour.EVENT, Behaviour.EVENTS):
@@ -168,7 +175,8 @@
     async def start(self) -> None:
         """Begin to serve."""
         for fake in self.fakes:
-            await fake.start()
+            if not fake.address:
+                await fake.start()
         self.ingress.callers = self.ingress._listen(self.ingress, "127.0.0.1:0")
         (listening,) = self.ingress.callers._sockets.values()
         self.address = f"127.0.0.1:{listening.getsockname()[1]}"
@@ -211,7 +219,18 @@
         ]
 
     def _targets(self) -> list[Target]:
-        return [target(fake.address) for fake in self.fakes]
+        return [target(fake.advertised or fake.address) for fake in self.fakes]
+
+    async def call(self, path: str, request: str) -> tuple[int, float]:
+        """Send a request and read its whole answer; return its status and the seconds it took."""
+        began_at = time.monotonic()
+        connection = await self.send(path, request)
+        try:
+            head = await connection.read_head(lambda _: True)
+            await connection.read_body(1_000)
+        finally:
+            connection.close()
+        return head.status, time.monotonic() - began_at
 
     async def send(self, path: str, request: str = "r1") -> Http1Connection:
         """Send a request as a caller; return the connection, on which the answer comes."""
--- a/waxwingglade/transport/__init__.py
+++ b/waxwingglade/transport/__init__.py
@@ -6,9 +6,11 @@
     HttpRequest,
     HttpResponse,
     NotConnected,
+    Silent,
     open_connection,
 )
 from waxwingglade.transport.pool import ConnectionPool
+from waxwingglade.transport.silence import Patience
 
 __all__ = [
     "Broken",
@@ -17,5 +19,7 @@
     "HttpRequest",
     "HttpResponse",
     "NotConnected",
+    "Patience",
+    "Silent",
     "open_connection",
 ]
--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -52,6 +52,10 @@
         self.sent = sent
 
 
+class Silent(Broken):
+    """A connection was given up because it had fallen silent; its target may well be sound."""
+
+
 class HttpRequest(msgspec.Struct, frozen=True):
     """A request with its whole body."""
 
@@ -88,6 +92,9 @@
         Whether bytes came that belong to no request; the connection is not used again.
     idle_since : float
         Loop time at which the connection was last given back, in seconds.
+    opened_at, heard_at, sent_at : float
+        Loop time at which it was opened, when something last came on it, and when its present request
+        was sent, in seconds.
     """
 
     def __init__(self) -> None:
@@ -104,6 +111,9 @@
         self.sent = False
         self.dirty = False
         self.idle_since = 0.0
+        self.opened_at = 0.0
+        self.heard_at = 0.0
+        self.sent_at = 0.0
         self.request: HttpRequest | None = None
         self.close_after = False
 
@@ -113,6 +123,7 @@
         """Keep the transport, and bound how long a dead peer stays unnoticed."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.opened_at = self.heard_at = self.loop.time()
         own_socket = transport.get_extra_info("socket")
         own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
@@ -125,6 +136,7 @@
             self.dirty = True
             self.close()
             return
+        self.heard_at = self.loop.time()
         self.chunks.append(data)
         self.waiting_bytes += len(data)
         if self.waiting_bytes > READ_HIGH_WATER_BYTES and not self.paused and self.transport:
@@ -168,6 +180,12 @@
             self.transport.abort()
         self.ended = True
 
+    def fail(self, reason: str) -> None:
+        """Close at once; whoever reads from it learns that it was silent."""
+        self.error = Silent(reason, self.sent)
+        self.close()
+        self._wake()
+
     def send(self, request: HttpRequest) -> None:
         """Write a whole request."""
         if not self.usable:
@@ -175,6 +193,7 @@
         assert self.transport is not None
         self.in_use = True
         self.sent = True
+        self.sent_at = self.loop.time()
         self.request = request
         self.transport.write(self._encode(request))
 
@@ -260,6 +279,8 @@
     async def _feed(self) -> None:
         """Give the parser more bytes, or the end of the connection."""
         while not self.chunks:
+            if isinstance(self.error, Silent):
+                raise self.error
             if self.error is not None:
                 raise Broken(f"reset: {self.error}", self.sent)
             if self.ended:
@@ -340,5 +361,6 @@
     "HttpRequest",
     "HttpResponse",
     "NotConnected",
+    "Silent",
     "open_connection",
 ]
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -1,9 +1,13 @@
 """Kept connections to targets, by address."""
 
 import asyncio
+import weakref
 from collections import defaultdict
 
+from loguru import logger
+
 from waxwingglade.transport.http1 import Http1Connection, HttpResponse, open_connection
+from waxwingglade.transport.silence import Patience, SilenceWatch
 
 DEFAULT_IDLE_S = 2.0
 """Seconds for which an idle connection is trusted where the target does not state its timeout."""
@@ -25,6 +29,8 @@
     ----------
     opened : int
         Connections opened since the start.
+    known : WeakSet of Http1Connection
+        All connections, idle and in use.
     """
 
     def __init__(self, connect_timeout_s: float) -> None:
@@ -32,6 +38,8 @@
         self.idle: defaultdict[str, list[Http1Connection]] = defaultdict(list)
         self.idle_limits_s: dict[str, float] = {}
         self.opened = 0
+        self.known: weakref.WeakSet[Http1Connection] = weakref.WeakSet()
+        self.watches: dict[Http1Connection, SilenceWatch] = {}
 
     async def take(self, address: str) -> Http1Connection:
         """Return a kept connection, or a new one; `NotConnected` if none can be opened."""
@@ -44,10 +52,14 @@
                 return connection
             connection.close()
         self.opened += 1
-        return await open_connection(address, self.connect_timeout_s)
+        connection = await open_connection(address, self.connect_timeout_s)
+        self.known.add(connection)
+        return connection
 
     def give_back(self, address: str, connection: Http1Connection) -> None:
         """Keep a connection whose response was read to its end; close any other."""
+        if watch := self.watches.pop(connection, None):
+            watch.stop()
         if connection.in_use or not connection.usable:
             connection.close()
             return
@@ -63,6 +75,34 @@
             if name.lower() == "timeout" and value.isdigit():
                 self.idle_limits_s[address] = max(0.0, int(value) - IDLE_MARGIN_S)
 
+    def watch(self, connection: Http1Connection, patience: Patience) -> None:
+        """Look until a connection is given back whether it has fallen silent.
+
+        If so, idle connections that were open then are closed, and this one ends as `Silent` where
+        the patience has an end.
+        """
+        self.watches[connection] = SilenceWatch(
+            connection, lambda: self.known, patience, self._drop_silent
+        )
+
+    def _drop_silent(self, moment: float) -> None:
+        """Close the idle connections that were open at the moment of a silence."""
+        dropped = 0
+        for address, connections in list(self.idle.items()):
+            kept = []
+            for connection in connections:
+                if connection.opened_at < moment and connection.heard_at <= moment:
+                    connection.close()
+                    dropped += 1
+                else:
+                    kept.append(connection)
+            self.idle[address] = kept
+        if dropped:
+            silent_s = asyncio.get_running_loop().time() - moment
+            logger.bind(dropped=dropped, silent_s=round(silent_s, 2)).warning(
+                "idle connections dropped"
+            )
+
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
         now = asyncio.get_running_loop().time()
