Send no request to a target whose caller had closed before the request was read

Cause: an entry that stood still, or is behind, reads a request and its caller's close at once. The close is noticed one turn of the event loop later; by then a request that got a kept connection had been sent, perhaps seconds after its caller gave up.

Change: a request is served in the turn after the one that read it, and not if the caller has left.

--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -262,6 +262,19 @@
                 self.assertIn(answer.status, (200, 402))
             self.assertEqual(len(self.runs("after0")), 1)
 
+    async def test_callers_that_left_while_an_entry_stood_still_get_no_work_done(self) -> None:
+        before = sum(len(server.runs) for server in self.cluster.notes)
+        self.one.signal(signal.SIGSTOP)
+        asked = [
+            asyncio.create_task(self.cluster.call(self.one, "POST", path, timeout_s=0.5))
+            for path in (CALL, ORDER)
+            for _ in range(10)
+        ]
+        await asyncio.gather(*asked, return_exceptions=True)
+        self.one.signal(signal.SIGCONT)
+        await asyncio.sleep(1.0)
+        self.assertEqual(sum(len(server.runs) for server in self.cluster.notes), before)
+
     async def test_a_stop_cuts_off_no_request(self) -> None:
         for engine in self.cluster.engines:
             engine.event_s = 0.4
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -293,6 +293,8 @@
         trace = Trace()
         serving: Serving | None = None
         try:
+            if await exchange.caller_has_left():
+                raise CallerGone
             serving = read_call(exchange, self.dialect, self.table, trace)
             await self._serve_in_time(serving)
         except Refusal as refusal:
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -107,6 +107,15 @@
 
     # For the task that serves
 
+    async def caller_has_left(self) -> bool:
+        """Return whether the caller closed its connection before the request was read.
+
+        An entry that stood still finds both at once, and must not send the request to a target.  The
+        close is read in the next turn of the loop.
+        """
+        await asyncio.sleep(0)
+        return self.connection.stream.closed()
+
     @property
     def method(self) -> str:
         """Method of the request."""
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -1,6 +1,7 @@
 """An entry in the test's own process: real connections to callers and targets, a ledger of its own."""
 
 import asyncio
+import socket
 import time
 from enum import Enum
 from typing import Any, cast
@@ -232,6 +233,14 @@
             connection.close()
         return head.status, time.monotonic() - began_at
 
+    async def send_half(self, path: str) -> socket.socket:
+        """Send a request but for the last two bytes, ``dy``, and wait until the entry reads it."""
+        caller = socket.create_connection(("127.0.0.1", int(self.address.rpartition(":")[2])))
+        head = f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Waxwingglade-Request-Id: r\r\n"
+        caller.sendall(f"{head}Content-Length: 4\r\n\r\nbo".encode())
+        await asyncio.sleep(0.1)
+        return caller
+
     async def send(self, path: str, request: str = "r1") -> Http1Connection:
         """Send a request as a caller; return the connection, on which the answer comes."""
         headers = [
--- a/waxwingglade/ingress/tests/test_caller_gone.py
+++ b/waxwingglade/ingress/tests/test_caller_gone.py
@@ -122,6 +122,25 @@
         await asyncio.sleep(0.05)
         self.assertEqual(sum(len(fake.arrived) for fake in fakes), 1)
 
+    async def test_before_the_request_was_read(self) -> None:
+        """An entry that stood still, or has much to read, finds a request and its caller's close at once.
+
+        Targets were sent such requests, long after their callers had gone, and then reset.
+        """
+        fake = FakeTarget()
+        entry = await self.begin(fake)
+        await entry.call(PLAIN, "keeps a connection to the target")
+        for path in (PLAIN, ONCE, TURNS):
+            with self.subTest(path):
+                caller = await entry.send_half(path)
+                # The rest and the close come while the entry's loop stands still.
+                caller.sendall(b"dy")
+                caller.close()
+                await asyncio.sleep(0.1)
+                self.assertEqual(len(fake.arrived), 1)
+                self.assertEqual(entry.ledger.begun, [])
+                await self.expect_end(entry)
+
     async def test_the_next_request_of_a_connection_is_served(self) -> None:
         fake = FakeTarget()
         entry = await self.begin(fake)
