--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,10 +19,11 @@
     seconds: Annotated[float, typer.Option(help="seconds of faults in each run")] = 12.0,
     entries: Annotated[int, typer.Option(help="entries")] = 3,
     programs: Annotated[int, typer.Option(help="programs at a time")] = 6,
+    silences: Annotated[bool, typer.Option(help="open connections fall silent, too")] = False,
     regressions: Annotated[bool, typer.Option(help="only the seeds that once failed")] = False,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
-    size = Size(seconds, entries, programs)
+    size = Size(seconds, entries, programs, silences=silences)
     failed = 0
     seeds = list(REGRESSIONS) if regressions else list(range(first, first + count))
     for seed in seeds:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -46,6 +46,14 @@
     SERVER_FAULT = "a server misbehaves"
     SERVER_LEAVES = "a server drains and another comes"
     CONFIGURE = "the configuration grows by a route"
+    SILENCE = "all open connections fall silent"
+
+
+DRAWN = [kind for kind in FaultKind if kind is not FaultKind.SILENCE]
+"""Kinds that a seed draws from.  Silences come beside them, so that seeds stay what they were."""
+
+SILENCE_EVERY_S = 4.0
+"""Mean seconds between silences: a little more than what processes take to recover from one."""
 
 
 class Happening(msgspec.Struct):
@@ -113,12 +121,15 @@
             FaultKind.CONFIGURE: self._configure,
         }
 
-    async def run(self, seconds: float) -> None:
-        """Let faults begin for some seconds, then wait until all have ended."""
+    async def run(self, seconds: float, silences: random.Random | None = None) -> None:
+        """Let faults begin for some seconds, then wait until all have ended.
+
+        `silences` decides when all open connections fall silent; None where they don't.
+        """
         end_at = time.monotonic() + seconds
-        tasks = []
+        tasks = [asyncio.create_task(self._silences(end_at, silences))] if silences else []
         while time.monotonic() < end_at:
-            action = self.actions[self.draw.choice(list(FaultKind))]
+            action = self.actions[self.draw.choice(DRAWN)]
             tasks.append(asyncio.create_task(action(self.draw.uniform(0.3, 3.0))))
             await asyncio.sleep(self.draw.expovariate(1.2))
         await asyncio.gather(*tasks)
@@ -263,6 +274,12 @@
 
     # Connections
 
+    async def _silences(self, end_at: float, draw: random.Random) -> None:
+        while (pause_s := draw.uniform(0.5, 1.5) * SILENCE_EVERY_S) + time.monotonic() < end_at:
+            await asyncio.sleep(pause_s)
+            self._end(self._begin(FaultKind.SILENCE, "everywhere"))
+            self.cluster.relays.silence()
+
     async def _store_link(self, lasts_s: float) -> None:
         nodes = self.draw.sample(self.cluster.nodes(), 2)
         happening = self._begin(FaultKind.STORE_LINK, nodes[0].name)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -27,20 +27,30 @@
     FaultKind.KILL_ALL,
     FaultKind.PAUSE_ENTRY,
     FaultKind.PAUSE_LEDGER,
+    FaultKind.SILENCE,
 }
 """Faults during which an entry need not know of a change within seconds."""
 
-HARMS_CALLERS = {FaultKind.KILL_ENTRY, FaultKind.KILL_ALL, FaultKind.PAUSE_ENTRY}
+HARMS_CALLERS = {
+    FaultKind.KILL_ENTRY,
+    FaultKind.KILL_ALL,
+    FaultKind.PAUSE_ENTRY,
+    FaultKind.SILENCE,
+}
 """Faults that may leave a caller of an entry without an answer; so may a harmed link of callers."""
 
 
 class Size(msgspec.Struct, frozen=True):
-    """How large a run is: seconds of faults, entries, and callers of two kinds."""
+    """How large a run is: seconds of faults, entries, and callers of two kinds.
+
+    With `silences`, all open connections fall silent every few seconds besides.
+    """
 
     seconds: float = 12.0
     entries: int = 3
     programs: int = 6
     plain: int = 4
+    silences: bool = False
 
 
 class Outcome(msgspec.Struct):
@@ -71,7 +81,8 @@
         callers = Callers(cluster, random.Random(seed))
         faults = Faults(cluster, random.Random(seed + 1_000_000))
         working = asyncio.create_task(callers.run(size.programs, size.plain))
-        await faults.run(size.seconds)
+        silences = random.Random(seed + 2_000_000) if size.silences else None
+        await faults.run(size.seconds, silences)
         broken = faults.broken
         broken += await _check_recovery(cluster, callers, faults)
         callers.stopping = True
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -44,6 +44,13 @@
         self.assertGreater(outcome.served, 0)
         self.assertGreater(outcome.faults, 0)
 
+    async def test_none_is_broken_while_all_open_connections_fall_silent(self) -> None:
+        outcome = await soak(
+            SEED, msgspec.structs.replace(SHORT, seconds=10.0, silences=True), KEPT
+        )
+        self.assertEqual(outcome.broken, [])
+        self.assertGreater(outcome.served, 0)
+
 
 class Checks(unittest.TestCase):
     def test_good_histories_pass(self) -> None:
