--- a/tests/prove/relay.py
+++ b/tests/prove/relay.py
@@ -39,6 +39,11 @@
     ----------
     pids : callable
         Returns the process id of each entry, by number.
+
+    Attributes
+    ----------
+    hush_next : bool
+        Whether the next connection is to be silent from its beginning.
     """
 
     def __init__(self, pids: Callable[[], dict[int, int]]) -> None:
@@ -48,6 +53,7 @@
         self.changed = asyncio.Event()
         self.open: dict[tuple[int, int], set[asyncio.StreamWriter]] = {}
         self.silent: set[asyncio.StreamWriter] = set()
+        self.hush_next = False
         self.tasks: set[asyncio.Task] = set()
 
     async def add(
@@ -85,12 +91,15 @@
             for writer in self.open.get((source, target), set()).copy():
                 writer.transport.abort()
 
-    def silence(self, source: int, target: int) -> None:
-        """Swallow all bytes of the connections that are open now, for good; new ones work.
+    def silence(self, source: int | None = None, target: int | None = None) -> None:
+        """Let connections that are open now fall silent for good: all, or those of a source to a target.
 
-        Neither end is told: so it looks where a device on the way forgets the connections that it knows.
+        What either end sends vanishes, and neither sees the other's end of them; new ones are carried.
+        So it looks where a device on the way forgets the connections that it knows.
         """
-        self.silent |= self.open.get((source, target), set())
+        for pair, writers in self.open.items():
+            if source in (None, pair[0]) and target in (None, pair[1]):
+                self.silent |= writers
 
     def heal(self, number: int) -> None:
         """End the cuts of an entry, in both directions."""
@@ -127,6 +136,9 @@
         both = {writer, requests}
         opened = self.open.setdefault(pair, set())
         opened |= both
+        if self.hush_next:
+            self.hush_next = False
+            self.silent |= both
         forward = asyncio.create_task(self._pump(reader, requests, pair))
         back = asyncio.create_task(self._pump(answers, writer, (pair[1], pair[0])))
         try:
@@ -147,12 +159,13 @@
             while data := await reader.read(CHUNK_BYTES):
                 while self.cuts.get(way) is CutMode.STALL:
                     await self.changed.wait()
-                if writer in self.silent:
-                    continue
                 if self.cuts.get(way) is CutMode.DELAY:
                     await asyncio.sleep(DELAY_S)
-                writer.write(data)
-                await writer.drain()
+                if writer not in self.silent:
+                    writer.write(data)
+                    await writer.drain()
+        if writer in self.silent:
+            await asyncio.get_running_loop().create_future()
 
     def _source(self, writer: asyncio.StreamWriter) -> int | None:
         """Return the entry that a connection comes from, or None if that can't be told."""
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -293,6 +293,8 @@
     async def _serve_call(self, exchange: Exchange) -> None:
         trace = Trace()
         try:
+            if await exchange.caller_has_left():
+                raise CallerGone
             await self._serve_in_time(read_call(exchange, self.dialect, self.table, trace))
         except Refusal as refusal:
             trace.reason = refusal.reason
@@ -317,7 +319,7 @@
             self.balancer,
             serving.call,
             serving.service,
-            serving.route.max_attempts,
+            serving.route,
             serving.time_left,
         )
         serving.trace.attempts = attempts
