--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -23,7 +23,15 @@
     TargetList,
     View,
 )
-from waxwingglade.follow.store import HistoryGone, Item, Listing, Store, StoreUnavailable
+from waxwingglade.follow.store import (
+    WATCH_MARGIN_S,
+    HistoryGone,
+    Item,
+    Listing,
+    Store,
+    StoreUnavailable,
+)
+from waxwingglade.follow.targets import RegisteredTargets
 
 EVERYTHING = ""
 """Prefix of all keys."""
@@ -35,13 +43,15 @@
 WAIT_S = 0.5
 """Seconds that a watch waits; its answer also shows that the store is there."""
 
-RETURN_S = 2.2
-"""Seconds after an outage of the store for which a target that is missing may still come back;
-targets that live have registered again within two seconds."""
-
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
-"""Pause after a failed call, doubled up to the longest: calls are priced when they fail, too."""
+"""Pause between failed calls, doubled up to the longest: calls are priced when they fail, too.  It is
+counted from the beginning of the call, since both add up to how late the return of a silent store is
+noticed: with a pause after the timeout a version was known up to 2.3 s after it (virtual time, 50
+moments), past the two seconds within which it is to be in force."""
+
+SHORTEST_PAUSE_S = 0.05
+"""Pause after a call that took longer than that, so that a failure is never asked about at once."""
 
 
 class Keys(msgspec.Struct, frozen=True):
@@ -82,6 +92,9 @@
         Called after each change of the view.
     clock : Clock
         Monotonic seconds.
+    known : TargetList
+        Targets that the process knows already.  One that begins to follow the store does so because
+        nothing was confirmed for a while, so those of them that are missing may have lapsed with it.
 
     Attributes
     ----------
@@ -101,6 +114,7 @@
         keys: Keys,
         changed: Callable[[], None] = lambda: None,
         clock: Clock = monotonic,
+        known: TargetList = TargetList(),
     ) -> None:
         self.store = store
         self.keys = keys
@@ -111,10 +125,8 @@
         self.retiring: dict[str, Revision] = {}
         self.replicas_revision = Revision(0)
         self.replicas_known = asyncio.Event()
-        self.targets: dict[str, Target] = {}
-        self.missing: dict[str, float] = {}
-        self.outage_until = float("-inf")
-        self.in_outage = False
+        self.targets = RegisteredTargets(keys.targets, keys.decode_target, clock, known)
+        self.in_outage = bool(known.targets)
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -140,6 +152,7 @@
         revision: Revision | None = None
         pause_s = FIRST_PAUSE_S
         while True:
+            asked_at = self.clock()
             try:
                 revision = await self._step(revision)
             except HistoryGone as error:
@@ -148,7 +161,8 @@
                 continue
             except StoreUnavailable as error:
                 self._note_outage(str(error))
-                await asyncio.sleep(pause_s * (0.5 + random.random()))
+                next_at = asked_at + pause_s * (0.5 + random.random())
+                await asyncio.sleep(max(SHORTEST_PAUSE_S, next_at - self.clock()))
                 pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
                 continue
             pause_s = FIRST_PAUSE_S
@@ -163,7 +177,9 @@
             return listing.revision
         events = await self.store.watch(EVERYTHING, revision, WAIT_S)
         self._take(events, False)
-        self.checked_at = self.clock()
+        now = self.clock()
+        # An answer that comes later than any does was held up here, for example while the VM stood still.
+        self.checked_at = now if now - asked_at < WAIT_S + WATCH_MARGIN_S else asked_at
         return max(revision, events.revision)
 
     def _take(self, listing: Listing, whole: bool) -> None:
@@ -178,7 +194,10 @@
                     items.append(item)
         self._take_operators(parts[self.keys.operators], whole)
         self._take_own(parts[self.keys.own])
-        self._take_targets(parts[self.keys.targets], listing.revision, whole)
+        targets = self.targets.take(parts[self.keys.targets], listing.revision, whole)
+        if targets is not None:
+            self._replace(self.view.merged(View(targets=targets)))
+            self.targets.note_published(self.view.targets)
 
     def _note_outage(self, reason: str) -> None:
         if not self.in_outage:
@@ -189,7 +208,7 @@
         if not self.in_outage:
             return
         self.in_outage = False
-        self.outage_until = self.clock()
+        self.targets.note_return()
         logger.info("store regained")
 
     # What operators wrote
@@ -243,60 +262,6 @@
         self.replicas_revision = item.revision
         self._replace(self.view.merged(View(replicas=replicas)))
 
-    # What targets wrote
-
-    def _take_targets(self, items: list[Item], revision: Revision, whole: bool) -> None:
-        now = self.clock()
-        before = dict(self.targets)
-        if whole:
-            present = {item.key for item in items}
-            for key in list(self.targets):
-                if key not in present:
-                    self._lose(key, now)
-        for item in items:
-            if item.value is None:
-                self._lose(item.key, now)
-            else:
-                self._keep(item)
-        for key, until in list(self.missing.items()):
-            if now >= until:
-                self.missing.pop(key)
-                self.targets.pop(key, None)
-        if self.targets != before or not self.view.targets.revision:
-            targets = TargetList(revision, tuple(self.targets.values()))
-            self._log_targets(before)
-            self._replace(self.view.merged(View(targets=targets)))
-
-    def _keep(self, item: Item) -> None:
-        assert item.value is not None
-        try:
-            target = self.keys.decode_target(item.key, item.value)
-        except FormatError as error:
-            logger.error("target not read: {}", error)
-            return
-        self.missing.pop(item.key, None)
-        self.targets[item.key] = target
-
-    def _lose(self, key: str, now: float) -> None:
-        """Drop a target, unless its entry may only have lapsed while the store was away."""
-        target = self.targets.get(key)
-        if target is None or key in self.missing:
-            return
-        if not target.leaving and now - self.outage_until < RETURN_S:
-            self.missing[key] = self.outage_until + RETURN_S
-            return
-        del self.targets[key]
-
-    def _log_targets(self, before: dict[str, Target]) -> None:
-        for key in before.keys() - self.targets.keys():
-            logger.bind(target=before[key].target).info("target gone")
-        for key, target in self.targets.items():
-            old = before.get(key)
-            if old is None:
-                logger.bind(target=target.target, service=target.service).info("target new")
-            elif target.leaving and not old.leaving:
-                logger.bind(target=target.target).info("target leaving")
-
     def _replace(self, view: View) -> None:
         if view is self.view:
             return
