--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -18,7 +18,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, WaxwinggladeError, monotonic
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_detached
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.follow.store import Store
@@ -41,11 +41,11 @@
 BALANCE_S = 1.0
 """Seconds after its start for which a replica leaves a missing place to one in a zone with fewer."""
 
-SUCCEED_S = 2.0
+SUCCEED_S = 1.5
 """Seconds of silence after which a replica joins beside a member of its zone; which of the two
-stays is decided later, when both or only one is heard.  Links that fell silent are opened anew after up
-to 1.2 s, and all members are sound meanwhile.  A member that ended had been replaced after 3.4 s (one
-trial), of the five within which a replacement must count."""
+stays is decided later, when both or only one is heard.  Members whose links fell silent are heard again
+after 0.7 to 1.2 s (ten silences), and are sound meanwhile.  A replacement must count within four
+seconds, and further steps of the set take 1.5 s after this one."""
 
 STANDBY_S = 2.0
 """Seconds that a replica on standby has to join before a VM that is to be emptied leaves without."""
@@ -152,7 +152,7 @@
             # is `QUORUM_S`, and half of 80 processes lost sight of their majority at least once in 20 s.
             for member in self.replicas.members:
                 if member.disk != self.own.disk:
-                    start_task(self._ping(member))
+                    run_detached(self._ping(member))
             await asyncio.sleep(PING_S)
 
     async def _ping(self, member: Member) -> None:
