--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -1,8 +1,11 @@
 """A store in memory, and the keys of a small platform."""
 
 import asyncio
+import contextlib
 import json
 from collections import Counter
+from collections.abc import Iterator
+from unittest import mock
 
 from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId
 from waxwingglade.follow.model import Configuration, Revision, ServiceName, Target
@@ -40,6 +43,15 @@
 )
 
 
+@contextlib.contextmanager
+def quick_pauses() -> Iterator[None]:
+    """Let a watcher ask the store again almost at once."""
+    with contextlib.ExitStack() as patches:
+        for name in ("PACE_S", "FIRST_PAUSE_S", "LONGEST_PAUSE_S"):
+            patches.enter_context(mock.patch(f"waxwingglade.follow.watcher.{name}", SHORT_S))
+        yield
+
+
 class MemoryStore:
     """A store that can be taken away and can forget its history.
 
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -14,7 +14,13 @@
 from waxwingglade.follow.model import Configuration, Replica, Revision, TargetList, View
 from waxwingglade.follow.store import Listing, StoreUnavailable
 from waxwingglade.follow.targets import RETURN_S
-from waxwingglade.follow.tests.builders import KEYS, SHORT_S, SILENCE_S, MemoryStore
+from waxwingglade.follow.tests.builders import (
+    KEYS,
+    SHORT_S,
+    SILENCE_S,
+    MemoryStore,
+    quick_pauses,
+)
 from waxwingglade.follow.watcher import Watcher
 
 PATIENCE_S = 5.0
@@ -29,10 +35,7 @@
 
 class WatcherTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        for name in ("PACE_S", "FIRST_PAUSE_S", "LONGEST_PAUSE_S"):
-            patch = mock.patch(f"waxwingglade.follow.watcher.{name}", 0.01)
-            patch.start()
-            self.addCleanup(patch.stop)
+        self.enterContext(quick_pauses())
         self.now = 1000.0
         self.store = MemoryStore()
         self.store.put("op/config", b'{"version": 4}')
@@ -158,10 +161,7 @@
     """
 
     async def asyncSetUp(self) -> None:
-        for name in ("PACE_S", "FIRST_PAUSE_S", "LONGEST_PAUSE_S"):
-            patch = mock.patch(f"waxwingglade.follow.watcher.{name}", 0.01)
-            patch.start()
-            self.addCleanup(patch.stop)
+        self.enterContext(quick_pauses())
         self.now = 1000.0
         self.store = MemoryStore()
         self.store.put("op/config", b'{"version": 4}')
