--- a/waxwingglade/ledger/tests/test_changing_sets.py
+++ b/waxwingglade/ledger/tests/test_changing_sets.py
@@ -54,6 +54,13 @@
         holders = {vm for vm, replica in self.cluster.replicas.items() if "turn-1" in replica.turns}
         self.assertEqual(holders, set(vms))
 
+    async def join_after_keeping(self) -> None:
+        """Let vm-3 join a set of three right after vm-0 and vm-1 have kept a turn without vm-2."""
+        await self.start(3)
+        following = self.cluster.joined("vm-3")
+        await self.keep_before(["vm-0", "vm-1"], following)
+        await self.cluster.use(following)
+
     async def catch_up(self, vm: str) -> None:
         """Let a replica read what the others of its set hold."""
         await catch_up(
@@ -64,10 +71,7 @@
         )
 
     async def test_a_turn_kept_just_before_a_member_joined_is_known_just_after(self) -> None:
-        await self.start(3)
-        following = self.cluster.joined("vm-3")
-        await self.keep_before(["vm-0", "vm-1"], following)
-        await self.cluster.use(following)
+        await self.join_after_keeping()
         self.cluster.delays = {"vm-0": LATE_S, "vm-1": LATE_S}
         answer = await self.cluster.coordinator("vm-2").begin(begin(2, previous="turn-1"))
         self.assertEqual(answer, TurnBegun((turn(1),)))
@@ -98,10 +102,7 @@
         self.assertEqual(answer, TurnBegun((turn(1),)))
 
     async def test_a_turn_is_not_denied_while_its_holders_cannot_be_asked(self) -> None:
-        await self.start(3)
-        following = self.cluster.joined("vm-3")
-        await self.keep_before(["vm-0", "vm-1"], following)
-        await self.cluster.use(following)
+        await self.join_after_keeping()
         self.cluster.isolate("vm-0")
         self.cluster.isolate("vm-1")
         answer = await self.cluster.coordinator("vm-2").begin(begin(2, previous="turn-1"))
@@ -118,10 +119,7 @@
 
     async def test_to_have_read_the_new_member_does_not_count(self) -> None:
         """It has read under the set before, while more was still being kept there."""
-        await self.start(3)
-        following = self.cluster.joined("vm-3")
-        await self.keep_before(["vm-0", "vm-1"], following)
-        await self.cluster.use(following)
+        await self.join_after_keeping()
         self.cluster.isolate("vm-0")
         self.cluster.isolate("vm-1")
         with self.assertRaises(WaxwinggladeError):
