Tests for a wrong 402 after a refused turn, failing

Cause: an entry that refuses a turn, because the ledger did not decide in time, tells one replica after the other that the turn has ended, and each keeps that to itself until a majority has settled it. A reservation that had reached a majority all the same then counts against the caller's next turn.

Change: tests only, failing on this code.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -11,10 +11,6 @@
 UNDECIDED = (NO_ANSWER, 500, 502, 504)
 """Statuses after which a turn may have run."""
 
-SETTLE_S = 1.0
-"""Seconds after its refusal for which a turn may still count against its program's budget, as the
-users' rules have it (`settle_ms`)."""
-
 DRAINED_S = 3.5
 """Seconds after which a server that drains gets no more work, the store being reached."""
 
@@ -92,25 +88,16 @@
         used = sum(turn.tokens for turn in turns)
         if used > budget + MOST_TOKENS:
             broken.append(f"{program}: {used} tokens of a budget of {budget}")
-        for turn in turns:
-            most = sum(_most_tokens(other, turn, ran) for other in turns)
-            if turn.status == 402 and most + MOST_TOKENS <= budget:
-                broken.append(f"{program}: 402, though at most {most} of {budget} tokens were used")
+        # A turn whose end is not known counts at its most, be it that it never reached a server.
+        most = sum(
+            MOST_TOKENS if ran.get(turn.request) or turn.status in UNDECIDED else 0
+            for turn in turns
+        )
+        if any(turn.status == 402 for turn in turns) and most + MOST_TOKENS <= budget:
+            broken.append(f"{program}: 402, though at most {most} of {budget} tokens were used")
     return broken
 
 
-def _most_tokens(turn: Attempt, spent: Attempt, ran: dict[str, list[Run]]) -> int:
-    """Return the most that a turn may count when another is told that the budget is spent.
-
-    One whose end is not known counts at its most, be it that it never reached a server; one that
-    was refused does until its reservation had the time to be settled.
-    """
-    if ran.get(turn.request) or turn.status in UNDECIDED:
-        return MOST_TOKENS
-    settling = turn.status in NOT_RUN and 0 <= spent.sent_at - turn.ended_at < SETTLE_S
-    return MOST_TOKENS if settling else 0
-
-
 def check_drained(server: str, drained_at: float, calm: bool, runs: list[Run]) -> list[str]:
     """Return what a server ran long after it said that it drains; nothing counts in trouble."""
     if not calm:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -98,16 +98,14 @@
             with self.subTest(text):
                 self.assertIn(text, "\n".join(check(attempts, runs)))
 
-    def test_a_refused_turn_counts_until_its_reservation_had_the_time_to_be_settled(self) -> None:
-        """A caller came back 0.086 s after a 503, before it was told to, and got a 402."""
+    def test_a_refused_turn_never_counts(self) -> None:
+        """A caller that comes back at once, before it was told to, is still within its budget."""
         used = turn("a")
         refused = turn("b", sent_at=1.2, ended_at=2.0, status=503, whole=False, answer=b"")
-        spent = turn("c", sent_at=2.1, status=402, whole=False, answer=b"")
-        self.assertEqual(check([used, refused, spent], [run_of("a")]), [])
-        later = msgspec.structs.replace(spent, sent_at=3.1)
-        self.assertIn("402, though", check([used, refused, later], [run_of("a")])[0])
-        earlier = msgspec.structs.replace(spent, sent_at=1.1)
-        self.assertIn("402, though", check([used, refused, earlier], [run_of("a")])[0])
+        for sent_at in (1.1, 2.01, 2.1, 3.1):
+            spent = turn("c", sent_at=sent_at, status=402, whole=False, answer=b"")
+            with self.subTest(sent_at):
+                self.assertIn("402, though", check([used, refused, spent], [run_of("a")])[0])
 
     def test_work_for_a_server_that_has_drained(self) -> None:
         now = time.monotonic()
