Tests for a signal of changed settings during the start, failing

Cause: a process ignores SIGHUP from the first line of ours on; before that Python loads site and our package, and the signal ends it.

Two tests hold a start while site is loaded and signal it 20 times; both fail on this code. The processes of the tests are started as deploy/system.toml says, so that both stay the same.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import tomllib
 from pathlib import Path
 
 from tests.ports import ReservedPorts
@@ -26,6 +27,7 @@
 """Second numbers of loopback addresses; a cluster uses those of one."""
 
 ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "north"}
+DEPLOY_FILE = ROOT / "deploy" / "system.toml"
 STREAM, CALL, ORDER = "/turns/", "/notes/", "/orders/"
 TOKENS_PER_EVENT = 10
 
@@ -48,6 +50,13 @@
     raise RuntimeError("no loopback network is free")
 
 
+def start_command(purpose: str) -> list[str]:
+    """Return how the platform starts the processes of a purpose, with this interpreter."""
+    roles = tomllib.loads(DEPLOY_FILE.read_text())["roles"].values()
+    run = next(role["run"] for role in roles if purpose in role["serves"])
+    return [sys.executable, *run.split()[1:]]
+
+
 def configuration(version: int, extra: list[dict] | None = None) -> dict:
     """Return a configuration of the operator, as it lies in the store."""
     common = {"host": HOST, "timeout_ms": 5000, "target_latency_ms": 200, "priority": 1}
@@ -140,7 +149,7 @@
         environment = {**os.environ, "WAXWINGGLADE_NODE_FILE": str(self.settings)}
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "waxwingglade.platform", self.purpose],
+                start_command(self.purpose),
                 cwd=ROOT,
                 env=environment,
                 stdout=log,
--- /dev/null
+++ b/tests/test_early_signal.py
@@ -0,0 +1,66 @@
+"""The signal that settings have changed, while a process starts.
+
+What happened: an entry that was started again after a kill was told that its settings had changed,
+and that ended it.  A process ignores the signal from the first line of ours on, and Python took 20
+to 40 ms to come there on a busy machine, most of it to load `site` and the package.
+
+What showed it: exit status -1 (SIGHUP) without a line in the process's log, and a count of the
+starts that a signal after so many ms ends (``python -m bench.early_signal``).
+"""
+
+import asyncio
+import os
+import signal
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from tests.platform_cluster import Node, PlatformCluster
+
+HELD_START = """
+import os
+with open(os.environ["HELD_AT"], "rb") as pipe:
+    pipe.read()
+"""
+"""What `site` loads in these tests: it waits until the other end of a pipe is closed."""
+
+SIGNALS = 20
+
+
+class EarlySignal(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = PlatformCluster(entries=1)
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        (self.folder / "sitecustomize.py").write_text(HELD_START)
+        self.pipe = self.folder / "pipe"
+        os.mkfifo(self.pipe)
+
+    async def signal_while_site_is_loaded(self, node: Node) -> None:
+        """Start a process anew, and signal it before a package is loaded."""
+        node.kill()
+        changed = {"PYTHONPATH": str(self.folder), "HELD_AT": str(self.pipe)}
+        with mock.patch.dict(os.environ, changed):
+            node.start()
+        # Opening it returns as soon as the process has come there.
+        with await asyncio.to_thread(self.pipe.open, "wb"):
+            for _ in range(SIGNALS):
+                node.signal(signal.SIGHUP)
+
+    async def test_it_does_not_end_an_entry(self) -> None:
+        entry = self.cluster.entries[0]
+        await self.signal_while_site_is_loaded(entry)
+        await self.cluster.until_ready(entry)
+
+    async def test_it_does_not_end_a_ledger_process(self) -> None:
+        ledger = self.cluster.ledgers[0]
+        await self.signal_while_site_is_loaded(ledger)
+        await self.cluster.until(lambda: ledger.has_started)
+
+
+if __name__ == "__main__":
+    unittest.main()
