Soak: start processes again that end by themselves, as the platform does

Cause: the soak never started such a process again, so one early signal made "does not serve after the last fault" and up to six "can't be continued" of one end, and hid what a caller sees of it on the platform.

A test ends three ledger processes and an entry before any line of ours runs, three times each: a kept turn goes on and the budget is as it was.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,11 +7,13 @@
 
 import typer
 
-from tests.soak.kinds import FIRST_KINDS
-from tests.soak.regressions import LATER_REGRESSIONS, REGRESSIONS
+from tests.soak.kinds import FIRST_KINDS, LEDGER_KINDS
+from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
 from tests.soak.run import Size, soak
 
 KEPT = Path("runs/soak")
+LEDGER_SIZE = Size(entries=4, programs=24, kinds=LEDGER_KINDS)
+"""Many programs, so that many turns are under way when the ledger does not decide."""
 
 
 def main(
@@ -21,14 +23,16 @@
     entries: Annotated[int, typer.Option(help="entries")] = 3,
     programs: Annotated[int, typer.Option(help="programs at a time")] = 6,
     regressions: Annotated[bool, typer.Option(help="only the seeds that once failed")] = False,
+    ledger: Annotated[bool, typer.Option(help="many programs, faults of the ledger")] = False,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
-    size = Size(seconds, entries, programs)
+    size = LEDGER_SIZE if ledger else Size(seconds, entries, programs)
     runs = [(seed, size) for seed in range(first, first + count)]
     if regressions:
         first_size = Size(seconds, entries, programs, spares=0, kinds=FIRST_KINDS)
         runs = [(seed, first_size) for seed in REGRESSIONS]
         runs += [(seed, size) for seed in LATER_REGRESSIONS]
+        runs += [(seed, LEDGER_SIZE) for seed in LEDGER_REGRESSIONS]
     failed = 0
     for seed, its_size in runs:
         outcome = asyncio.run(soak(seed, its_size, KEPT))
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -37,6 +37,15 @@
 FIRST_KINDS = tuple(FaultKind)[:20]
 """The kinds there were when the first seeds failed; with others a seed is another run."""
 
+LEDGER_KINDS = (
+    FaultKind.PAUSE_LEDGER,
+    FaultKind.KILL_LEDGER,
+    FaultKind.WIPE_LEDGER,
+    FaultKind.FALTER_LEDGERS,
+    FaultKind.TEAR_JOURNAL,
+)
+"""Faults that keep the ledger from deciding in time."""
+
 
 class Happening(msgspec.Struct):
     """One fault, as it happened."""
@@ -51,4 +60,4 @@
         return self.began_at <= end and self.ended_at >= begin
 
 
-__all__ = ["FIRST_KINDS", "FaultKind", "Happening"]
+__all__ = ["FIRST_KINDS", "LEDGER_KINDS", "FaultKind", "Happening"]
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -1,7 +1,8 @@
 """Seeds of the soak that once failed, each with its cause; they are run again before a release.
 
 `REGRESSIONS` are runs without a spare ledger process and with the kinds of faults of that time
-(`FIRST_KINDS`), `LATER_REGRESSIONS` runs as they are by default.
+(`FIRST_KINDS`), `LATER_REGRESSIONS` runs as they are by default, `LEDGER_REGRESSIONS` runs with
+many programs and faults of the ledger only (`LEDGER_KINDS`).
 """
 
 REGRESSIONS = {
@@ -11,8 +12,8 @@
     ),
     313: (
         "402 for a turn within the budget, 0.06 to 0.1 s after the turn before had been refused as "
-        "not run, as the ledger did not decide in time; allowed for a second, in which its "
-        "reservation may be settled; in a later run it failed as 9 does"
+        "not run, as the ledger did not decide in time: who was told of its end kept that to "
+        "itself until a majority had settled it; in a later run it failed as 9 does"
     ),
     343: "the same as 313",
 }
@@ -25,4 +26,10 @@
     ),
 }
 
-__all__ = ["LATER_REGRESSIONS", "REGRESSIONS"]
+LEDGER_REGRESSIONS = {
+    1000: "the same as 313, twice",
+    1001: "the same as 313; the replica that said 402 had been told of the turn's end",
+    1003: "the same as 313, twice",
+}
+
+__all__ = ["LATER_REGRESSIONS", "LEDGER_REGRESSIONS", "REGRESSIONS"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,7 @@
 from tests.soak.cluster import SoakCluster
 from tests.soak.faults import Faults
 from tests.soak.kinds import FaultKind, Happening
+from tests.soak.supervisor import Supervisor
 from tests.soak.workload import NO_ANSWER, Attempt, Callers
 
 RECOVERY_S = 15.0
@@ -87,6 +88,8 @@
         await cluster.open()
         callers = Callers(cluster, random.Random(seed))
         faults = Faults(cluster, random.Random(seed + 1_000_000), size.kinds)
+        supervisor = Supervisor(cluster)
+        supervising = asyncio.create_task(supervisor.run())
         working = asyncio.create_task(callers.run(size.programs, size.plain))
         await faults.run(size.seconds)
         broken = faults.broken
@@ -95,7 +98,9 @@
         await working
         broken += await _check_continuation(cluster, callers)
         await asyncio.sleep(LATE_S)
+        supervising.cancel()
         broken += _verdict(cluster, callers, faults)
+        broken += supervisor.broken
         if broken and kept is not None:
             _keep(kept / str(seed), cluster, callers, faults, broken)
     finally:
--- /dev/null
+++ b/tests/soak/supervisor.py
@@ -0,0 +1,51 @@
+"""Start processes again that end by themselves, as the platform does."""
+
+import asyncio
+import signal
+from subprocess import Popen
+
+from tests.platform_cluster import Node
+from tests.soak.cluster import SoakCluster
+
+LOOK_S = 0.05
+RESTART_S = 0.5
+"""Seconds after which the platform starts a process again; its pages say "a short delay"."""
+
+STATUSES_OF_FAULTS = (0, -signal.SIGKILL)
+"""How processes end that a fault stops or kills; the fault starts them again."""
+
+
+class Supervisor:
+    """Watches the processes of a cluster.
+
+    Attributes
+    ----------
+    broken : list of str
+        Processes that ended by themselves, which each breaks a promise.
+    """
+
+    def __init__(self, cluster: SoakCluster) -> None:
+        self.cluster = cluster
+        self.broken: list[str] = []
+
+    async def run(self) -> None:
+        """Look after all processes until cancelled."""
+        await asyncio.gather(*(self._watch(node) for node in self.cluster.nodes()))
+
+    async def _watch(self, node: Node) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            process = node.process
+            if process is not None and _ended_by_itself(process):
+                self.broken.append(f"{node.name} ended by itself with status {process.returncode}")
+                await asyncio.sleep(RESTART_S)
+                if node.process is process:
+                    node.start()
+
+
+def _ended_by_itself(process: Popen) -> bool:
+    status = process.poll()
+    return status is not None and status not in STATUSES_OF_FAULTS
+
+
+__all__ = ["Supervisor"]
--- a/tests/test_early_signal.py
+++ b/tests/test_early_signal.py
@@ -26,6 +26,9 @@
 """What `site` loads in these tests: it waits until the other end of a pipe is closed."""
 
 SIGNALS = 20
+EARLY_ENDS = 3
+BUDGET = 80
+"""Tokens: enough for two turns of forty."""
 
 
 class EarlySignal(unittest.IsolatedAsyncioTestCase):
@@ -61,6 +64,25 @@
         await self.signal_while_site_is_loaded(ledger)
         await self.cluster.until(lambda: ledger.has_started)
 
+    async def test_what_is_ended_before_any_line_of_ours_loses_nothing(self) -> None:
+        """From inside nothing can be done there; the platform starts the process again."""
+        entry = self.cluster.entries[0]
+        await self.cluster.turn(entry, "t1", b"asks", token_budget=BUDGET)
+        for node in [*self.cluster.ledgers, entry]:
+            node.kill()
+            for _ in range(EARLY_ENDS):
+                node.start()
+                node.signal(signal.SIGHUP)
+                node.kill()
+            self.assertFalse(node.has_started)
+            node.start()
+        await self.cluster.until_ready(entry)
+        again = {"previous_turn": "t1", "token_budget": BUDGET}
+        answer = await self.cluster.turn(entry, "t2", b"goes on", **again)
+        self.assertEqual(200, answer.status)
+        answer = await self.cluster.turn(entry, "t3", b"goes on", **again)
+        self.assertEqual(402, answer.status, "both turns count, and no other")
+
 
 if __name__ == "__main__":
     unittest.main()
