Wait for nobody in a round that it can't decide any more

Symptom: turns refused with "no majority in time" and "too much to do" in zones that are not cut off, while another zone is.

Cause: a proposal that another process has overtaken is refused by those that answer; the round still waited 0.25 s for the silent member. Three such rounds are the 0.9 s after which a turn is given up, and 24 of them fill a process.

Change: a round ends once those that have not answered can't make up a majority with those that agreed.

Result: ledger/tests/test_rounds.py, one of three failed before, none now; the 81 tests of the ledger pass twice.

--- a/waxwingglade/ledger/rounds.py
+++ b/waxwingglade/ledger/rounds.py
@@ -98,7 +98,10 @@
         needed = len(order) // 2 + 1
         good = []
         refused = 0
-        while asking.open:
+        # Whoever is silent is not waited for once it can't decide the round any more.  A zone that
+        # is cut off otherwise costs `ROUND_S` for each proposal that another has overtaken, and
+        # three of them the time in which a turn may begin.
+        while asking.open and len(good) + asking.left(order) >= needed:
             answered = await asking.next(HEDGE_S if len(asking.asked) < len(order) else None)
             if answered is None:
                 self._avoid(asking.open)
@@ -184,6 +187,10 @@
     def _answered(self, member: Member, asked: asyncio.Future[Any]) -> None:
         self.answers.put_nowait((member, _outcome(asked)))
 
+    def left(self, order: list[Member]) -> int:
+        """Return how many members of a round have not answered, asked or not."""
+        return len(self.open) + len(order) - len(self.asked)
+
     async def next(self, timeout_s: float | None) -> tuple[Member, Any] | None:
         """Return the next member that has answered and its answer; None if none does in time."""
         try:
