Tell all replicas of a turn's end only where the ledger is not merely busy

Cause: 0.1 s is less than a decision takes in a crowd, so each turn's end could have gone to all replicas, and onto their disks, just when they have most to do; a refused turn was told twice.

Change: 0.25 s, as a process with as much to do as it takes on answers in 0.24; a refused turn is told once, at once. A settlement applies its own message, and does not rely on its being remembered.

Result: the 19 tests of the ledger's client, rounds and refused turns pass.

--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -39,12 +39,12 @@
 """Pauses before a settlement is tried again after the response has ended.  Each try asks as many
 replicas as fit into `ASK_S`: a ledger that can't keep up must not be asked more for it."""
 
-TELL_S = 0.1
+TELL_S = 0.25
 """Seconds that a settlement may take before all replicas are told of the turn's end.  It usually
-takes some 5 ms, and some 60 ms in a crowd; telling all of a ledger that is merely busy would make
-it busier."""
+takes some 5 ms, and 0.24 s at a process that has as much to do as it takes on; telling all of a
+ledger that is merely busy would make it busier."""
 
-HAND_OVER_S = 0.2
+HAND_OVER_S = 0.1
 """Seconds for which a process that ends waits until replicas have noted what it has not settled; a
 flush of a disk takes some 1 ms."""
 
@@ -124,7 +124,7 @@
         has settled it.
         """
         self.tell_all(message)
-        self.settle_later(message)
+        self._start(self._settle_now(message, told=True))
 
     async def finish(self, timeout_s: float) -> None:
         """Wait until what is being settled is settled, and hand the rest over after `timeout_s`.
@@ -174,9 +174,11 @@
                 "replica not told of a turn's end"
             )
 
-    async def _settle_now(self, message: EndTurn) -> None:
+    async def _settle_now(self, message: EndTurn, told: bool = False) -> None:
         self.unsettled[message.turn] = message
         telling = asyncio.get_running_loop().call_later(TELL_S, self.tell_all, message)
+        if told:
+            telling.cancel()
         try:
             answer = await self._try(message, KEEP_S, lambda _: True)
         finally:
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -217,11 +217,14 @@
         if message.program is None:
             return True
 
-        # Whatever changes the account next settles the turn, be it another turn that begins.
+        def change(account: Account) -> tuple[Account, None]:
+            return settle(account, message, self.wall_clock()), None
+
+        # Should this fail, whatever changes the account next settles the turn.
         self.unsettled.add(message)
         try:
             async with asyncio.timeout(DECIDE_S):
-                await self.change(message.program, lambda account: (account, None))
+                await self.change(message.program, change)
         except (NoMajority, TimeoutError) as error:
             logger.bind(turn=message.turn, reason=str(error)).info("turn not settled")
             end = msgspec.structs.replace(message, kept=None)
