--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -1,4 +1,4 @@
-"""Coordinate the replicas: budgets by agreement on each account, turns by copies at a majority.
+"""Coordinate the replicas: budgets by agreement on each account.
 
 An account is a register of its own.  A process that wants to change it proposes the changed account
 under a ballot; it holds once a majority of the members has accepted it.  Usually the last proposal
@@ -18,7 +18,6 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, ProgramId, wall
-from waxwingglade.base.logs import Sampler
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.account import Reservation, committed, reserve, settle
@@ -33,23 +32,25 @@
     BudgetSpent,
     Ends,
     EndTurn,
-    Find,
-    Found,
-    Keep,
-    Kept,
     ListEnds,
     NoSuchTurn,
     NoteEnd,
-    OtherEpoch,
     Prepare,
     Promised,
     Turn,
     TurnBegun,
     TurnEnded,
-    TurnId,
     Unavailable,
 )
-from waxwingglade.ledger.rounds import HEDGE_S, Ask, NoMajority, Rounds
+from waxwingglade.ledger.rounds import (
+    FIRST_PAUSE_S,
+    HEDGE_S,
+    LONGEST_PAUSE_S,
+    Ask,
+    NoMajority,
+    Rounds,
+)
+from waxwingglade.ledger.turns import Turns
 from waxwingglade.ledger.unsettled import UnsettledEnds
 
 T = TypeVar("T")
@@ -59,16 +60,9 @@
 KEEP_S = 1.2
 """Seconds for which copies of a turn are tried."""
 
-FIRST_PAUSE_S = 0.004
-LONGEST_PAUSE_S = 0.1
-"""Pause after proposals that met another's, drawn at random up to a bound that doubles."""
-
 REMEMBERED = 5_000
 """Accounts whose last proposal is remembered, for changes in one round."""
 
-DENIALS_LOGGED_PER_S = 10.0
-"""Lines a second for turns that do not exist; a caller may ask for many."""
-
 
 class LastProposal(msgspec.Struct, frozen=True):
     """The account that this process saw accepted last, and under what."""
@@ -108,15 +102,13 @@
     ) -> None:
         self.own = own
         self.unsettled = UnsettledEnds() if unsettled is None else unsettled
-        self.members = members
-        self.rounds = Rounds(own, ask, heard_of, self._pass_by)
-        self.heard_of = heard_of
+        self.rounds = Rounds(own, members, ask, heard_of, self._pass_by)
+        self.turns = Turns(self.rounds)
         self.wall_clock = wall_clock
         self.name = secrets.token_hex(4)
         self.locks: defaultdict[ProgramId, asyncio.Lock] = defaultdict(asyncio.Lock)
         self.last: dict[ProgramId, LastProposal] = {}
         self.numbers: dict[ProgramId, int] = {}
-        self.denials = Sampler(DENIALS_LOGGED_PER_S)
 
     # For entries
 
@@ -126,7 +118,7 @@
         try:
             async with asyncio.timeout(DECIDE_S):
                 if message.previous is not None:
-                    found = await self._find(message.previous)
+                    found = await self.turns.find(message.previous)
                     if found is None:
                         return NoSuchTurn()
                     chain = found
@@ -184,7 +176,7 @@
         question = ListEnds(message.program)
         try:
             async with asyncio.timeout(HEDGE_S):
-                async for _, answer in self.rounds.answers(self._usable_members(), question):
+                async for _, answer in self.rounds.answers(self.rounds.usable_members(), question):
                     for end in answer.ends if isinstance(answer, Ends) else ():
                         self.unsettled.add(end)
         except TimeoutError:
@@ -207,7 +199,7 @@
             return True
         try:
             async with asyncio.timeout(KEEP_S):
-                await self._copy(message.kept)
+                await self.turns.copy(message.kept)
         except (NoMajority, TimeoutError) as error:
             logger.bind(turn=message.turn, reason=str(error)).warning("turn not kept")
             return False
@@ -245,19 +237,13 @@
         async with self.locks[program]:
             pause_s = FIRST_PAUSE_S
             while True:
-                replicas = self._usable_members()
+                replicas = self.rounds.usable_members()
                 try:
                     return await self._propose(replicas, program, change)
                 except _Overtaken:
                     await asyncio.sleep(pause_s * random.random())
                     pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
 
-    def _usable_members(self) -> ReplicaSet:
-        replicas = self.members()
-        if not replicas.members:
-            raise NoMajority("no members known")
-        return replicas
-
     async def _propose(
         self,
         replicas: ReplicaSet,
@@ -312,85 +298,6 @@
             if not self.locks[oldest].locked():
                 del self.locks[oldest]
 
-    # Turns
-
-    async def _copy(self, turn: Turn) -> None:
-        pause_s = FIRST_PAUSE_S
-        while True:
-            replicas = self._usable_members()
-            order = list(replicas.members)
-            message = Keep(replicas.epoch, turn)
-            # All are asked at once, so that each has the turn at hand when it is continued.
-            answers = await self.rounds.majority(order, len(order), message, Kept)
-            if len(answers) >= replicas.majority:
-                return
-            await asyncio.sleep(pause_s)
-            pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
-
-    async def _find(self, turn: TurnId) -> tuple[Turn, ...] | None:
-        """Return the chain up to a turn; None if it certainly does not exist.
-
-        A turn that was answered whole is held by a majority of the set of that time.  If the
-        members without it include one of every such majority, it was not.
-        """
-        while True:
-            replicas = self._usable_members()
-            message = Find(replicas.epoch, turn)
-            if (chain := await self._find_here(replicas, message)) is not None:
-                return chain
-            absent: set[str] = set()
-            partial: dict[TurnId, Turn] = {}
-            refused = False
-            async for member, answer in self.rounds.answers(replicas, message):
-                if isinstance(answer, OtherEpoch):
-                    self.heard_of(answer.replicas)
-                    refused = True
-                if not isinstance(answer, Found):
-                    continue
-                if answer.whole:
-                    return answer.chain
-                partial.update({part.turn: part for part in answer.chain})
-                if not answer.chain:
-                    absent.add(member.disk)
-                if (chain := _join(partial, turn)) is not None:
-                    return chain
-                if replicas.meet_all(absent):
-                    self._log_denial(turn, replicas, absent)
-                    return None
-            if not refused:
-                raise NoMajority(
-                    f"{len(absent)} of {len(replicas.members)} members without the turn"
-                )
-            await asyncio.sleep(FIRST_PAUSE_S)
-
-    def _log_denial(self, turn: TurnId, replicas: ReplicaSet, absent: set[str]) -> None:
-        """Log on whose word a turn was denied; the entry's line names the request and this turn."""
-        if not self.denials.allows():
-            return
-        logger.bind(
-            previous=turn,
-            epoch=replicas.epoch,
-            settled=replicas.settled,
-            joining=[member.vm for member in replicas.members if member.disk == replicas.joining],
-            without_it=[member.vm for member in replicas.members if member.disk in absent],
-            left_out=self.denials.take_left_out(),
-        ).warning("turn denied")
-
-    async def _find_here(self, replicas: ReplicaSet, message: Find) -> tuple[Turn, ...] | None:
-        """Return the chain up to a turn if this process's replica holds all of it.
-
-        It mostly does.  When all members were asked at once, each sent the whole chain: 0.12 GB
-        between three zones for 2,450 turns, against 0.033 GB now (the users' calm day, one run
-        each).
-        """
-        for member in replicas.members:
-            if member.disk != self.own.disk:
-                continue
-            answer = await self.rounds.ask_one(member, message)
-            if isinstance(answer, Found) and answer.whole:
-                return answer.chain
-        return None
-
     def _pass_by(self, program: ProgramId, ballot: Ballot) -> None:
         """Use higher ballots from now on than one that is used, or that stood in the way."""
         self.numbers[program] = max(self.numbers.get(program, 0), ballot.number)
@@ -400,17 +307,4 @@
     """Another proposal, or another set of members, came first."""
 
 
-def _join(parts: dict[TurnId, Turn], last: TurnId) -> tuple[Turn, ...] | None:
-    """Return the whole chain up to a turn, if all its parts are there."""
-    chain = []
-    wanted: TurnId | None = last
-    while wanted is not None:
-        part = parts.get(wanted)
-        if part is None or len(chain) > len(parts):
-            return None
-        chain.append(part)
-        wanted = part.previous
-    return tuple(reversed(chain))
-
-
 __all__ = ["Coordinator", "NoMajority"]
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -20,7 +20,6 @@
     Ballot,
     EndNoted,
     Ends,
-    EndTurn,
     Fetch,
     Fetched,
     Find,
@@ -39,6 +38,15 @@
     Turn,
     TurnId,
 )
+from waxwingglade.ledger.records import (
+    AcceptRecord,
+    EndRecord,
+    MembersRecord,
+    PromiseRecord,
+    TurnRecord,
+    decode,
+    encode,
+)
 from waxwingglade.ledger.unsettled import UnsettledEnds
 
 ACCOUNT_KEPT_S = 600.0
@@ -59,35 +67,6 @@
 """Turns of a chain, against a loop in damaged data."""
 
 
-class _TurnRecord(msgspec.Struct, frozen=True, array_like=True, tag="t"):
-    turn: Turn
-
-
-class _PromiseRecord(msgspec.Struct, frozen=True, array_like=True, tag="p"):
-    program: ProgramId
-    promised: Ballot
-
-
-class _AcceptRecord(msgspec.Struct, frozen=True, array_like=True, tag="a"):
-    program: ProgramId
-    promised: Ballot
-    accepted: Ballot
-    account: Account
-
-
-class _EndRecord(msgspec.Struct, frozen=True, array_like=True, tag="e"):
-    end: EndTurn
-
-
-class _MembersRecord(msgspec.Struct, frozen=True, array_like=True, tag="m"):
-    replicas: ReplicaSet
-
-
-_Record = _TurnRecord | _PromiseRecord | _AcceptRecord | _EndRecord | _MembersRecord
-_encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(_Record).decode
-
-
 class Slot(msgspec.Struct):
     """A program's account as this replica has accepted it, and what it has promised."""
 
@@ -162,17 +141,17 @@
         ).info("disk read")
 
     def _replay(self, place: Place, content: bytes) -> None:
-        record = _decode(content)
-        if isinstance(record, _TurnRecord):
+        record = decode(content)
+        if isinstance(record, TurnRecord):
             self._index(record.turn, place)
-        elif isinstance(record, _MembersRecord):
+        elif isinstance(record, MembersRecord):
             self.replicas = record.replicas
-        elif isinstance(record, _EndRecord):
+        elif isinstance(record, EndRecord):
             self.unsettled.add(record.end)
         else:
             slot = self.slots.setdefault(record.program, Slot())
             slot.promised = max(slot.promised, record.promised)
-            if isinstance(record, _AcceptRecord) and record.accepted >= slot.accepted:
+            if isinstance(record, AcceptRecord) and record.accepted >= slot.accepted:
                 slot.accepted, slot.account = record.accepted, record.account
 
     async def stop(self) -> None:
@@ -184,7 +163,7 @@
         known = (self.replicas.epoch, self.replicas.settled)
         if (replicas.epoch, replicas.settled) > known:
             self.replicas = replicas
-            self.members_written = self._write(_MembersRecord(replicas))
+            self.members_written = self._write(MembersRecord(replicas))
         if self.members_written is not None:
             # Others rely on the refusal of older sets, which must outlive a loss of power.
             await asyncio.shield(self.members_written)
@@ -194,11 +173,11 @@
         return await self.handlers[type(message)](message)
 
     def _write(self, record: Any) -> "asyncio.Future[Place]":
-        return self.journal.append(_encode(record))
+        return self.journal.append(encode(record))
 
     async def flush(self) -> None:
         """Wait until all that was written before is durable."""
-        await self._write(_MembersRecord(self.replicas))
+        await self._write(MembersRecord(self.replicas))
 
     def _refused(self, epoch: int) -> OtherEpoch | None:
         """Refuse a request under another set of members than the one known here."""
@@ -217,7 +196,7 @@
             return Rejected(slot.promised)
         slot.promised = message.ballot
         answer = Promised(slot.accepted, slot.account)
-        await self._write(_PromiseRecord(message.program, message.ballot))
+        await self._write(PromiseRecord(message.program, message.ballot))
         return answer
 
     async def accept(self, message: Accept) -> Any:
@@ -233,7 +212,7 @@
         slot.promised, slot.accepted = message.ballot.next(), message.ballot
         slot.account = message.account
         await self._write(
-            _AcceptRecord(message.program, slot.promised, message.ballot, message.account)
+            AcceptRecord(message.program, slot.promised, message.ballot, message.account)
         )
         return Accepted()
 
@@ -243,7 +222,7 @@
         """Remember the end of a turn, also over a restart."""
         # An account here that shows it may not be the one that a majority accepts.
         self.unsettled.add(message.end)
-        await self._write(_EndRecord(message.end))
+        await self._write(EndRecord(message.end))
         return EndNoted()
 
     async def list_ends(self, message: ListEnds) -> Ends:
@@ -264,7 +243,7 @@
     async def _store_turn(self, turn: Turn) -> None:
         if turn.turn in self.turns:
             return
-        place = await self._write(_TurnRecord(turn))
+        place = await self._write(TurnRecord(turn))
         self._index(turn, place)
         self._remember(turn)
 
@@ -307,8 +286,8 @@
         if where is None:
             return None
         content = await asyncio.to_thread(self.journal.read, where.place)
-        record = _decode(content)
-        if not isinstance(record, _TurnRecord) or record.turn.turn != turn:
+        record = decode(content)
+        if not isinstance(record, TurnRecord) or record.turn.turn != turn:
             logger.bind(turn=turn).error("turn not where the index says")
             return None
         self._remember(record.turn)
@@ -365,7 +344,7 @@
             # round of promises must find it.
             slot.promised, slot.accepted = max(slot.promised, ballot.next()), ballot
             slot.account = account
-            writes.append(self._write(_AcceptRecord(program, slot.promised, ballot, account)))
+            writes.append(self._write(AcceptRecord(program, slot.promised, ballot, account)))
         await asyncio.gather(*writes)
 
     # Expiry
@@ -398,11 +377,11 @@
         oldest = min(needed, default=active)
         if oldest <= min(self.journal.segments, default=active):
             return
-        writes = [self._write(_MembersRecord(self.replicas))]
-        writes += [self._write(_EndRecord(end)) for end in self.unsettled.all()]
+        writes = [self._write(MembersRecord(self.replicas))]
+        writes += [self._write(EndRecord(end)) for end in self.unsettled.all()]
         for program, slot in self.slots.items():
             writes.append(
-                self._write(_AcceptRecord(program, slot.promised, slot.accepted, slot.account))
+                self._write(AcceptRecord(program, slot.promised, slot.accepted, slot.account))
             )
         await asyncio.gather(*writes)
         await self.journal.drop(min(oldest, active))
--- a/waxwingglade/ledger/rounds.py
+++ b/waxwingglade/ledger/rounds.py
@@ -29,6 +29,12 @@
 is under way waits for `HEDGE_S`."""
 
 
+FIRST_PAUSE_S = 0.004
+LONGEST_PAUSE_S = 0.1
+"""Pause after rounds that came to nothing, as another's proposal or set of members came first; for
+proposals it is drawn at random up to a bound that doubles."""
+
+
 class NoMajority(WaxwinggladeError):
     """Too few members answered; whether a change holds is not known."""
 
@@ -40,6 +46,8 @@
     ----------
     own : Member
         The replica in this process; asking it costs no message.
+    members : callable
+        The present set of members.
     ask : callable
         Sends a request to a member and returns the answer; raises `WaxwinggladeError` if none.
     heard_of : callable
@@ -51,16 +59,25 @@
     def __init__(
         self,
         own: Member,
+        members: Callable[[], ReplicaSet],
         ask: Ask,
         heard_of: Callable[[ReplicaSet], None],
         rejected: Callable[[ProgramId, Ballot], None],
     ) -> None:
         self.own = own
+        self.members = members
         self.ask = ask
         self.heard_of = heard_of
         self.rejected = rejected
         self.avoided: dict[str, float] = {}
 
+    def usable_members(self) -> ReplicaSet:
+        """Return the present set of members; `NoMajority` while none are known."""
+        replicas = self.members()
+        if not replicas.members:
+            raise NoMajority("no members known")
+        return replicas
+
     async def majority(
         self, order: list[Member], first: int, message: Any, wanted: type
     ) -> list[Any]:
--- a/waxwingglade/ledger/tests/test_coordinator.py
+++ b/waxwingglade/ledger/tests/test_coordinator.py
@@ -223,6 +223,6 @@
         self.assertLessEqual(sum(granted.values()), BUDGET, "tokens handed out")
         cluster.loss = 0.0
         for number in kept:
-            answer = await coordinators[0]._find(TurnId(f"turn-{number}"))
+            answer = await coordinators[0].turns.find(TurnId(f"turn-{number}"))
             self.assertIsNotNone(answer, f"turn {number} was kept and is gone")
         await cluster.close()
--- a/waxwingglade/ledger/tests/test_rounds.py
+++ b/waxwingglade/ledger/tests/test_rounds.py
@@ -6,6 +6,7 @@
 
 from waxwingglade.base import ProgramId, ZoneId
 from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.messages import (
     NEW_ACCOUNT,
     Accept,
@@ -35,7 +36,7 @@
                 await asyncio.Event().wait()
             return answer
 
-        rounds = Rounds(self.members[0], ask, lambda _: None, lambda *_: None)
+        rounds = Rounds(self.members[0], ReplicaSet, ask, lambda _: None, lambda *_: None)
         async with asyncio.timeout(SOON_S):
             return await rounds.majority(self.members, first, MESSAGE, Accepted)
 
