--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,13 +10,16 @@
 from tests.platform_cluster import ORDER, STREAM
 from tests.prove.relay import ADDRESS, Relays
 from tests.soak.checks import answer_to_turn, check, check_drained
+from tests.soak.kinds import LEDGER_KINDS
 from tests.soak.run import Size, soak
 from tests.soak.workload import Attempt
 from waxwingglade.standins.registered_server import Run, answer_to
 
 KEPT = Path("runs/soak")
 SHORT = Size(seconds=6.0, entries=2, programs=4, plain=2)
+SHORT_LEDGER = Size(seconds=6.0, entries=3, programs=16, plain=2, kinds=LEDGER_KINDS)
 SEED = 7
+LEDGER_SEED = 1001
 PROMPT = b"asks"
 
 
@@ -41,7 +44,14 @@
 
 class ShortSoak(unittest.IsolatedAsyncioTestCase):
     async def test_no_promise_is_broken(self) -> None:
-        outcome = await soak(SEED, SHORT, KEPT)
+        await self.check(SEED, SHORT)
+
+    async def test_no_promise_is_broken_where_the_ledger_does_not_decide_in_time(self) -> None:
+        await self.check(LEDGER_SEED, SHORT_LEDGER)
+
+    async def check(self, seed: int, size: Size) -> None:
+        """Run a seed, and see that something was served and something happened."""
+        outcome = await soak(seed, size, KEPT)
         self.assertEqual(outcome.broken, [])
         self.assertGreater(outcome.served, 0)
         self.assertGreater(outcome.faults, 0)
