Soak: tell what goes wrong with the supervisor itself

Cause: an exception in its task would have been lost, and a process that ended by itself not been started again; found by reading the change.

Change: it is started and stopped, and raises what went wrong.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,7 +23,12 @@
     entries: Annotated[int, typer.Option(help="entries")] = 3,
     programs: Annotated[int, typer.Option(help="programs at a time")] = 6,
     regressions: Annotated[bool, typer.Option(help="only the seeds that once failed")] = False,
-    ledger: Annotated[bool, typer.Option(help="many programs, faults of the ledger")] = False,
+    ledger: Annotated[
+        bool,
+        typer.Option(
+            help="many programs, faults of the ledger only; seconds, entries and programs are set"
+        ),
+    ] = False,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
     size = LEDGER_SIZE if ledger else Size(seconds, entries, programs)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -89,7 +89,7 @@
         callers = Callers(cluster, random.Random(seed))
         faults = Faults(cluster, random.Random(seed + 1_000_000), size.kinds)
         supervisor = Supervisor(cluster)
-        supervising = asyncio.create_task(supervisor.run())
+        supervisor.start()
         working = asyncio.create_task(callers.run(size.programs, size.plain))
         await faults.run(size.seconds)
         broken = faults.broken
@@ -98,7 +98,7 @@
         await working
         broken += await _check_continuation(cluster, callers)
         await asyncio.sleep(LATE_S)
-        supervising.cancel()
+        await supervisor.stop()
         broken += _verdict(cluster, callers, faults)
         broken += supervisor.broken
         if broken and kept is not None:
--- a/tests/soak/supervisor.py
+++ b/tests/soak/supervisor.py
@@ -27,10 +27,19 @@
     def __init__(self, cluster: SoakCluster) -> None:
         self.cluster = cluster
         self.broken: list[str] = []
-
-    async def run(self) -> None:
-        """Look after all processes until cancelled."""
-        await asyncio.gather(*(self._watch(node) for node in self.cluster.nodes()))
+        self.watching: list[asyncio.Task] = []
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self.watching = [asyncio.create_task(self._watch(node)) for node in self.cluster.nodes()]
+
+    async def stop(self) -> None:
+        """Stop to watch; raise what went wrong with it."""
+        for task in self.watching:
+            task.cancel()
+        for outcome in await asyncio.gather(*self.watching, return_exceptions=True):
+            if not isinstance(outcome, asyncio.CancelledError):
+                raise outcome
 
     async def _watch(self, node: Node) -> None:
         while True:
--- a/waxwingglade/ledger/unsettled.py
+++ b/waxwingglade/ledger/unsettled.py
@@ -6,7 +6,7 @@
 from waxwingglade.ledger.messages import Account, EndTurn, TurnId
 
 MOST_PROGRAMS = 5_000
-"""Programs whose ends are remembered, some 300 bytes each; there are ends to remember only while no
+"""Programs whose ends are remembered, some 400 bytes each; there are ends to remember only while no
 majority settles them, and the oldest give way."""
 
 
