--- a/deploy/start.py
+++ b/deploy/start.py
@@ -2,12 +2,12 @@
 
 The signal that settings have changed ends a process that does not handle it yet.  Nothing is lost
 by ignoring it until then: the settings are read later.  This file and the option ``-S`` bring the
-first line of ours as near to the start as is possible from inside.  At a load of 15, a signal 16,
-25 and 40 ms after the start ended 7, 3 and 0 of 10 processes, and 10, 10 and 10 of 10 that were
-started with ``-m`` and without the option (``python -m bench.early_signal``).
+first line of ours nearer to the start.  At a load of 15, a signal 16, 25 and 40 ms after the start
+ended 7, 3 and 0 of 10 processes, and 10, 10 and 10 of 10 that were started with ``-m`` and without
+the option (``python -m bench.early_signal``, one run).
 """
 
-# Built into the interpreter; `signal` loads other modules first, which took 10 ms of these.
+# Built into the interpreter.  With `signal`, which loads other modules, 10, 8 and 2 were ended.
 import _signal
 
 _signal.signal(_signal.SIGHUP, _signal.SIG_IGN)
