Start the daemons with less to load

A start loaded YAML's parser for one file, a web framework for two pages, site and what it pulls in, and looked for garbage in what stays.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -27,7 +27,7 @@
 """Second numbers of loopback addresses; a cluster uses those of one."""
 
 ZONES = {"zone-a": "north", "zone-b": "north", "zone-c": "north"}
-DEPLOY_FILE = ROOT / "deploy" / "system.toml"
+DEPLOY_FILE = "deploy/system.toml"
 STREAM, CALL, ORDER = "/turns/", "/notes/", "/orders/"
 TOKENS_PER_EVENT = 10
 
@@ -50,9 +50,9 @@
     raise RuntimeError("no loopback network is free")
 
 
-def start_command(purpose: str) -> list[str]:
+def start_command(purpose: str, checkout: Path = ROOT) -> list[str]:
     """Return how the platform starts the processes of a purpose, with this interpreter."""
-    roles = tomllib.loads(DEPLOY_FILE.read_text())["roles"].values()
+    roles = tomllib.loads((checkout / DEPLOY_FILE).read_text())["roles"].values()
     run = next(role["run"] for role in roles if purpose in role["serves"])
     return [sys.executable, *run.split()[1:]]
 
@@ -112,6 +112,8 @@
 
     def __init__(self, cluster: "PlatformCluster", purpose: str, number: int) -> None:
         self.purpose = purpose
+        self.checkout = cluster.checkout
+        self.libraries = cluster.libraries
         self.name = f"{purpose}-{number}"
         self.zone = list(ZONES)[number % len(ZONES)]
         self.folder = cluster.folder / self.name
@@ -147,10 +149,12 @@
         log_path = self.folder / "log"
         self.log_start = log_path.stat().st_size if log_path.exists() else 0
         environment = {**os.environ, "WAXWINGGLADE_NODE_FILE": str(self.settings)}
+        if self.libraries is not None:
+            environment["PYTHONPATH"] = str(self.libraries)
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                start_command(self.purpose),
-                cwd=ROOT,
+                start_command(self.purpose, self.checkout),
+                cwd=self.checkout,
                 env=environment,
                 stdout=log,
                 stderr=log,
@@ -185,9 +189,27 @@
 
 
 class PlatformCluster:
-    """A store, servers, three ledger processes and entries."""
+    """A store, servers, ledger processes and entries.
+
+    Parameters
+    ----------
+    entries, ledgers : int
+        How many processes of each kind.
+    checkout : Path
+        Where the processes are started; another checkout than this one, to compare two versions.
+    libraries : Path or None
+        Folder of the libraries that they use; None for those of this interpreter.
+    """
 
-    def __init__(self, entries: int = 2, ledgers: int = 3) -> None:
+    def __init__(
+        self,
+        entries: int = 2,
+        ledgers: int = 3,
+        checkout: Path = ROOT,
+        libraries: Path | None = None,
+    ) -> None:
+        self.checkout = checkout
+        self.libraries = libraries
         self.reserved, self.network = reserve_network()
         self.ports = ReservedPorts()
         self.temporary = tempfile.TemporaryDirectory()
--- a/waxwingglade/platform/process.py
+++ b/waxwingglade/platform/process.py
@@ -1,6 +1,7 @@
 """A process on the platform, from its command line to its end."""
 
 import asyncio
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -52,11 +53,18 @@
 """Share of the grace after which it ends, before it is killed."""
 
 
+def end_loading() -> None:
+    """Collect garbage from now on, but none of what is loaded, which would cost each collection."""
+    gc.freeze()
+    gc.enable()
+
+
 async def run_entry(settings: NodeSettings, stop: asyncio.Event) -> None:
     """Run an entry until it is told to stop."""
     from waxwingglade.ingress.entry import Ingress  # noqa: PLC0415
     from waxwingglade.ingress.settings import IngressSettings  # noqa: PLC0415
 
+    end_loading()
     grace_s = settings.bounds.grace_s
     ingress = Ingress(
         IngressSettings(
@@ -82,6 +90,7 @@
     """Run a ledger process until it is told to stop."""
     from waxwingglade.ledger.node import LedgerNode, LedgerSettings  # noqa: PLC0415
 
+    end_loading()
     if settings.data_dir is None:
         raise SettingsError("a ledger process needs a data folder")
     node = LedgerNode(
--- a/waxwingglade/platform/settings.py
+++ b/waxwingglade/platform/settings.py
@@ -3,9 +3,9 @@
 import os
 from enum import Enum
 from pathlib import Path
+from typing import Any
 
 import msgspec
-import yaml
 
 from waxwingglade.base import SettingsError, ZoneId
 
@@ -105,15 +105,22 @@
 def load_node_settings(path: Path) -> NodeSettings:
     """Read and check the settings file; `SettingsError` names what is wrong with it."""
     try:
-        content = yaml.load(path.read_text(), Loader=_LOADER)
-    except (OSError, yaml.YAMLError) as error:
-        raise SettingsError(f"{path}: {error}") from error
-    try:
+        content = _parse(path.read_bytes())
         return msgspec.convert(content, NodeSettings)
-    except msgspec.ValidationError as error:
+    except (OSError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from error
 
 
-_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+def _parse(text: bytes) -> Any:
+    """Return the content of JSON or YAML; `ValueError` if it is neither.
+
+    YAML's parser is loaded only for what is not JSON: loading it takes longer than all else that a
+    start does with its settings.
+    """
+    try:
+        return msgspec.json.decode(text)
+    except msgspec.DecodeError:
+        return msgspec.yaml.decode(text)
+
 
 __all__ = ["Bounds", "NodeSettings", "Purpose", "load_node_settings", "settings_path"]
--- a/waxwingglade/transport/page.py
+++ b/waxwingglade/transport/page.py
@@ -1,35 +1,82 @@
-"""A single page of text over HTTP, for the balancer and for metrics."""
+"""A single page of text over HTTP, for the balancer and for metrics.
 
+It is served by the HTTP server alone, as loading a web framework would make each start longer.
+"""
+
+import re
 from collections.abc import Callable
+from http import HTTPStatus
 
 from loguru import logger
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 from tornado.netutil import bind_sockets
-from tornado.web import Application, RequestHandler
 
 Render = Callable[[], tuple[int, str]]
 
+READING_METHODS = ("GET", "HEAD")
 
-class _Page(RequestHandler):
-    def initialize(self, render: Render) -> None:
-        self.render_page = render
 
-    def get(self) -> None:
-        status, text = self.render_page()
-        self.set_status(status)
-        self.set_header("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
-        self.finish(text)
+def serve_page(address: str, path: str, render: Render) -> HTTPServer:
+    """Serve a page at ``IP:PORT``.
 
+    Parameters
+    ----------
+    address : str
+        Where to listen.
+    path : str
+        Pattern of the whole path; others are not found.
+    render : callable
+        Returns status and text.
 
-def serve_page(address: str, path: str, render: Render) -> HTTPServer:
-    """Serve status and text from `render` at a path of ``IP:PORT``; `OSError` if it is taken."""
-    application = Application([(path, _Page, {"render": render})], log_function=lambda _: None)
-    server = HTTPServer(application)
+    Raises
+    ------
+    OSError
+        If the address is taken.
+    """
+    pattern = re.compile(path)
+
+    def answer(request: HTTPServerRequest) -> None:
+        status, text = _content(request, pattern, render)
+        _write(request, HTTPStatus(status), text.encode())
+
+    server = HTTPServer(answer)
     host, _, port = address.rpartition(":")
     server.add_sockets(bind_sockets(int(port), host))
     return server
 
 
+def _content(
+    request: HTTPServerRequest, pattern: re.Pattern[str], render: Render
+) -> tuple[int, str]:
+    """Return status and text for a request."""
+    if pattern.fullmatch(request.path) is None:
+        return HTTPStatus.NOT_FOUND, ""
+    if request.method not in READING_METHODS:
+        return HTTPStatus.METHOD_NOT_ALLOWED, ""
+    return render()
+
+
+def _write(request: HTTPServerRequest, status: HTTPStatus, body: bytes) -> None:
+    """Answer a request; without its body for one that asks for the head alone."""
+    headers = HTTPHeaders(
+        {
+            "Content-Type": "text/plain; version=0.0.4; charset=utf-8",
+            "Content-Length": str(len(body)),
+        }
+    )
+    if status is HTTPStatus.METHOD_NOT_ALLOWED:
+        headers["Allow"] = ", ".join(READING_METHODS)
+    connection = request.connection
+    assert connection is not None
+    connection.write_headers(
+        ResponseStartLine("", status, status.phrase),
+        headers,
+        b"" if request.method == "HEAD" else body,
+    )
+    connection.finish()
+
+
 def serve_metrics(address: str, text: Callable[[], str]) -> list[HTTPServer]:
     """Serve metrics if an address is given; a process goes on without them if it is taken."""
     if not address:
