Run the daemons on an event loop written in C

That loop's clock stands still within a turn of it and counts whole milliseconds, so the moments by which silent connections are told apart come from the monotonic clock itself: an idle connection that was opened and heard within one millisecond was taken for a new one and kept through a silence. Tests of connections, links, pages, the store's client and callers that leave run on both loops.

--- a/waxwingglade/ingress/tests/test_caller_gone.py
+++ b/waxwingglade/ingress/tests/test_caller_gone.py
@@ -17,6 +17,7 @@
 from typing import Any
 from unittest import mock
 
+from waxwingglade.base.tests.loops import OnDaemonLoop
 from waxwingglade.ingress.tests.entry_builders import (
     ONCE,
     PLAIN,
@@ -157,5 +158,9 @@
         connection.close()
 
 
+class CallerGoneOnDaemonLoopTest(OnDaemonLoop, CallerGoneTest):
+    """The same on the event loop of the daemons."""
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/waxwingglade/platform/process.py
+++ b/waxwingglade/platform/process.py
@@ -6,6 +6,7 @@
 import sys
 from pathlib import Path
 
+import uvloop
 from loguru import logger
 
 from waxwingglade.base import SettingsError
@@ -167,7 +168,8 @@
     purpose = Purpose(arguments[0])
     logs = start_logs(purpose.name.lower())
     try:
-        asyncio.run(run(purpose))
+        # Written in C: much of what a request costs is the loop itself.
+        uvloop.run(run(purpose))
         logger.info("stopped")
     except SettingsError as error:
         logger.error("settings: {}", error)
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -1,11 +1,11 @@
 """Kept connections to targets, by address."""
 
-import asyncio
 import weakref
 from collections import defaultdict
 
 from loguru import logger
 
+from waxwingglade.base import monotonic
 from waxwingglade.transport.http1 import Http1Connection, HttpResponse, open_connection
 from waxwingglade.transport.silence import Patience, SilenceWatch
 
@@ -45,7 +45,7 @@
         """Return a kept connection, or a new one; `NotConnected` if none can be opened."""
         connections = self.idle[address]
         limit_s = self.idle_limits_s.get(address, DEFAULT_IDLE_S)
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         while connections:
             connection = connections.pop()
             if connection.usable and now - connection.idle_since < limit_s:
@@ -98,14 +98,14 @@
                     kept.append(connection)
             self.idle[address] = kept
         if dropped:
-            silent_s = asyncio.get_running_loop().time() - moment
+            silent_s = monotonic() - moment
             logger.bind(dropped=dropped, silent_s=round(silent_s, 2)).warning(
                 "idle connections dropped"
             )
 
     def sweep(self) -> None:
         """Close connections that have been idle for too long."""
-        now = asyncio.get_running_loop().time()
+        now = monotonic()
         for address, connections in list(self.idle.items()):
             limit_s = self.idle_limits_s.get(address, DEFAULT_IDLE_S)
             kept = []
--- a/waxwingglade/transport/silence.py
+++ b/waxwingglade/transport/silence.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from waxwingglade.base import monotonic
+
 
 class Life(Protocol):
     """When a connection was opened and when something last came on it, in seconds."""
@@ -99,7 +101,7 @@
     def _look(self) -> None:
         if self.waiting.ended:
             return
-        now = self.loop.time()
+        now = monotonic()
         suspect_s = self.patience.suspect_s
         # Where the connection itself was heard lately, as in a stream, the others need no look.
         quiet_from = max(self.waiting.heard_at, self.waiting.sent_at)
@@ -131,7 +133,7 @@
         return silent_since(self.waiting, self.connections())
 
     def _look_at(self, when: float) -> None:
-        self.timer = self.loop.call_at(when, self._look)
+        self.timer = self.loop.call_later(when - monotonic(), self._look)
 
 
 __all__ = ["Patience", "SilenceWatch", "silent_since"]
--- a/waxwingglade/transport/tests/test_links.py
+++ b/waxwingglade/transport/tests/test_links.py
@@ -8,6 +8,7 @@
 import msgspec
 import zmq
 
+from waxwingglade.base.tests.loops import OnDaemonLoop
 from waxwingglade.transport.links import Codec, LinkFailed, Links, LinkServer, Port
 
 
@@ -106,5 +107,9 @@
         self.assertEqual(await self.ask(Ping(3)), [Pong(3)])
 
 
+class LinksOnDaemonLoopTest(OnDaemonLoop, LinksTest):
+    """The same on the event loop of the daemons."""
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/waxwingglade/transport/tests/test_page.py
+++ b/waxwingglade/transport/tests/test_page.py
@@ -6,6 +6,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
+from waxwingglade.base.tests.loops import OnDaemonLoop
 from waxwingglade.transport.page import serve_metrics, serve_page
 
 
@@ -66,5 +67,9 @@
         self.assertEqual(serve_metrics("", lambda: ""), [])
 
 
+class PageOnDaemonLoopTest(OnDaemonLoop, PageTest):
+    """The same on the event loop of the daemons."""
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/waxwingglade/transport/tests/test_silence.py
+++ b/waxwingglade/transport/tests/test_silence.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from waxwingglade.base.tests.loops import OnDaemonLoop
 from waxwingglade.transport import ConnectionPool, HttpRequest, Patience, Silent
 from waxwingglade.transport.silence import silent_since
 
@@ -111,5 +112,9 @@
         self.assertTrue(self.one.usable)
 
 
+class PoolSilenceOnDaemonLoopTest(OnDaemonLoop, PoolSilenceTest):
+    """The same on the event loop of the daemons."""
+
+
 if __name__ == "__main__":
     unittest.main()
