Let ledger processes on standby ask the store and the members less

Change: a watch of a process that nobody follows waits 2 s (news still come at once, as the store ends the watch), failed calls pause as long, and it pings twice a second; it follows a member only where its view is older than that. A process that has joined goes over with its next watch, which the change of the set ends.

--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -41,7 +41,8 @@
 force and a target that leaves gets no more work."""
 
 WAIT_S = 0.5
-"""Seconds that a watch waits; its answer also shows that the store is there."""
+"""Seconds that a watch waits where others rely on the view; its answer also shows that the store is
+there."""
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -96,6 +97,9 @@
         Targets that the process knows already.  One that begins to follow the store does so because
         nothing was confirmed for a while, so those of them that are missing may have lapsed with
         it.
+    wait_s : callable
+        Seconds that the next watch waits, if there is no news.  News are told at once whatever it
+        is; the longer it is, the fewer calls, and the later a store that is silent is noticed.
 
     Attributes
     ----------
@@ -116,11 +120,13 @@
         changed: Callable[[], None] = lambda: None,
         clock: Clock = monotonic,
         known: TargetList = TargetList(),
+        wait_s: Callable[[], float] = lambda: WAIT_S,
     ) -> None:
         self.store = store
         self.keys = keys
         self.changed = changed
         self.clock = clock
+        self.wait_s = wait_s
         self.view = EMPTY_VIEW
         self.checked_at = float("-inf")
         self.retiring: dict[str, Revision] = {}
@@ -164,7 +170,7 @@
                 self._note_outage(str(error))
                 next_at = asked_at + pause_s * (0.5 + random.random())
                 await asyncio.sleep(max(SHORTEST_PAUSE_S, next_at - self.clock()))
-                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+                pause_s = min(2 * pause_s, max(LONGEST_PAUSE_S, self.wait_s()))
                 continue
             pause_s = FIRST_PAUSE_S
             await asyncio.sleep(PACE_S)
@@ -176,12 +182,13 @@
             self._take(listing, True)
             self.checked_at = asked_at
             return listing.revision
-        events = await self.store.watch(EVERYTHING, revision, WAIT_S)
+        wait_s = self.wait_s()
+        events = await self.store.watch(EVERYTHING, revision, wait_s)
         self._take(events, False)
         now = self.clock()
         # An answer that comes later than any does was held up here, for example while the VM stood
         # still.
-        self.checked_at = now if now - asked_at < WAIT_S + WATCH_MARGIN_S else asked_at
+        self.checked_at = now if now - asked_at < wait_s + WATCH_MARGIN_S else asked_at
         return max(revision, events.revision)
 
     def _take(self, listing: Listing, whole: bool) -> None:
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -51,6 +51,10 @@
 """Seconds for a replica on standby to join before a VM that is to be emptied leaves without."""
 
 PING_S = 0.2
+STANDBY_PING_S = 0.5
+"""The same for a replica on standby, which tells nobody of a majority: three signs of life that are
+missed before it joins for a member."""
+
 PING_ANSWER_S = 0.25
 QUORUM_S = 0.45
 """Seconds of silence after which a member no longer counts as reached, for telling entries: two
@@ -138,6 +142,12 @@
         newer = self.replicas if self.replicas.epoch > message.epoch else None
         return Pong(self.own.disk, self.synced_epoch, newer, self.reaches_store)
 
+    @property
+    def stands_by(self) -> bool:
+        """Whether there are members and this replica is none of them, so that nobody follows it."""
+        members = self.replicas.members
+        return bool(members) and all(member.disk != self.own.disk for member in members)
+
     @property
     def reaches_store(self) -> bool:
         """Whether the store has answered this process lately."""
@@ -154,7 +164,7 @@
             for member in self.replicas.members:
                 if member.disk != self.own.disk:
                     run_detached(self._ping(member))
-            await asyncio.sleep(PING_S)
+            await asyncio.sleep(STANDBY_PING_S if self.stands_by else PING_S)
 
     async def _ping(self, member: Member) -> None:
         try:
@@ -211,7 +221,7 @@
             if self.watcher.replicas_known.is_set() and not self.watcher.view.replicas.epoch:
                 await self._change(ReplicaSet(1, (self.own,), True), "first member")
             return
-        if not any(member.disk == self.own.disk for member in replicas.members):
+        if self.stands_by:
             await self._join(replicas)
         elif not replicas.settled:
             await self._settle(replicas)
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -15,12 +15,12 @@
 from waxwingglade.base import WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.logs import Sampler
 from waxwingglade.base.tasks import start_task
-from waxwingglade.follow.feed import Beliefs, FeedFollower, ask_over, nearest_first
+from waxwingglade.follow.feed import FRESH_S, Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet, View
 from waxwingglade.follow.store import Store
-from waxwingglade.follow.watcher import Keys, Watcher
+from waxwingglade.follow.watcher import WAIT_S, Keys, Watcher
 from waxwingglade.ledger.coordinator import Coordinator
 from waxwingglade.ledger.membership import Membership
 from waxwingglade.ledger.messages import (
@@ -58,6 +58,13 @@
 
 MOST_AT_ONCE = {BeginTurn: MOST_BEGINNING, EndTurn: MOST_ENDING}
 
+STANDBY_WATCH_S = 2.0
+"""Seconds that a watch of a process on standby waits.  In a large fleet most ledger processes stand
+by, and their calls to the store would grow with it."""
+
+STANDBY_FRESH_S = 2 * STANDBY_WATCH_S
+"""Age in seconds up to which a view is good enough for a process that nobody follows."""
+
 LINK_IDLE_S = 30.0
 """Seconds after which a connection to a process that is no longer a member is closed."""
 
@@ -116,7 +123,7 @@
         self.server = LinkServer(self.context, self.codec, self.answer)
         self.links = Links(self.context, self.codec)
         self.beliefs = Beliefs()
-        self.watcher = Watcher(store, keys, self._store_changed)
+        self.watcher = Watcher(store, keys, self._store_changed, wait_s=self._watch_s)
         self.replica = Replica(settings.folder)
         self.own = Member(self.replica.disk, settings.vm, settings.endpoint, settings.zone)
         self.coordinator = Coordinator(
@@ -139,7 +146,7 @@
         )
         self.membership.heard_of = self.heard_of
         self.follower = FeedFollower(
-            self.beliefs, self._sources, ask_over(self.links), lambda: not self.beliefs.fresh
+            self.beliefs, self._sources, ask_over(self.links), self._needs_source
         )
         self.handlers: dict[type, Callable[[Any], Any]] = {
             BeginTurn: self.coordinator.begin,
@@ -214,6 +221,15 @@
                 told = self.membership.quorum
                 self.beliefs.tell()
 
+    def _watch_s(self) -> float:
+        """Return how long the store may leave this process without news."""
+        return STANDBY_WATCH_S if self.membership.stands_by else WAIT_S
+
+    def _needs_source(self) -> bool:
+        """Return whether the store has not confirmed the view for longer than it usually takes."""
+        age_s = STANDBY_FRESH_S if self.membership.stands_by else FRESH_S
+        return self.beliefs.age_s > age_s
+
     def _sources(self) -> list[Member]:
         members = self.replica.replicas.members
         others = tuple(member for member in members if member.disk != self.own.disk)
--- /dev/null
+++ b/waxwingglade/ledger/tests/test_standby.py
@@ -0,0 +1,144 @@
+"""A ledger process on standby asks for little, and is there when it is needed.
+
+Processes of a fleet that has more disks than the ledger has members, on loopback and on a store in
+memory.
+"""
+
+import asyncio
+import tempfile
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+
+from tests.ports import ReservedPorts
+from waxwingglade.base import ZoneId
+from waxwingglade.follow.model import Revision
+from waxwingglade.follow.store import Listing
+from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.ledger.node import LedgerNode, LedgerSettings
+
+ZONES = ("a", "b", "c")
+WANTED = 3
+LOOK_S = 0.01
+WATCHED_S = 4.0
+MOST_WATCHES = 4
+"""Watches of a process on standby in that time."""
+
+REPLACED_S = 4.0
+"""Seconds within which a replacement must count."""
+
+EMPTIED_S = 9.0
+"""Seconds of an operator's order to empty a VM, the least that are given."""
+
+PATIENCE_S = 20.0
+
+
+class WaitingStore(MemoryStore):
+    """The store of one process, which waits for news as the platform's does."""
+
+    def __init__(self, shared: MemoryStore) -> None:
+        self.__dict__ = {**shared.__dict__, "watches": 0}
+        self.shared = shared
+
+    @property
+    def revision(self) -> int:
+        """The revision of the shared store."""
+        return self.shared.revision
+
+    @revision.setter
+    def revision(self, value: int) -> None:
+        self.shared.revision = value
+
+    async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
+        """Return events as soon as there is one."""
+        self.watches += 1
+        try:
+            async with asyncio.timeout(wait_s):
+                while self.revision <= after:
+                    await asyncio.sleep(LOOK_S)
+        except TimeoutError:
+            pass
+        return await super().watch(prefix, after, wait_s)
+
+
+class StandbyTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.ports = ReservedPorts()
+        self.addCleanup(self.ports.close)
+        self.shared = MemoryStore()
+        self.shared.put(KEYS.configuration, b'{"version": 1}')
+        self.nodes: dict[str, LedgerNode] = {}
+        self.addAsyncCleanup(self.stop_all)
+        for zone in ZONES:
+            await self.start(f"vm-{zone}-1", zone)
+        await self.until(lambda: len(self.members()) == WANTED)
+        for zone in ZONES:
+            await self.start(f"vm-{zone}-2", zone)
+
+    async def start(self, vm: str, zone: str) -> None:
+        """Start a ledger process with an empty disk."""
+        folder = self.folder / vm
+        folder.mkdir()
+        endpoint = f"tcp://127.0.0.1:{self.ports.reserve()}"
+        settings = LedgerSettings(vm, ZoneId(zone), endpoint, folder, WANTED, len(ZONES), "status/")
+        self.nodes[vm] = node = LedgerNode(settings, WaitingStore(self.shared), KEYS)
+        await node.start()
+
+    async def stop(self, vm: str) -> None:
+        """Stop a ledger process."""
+        await self.nodes.pop(vm).stop()
+
+    async def stop_all(self) -> None:
+        """Stop what still runs."""
+        for vm in list(self.nodes):
+            await self.stop(vm)
+
+    def members(self) -> set[str]:
+        """Return the members of the settled set; none while it is not."""
+        node = next(iter(self.nodes.values()))
+        replicas = node.watcher.view.replicas
+        return {member.vm for member in replicas.members} if replicas.settled else set()
+
+    async def until(self, condition: Callable[[], bool], patience_s: float = PATIENCE_S) -> None:
+        """Wait until a condition holds."""
+        async with asyncio.timeout(patience_s):
+            while not condition():
+                await asyncio.sleep(LOOK_S)
+
+    def standbys(self) -> list[LedgerNode]:
+        """Return the processes that are no members."""
+        return [node for vm, node in self.nodes.items() if vm not in self.members()]
+
+    async def test_it_makes_few_calls_to_the_store(self) -> None:
+        await asyncio.sleep(1.0)
+        standbys = self.standbys()
+        before = [node.store.watches for node in standbys]
+        await asyncio.sleep(WATCHED_S)
+        for node, count in zip(standbys, before, strict=True):
+            self.assertLessEqual(node.store.watches - count, MOST_WATCHES)
+
+    async def test_it_joins_in_time_for_a_member_that_has_gone(self) -> None:
+        await asyncio.sleep(1.0)
+        await self.stop("vm-b-1")
+        await self.until(lambda: "vm-b-2" in self.members(), REPLACED_S)
+
+    async def test_it_joins_in_time_for_a_member_that_is_to_be_emptied(self) -> None:
+        await asyncio.sleep(1.0)
+        self.shared.put("op/retire/vm-c-1", b"{}")
+        await self.until(
+            lambda: "vm-c-1" not in self.members() and len(self.members()) == WANTED, EMPTIED_S
+        )
+
+    async def test_it_knows_a_version_that_came_while_it_stood_by(self) -> None:
+        await asyncio.sleep(1.0)
+        self.shared.put(KEYS.configuration, b'{"version": 2}')
+        await self.until(
+            lambda: all(node.beliefs.view.version == 2 for node in self.nodes.values()), 2.0
+        )
+
+
+if __name__ == "__main__":
+    unittest.main()
