Let one standby of a zone at a time read what the ledger's members hold

Cause: when a member is lost, every ledger process that stands by in its zone read the whole ledger from the others, and so did each of them again while the lost member was still in a set that its successor had joined.

A replica is needed only while fewer have joined beyond those wanted than members are lost, silent or to be emptied.

--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -49,6 +49,7 @@
     own="own/",
     replicas="own/replicas",
     retire="op/retire/",
+    candidates="own/candidates/",
     decode_configuration=decode_configuration,
     decode_target=decode_target,
 )
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -68,6 +68,8 @@
         Key of the ledger's members.
     retire : str
         Prefix of orders to empty a VM.
+    candidates : str
+        Prefix of the replicas that are about to join the ledger's members, by zone.
     """
 
     configuration: str
@@ -76,10 +78,19 @@
     own: str
     replicas: str
     retire: str
+    candidates: str
     decode_configuration: Callable[[bytes], Configuration]
     decode_target: Callable[[str, bytes], Target]
 
 
+class Candidate(msgspec.Struct, frozen=True):
+    """A replica that is about to join, by the name of its disk, and when that was seen here."""
+
+    disk: str
+    revision: Revision
+    seen_at: float
+
+
 class Watcher:
     """One process's own view of the store.
 
@@ -109,6 +120,8 @@
         When the store last confirmed the view; -inf before.
     retiring : dict
         VMs that operators want emptied, with the revision of the order.
+    candidates : dict
+        Replicas that are about to join, by key.
     replicas_revision : Revision
         Revision of the key of the ledger's members, for a change of it.
     """
@@ -130,6 +143,7 @@
         self.view = EMPTY_VIEW
         self.checked_at = float("-inf")
         self.retiring: dict[str, Revision] = {}
+        self.candidates: dict[str, Candidate] = {}
         self.replicas_revision = Revision(0)
         self.replicas_known = asyncio.Event()
         self.targets = RegisteredTargets(keys.targets, keys.decode_target, clock, known)
@@ -257,8 +271,18 @@
         for item in items:
             if item.key == self.keys.replicas and item.value is not None:
                 self.take_replicas(item)
+            elif item.key.startswith(self.keys.candidates):
+                self.take_candidate(item)
         self.replicas_known.set()
 
+    def take_candidate(self, item: Item) -> None:
+        """Take in which replica is about to join; a word that was seen before is not new."""
+        known = self.candidates.get(item.key)
+        if item.value is None or (known is not None and item.revision <= known.revision):
+            return
+        disk = item.value.decode("utf-8", "replace")
+        self.candidates[item.key] = Candidate(disk, item.revision, self.clock())
+
     def take_replicas(self, item: Item) -> None:
         """Take in what the key of the ledger's members holds."""
         if item.value is None or item.revision < self.replicas_revision:
@@ -283,4 +307,4 @@
         self.changed()
 
 
-__all__ = ["Keys", "Watcher"]
+__all__ = ["Candidate", "Keys", "Watcher"]
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -18,11 +18,12 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, WaxwinggladeError, monotonic
-from waxwingglade.base.tasks import run_detached
+from waxwingglade.base.tasks import run_detached, start_task
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.follow.store import Store
 from waxwingglade.follow.watcher import Watcher
+from waxwingglade.ledger.candidacy import Candidacy
 from waxwingglade.ledger.catch_up import catch_up
 from waxwingglade.ledger.messages import (
     Ping,
@@ -94,6 +95,8 @@
         Availability zones over which the members are spread.
     replicas_key, status_prefix : str
         Keys of the members, and of the state of orders to empty a VM.
+    candidacy : Candidacy
+        Whether this replica is the one of its zone that may join.
     clock : Clock
         Monotonic seconds.
     """
@@ -109,6 +112,7 @@
         zones: int,
         replicas_key: str,
         status_prefix: str,
+        candidacy: Candidacy,
         clock: Clock = monotonic,
     ) -> None:
         self.own = own
@@ -120,6 +124,7 @@
         self.zones = zones
         self.replicas_key = replicas_key
         self.status_prefix = status_prefix
+        self.candidacy = candidacy
         self.clock = clock
         self.heard_at: dict[str, float] = {}
         self.synced: dict[str, int] = {}
@@ -234,11 +239,21 @@
             return
         if not self._is_needed(replicas):
             return
-        await catch_up(self.replica, replicas, self.ask, self.heard_of)
+        if not await self.candidacy.claim(replicas):
+            return
+        await self._read_all(replicas)
         members = (*replicas.members, self.own)
         joined = ReplicaSet(replicas.epoch + 1, members, False, self.own.disk)
         await self._change(joined, "joining")
 
+    async def _read_all(self, replicas: ReplicaSet) -> None:
+        """Read what the members hold, while others leave that to this replica."""
+        renewing = start_task(self.candidacy.renew_forever())
+        try:
+            await catch_up(self.replica, replicas, self.ask, self.heard_of)
+        finally:
+            renewing.cancel()
+
     def _is_needed(self, replicas: ReplicaSet) -> bool:
         """Return whether the set is better with this replica.
 
@@ -252,11 +267,14 @@
         if len(members) < self.wanted:
             patient = self.clock() - self.started_at > BALANCE_S
             return patient or len(at_home) < self._fair_share()
-        if any(member.vm in self.watcher.retiring for member in members):
-            return True
-        if any(self.silent_s(member) > SUCCEED_S for member in at_home):
+        # Members beyond those wanted have joined last, for others that are about to go.
+        successors = members[self.wanted :]
+        retiring = [member for member in members if member.vm in self.watcher.retiring]
+        silent = [member for member in members if self.silent_s(member) > ELSEWHERE_S]
+        if max(len(retiring), len(silent)) > len(successors):
             return True
-        if any(self.silent_s(member) > ELSEWHERE_S for member in members):
+        silent_at_home = [member for member in at_home if self.silent_s(member) > SUCCEED_S]
+        if len(silent_at_home) > len([each for each in successors if each in at_home]):
             return True
         return not at_home and _surplus(members) is not None
 
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -21,6 +21,7 @@
 from waxwingglade.follow.model import ReplicaSet, View
 from waxwingglade.follow.store import Store
 from waxwingglade.follow.watcher import WAIT_S, Keys, Watcher
+from waxwingglade.ledger.candidacy import Candidacy
 from waxwingglade.ledger.coordinator import Coordinator
 from waxwingglade.ledger.membership import Membership
 from waxwingglade.ledger.messages import (
@@ -143,6 +144,7 @@
             settings.zones,
             keys.replicas,
             settings.status_prefix,
+            Candidacy(self.own, self.watcher, store, keys.candidates),
         )
         self.membership.heard_of = self.heard_of
         self.follower = FeedFollower(
--- a/waxwingglade/ledger/tests/machines.py
+++ b/waxwingglade/ledger/tests/machines.py
@@ -14,6 +14,7 @@
 from waxwingglade.follow.store import StoreUnavailable
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
 from waxwingglade.follow.watcher import Watcher
+from waxwingglade.ledger.candidacy import Candidacy
 from waxwingglade.ledger.membership import Membership
 from waxwingglade.ledger.messages import Ping
 from waxwingglade.ledger.tests.builders import Cluster, Silence
@@ -39,6 +40,8 @@
         for name, value in QUICK.items():
             patches.enter_context(mock.patch(f"waxwingglade.ledger.membership.{name}", value))
         patches.enter_context(mock.patch("waxwingglade.follow.watcher.PACE_S", 0.01))
+        patches.enter_context(mock.patch("waxwingglade.ledger.candidacy.VALID_S", 0.2))
+        patches.enter_context(mock.patch("waxwingglade.ledger.candidacy.RENEW_S", 0.05))
         yield
 
 
@@ -78,6 +81,7 @@
             zones=3,
             replicas_key=KEYS.replicas,
             status_prefix="status/",
+            candidacy=Candidacy(self.member, self.watcher, cluster.store, KEYS.candidates),
         )
         self.membership.heard_of = lambda _: None
         self.tasks: list[asyncio.Task] = []
--- a/waxwingglade/ledger/tests/test_standby.py
+++ b/waxwingglade/ledger/tests/test_standby.py
@@ -15,11 +15,14 @@
 from waxwingglade.follow.model import Revision
 from waxwingglade.follow.store import Listing
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.ledger.messages import Fetched, Turn, TurnId
 from waxwingglade.ledger.node import LedgerNode, LedgerSettings
+from waxwingglade.ledger.tests.builders import FAR_FUTURE
 
 ZONES = ("a", "b", "c")
 WANTED = 3
 LOOK_S = 0.01
+TURNS = 400
 WATCHED_S = 4.0
 MOST_WATCHES = 4
 """Watches of a process on standby in that time."""
@@ -132,6 +135,42 @@
             lambda: "vm-c-1" not in self.members() and len(self.members()) == WANTED, EMPTIED_S
         )
 
+    async def hold_turns(self) -> None:
+        """Let all members hold some turns."""
+        names = [TurnId(f"t{number}") for number in range(TURNS)]
+        kept = tuple(Turn(name, None, b"x" * 1000, b"", FAR_FUTURE) for name in names)
+        for vm in self.members():
+            await self.nodes[vm].replica.take_in(Fetched(kept))
+
+    def readers(self) -> set[str]:
+        """Return the processes that have read what the members hold, and are no members."""
+        holding = {vm for vm, node in self.nodes.items() if node.replica.turns}
+        return holding - self.members()
+
+    async def test_one_of_a_zone_reads_what_the_members_hold(self) -> None:
+        for number in (3, 4):
+            await self.start(f"vm-b-{number}", "b")
+        await asyncio.sleep(1.0)
+        await self.hold_turns()
+        lost = self.nodes["vm-b-1"].own.disk
+        await self.stop("vm-b-1")
+        await self.until(lambda: len(self.members() - {"vm-b-1"}) == WANTED, REPLACED_S)
+        await self.until(lambda: self.has_gone(lost))
+        self.assertEqual(self.readers(), set())
+
+    def has_gone(self, lost: str) -> bool:
+        """Return whether the set is settled without a disk, and as large as wanted."""
+        replicas = self.nodes["vm-a-1"].watcher.view.replicas
+        disks = {member.disk for member in replicas.members}
+        return replicas.settled and len(disks) == WANTED and lost not in disks
+
+    async def test_a_candidate_that_has_gone_holds_its_zone_up_only_shortly(self) -> None:
+        await asyncio.sleep(1.0)
+        await self.stop("vm-b-1")
+        await asyncio.sleep(1.0)
+        self.shared.put(KEYS.candidates + "b", b"a disk that is gone")
+        await self.until(lambda: "vm-b-2" in self.members(), REPLACED_S)
+
     async def test_it_knows_a_version_that_came_while_it_stood_by(self) -> None:
         await asyncio.sleep(1.0)
         self.shared.put(KEYS.configuration, b'{"version": 2}')
--- a/waxwingglade/platform/process.py
+++ b/waxwingglade/platform/process.py
@@ -29,6 +29,7 @@
     own=registry.OWN_PREFIX,
     replicas=registry.REPLICAS_KEY,
     retire=registry.RETIRE_PREFIX,
+    candidates=registry.CANDIDATES_PREFIX,
     decode_configuration=registry.decode_configuration,
     decode_target=registry.decode_target,
 )
--- a/waxwingglade/platform/registry.py
+++ b/waxwingglade/platform/registry.py
@@ -27,6 +27,7 @@
 RETIRE_STATUS_PREFIX = "status/retire/"
 OWN_PREFIX = "waxwingglade/"
 REPLICAS_KEY = OWN_PREFIX + "replicas"
+CANDIDATES_PREFIX = OWN_PREFIX + "candidates/"
 
 _KINDS = {
     "safe": CallKind.IDEMPOTENT,
@@ -222,6 +223,7 @@
 
 
 __all__ = [
+    "CANDIDATES_PREFIX",
     "CONFIGURATION_KEY",
     "OPERATORS_PREFIX",
     "OWN_PREFIX",
