Let a candidate that can't read the members give way

Cause: found by reading the change before: a process on standby that reaches the store but not the members would have renewed its word for good and kept its zone from replacing a lost member. Errors of a renewal were swallowed.

--- a/waxwingglade/ledger/candidacy.py
+++ b/waxwingglade/ledger/candidacy.py
@@ -9,6 +9,8 @@
 
 import asyncio
 
+from loguru import logger
+
 from waxwingglade.base import Clock, WaxwinggladeError, monotonic
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
@@ -23,6 +25,12 @@
 """Seconds between renewals; short against the time for which they count, since a watch tells of one
 up to 0.35 s later."""
 
+FAILURES = 2
+"""Readings in a row that may fail before another replica gets its turn."""
+
+STEP_BACK_S = VALID_S + 1.0
+"""Seconds for which a replica that could not read leaves the place to others."""
+
 
 class Candidacy:
     """What this replica knows and says of candidates in its zone.
@@ -49,20 +57,46 @@
         self.store = store
         self.key = prefix + own.zone
         self.clock = clock
+        self.failures = 0
+        self.back_until = float("-inf")
+        self.other = ""
 
     async def claim(self, replicas: ReplicaSet) -> bool:
         """Return whether this replica is the candidate now; `WaxwinggladeError` if that fails."""
-        if self._is_taken(self.watcher.candidates.get(self.key), replicas):
+        if self.clock() < self.back_until:
+            return False
+        candidate = self.watcher.candidates.get(self.key)
+        if self._is_taken(candidate, replicas):
             return False
         return await self._write()
 
+    def note_read(self) -> None:
+        """Note that all was read."""
+        self.failures = 0
+
+    def note_failure(self) -> None:
+        """Note that the members could not be read; after some failures another one may try.
+
+        One that reaches the store and not the members would hold its zone up for good otherwise.
+        """
+        self.failures += 1
+        if self.failures >= FAILURES:
+            self.failures = 0
+            self.back_until = self.clock() + STEP_BACK_S
+            logger.bind(key=self.key).info("candidate steps back")
+
     def _is_taken(self, candidate: Candidate | None, replicas: ReplicaSet) -> bool:
         """Return whether another replica is about to join."""
         if candidate is None or candidate.disk == self.own.disk:
             return False
         if any(member.disk == candidate.disk for member in replicas.members):
             return False
-        return self.clock() - candidate.seen_at < VALID_S
+        if self.clock() - candidate.seen_at >= VALID_S:
+            return False
+        if candidate.disk != self.other:
+            logger.bind(key=self.key, candidate=candidate.disk).info("another candidate reads")
+        self.other = candidate.disk
+        return True
 
     async def _write(self) -> bool:
         known = self.watcher.candidates.get(self.key)
@@ -79,8 +113,8 @@
             await asyncio.sleep(RENEW_S)
             try:
                 await self._write()
-            except WaxwinggladeError:
-                continue
+            except WaxwinggladeError as error:
+                logger.bind(key=self.key, reason=str(error)).info("candidate not renewed")
 
 
 __all__ = ["Candidacy"]
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -239,6 +239,8 @@
             return
         if not self._is_needed(replicas):
             return
+        if len(self._alive()) < replicas.majority:
+            raise WaxwinggladeError("a majority of the members is silent")
         if not await self.candidacy.claim(replicas):
             return
         await self._read_all(replicas)
@@ -251,8 +253,12 @@
         renewing = start_task(self.candidacy.renew_forever())
         try:
             await catch_up(self.replica, replicas, self.ask, self.heard_of)
+        except WaxwinggladeError:
+            self.candidacy.note_failure()
+            raise
         finally:
             renewing.cancel()
+        self.candidacy.note_read()
 
     def _is_needed(self, replicas: ReplicaSet) -> bool:
         """Return whether the set is better with this replica.
--- a/waxwingglade/ledger/tests/test_standby.py
+++ b/waxwingglade/ledger/tests/test_standby.py
@@ -9,15 +9,18 @@
 import unittest
 from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 from tests.ports import ReservedPorts
-from waxwingglade.base import ZoneId
+from waxwingglade.base import WaxwinggladeError, ZoneId
+from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import Revision
-from waxwingglade.follow.store import Listing
+from waxwingglade.follow.store import Item, Listing
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
-from waxwingglade.ledger.messages import Fetched, Turn, TurnId
+from waxwingglade.ledger.messages import Fetched, Ping, Turn, TurnId
 from waxwingglade.ledger.node import LedgerNode, LedgerSettings
 from waxwingglade.ledger.tests.builders import FAR_FUTURE
+from waxwingglade.transport.links import LinkFailed
 
 ZONES = ("a", "b", "c")
 WANTED = 3
@@ -99,6 +102,10 @@
         for vm in list(self.nodes):
             await self.stop(vm)
 
+    def candidate_of(self, zone: str) -> Item:
+        """Return who last said in a zone that it is about to join."""
+        return self.shared.items[KEYS.candidates + zone]
+
     def members(self) -> set[str]:
         """Return the members of the settled set; none while it is not."""
         node = next(iter(self.nodes.values()))
@@ -171,6 +178,34 @@
         self.shared.put(KEYS.candidates + "b", b"a disk that is gone")
         await self.until(lambda: "vm-b-2" in self.members(), REPLACED_S)
 
+    async def test_a_candidate_that_can_not_read_gives_way(self) -> None:
+        """It reaches the store and hears the members, and nothing else of them."""
+        await asyncio.sleep(1.0)
+        candidate = self.nodes["vm-b-2"]
+        ask = candidate.ask_member
+
+        async def only_ping(member: Member, message: Any, timeout_s: float) -> Any:
+            if not isinstance(message, Ping):
+                raise LinkFailed("cut off", sent=False)
+            return await ask(member, message, timeout_s)
+
+        candidate.membership.ask = only_ping
+        await self.stop("vm-b-1")
+        disk = candidate.own.disk.encode()
+        await self.until(lambda: self.candidate_of("b").value == disk, REPLACED_S)
+        await self.start("vm-b-3", "b")
+        await self.until(lambda: "vm-b-3" in self.members())
+
+    async def test_one_that_hears_no_majority_is_no_candidate(self) -> None:
+        await asyncio.sleep(1.0)
+        standby = self.nodes["vm-b-2"]
+        before = self.candidate_of("b")
+        standby.membership.heard_at = dict.fromkeys(standby.membership.heard_at, 0.0)
+        standby.membership.started_at = 0.0
+        with self.assertRaises(WaxwinggladeError):
+            await standby.membership._join(standby.replica.replicas)
+        self.assertEqual(self.candidate_of("b"), before)
+
     async def test_it_knows_a_version_that_came_while_it_stood_by(self) -> None:
         await asyncio.sleep(1.0)
         self.shared.put(KEYS.configuration, b'{"version": 2}')
