Stand as a candidate wherever enough members are heard to read from

Cause: found by reading: of a settled set of even size half holds one of every majority, so of two members one is enough to read from. The check before asked for a majority, and a set of two with one lost would never have grown.

Change: the check asks what catching up itself needs.

Result: the new test fails before; 23 tests of standbys and members pass.

--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -239,8 +239,8 @@
             return
         if not self._is_needed(replicas):
             return
-        if len(self._alive()) < replicas.majority:
-            raise WaxwinggladeError("a majority of the members is silent")
+        if not replicas.meet_earlier({member.disk for member in self._alive()}):
+            raise WaxwinggladeError("too few members are heard to read from")
         if not await self.candidacy.claim(replicas):
             return
         await self._read_all(replicas)
--- a/waxwingglade/ledger/tests/test_standby.py
+++ b/waxwingglade/ledger/tests/test_standby.py
@@ -10,11 +10,12 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from tests.ports import ReservedPorts
 from waxwingglade.base import WaxwinggladeError, ZoneId
 from waxwingglade.follow.model import Replica as Member
-from waxwingglade.follow.model import Revision
+from waxwingglade.follow.model import ReplicaSet, Revision
 from waxwingglade.follow.store import Item, Listing
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
 from waxwingglade.ledger.messages import Fetched, Ping, Turn, TurnId
@@ -206,6 +207,21 @@
             await standby.membership._join(standby.replica.replicas)
         self.assertEqual(self.candidate_of("b"), before)
 
+    async def test_half_of_an_even_set_is_enough_to_read_from(self) -> None:
+        """It holds one of every majority, and nobody else is left to join beside."""
+        await asyncio.sleep(1.0)
+        standby = self.nodes["vm-b-2"]
+        await standby.membership.candidacy.claim(standby.replica.replicas)
+        alive, silent = self.nodes["vm-a-1"].own, self.nodes["vm-b-1"].own
+        standby.replica.replicas = ReplicaSet(9, (alive, silent), True)
+        standby.membership.heard_at[silent.disk] = 0.0
+        standby.membership.started_at = 0.0
+        with (
+            mock.patch.object(standby.membership, "_read_all", side_effect=LinkFailed("", True)),
+            self.assertRaises(LinkFailed),
+        ):
+            await standby.membership._join(standby.replica.replicas)
+
     async def test_it_knows_a_version_that_came_while_it_stood_by(self) -> None:
         await asyncio.sleep(1.0)
         self.shared.put(KEYS.configuration, b'{"version": 2}')
