Log whom the ledger's answer to a turn waited for

Of a turn that could not be kept the logs told only that replicas gave no answer, and 'turn not kept' and 'turn not settled' had no reason where the time was over. They could not tell a held up account from a lost majority or a stalled process.

Entries log, of what took 0.2 s or more, each replica that was asked, when, for how long and what it answered ('ledger slow to answer'). Ledger processes log the members that were silent, the set and who is joining; how long copies and settlement of a turn took apart ('turn slow to end'); and of a change of an account what it waited for others and how often it was overtaken ('account held up'). Both log and export the delay of their event loop, measured by sleeps that are there anyway.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -12,6 +12,7 @@
 from tornado.httputil import HTTPMessageDelegate, HTTPServerConnectionDelegate
 from tornado.netutil import bind_sockets
 
+from waxwingglade.base.loop_delay import LoopDelay
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.feed import Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.model import ClientLimits, Replica, View
@@ -107,6 +108,7 @@
         self.callers: HTTPServer | None = None
         self.pages: list[HTTPServer] = []
         self.metrics = IngressMetrics()
+        self.loop_delay = LoopDelay()
         self.tasks: list[asyncio.Task] = []
         self.request_log = RequestLog(self.beliefs)
 
@@ -228,7 +230,7 @@
     async def _look_forever(self) -> None:
         lost_at: float | None = None
         while True:
-            await asyncio.sleep(LOOK_S)
+            await self.loop_delay.sleep(LOOK_S)
             self._log_quorum()
             self.pool.sweep()
             self.links.keep_only(
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -98,6 +98,7 @@
             "caller_connections": float(len(ingress.open_exchanges)),
             "target_connections_opened": float(ingress.pool.opened),
             "targets": float(len(ingress.balancer.states)),
+            "loop_delay_seconds": ingress.loop_delay.longest_s,
         }
         for name, value in facts.items():
             self.state.set({"name": name}, value)
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -55,6 +55,18 @@
 AVOID_S = 1.0
 """Seconds for which a replica that gave no answer, or reached no majority, is asked last."""
 
+SLOW_S = 0.2
+"""Seconds from which on a line tells whom a request was sent to, and what each answered."""
+
+
+class Asked(msgspec.Struct, omit_defaults=True):
+    """One asking of a replica, for the log: when it began, how long it took, what came of it."""
+
+    replica: str
+    after_s: float
+    seconds: float
+    answer: str
+
 
 class LedgerClient:
     """The ledger for one entry.
@@ -206,15 +218,31 @@
         Where the first two have too much to do, no more are asked: that would be more to do.
         `Busy` is returned only then, when nobody else was asked, so it says that nothing was done.
         """
-        end_at = self.clock() + timeout_s
+        began_at = self.clock()
+        asked: list[Asked] = []
+        try:
+            answer = await self._try_in_turn(message, began_at + timeout_s, good, asked)
+        finally:
+            self._log_slow(message, self.clock() - began_at, asked)
+        return answer
+
+    async def _try_in_turn(
+        self, message: Any, end_at: float, good: Callable[[Any], bool], asked: list[Asked]
+    ) -> Any:
+        """Ask until `end_at`, and note each asking in `asked`."""
+        began_at = self.clock()
         last: Any = None
         busy = 0
         while True:
             for replica in self._in_order(message):
-                left_s = end_at - self.clock()
+                asked_at = self.clock()
+                left_s = end_at - asked_at
                 if left_s <= 0:
                     return last
-                answer = await self._ask(replica, message, min(ASK_S, left_s))
+                note = Asked(replica.vm, round(asked_at - began_at, 3), 0.0, "under way")
+                asked.append(note)
+                answer = await self._ask(replica, message, min(ASK_S, left_s), note)
+                note.seconds = round(self.clock() - asked_at, 3)
                 if _could_not_act(answer):
                     self.avoided[replica.address] = self.clock() + AVOID_S
                 if _is_answer(answer) and good(answer):
@@ -229,18 +257,35 @@
                 return last
             await asyncio.sleep(RETRY_PAUSE_S)
 
-    async def _ask(self, replica: Replica, message: Any, timeout_s: float) -> Any:
+    async def _ask(self, replica: Replica, message: Any, timeout_s: float, note: Asked) -> Any:
         """Ask one replica; None if it gives no answer."""
         try:
-            return await self.links.to(replica.address).request(message, timeout_s)
+            answer = await self.links.to(replica.address).request(message, timeout_s)
         except LinkFailed as error:
+            note.answer = "no answer" if error.sent else "not connected"
             logger.bind(replica=replica.vm, turn=message.turn, reason=str(error)).info(
                 "replica not asked"
             )
         except WaxwinggladeError as error:
+            note.answer = str(error)
             logger.warning("replica {}: {}", replica.vm, error)
+        else:
+            note.answer = _told(answer)
+            return answer
         return None
 
+    def _log_slow(self, message: Any, seconds: float, asked: list[Asked]) -> None:
+        """Log whom a request was sent to that took long."""
+        if seconds < SLOW_S:
+            return
+        logger.bind(
+            turn=message.turn,
+            program=message.program,
+            request=type(message).__name__,
+            seconds=round(seconds, 3),
+            asked=msgspec.to_builtins(asked),
+        ).info("ledger slow to answer")
+
     def _in_order(self, message: Any) -> list[Replica]:
         """Return the replicas to ask: the nearest first, and those that failed lately last.
 
@@ -261,6 +306,16 @@
         return sorted(self.replicas(), key=order)
 
 
+def _told(answer: Any) -> str:
+    """Return what a replica answered, in a few words."""
+    if isinstance(answer, TurnEnded):
+        kept = "kept" if answer.kept else "not kept"
+        return f"{kept}, {'settled' if answer.settled else 'not settled'}"
+    if isinstance(answer, Unavailable):
+        return answer.reason
+    return type(answer).__name__
+
+
 def _is_answer(answer: Any) -> bool:
     """Return whether a replica has decided something."""
     return answer is not None and not isinstance(answer, Unavailable | Busy)
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -11,13 +11,13 @@
 import random
 import secrets
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import msgspec
 from loguru import logger
 
-from waxwingglade.base import Clock, ProgramId, wall
+from waxwingglade.base import Clock, ProgramId, monotonic, wall
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.account import Reservation, committed, reserve, settle
@@ -60,6 +60,10 @@
 KEEP_S = 1.2
 """Seconds for which copies of a turn are tried."""
 
+SLOW_S = 0.2
+"""Seconds from which on a change of an account, or the end of a turn, is logged with what held it
+up; most of an entry's patience with one replica, and many rounds of messages."""
+
 REMEMBERED = 5_000
 """Accounts whose last proposal is remembered, for changes in one round."""
 
@@ -124,11 +128,8 @@
                     chain = found
                 reserved = await self._reserve(message)
         except (NoMajority, TimeoutError) as error:
-            reason = str(error) or "no majority in time"
-            logger.bind(turn=message.turn, program=message.program, reason=reason).info(
-                "turn not begun"
-            )
-            return Unavailable(reason)
+            self._log_failure("turn not begun", message, error)
+            return Unavailable(_reason(error))
         if isinstance(reserved, Account):
             return TurnBegun(chain, reserved.target, reserved.failed_at)
         return reserved
@@ -192,7 +193,19 @@
 
     async def end(self, message: EndTurn) -> TurnEnded:
         """Keep a turn and settle its reservation, as far as majorities answer."""
-        kept, settled = await asyncio.gather(self._keep(message), self._settle(message))
+        began_at = monotonic()
+        (kept, kept_s), (settled, settled_s) = await asyncio.gather(
+            _timed(self._keep(message)), _timed(self._settle(message))
+        )
+        if monotonic() - began_at >= SLOW_S:
+            logger.bind(
+                turn=message.turn,
+                program=message.program,
+                kept=kept,
+                kept_s=round(kept_s, 3),
+                settled=settled,
+                settled_s=round(settled_s, 3),
+            ).info("turn slow to end")
         return TurnEnded(kept, settled)
 
     async def _keep(self, message: EndTurn) -> bool:
@@ -202,7 +215,7 @@
             async with asyncio.timeout(KEEP_S):
                 await self.turns.copy(message.kept)
         except (NoMajority, TimeoutError) as error:
-            logger.bind(turn=message.turn, reason=str(error)).warning("turn not kept")
+            self._log_failure("turn not kept", message, error)
             return False
         return True
 
@@ -219,7 +232,7 @@
             async with asyncio.timeout(DECIDE_S):
                 await self.change(message.program, change)
         except (NoMajority, TimeoutError) as error:
-            logger.bind(turn=message.turn, reason=str(error)).info("turn not settled")
+            self._log_failure("turn not settled", message, error)
             end = msgspec.structs.replace(message, kept=None)
             await self.rounds.ask_one(self.own, NoteEnd(end))
             return False
@@ -235,15 +248,29 @@
         NoMajority
             If too few members answer; the change may hold or may still come to hold.
         """
-        async with self.locks[program]:
-            pause_s = FIRST_PAUSE_S
-            while True:
-                replicas = self.rounds.usable_members()
-                try:
-                    return await self._propose(replicas, program, change)
-                except _Overtaken:
-                    await asyncio.sleep(pause_s * random.random())
-                    pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+        progress = _Progress(monotonic())
+        try:
+            async with self.locks[program]:
+                progress.waited_s = monotonic() - progress.began_at
+                return await self._propose_until_accepted(program, change, progress)
+        finally:
+            _log_held_up(program, progress)
+
+    async def _propose_until_accepted(
+        self,
+        program: ProgramId,
+        change: Callable[[Account], tuple[Account, T]],
+        progress: "_Progress",
+    ) -> T:
+        pause_s = FIRST_PAUSE_S
+        while True:
+            replicas = self.rounds.usable_members()
+            try:
+                return await self._propose(replicas, program, change)
+            except _Overtaken:
+                progress.overtaken += 1
+                await asyncio.sleep(pause_s * random.random())
+                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
 
     async def _propose(
         self,
@@ -303,9 +330,58 @@
         """Use higher ballots from now on than one that is used, or that stood in the way."""
         self.numbers[program] = max(self.numbers.get(program, 0), ballot.number)
 
+    def _log_failure(
+        self, event: str, message: BeginTurn | EndTurn, error: NoMajority | TimeoutError
+    ) -> None:
+        """Log a turn on which no majority agreed, and the members as they are known here."""
+        silent = error.silent if isinstance(error, NoMajority) else ()
+        replicas = self.rounds.members()
+        logger.bind(
+            turn=message.turn,
+            program=message.program,
+            reason=_reason(error),
+            silent=[member.vm for member in silent],
+            epoch=replicas.epoch,
+            settled=replicas.settled,
+            joining=[member.vm for member in replicas.members if member.disk == replicas.joining],
+        ).warning(event)
+
 
 class _Overtaken(Exception):
     """Another proposal, or another set of members, came first."""
 
 
+class _Progress(msgspec.Struct):
+    """How a change of an account went: what it waited for other changes here, and proposed anew."""
+
+    began_at: float
+    waited_s: float | None = None
+    overtaken: int = 0
+
+
+def _log_held_up(program: ProgramId, progress: _Progress) -> None:
+    """Log a change of an account that took long, done or not."""
+    seconds = monotonic() - progress.began_at
+    if seconds < SLOW_S:
+        return
+    waited_s = seconds if progress.waited_s is None else progress.waited_s
+    logger.bind(
+        program=program,
+        seconds=round(seconds, 3),
+        waited_s=round(waited_s, 3),
+        overtaken=progress.overtaken,
+    ).info("account held up")
+
+
+async def _timed(awaitable: Awaitable[T]) -> tuple[T, float]:
+    """Return a result and the seconds that it took."""
+    began_at = monotonic()
+    result = await awaitable
+    return result, monotonic() - began_at
+
+
+def _reason(error: NoMajority | TimeoutError) -> str:
+    return str(error) or "no majority in time"
+
+
 __all__ = ["Coordinator", "NoMajority"]
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -54,6 +54,7 @@
             "disk_bytes": sum(journal.segments.values()),
             "disk_flushes": journal.flushes,
             "disk_failing": journal.failing,
+            "loop_delay_seconds": node.loop_delay.longest_s,
         }
         for name, value in facts.items():
             self.state.set({"name": name}, float(value))
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -14,6 +14,7 @@
 
 from waxwingglade.base import WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.logs import Sampler
+from waxwingglade.base.loop_delay import LoopDelay
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.feed import FRESH_S, Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.messages import Follow, Followed
@@ -162,6 +163,7 @@
         self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
         self.tasks: list[asyncio.Task] = []
         self.metrics = LedgerMetrics()
+        self.loop_delay = LoopDelay()
         self.pages: list[HTTPServer] = []
 
     async def start(self) -> None:
@@ -216,7 +218,7 @@
         """Carry over what this process tells others: the store's confirmations, and the quorum."""
         told = False
         while True:
-            await asyncio.sleep(CONFIRM_S)
+            await self.loop_delay.sleep(CONFIRM_S)
             self.beliefs.merge(self.watcher.view, self.watcher.confirmed_at)
             self._learn_members(self.beliefs.view.replicas)
             if self.membership.quorum != told:
--- a/waxwingglade/ledger/rounds.py
+++ b/waxwingglade/ledger/rounds.py
@@ -36,7 +36,19 @@
 
 
 class NoMajority(WaxwinggladeError):
-    """Too few members answered; whether a change holds is not known."""
+    """Too few members answered; whether a change holds is not known.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    silent : iterable of Member
+        Members that were asked and gave no answer.
+    """
+
+    def __init__(self, message: str, silent: Iterable[Member] = ()) -> None:
+        super().__init__(message)
+        self.silent = tuple(silent)
 
 
 class Rounds:
@@ -133,7 +145,7 @@
             refused += self._is_refusal(member, message, answer)
             asking.add(order)
         if not refused:
-            raise NoMajority(f"{len(good)} of {len(order)} members answered")
+            raise NoMajority(f"{len(good)} of {len(order)} members answered", asking.silent)
         return good
 
     def _is_refusal(self, member: Member, message: Any, answer: Any) -> bool:
@@ -189,6 +201,7 @@
         self.message = message
         self.asked: set[str] = set()
         self.open: list[Member] = []
+        self.failed: list[Member] = []
         self.answers: asyncio.Queue[tuple[Member, Any]] = asyncio.Queue()
 
     def add(self, members: Iterable[Member]) -> None:
@@ -216,8 +229,15 @@
         except TimeoutError:
             return None
         self.open.remove(member)
+        if answer is None:
+            self.failed.append(member)
         return member, answer
 
+    @property
+    def silent(self) -> list[Member]:
+        """Members that were asked and have given no answer."""
+        return [*self.failed, *self.open]
+
 
 def _outcome(asked: asyncio.Future[Any]) -> Any:
     """Return a member's answer, None if it gave none."""
--- /dev/null
+++ b/waxwingglade/ledger/tests/logged.py
@@ -0,0 +1,26 @@
+"""What is logged while a test runs."""
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+
+from loguru import logger
+
+
+@contextlib.contextmanager
+def logged_lines(event: str) -> Iterator[list[dict[str, Any]]]:
+    """Collect the fields of all lines of one kind."""
+    lines: list[dict[str, Any]] = []
+
+    def note(message: Any) -> None:
+        if message.record["message"] == event:
+            lines.append(message.record["extra"])
+
+    sink = logger.add(note)
+    try:
+        yield lines
+    finally:
+        logger.remove(sink)
+
+
+__all__ = ["logged_lines"]
--- /dev/null
+++ b/waxwingglade/ledger/tests/test_ledger_logs.py
@@ -0,0 +1,80 @@
+"""What the logs tell of a turn that took the ledger long."""
+
+import asyncio
+import unittest
+from typing import Any
+from unittest import mock
+
+from waxwingglade.base import ZoneId
+from waxwingglade.follow.model import Replica
+from waxwingglade.ledger.client import LedgerClient
+from waxwingglade.ledger.messages import Accept, Prepare, TurnEnded
+from waxwingglade.ledger.tests.builders import PROGRAM, Cluster, begin, end
+from waxwingglade.ledger.tests.logged import logged_lines
+from waxwingglade.transport.links import LinkFailed
+
+
+class OneSilentLink:
+    """Links of which the first that is used gives no answer."""
+
+    def __init__(self) -> None:
+        self.silent = ""
+
+    def to(self, address: str) -> mock.Mock:
+        """Return the link to a replica."""
+
+        async def request(_message: Any, timeout_s: float) -> TurnEnded:
+            self.silent = self.silent or address
+            if address != self.silent:
+                return TurnEnded(True, True)
+            await asyncio.sleep(timeout_s)
+            raise LinkFailed("gave no answer", sent=True)
+
+        return mock.Mock(request=request)
+
+
+class EntryLogsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_whom_a_turn_was_sent_to_and_what_each_answered(self) -> None:
+        replicas = [Replica(f"d{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(3)]
+        client = LedgerClient(OneSilentLink(), lambda: replicas, ZoneId("zone"))
+        with logged_lines("ledger slow to answer") as lines:
+            await client.end(end(1))
+        (line,) = lines
+        self.assertEqual("turn-1", line["turn"])
+        answers = [each["answer"] for each in line["asked"]]
+        self.assertEqual(["no answer", "kept, settled"], answers)
+        self.assertGreater(line["asked"][0]["seconds"], line["asked"][1]["seconds"])
+
+
+class LedgerLogsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = Cluster()
+        self.addAsyncCleanup(self.cluster.close)
+        await self.cluster.start()
+        self.coordinator = self.cluster.coordinator("vm-0")
+        await self.coordinator.begin(begin(1))
+
+    async def test_members_that_kept_a_turn_from_a_majority(self) -> None:
+        self.cluster.isolate("vm-0")
+        with logged_lines("turn not kept") as lines:
+            await self.coordinator.end(end(1))
+        (line,) = lines
+        self.assertLessEqual({"vm-1", "vm-2"}, set(line["silent"]))
+        self.assertIn("of 3 members answered", line["reason"])
+
+    async def test_an_account_that_held_up_the_end_of_a_kept_turn(self) -> None:
+        async def held_up(_message: Any) -> None:
+            await asyncio.sleep(20.0)
+
+        for replica in self.cluster.replicas.values():
+            replica.handlers[Prepare] = replica.handlers[Accept] = held_up
+        with logged_lines("turn slow to end") as ends, logged_lines("account held up") as accounts:
+            await self.coordinator.end(end(1))
+        self.assertTrue(ends[0]["kept"])
+        self.assertFalse(ends[0]["settled"])
+        self.assertGreater(ends[0]["settled_s"], ends[0]["kept_s"])
+        self.assertEqual(PROGRAM, accounts[0]["program"])
+
+
+if __name__ == "__main__":
+    unittest.main()
