--- /dev/null
+++ b/waxwingglade/ledger/tests/crowds.py
@@ -0,0 +1,164 @@
+"""Callers of one program that begin and end turns at once, through entries of all zones."""
+
+import asyncio
+import random
+from typing import Any
+
+from waxwingglade.base import ProgramId, WaxwinggladeError
+from waxwingglade.ledger.client import LedgerClient
+from waxwingglade.ledger.coordinator import Coordinator
+from waxwingglade.ledger.messages import (
+    BeginTurn,
+    BudgetSpent,
+    EndTurn,
+    NoteEnd,
+    Turn,
+    TurnBegun,
+    TurnId,
+)
+from waxwingglade.ledger.tests.builders import FAR_FUTURE, PROGRAM, Cluster
+from waxwingglade.transport.links import LinkFailed
+
+MEMBERS = 5
+WAY_S = 0.0014
+"""One way between two zones, in seconds."""
+
+FLUSH_S = 0.012
+"""Seconds until a slow disk has flushed what it is given while it flushes something else."""
+
+TURN_S = 0.4
+"""Seconds that an engine works on a turn."""
+
+AGAIN_S = 0.25
+"""Mean seconds after which a refused turn is sent again."""
+
+TRIES = 3
+
+
+class ClusterLinks:
+    """Links of entries to the processes of a cluster; what is asked goes on after its caller left.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        The replicas.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.cluster = cluster
+        self.coordinators = {vm: cluster.coordinator(vm) for vm in cluster.replicas}
+        self.working: set[asyncio.Task[Any]] = set()
+
+    def to(self, address: str) -> "_Link":
+        """Return the link to a process."""
+        return _Link(self, address)
+
+    async def answer(self, vm: str, message: Any) -> Any:
+        """Answer as a ledger process does."""
+        coordinator: Coordinator = self.coordinators[vm]
+        if isinstance(message, BeginTurn):
+            return await coordinator.begin(message)
+        if isinstance(message, EndTurn):
+            return await coordinator.end(message)
+        assert isinstance(message, NoteEnd)
+        return await self.cluster.replicas[vm].note_end(message)
+
+    async def stop(self) -> None:
+        """End what is still being worked on."""
+        for task in self.working:
+            task.cancel()
+        await asyncio.gather(*self.working, return_exceptions=True)
+
+
+class _Link:
+    def __init__(self, links: ClusterLinks, vm: str) -> None:
+        self.links = links
+        self.vm = vm
+
+    async def request(self, message: Any, timeout_s: float) -> Any:
+        """Ask, and give up after some seconds."""
+        task = asyncio.ensure_future(self.links.answer(self.vm, message))
+        self.links.working.add(task)
+        task.add_done_callback(self.links.working.discard)
+        await asyncio.wait({task}, timeout=timeout_s)
+        if not task.done():
+            raise LinkFailed(f"{self.vm} gave no answer", sent=True)
+        try:
+            return task.result()
+        except WaxwinggladeError as error:
+            raise LinkFailed(str(error), sent=True) from error
+
+
+class Crowd:
+    """Sub-agents of one program, each of which asks for a turn through an entry of some zone.
+
+    Parameters
+    ----------
+    seed : int
+        Decides on zones and moments.
+    budget, most_tokens : int
+        Tokens of the program, and the most that one turn generates.
+
+    Attributes
+    ----------
+    ended : list of (bool, float)
+        Of each turn that ran: whether it was kept, and the seconds until that was known.
+    begun : int
+        Turns that were granted.
+    undecided : int
+        Tries on which the ledger did not decide.
+    """
+
+    def __init__(self, seed: int, budget: int = 380, most_tokens: int = 136) -> None:
+        self.random = random.Random(seed)
+        self.budget = budget
+        self.most_tokens = most_tokens
+        self.cluster = Cluster(MEMBERS, seed)
+        self.cluster.delays = {vm: WAY_S + FLUSH_S for vm in self.cluster.replicas}
+        self.links = ClusterLinks(self.cluster)
+        members = list(self.cluster.members.values())
+        self.clients = [
+            LedgerClient(self.links, lambda: members, member.zone)  # type: ignore[arg-type]
+            for member in members[:-1]
+        ]
+        self.ended: list[tuple[bool, float]] = []
+        self.begun = 0
+        self.undecided = 0
+
+    async def run(self, agents: int) -> None:
+        """Let some agents begin within a few hundredths of a second, and go on until all end."""
+        await self.cluster.start()
+        await asyncio.gather(*(self._agent(number) for number in range(agents)))
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for client in self.clients:
+            await client.finish(0.0)
+        await self.links.stop()
+        await self.cluster.close()
+
+    async def _agent(self, number: int) -> None:
+        client = self.random.choice(self.clients)
+        await asyncio.sleep(self.random.random() * 0.05)
+        for attempt in range(TRIES):
+            turn = TurnId(f"turn-{number}-{attempt}")
+            answer = await client.begin(
+                BeginTurn(turn, PROGRAM, self.most_tokens, self.budget), timeout_s=5.0
+            )
+            if isinstance(answer, TurnBegun):
+                self.begun += 1
+                await asyncio.sleep(TURN_S)
+                await self._end(client, turn)
+                return
+            self.undecided += not isinstance(answer, BudgetSpent)
+            await asyncio.sleep(AGAIN_S * (0.5 + self.random.random()))
+
+    async def _end(self, client: LedgerClient, turn: TurnId) -> None:
+        kept = Turn(turn, None, b"asked", b"answered\n", FAR_FUTURE)
+        began_at = asyncio.get_running_loop().time()
+        message = EndTurn(turn, ProgramId(PROGRAM), 60, kept)
+        done = await client.end(message)
+        self.ended.append((done, asyncio.get_running_loop().time() - began_at))
+
+
+__all__ = ["Crowd"]
