Tell that a turn is kept without waiting for its program's account

Cause: the ledger answered that a turn is kept only once its reservation was settled as well. Sub-agents of one program that begin and end turns through several zones at once hold the account up for a second and more; an entry that heard nothing for 0.4 s asked the next replica, which joined the fight for the account, and after 1.5 s it gave the turn up although a majority had kept it within milliseconds. Class: an answer that waits for something its caller does not need.

Now a ledger process answers 0.1 s after the copies at the latest. The settlement goes on, and as with every end that is not settled at once all replicas are told of it, so that the next turn does not find the budget spent. A replica that has kept a turn is not avoided for its account, which no other replica settles sooner.

--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -243,7 +243,7 @@
                 asked.append(note)
                 answer = await self._ask(replica, message, min(ASK_S, left_s), note)
                 note.seconds = round(self.clock() - asked_at, 3)
-                if _could_not_act(answer):
+                if _could_not_act(message, answer):
                     self.avoided[replica.address] = self.clock() + AVOID_S
                 if _is_answer(answer) and good(answer):
                     return answer
@@ -321,16 +321,18 @@
     return answer is not None and not isinstance(answer, Unavailable | Busy)
 
 
-def _could_not_act(answer: Any) -> bool:
+def _could_not_act(message: Any, answer: Any) -> bool:
     """Return whether another replica should be asked next time.
 
-    One that has just started may know no members.  It answers at once that it has not settled a
-    turn, and was asked again each time: a reservation stayed open for more than a second, and its
-    program was told that its budget is spent while 40 of 400 tokens were left.
+    One that has just started may know no members, and answers at once that it has not settled a
+    turn.  One that has kept a turn knows them; if it has not settled it as well, the account is
+    held up, for every replica.
     """
     if not _is_answer(answer):
         return True
-    return isinstance(answer, TurnEnded) and not answer.settled
+    if not isinstance(answer, TurnEnded):
+        return False
+    return not (answer.settled or (message.kept is not None and answer.kept))
 
 
 __all__ = ["LedgerClient"]
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -11,13 +11,14 @@
 import random
 import secrets
 from collections import defaultdict
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
 from loguru import logger
 
 from waxwingglade.base import Clock, ProgramId, monotonic, wall
+from waxwingglade.base.tasks import run_detached
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.account import Reservation, committed, reserve, settle
@@ -60,6 +61,9 @@
 KEEP_S = 1.2
 """Seconds for which copies of a turn are tried."""
 
+SETTLE_S = 0.1
+"""Seconds that the answer to a turn that is kept waits for its settlement, too."""
+
 SLOW_S = 0.2
 """Seconds from which on a change of an account, or the end of a turn, is logged with what held it
 up; most of an entry's patience with one replica, and many rounds of messages."""
@@ -192,19 +196,26 @@
         return bool(ended)
 
     async def end(self, message: EndTurn) -> TurnEnded:
-        """Keep a turn and settle its reservation, as far as majorities answer."""
+        """Keep a turn and settle its reservation, as far as majorities answer.
+
+        A caller waits for its turn to be kept, and not for its program's account, which other
+        turns may hold up: the settlement then goes on after the answer.
+        """
         began_at = monotonic()
-        (kept, kept_s), (settled, settled_s) = await asyncio.gather(
-            _timed(self._keep(message)), _timed(self._settle(message))
-        )
-        if monotonic() - began_at >= SLOW_S:
+        settling = run_detached(self._settle(message))
+        kept = await self._keep(message)
+        kept_s = monotonic() - began_at
+        await asyncio.wait({settling}, timeout=SETTLE_S if message.kept is not None else None)
+        settled = settling.done() and settling.result()
+        seconds = monotonic() - began_at
+        if seconds >= SLOW_S or not settled:
             logger.bind(
                 turn=message.turn,
                 program=message.program,
                 kept=kept,
                 kept_s=round(kept_s, 3),
                 settled=settled,
-                settled_s=round(settled_s, 3),
+                settled_s=round(seconds, 3),
             ).info("turn slow to end")
         return TurnEnded(kept, settled)
 
@@ -373,13 +384,6 @@
     ).info("account held up")
 
 
-async def _timed(awaitable: Awaitable[T]) -> tuple[T, float]:
-    """Return a result and the seconds that it took."""
-    began_at = monotonic()
-    result = await awaitable
-    return result, monotonic() - began_at
-
-
 def _reason(error: NoMajority | TimeoutError) -> str:
     return str(error) or "no majority in time"
 
--- a/waxwingglade/ledger/tests/test_client.py
+++ b/waxwingglade/ledger/tests/test_client.py
@@ -18,6 +18,7 @@
     TurnId,
     Unavailable,
 )
+from waxwingglade.ledger.tests.builders import end
 from waxwingglade.transport.links import LinkFailed
 
 MESSAGE = EndTurn(TurnId("t"), ProgramId("p"), 40)
@@ -140,6 +141,17 @@
         self.assertEqual(2, len(links.asked))
         self.assertEqual(2, len(set(links.asked)))
 
+    async def test_a_replica_that_keeps_turns_is_not_avoided_for_an_account_that_is_held_up(
+        self,
+    ) -> None:
+        replicas = [Replica(f"disk-{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(2)]
+        links = mock.Mock()
+        links.to.return_value.request = mock.AsyncMock(return_value=TurnEnded(True, False))
+        client = LedgerClient(links, lambda: replicas, ZoneId("zone"))
+        self.assertTrue(await client.end(end(1)))
+        self.assertEqual({}, client.avoided)
+        await client.finish(0.0)
+
     async def test_where_all_failed_lately_the_last_one_is_asked_last(self) -> None:
         replicas = [Replica(f"disk-{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(3)]
         links = SettlingLinks()
--- a/waxwingglade/ledger/tests/test_held_up_account.py
+++ b/waxwingglade/ledger/tests/test_held_up_account.py
@@ -1,14 +1,44 @@
 """Turns begin and end in time though others of their program begin and end at the same moment."""
 
+import asyncio
+import time
 import unittest
+from typing import Any
 
 from waxwingglade.ledger.client import ASK_S
+from waxwingglade.ledger.messages import Accept, Prepare
+from waxwingglade.ledger.tests.builders import Cluster, begin, end
 from waxwingglade.ledger.tests.crowds import Crowd
 
 AGENTS = 24
 SEEDS = range(1, 5)
 
 
+class HeldUpAccountTest(unittest.IsolatedAsyncioTestCase):
+    """Members keep turns, and change no account."""
+
+    async def asyncSetUp(self) -> None:
+        self.cluster = Cluster()
+        self.addAsyncCleanup(self.cluster.close)
+        await self.cluster.start()
+        self.coordinator = self.cluster.coordinator("vm-0")
+        await self.coordinator.begin(begin(1))
+        for replica in self.cluster.replicas.values():
+            replica.handlers[Prepare] = replica.handlers[Accept] = held_up
+
+    async def test_a_turn_is_told_to_be_kept_while_its_account_is_held_up(self) -> None:
+        began_at = time.monotonic()
+        ended = await self.coordinator.end(end(1))
+        seconds = time.monotonic() - began_at
+        self.assertTrue(ended.kept)
+        self.assertLess(seconds, ASK_S, "the entry has asked another replica by now")
+
+
+async def held_up(_message: Any) -> None:
+    """Answer a request when its asker has long given up."""
+    await asyncio.sleep(20.0)
+
+
 class CrowdTest(unittest.IsolatedAsyncioTestCase):
     """Sub-agents of one program, through entries of all zones, on disks that take their time."""
 
@@ -25,6 +55,10 @@
             self.assertTrue(all(kept for kept, _ in crowd.ended))
             self.assertLess(max(seconds for _, seconds in crowd.ended), ASK_S)
 
+    async def test_turns_that_begin_together_are_all_decided(self) -> None:
+        crowds = [await self.crowd(seed) for seed in SEEDS]
+        self.assertEqual([0] * len(crowds), [crowd.undecided for crowd in crowds])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/waxwingglade/ledger/tests/test_ledger_logs.py
+++ b/waxwingglade/ledger/tests/test_ledger_logs.py
@@ -13,6 +13,8 @@
 from waxwingglade.ledger.tests.logged import logged_lines
 from waxwingglade.transport.links import LinkFailed
 
+PATIENCE_S = 5.0
+
 
 class OneSilentLink:
     """Links of which the first that is used gives no answer."""
@@ -70,6 +72,9 @@
             replica.handlers[Prepare] = replica.handlers[Accept] = held_up
         with logged_lines("turn slow to end") as ends, logged_lines("account held up") as accounts:
             await self.coordinator.end(end(1))
+            async with asyncio.timeout(PATIENCE_S):
+                while not accounts:
+                    await asyncio.sleep(0.01)
         self.assertTrue(ends[0]["kept"])
         self.assertFalse(ends[0]["settled"])
         self.assertGreater(ends[0]["settled_s"], ends[0]["kept_s"])
