Keep a turn for as long as its caller has time

What callers saw: a connection closed in the middle of a whole answer, 2.7 s before the caller's deadline. Cause: an entry gave keeping a turn 1.5 s of its own, whatever the caller had left, and none at all where two ledger processes answered that they had too much to do. Class: a fixed limit of time on a way that a caller waits on.

Evidence: the record's connection was closed 1.508 s after the engine had ended the turn, at 2.4 of 5.1 s.

Now an entry goes on until the time of the request is over; then the answer is broken off, so that it can be seen to be incomplete. Where processes have too much to do it pauses in between. The reservation is settled apart from the second asking on, since each asking would hold the account up further. What a held answer takes is bounded by the request's own time, and no turn begins meanwhile while the ledger does not decide.

--- a/tests/silent_cluster.py
+++ b/tests/silent_cluster.py
@@ -110,7 +110,7 @@
         turn, program = TurnId(f"turn-{self.begun}"), ProgramId(f"program-{self.begun}")
         begun = await self.entry.ledger.begin(BeginTurn(turn, program, 40, 100), 0.9)
         return isinstance(begun, TurnBegun) and await self.entry.ledger.end(
-            EndTurn(turn, program, 40)
+            EndTurn(turn, program, 40), 1.5
         )
 
 
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -229,7 +229,7 @@
             ledger.settle_later(message)
         return
     asked_at = time.monotonic()
-    kept = await ledger.end(message)
+    kept = await ledger.end(message, serving.time_left())
     serving.trace.kept_s = round(time.monotonic() - asked_at, 4)
     if not kept:
         serving.trace.reason = "the turn could not be kept"
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -156,7 +156,7 @@
         await self.may_begin.wait()
         return TurnBegun(self.chain, failed_at=self.failed_at)
 
-    async def end(self, message: EndTurn) -> bool:
+    async def end(self, message: EndTurn, timeout_s: float) -> bool:
         """Keep a turn."""
         self.ended.append(message)
         await self.may_end.wait()
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -1,8 +1,9 @@
 """The ledger as an entry uses it: the nearest replica, and the next one if that gives no answer."""
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any
 
 import msgspec
@@ -32,8 +33,8 @@
 BEGIN_S = 0.9
 """Seconds for the beginning of a turn, over all replicas that are tried."""
 
-KEEP_S = 1.5
-"""Seconds for keeping a turn, while the end of its response waits."""
+SETTLE_S = 1.5
+"""Seconds for the first try of a settlement, over all replicas."""
 
 SETTLE_TRIES_S = (0.3, 0.6, 1.2, 2.4, 4.8, 9.6)
 """Pauses before a settlement is tried again after the response has ended.  Each try asks as many
@@ -52,6 +53,10 @@
 """Replicas that may answer that they have too much to do before a caller is refused."""
 
 RETRY_PAUSE_S = 0.05
+BUSY_PAUSE_S = 0.25
+"""Seconds before replicas that have too much to do are asked again to keep a turn, about as long as
+they take for what they have."""
+
 AVOID_S = 1.0
 """Seconds for which a replica that gave no answer, or reached no majority, is asked last."""
 
@@ -59,13 +64,23 @@
 """Seconds from which on a line tells whom a request was sent to, and what each answered."""
 
 
-class Asked(msgspec.Struct, omit_defaults=True):
-    """One asking of a replica, for the log: when it began, how long it took, what came of it."""
+class Asked(msgspec.Struct):
+    """One asking of a replica, for the log.
+
+    Parameters
+    ----------
+    replica : str
+        VM of the replica.
+    began_at, ended_at : float
+        Monotonic seconds; no end while it is under way.
+    answer : str
+        What was answered, in a few words.
+    """
 
     replica: str
-    after_s: float
-    seconds: float
-    answer: str
+    began_at: float
+    ended_at: float | None = None
+    answer: str = "under way"
 
 
 class LedgerClient:
@@ -105,25 +120,42 @@
 
         `Busy` says that no replica did anything, so that nothing has to be settled.
         """
-        answer = await self._try(message, min(timeout_s, BEGIN_S), lambda _: True)
+        end_at = self.clock() + min(timeout_s, BEGIN_S)
+        with self._log_if_slow(message) as asked:
+            answer = await self._try(message, end_at, lambda _: True, asked)
         if isinstance(answer, TurnBegun | BudgetSpent | NoSuchTurn | Unavailable | Busy):
             return answer
         return Unavailable("no replica answered")
 
-    async def end(self, message: EndTurn) -> bool:
+    async def end(self, message: EndTurn, timeout_s: float) -> bool:
         """Keep a turn and settle its reservation; return whether the turn is kept.
 
-        A settlement that did not come about is tried again in the background.
+        Its caller has nearly all of its answer, so this is tried for as long as the caller has
+        time.  A settlement that did not come about is tried again in the background.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds that the caller has left; one replica is asked whatever they are.
         """
-        answer = await self._try(
-            message, KEEP_S, lambda ended: isinstance(ended, TurnEnded) and ended.kept
-        )
-        ended = answer if isinstance(answer, TurnEnded) else TurnEnded(False, False)
-        if not ended.settled and message.program is not None:
-            # The caller is about to have its whole answer, and may go on at once, elsewhere.
-            self.tell_all(message)
-            self._start(self._settle(message))
-        return ended.kept
+        end_at = self.clock() + timeout_s
+        with self._log_if_slow(message) as asked:
+            first_until = self.clock() + ASK_S
+            answer = await self._try(message, first_until, _is_kept, asked, patient=True)
+            if not _is_kept(answer) or not answer.settled:
+                self._settle_apart(message)
+            if _is_kept(answer):
+                return True
+            # Asked with each try, the settlement would hold up the account for all of them.
+            alone = msgspec.structs.replace(message, program=None)
+            return _is_kept(await self._try(alone, end_at, _is_kept, asked, patient=True))
+
+    def _settle_apart(self, message: EndTurn) -> None:
+        """Settle a turn in the background while its caller goes on, at once and elsewhere."""
+        if message.program is None:
+            return
+        self.tell_all(message)
+        self._start(self._settle(message))
 
     def settle_later(self, message: EndTurn) -> None:
         """Settle a reservation without waiting for it."""
@@ -192,7 +224,7 @@
         if told:
             telling.cancel()
         try:
-            answer = await self._try(message, KEEP_S, lambda _: True)
+            answer = await self._try(message, self.clock() + SETTLE_S, lambda _: True, [])
         finally:
             telling.cancel()
         if isinstance(answer, TurnEnded) and answer.settled:
@@ -205,32 +237,27 @@
         self.unsettled[message.turn] = message
         for pause_s in SETTLE_TRIES_S:
             await asyncio.sleep(pause_s * (0.5 + random.random()))
-            answer = await self._try(message, ASK_S, lambda _: True)
+            answer = await self._try(message, self.clock() + ASK_S, lambda _: True, [])
             if isinstance(answer, TurnEnded) and answer.settled:
                 self.unsettled.pop(message.turn, None)
                 return
         self.unsettled.pop(message.turn, None)
         logger.bind(turn=message.turn, program=message.program).warning("reservation not settled")
 
-    async def _try(self, message: Any, timeout_s: float, good: Callable[[Any], bool]) -> Any:
+    async def _try(
+        self,
+        message: Any,
+        end_at: float,
+        good: Callable[[Any], bool],
+        asked: list[Asked],
+        patient: bool = False,
+    ) -> Any:
         """Ask one replica after the other until an answer is good or the time is over.
 
         Where the first two have too much to do, no more are asked: that would be more to do.
         `Busy` is returned only then, when nobody else was asked, so it says that nothing was done.
+        A patient caller asks again after a pause.  Each asking is noted in `asked`.
         """
-        began_at = self.clock()
-        asked: list[Asked] = []
-        try:
-            answer = await self._try_in_turn(message, began_at + timeout_s, good, asked)
-        finally:
-            self._log_slow(message, self.clock() - began_at, asked)
-        return answer
-
-    async def _try_in_turn(
-        self, message: Any, end_at: float, good: Callable[[Any], bool], asked: list[Asked]
-    ) -> Any:
-        """Ask until `end_at`, and note each asking in `asked`."""
-        began_at = self.clock()
         last: Any = None
         busy = 0
         while True:
@@ -239,23 +266,29 @@
                 left_s = end_at - asked_at
                 if left_s <= 0:
                     return last
-                note = Asked(replica.vm, round(asked_at - began_at, 3), 0.0, "under way")
+                note = Asked(replica.vm, asked_at)
                 asked.append(note)
                 answer = await self._ask(replica, message, min(ASK_S, left_s), note)
-                note.seconds = round(self.clock() - asked_at, 3)
+                note.ended_at = self.clock()
                 if _could_not_act(message, answer):
                     self.avoided[replica.address] = self.clock() + AVOID_S
                 if _is_answer(answer) and good(answer):
                     return answer
                 if isinstance(answer, Busy):
                     busy += 1
+                    if busy >= MOST_BUSY and patient:
+                        break
                     if busy == MOST_BUSY and last is None:
                         return answer
                     continue
                 last = answer or Unavailable("no replica answered")
-            if self.clock() + RETRY_PAUSE_S >= end_at:
+            pause_s = RETRY_PAUSE_S
+            if patient and busy:
+                pause_s = BUSY_PAUSE_S * (0.5 + random.random())
+                busy = 0
+            if self.clock() + pause_s >= end_at:
                 return last
-            await asyncio.sleep(RETRY_PAUSE_S)
+            await asyncio.sleep(pause_s)
 
     async def _ask(self, replica: Replica, message: Any, timeout_s: float, note: Asked) -> Any:
         """Ask one replica; None if it gives no answer."""
@@ -274,17 +307,23 @@
             return answer
         return None
 
-    def _log_slow(self, message: Any, seconds: float, asked: list[Asked]) -> None:
-        """Log whom a request was sent to that took long."""
-        if seconds < SLOW_S:
-            return
-        logger.bind(
-            turn=message.turn,
-            program=message.program,
-            request=type(message).__name__,
-            seconds=round(seconds, 3),
-            asked=msgspec.to_builtins(asked),
-        ).info("ledger slow to answer")
+    @contextlib.contextmanager
+    def _log_if_slow(self, message: BeginTurn | EndTurn) -> Iterator[list[Asked]]:
+        """Collect whom a request is sent to, and log it if that took long."""
+        began_at = self.clock()
+        asked: list[Asked] = []
+        try:
+            yield asked
+        finally:
+            now = self.clock()
+            if now - began_at >= SLOW_S:
+                logger.bind(
+                    turn=message.turn,
+                    program=message.program,
+                    request=type(message).__name__,
+                    seconds=round(now - began_at, 3),
+                    asked=[_loggable(each, began_at, now) for each in asked],
+                ).info("ledger slow to answer")
 
     def _in_order(self, message: Any) -> list[Replica]:
         """Return the replicas to ask: the nearest first, and those that failed lately last.
@@ -306,6 +345,22 @@
         return sorted(self.replicas(), key=order)
 
 
+def _loggable(asked: Asked, began_at: float, now: float) -> dict[str, Any]:
+    """Return the fields of one asking, with times from the beginning of the request on."""
+    ended_at = now if asked.ended_at is None else asked.ended_at
+    return {
+        "replica": asked.replica,
+        "after_s": round(asked.began_at - began_at, 3),
+        "seconds": round(ended_at - asked.began_at, 3),
+        "answer": asked.answer,
+    }
+
+
+def _is_kept(answer: Any) -> bool:
+    """Return whether a replica says that a turn is kept."""
+    return isinstance(answer, TurnEnded) and answer.kept
+
+
 def _told(answer: Any) -> str:
     """Return what a replica answered, in a few words."""
     if isinstance(answer, TurnEnded):
--- a/waxwingglade/ledger/tests/crowds.py
+++ b/waxwingglade/ledger/tests/crowds.py
@@ -157,7 +157,7 @@
         kept = Turn(turn, None, b"asked", b"answered\n", FAR_FUTURE)
         began_at = asyncio.get_running_loop().time()
         message = EndTurn(turn, ProgramId(PROGRAM), 60, kept)
-        done = await client.end(message)
+        done = await client.end(message, timeout_s=5.0)
         self.ended.append((done, asyncio.get_running_loop().time() - began_at))
 
 
--- a/waxwingglade/ledger/tests/test_client.py
+++ b/waxwingglade/ledger/tests/test_client.py
@@ -116,7 +116,7 @@
 
 class SettlingTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        for name, value in (("KEEP_S", 0.02), ("SETTLE_TRIES_S", (0.01, 0.01, 0.05, 30.0))):
+        for name, value in (("SETTLE_S", 0.02), ("SETTLE_TRIES_S", (0.01, 0.01, 0.05, 30.0))):
             patch = mock.patch(f"waxwingglade.ledger.client.{name}", value)
             patch.start()
             self.addCleanup(patch.stop)
@@ -148,7 +148,7 @@
         links = mock.Mock()
         links.to.return_value.request = mock.AsyncMock(return_value=TurnEnded(True, False))
         client = LedgerClient(links, lambda: replicas, ZoneId("zone"))
-        self.assertTrue(await client.end(end(1)))
+        self.assertTrue(await client.end(end(1), 20.0))
         self.assertEqual({}, client.avoided)
         await client.finish(0.0)
 
@@ -180,6 +180,18 @@
         self.assertEqual(await client.begin(begin, 20.0), Busy())
         self.assertEqual(len(self.links.asked), MOST_BUSY)
 
+    async def test_a_turn_is_kept_though_all_replicas_have_too_much_to_do_at_first(self) -> None:
+        replicas = [Replica(f"disk-{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(3)]
+        client = LedgerClient(self.links, lambda: replicas, ZoneId("zone"))
+        self.links.cut_off, self.links.busy = False, True
+        ending = asyncio.create_task(client.end(end(1), 20.0))
+        await asyncio.sleep(0.2)
+        self.assertFalse(ending.done())
+        self.links.busy = False
+        self.assertTrue(await ending)
+        asked = [each for each in self.links.asked if isinstance(each, EndTurn) and each.kept]
+        self.assertLessEqual(len(asked), 3 * MOST_BUSY + 1, "replicas are given time")
+
     async def test_a_turn_that_somebody_may_have_begun_is_not_called_busy(self) -> None:
         replicas = [Replica(f"disk-{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(3)]
         client = LedgerClient(self.links, lambda: replicas, ZoneId("zone"))
--- a/waxwingglade/ledger/tests/test_ledger_logs.py
+++ b/waxwingglade/ledger/tests/test_ledger_logs.py
@@ -40,7 +40,7 @@
         replicas = [Replica(f"d{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(3)]
         client = LedgerClient(OneSilentLink(), lambda: replicas, ZoneId("zone"))
         with logged_lines("ledger slow to answer") as lines:
-            await client.end(end(1))
+            await client.end(end(1), 20.0)
         (line,) = lines
         self.assertEqual("turn-1", line["turn"])
         answers = [each["answer"] for each in line["asked"]]
