Tests of accounts: let another process refuse between two changes of one

Disks have random names, so whether the process that refuses had a part in the change before was a matter of chance: one of three runs failed, as its first refusal was proposed. Now it has changed the account itself before it refuses.

--- a/waxwingglade/ledger/tests/test_accounts.py
+++ b/waxwingglade/ledger/tests/test_accounts.py
@@ -92,8 +92,10 @@
 
     async def test_whoever_made_the_last_change_goes_on_without_asking_for_promises(self) -> None:
         await self.two.begin(begin(99, TURN, BUDGET))
+        await self.one.end(end(0, used=TURN))
+        await self.two.begin(begin(98, TURN, BUDGET))
         self.cluster.carried.clear()
-        await self.one.end(end(0, used=0))
+        await self.one.end(end(1, used=TURN))
         self.assertNotIn(Prepare, {type(message) for _, _, message in self.cluster.carried})
 
     async def test_tokens_that_were_settled_elsewhere_are_not_refused(self) -> None:
