Call a budget spent only once a majority has told which turns ended

Cause: before a turn is refused because of reservations the members are asked for ends that they were told of, and what had not answered within 0.1 s did not count, be it all of them. Since a kept turn is told before its reservation is settled, more turns meet open reservations.

Now a majority has to answer, and others are waited for as long as before; with fewer the turn is refused as not decided, 503.

--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -25,6 +25,7 @@
     Turn,
     TurnBegun,
     TurnEnded,
+    TurnId,
     Unavailable,
 )
 from waxwingglade.ledger.rounds import HEDGE_S, Ask, NoMajority, Rounds
@@ -161,14 +162,7 @@
         assert message.program is not None
         if account.spent + message.most_tokens > message.budget:
             return False
-        question = ListEnds(message.program)
-        try:
-            async with asyncio.timeout(HEDGE_S):
-                async for _, answer in self.rounds.answers(self.rounds.usable_members(), question):
-                    for end in answer.ends if isinstance(answer, Ends) else ():
-                        self.unsettled.add(end)
-        except TimeoutError:
-            logger.bind(turn=message.turn, program=message.program).info("not all asked for ends")
+        await self._ask_for_ends(message.turn, message.program)
         learnt = [end.turn for end in self.unsettled.of(message.program)]
         ended = [turn for turn in learnt if turn in account.open]
         if ended:
@@ -177,6 +171,32 @@
             )
         return bool(ended)
 
+    async def _ask_for_ends(self, turn: TurnId, program: ProgramId) -> None:
+        """Learn which turns have ended from a majority, and from those others that answer soon.
+
+        Raises
+        ------
+        NoMajority
+            If too few members answer; others may know of an end that nobody here was told of.
+        """
+        replicas = self.rounds.usable_members()
+        soon = asyncio.get_running_loop().time() + HEDGE_S
+        heard = 0
+        try:
+            async with asyncio.timeout(None) as patience:
+                async for _, answer in self.rounds.answers(replicas, ListEnds(program)):
+                    if not isinstance(answer, Ends):
+                        continue
+                    for end in answer.ends:
+                        self.unsettled.add(end)
+                    heard += 1
+                    if heard == replicas.majority:
+                        patience.reschedule(soon)
+        except TimeoutError:
+            logger.bind(turn=turn, program=program).info("not all asked for ends")
+        if heard < replicas.majority:
+            raise NoMajority(f"{heard} of {len(replicas.members)} members told of ends")
+
     async def end(self, message: EndTurn) -> TurnEnded:
         """Keep a turn and settle its reservation, as far as majorities answer.
 
--- a/waxwingglade/ledger/tests/test_refused_turn.py
+++ b/waxwingglade/ledger/tests/test_refused_turn.py
@@ -13,16 +13,30 @@
 it ``turn not settled`` for the refused turn, at all three replicas.
 """
 
+import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 
-from waxwingglade.ledger.messages import BudgetSpent, TurnBegun
+from waxwingglade.ledger.messages import BudgetSpent, ListEnds, NoteEnd, TurnBegun
+from waxwingglade.ledger.rounds import HEDGE_S
 from waxwingglade.ledger.tests.builders import Cluster, begin, end
 
 BUDGET = 1000
 
 
+def later(handler: Callable[[Any], Awaitable[Any]]) -> Callable[[Any], Awaitable[Any]]:
+    """Return a handler that takes a while, as that of a busy process."""
+
+    async def handle(message: Any) -> Any:
+        await asyncio.sleep(1.5 * HEDGE_S)
+        return await handler(message)
+
+    return handle
+
+
 class RefusedTurnTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.cluster = Cluster()
@@ -54,6 +68,15 @@
         await self.cluster.restart("vm-0")
         self.assertIsInstance(await self.two.begin(begin(2, BUDGET, BUDGET)), TurnBegun)
 
+    async def test_a_budget_is_not_called_spent_before_a_majority_has_told_of_ends(self) -> None:
+        self.assertIsInstance(await self.one.begin(begin(1, BUDGET, BUDGET)), TurnBegun)
+        await self.two.begin(begin(2, BUDGET, BUDGET))
+        for vm, replica in self.cluster.replicas.items():
+            if vm != "vm-1":
+                await replica.note_end(NoteEnd(self.refused))
+            replica.handlers[ListEnds] = later(replica.handlers[ListEnds])
+        self.assertIsInstance(await self.two.begin(begin(3, BUDGET, BUDGET)), TurnBegun)
+
     async def test_a_turn_that_has_used_tokens_counts_them(self) -> None:
         self.refused = msgspec.structs.replace(self.refused, used_tokens=BUDGET)
         await self.reserve_and_tell_one_that_is_cut_off()
