Log a slow end only of turns that were to be kept

A settlement alone has 'turn not settled' and 'account held up'; its line with kept after 0 s read as if a turn had been kept.

Measured: waxwingglade.ledger.tests.test_ledger_logs passes.

--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -210,7 +210,7 @@
         await asyncio.wait({settling}, timeout=SETTLE_S if message.kept is not None else None)
         settled = settling.done() and settling.result()
         seconds = monotonic() - began_at
-        if seconds >= SLOW_S or not settled:
+        if message.kept is not None and (seconds >= SLOW_S or not settled):
             logger.bind(
                 turn=message.turn,
                 program=message.program,
