Name in explain what an answer of the ledger waited for

A turn that was given up by its entry looked the same whether its program's account, a missing majority or a stalled process had held up the ledger, though the processes log lines that tell these apart.

From these and from the lines of the turn it names the causes, the strongest first, in text and under `ledger_causes` in JSON, and prints each asking of a slow answer as a table. Settlements in the background do not count, nor does what a process did after the entry had given up. A broken-off answer is no longer said to be one that no majority kept.

--- a/waxwingglade/cli/explain.py
+++ b/waxwingglade/cli/explain.py
@@ -4,21 +4,37 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
 
 from waxwingglade.cli.exits import ExitStatus, stop
 from waxwingglade.cli.output import Json, as_time, print_fields, print_json, print_table
-from waxwingglade.explain import LogLine, cause_of, read_files, tell
+from waxwingglade.explain import LedgerCause, LogLine, cause_of, ledger_causes, read_files, tell
+from waxwingglade.explain.story import SLOW_ANSWER
 
 INPUTS = ("route", "version", "view_age_s", "epoch", "status", "reason", "seconds", "events")
 """Fields of a request's line that decided it, in the order in which they are shown."""
 
 ATTEMPT = ("target", "load", "load_age_s", "read_tokens", "verdict", "status", "seconds", "reason")
 
-TELLING = ("request", "status", "reason")
+ASKED = ("replica", "after_s", "seconds", "answer")
+
+HELD_UP = ("seconds", "waited_s", "overtaken")
+
+TELLING = (
+    "request",
+    "status",
+    "reason",
+    "kept",
+    "kept_s",
+    "settled",
+    "settled_s",
+    "silent",
+    "seconds",
+)
 """Fields that are shown before the others of a line in a table."""
 
-HIDDEN = ("attempts", "program", "route")
+HIDDEN = ("asked", "attempts", "program", "route")
 """Fields that are left out of a table: too long, or the same in all lines."""
 
 
@@ -32,12 +48,17 @@
     if not story.own and not story.turn:
         text = f"no line of these logs names {request}; lines are sampled, see left_out"
         raise stop(ExitStatus.NOT_FOUND, text)
+    causes = ledger_causes(story)
     if as_json:
-        print_json(story)
+        print_json({**msgspec.structs.asdict(story), "ledger_causes": causes})
         return
     for line in story.own:
         _print_request(line)
+    _print_causes(causes)
     _print_lines("its turn at the ledger", story.turn)
+    for line in story.turn:
+        _print_asked(line)
+    _print_held_up(story.account)
     _print_lines("other requests of its program that did not end well", story.program)
     _print_lines("losses and changes around it", story.around)
 
@@ -52,6 +73,36 @@
         print_table(ATTEMPT, [[attempt.get(name) for name in ATTEMPT] for attempt in attempts])
 
 
+def _print_causes(causes: list[LedgerCause]) -> None:
+    """Print what it waited for at the ledger, if it did."""
+    if not causes:
+        return
+    typer.echo("\nwhat it waited for at the ledger")
+    for cause in causes:
+        typer.echo(f"- {cause.text}")
+
+
+def _print_asked(line: LogLine) -> None:
+    """Print each asking of the ledger that an entry's line tells of."""
+    asked = line.fields.get("asked")
+    if line.event != SLOW_ANSWER or not asked:
+        return
+    typer.echo(f"\n{line.fields.get('request')} of {line.source}, from {_moment(line.began_at)}")
+    print_table(ASKED, [[each.get(name) for name in ASKED] for each in asked])
+
+
+def _print_held_up(lines: list[LogLine]) -> None:
+    """Print the changes of its program's account that were held up, if there are any."""
+    if not lines:
+        return
+    typer.echo("\nchanges of its program's account that were held up")
+    rows = [
+        [_moment(line.time), line.source, *(line.fields.get(name) for name in HELD_UP)]
+        for line in lines
+    ]
+    print_table(("time", "log", *HELD_UP), rows)
+
+
 def _print_lines(title: str, lines: list[LogLine]) -> None:
     """Print lines under a title, if there are any."""
     if not lines:
--- a/waxwingglade/explain/cause.py
+++ b/waxwingglade/explain/cause.py
@@ -50,7 +50,8 @@
     Cause("no such turn", "a majority of the ledger's members did not have the turn before"),
     Cause("the budget is spent", "what was used and reserved left no room for one more turn"),
     Cause(
-        "the turn could not be kept", "its stream was broken off, since no majority kept the turn"
+        "the turn could not be kept",
+        "its stream was broken off, since the ledger did not say in time that the turn is kept",
     ),
     Cause("the time of the request is over", "a target had it until its time was over"),
     Cause(
--- a/waxwingglade/explain/lines.py
+++ b/waxwingglade/explain/lines.py
@@ -37,6 +37,17 @@
     event: str
     fields: dict[str, Any]
 
+    @property
+    def seconds(self) -> float:
+        """For how long what it says had lasted; zero where it does not say."""
+        seconds = self.fields.get("seconds")
+        return float(seconds) if isinstance(seconds, int | float) else 0.0
+
+    @property
+    def began_at(self) -> float:
+        """When what it says began."""
+        return self.time - self.seconds
+
     def names(self, field: str, value: str) -> bool:
         """Return whether a field has a value."""
         return self.fields.get(field) == value
--- a/waxwingglade/explain/story.py
+++ b/waxwingglade/explain/story.py
@@ -1,6 +1,7 @@
 """Gather what logs tell of one request: its own lines, its turn's, and what was lost around it."""
 
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import msgspec
 
@@ -9,6 +10,15 @@
 REQUEST = "request"
 """Event of the line that an entry writes when a request has ended."""
 
+SLOW_ANSWER = "ledger slow to answer"
+"""Event of the line in which an entry tells whom it asked of the ledger."""
+
+HELD_UP = "account held up"
+"""Event of a late change of a program's account, which names no turn."""
+
+LOOP_DELAYED = "event loop delayed"
+"""Event of a process that stood still."""
+
 BEFORE_S = 5.0
 """Seconds before a request in which a loss can be its cause: half a second until a loss is noticed,
 and the three seconds after which all has to work again."""
@@ -20,6 +30,7 @@
         "disk lost",
         "disk regained",
         "draining",
+        LOOP_DELAYED,
         "idle connections dropped",
         "ledger quorum lost",
         "ledger quorum regained",
@@ -52,12 +63,15 @@
         Ends of the other requests of its program that did not end well.
     around : list of LogLine
         Losses and changes shortly before it and during it.
+    account : list of LogLine
+        Changes of its program's account that were held up during it.
     """
 
     own: list[LogLine]
     turn: list[LogLine]
     program: list[LogLine]
     around: list[LogLine]
+    account: list[LogLine]
 
 
 def tell(request: str, lines: Lines) -> Story:
@@ -77,26 +91,29 @@
             own.append(line)
         elif line.names("turn", request) or line.names("previous", request):
             turn.append(line)
-    spans = [_span(line) for line in own]
+    during = [(line.began_at, line.time) for line in own]
+    spans = [(began_at - BEFORE_S, ended_at) for began_at, ended_at in during]
     programs = {line.fields.get("program") for line in own} - {None}
     program: list[LogLine] = []
     around: list[LogLine] = []
+    account: list[LogLine] = []
     for line in lines():
         if line.event in SURROUNDINGS and _is_within(line, spans):
             around.append(line)
-        if line.fields.get("program") in programs and _failed(line) and line not in own:
+        if line.event == HELD_UP and _is_of(line, programs) and _is_within(line, during):
+            account.append(line)
+        if _is_of(line, programs) and _failed(line) and line not in own:
             program.append(line)
-    return Story(*(sorted(each, key=_time) for each in (own, turn, program, around)))
+    return Story(*(sorted(each, key=_time) for each in (own, turn, program, around, account)))
 
 
 def _is_within(line: LogLine, spans: list[tuple[float, float]]) -> bool:
-    return any(begin <= line.time <= end for begin, end in spans)
+    """Return whether what a line says falls into one of some times, if only in part."""
+    return any(begin <= line.time and line.began_at <= end for begin, end in spans)
 
 
-def _span(line: LogLine) -> tuple[float, float]:
-    """Return the time in which the cause of a request's end lies."""
-    seconds = line.fields.get("seconds", 0.0)
-    return line.time - seconds - BEFORE_S, line.time
+def _is_of(line: LogLine, programs: set[Any]) -> bool:
+    return line.fields.get("program") in programs
 
 
 def _failed(line: LogLine) -> bool:
--- a/waxwingglade/explain/tests/builders.py
+++ b/waxwingglade/explain/tests/builders.py
@@ -19,6 +19,39 @@
     return line(time, "request", request=request, status=status, **fields)
 
 
+def asking(replica: str, answer: str, seconds: float = 0.4) -> dict[str, Any]:
+    """Return one asking of a replica, as an entry logs it."""
+    return {"replica": replica, "after_s": 0.0, "seconds": seconds, "answer": answer}
+
+
+def slow_answer(
+    time: float, turn: str, request: str, seconds: float, *asked: dict[str, Any]
+) -> str:
+    """Return the line of an entry that waited for the ledger."""
+    fields = {"turn": turn, "request": request, "seconds": seconds, "asked": asked}
+    return line(time, "ledger slow to answer", **fields)
+
+
+def slow_end(
+    time: float, turn: str, kept: bool, kept_s: float, settled: bool, settled_s: float
+) -> str:
+    """Return the line of a ledger process that took long to end a turn."""
+    fields = {"kept": kept, "kept_s": kept_s, "settled": settled, "settled_s": settled_s}
+    return line(time, "turn slow to end", LEDGER, turn=turn, **fields)
+
+
+def held_up(time: float, program: str, seconds: float) -> str:
+    """Return the line of a ledger process whose change of an account was late."""
+    fields = {"program": program, "seconds": seconds, "waited_s": 0.0, "overtaken": 3}
+    return line(time, "account held up", LEDGER, **fields)
+
+
+def refused(time: float, event: str, turn: str, reason: str, **fields: Any) -> str:
+    """Return the line of a ledger process that reached no majority for a turn."""
+    fields = {"silent": [], "joining": [], **fields}
+    return line(time, event, LEDGER, turn=turn, reason=reason, **fields)
+
+
 def write_log(folder: str, name: str, *lines: str) -> Path:
     """Write a log file and return its path."""
     path = Path(folder) / name
