Explain a broken-off answer by the wait for its end alone

A turn whose beginning was slow and whose end found no majority was also said to have waited for its program's account: the late changes around its beginning counted. And a settled set of members names the one that joined last, which was shown as joining.

Where a request ended since the ledger did not answer, only that answer counts now, and members are shown as joining only by lines that say that their set is not settled.

--- a/waxwingglade/explain/ledger_cause.py
+++ b/waxwingglade/explain/ledger_cause.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from waxwingglade.explain.ledger_wait import BEGIN, END, Wait, waits_for
+from waxwingglade.explain.ledger_wait import BEGIN, END, Wait, ended_by, waits_for
 from waxwingglade.explain.lines import LogLine
 from waxwingglade.explain.story import LOOP_DELAYED, Story
 
@@ -53,14 +53,16 @@
 
     What lines of its turn say comes before what merely happened at the same time, and a majority
     that some process reached before one that another did not reach.  The list is empty if the
-    request did not wait for the ledger.
+    request did not wait for the ledger.  Where it ended since the ledger did not answer, only that
+    answer counts.
 
     Parameters
     ----------
     story : Story
         What the logs tell of the request.
     """
-    ends, begins = waits_for(story, END), waits_for(story, BEGIN)
+    ends = waits_for(story, END)
+    begins = [] if ended_by(story, END) else waits_for(story, BEGIN)
     waits = [*ends, *begins]
     if not waits:
         return []
@@ -179,7 +181,9 @@
         text += f": no answer from {', '.join(silent)}"
     elif reasons := dict.fromkeys(str(line.fields.get("reason", "")) for line in refused):
         text += f": {', '.join(reasons)}"
-    if joining := _named(refused, "joining"):
+    # A settled set of members still names the one that was added to it last.
+    unsettled = [line for line in refused if line.fields.get("settled") is False]
+    if joining := _named(unsettled, "joining"):
         text += f"; joining: {', '.join(joining)}"
     return text
 
--- a/waxwingglade/explain/ledger_wait.py
+++ b/waxwingglade/explain/ledger_wait.py
@@ -63,10 +63,27 @@
     return [
         Wait(line.began_at, line.time, line.source, [])
         for line in story.own
-        if str(line.fields.get("reason", "")).startswith(REASONS[message])
+        if _is_reason(line, message)
     ]
 
 
+def ended_by(story: Story, message: str) -> bool:
+    """Return whether a request ended since the ledger did not answer one kind of message.
+
+    Parameters
+    ----------
+    story : Story
+        What the logs tell of the request.
+    message : str
+        The kind of message, `BEGIN` or `END`.
+    """
+    return any(_is_reason(line, message) for line in story.own)
+
+
+def _is_reason(line: LogLine, message: str) -> bool:
+    return str(line.fields.get("reason", "")).startswith(REASONS[message])
+
+
 def _ended_before(line: LogLine, own: list[LogLine]) -> bool:
     """Return whether an entry wrote a line before the request's own, if that is in the logs."""
     if not own:
@@ -74,4 +91,4 @@
     return any(each.source == line.source and line.time <= each.time for each in own)
 
 
-__all__ = ["BEGIN", "END", "Wait", "waits_for"]
+__all__ = ["BEGIN", "END", "Wait", "ended_by", "waits_for"]
--- a/waxwingglade/explain/tests/test_ledger_cause.py
+++ b/waxwingglade/explain/tests/test_ledger_cause.py
@@ -106,6 +106,23 @@
         (cause,) = self.causes()
         self.assertEqual("a majority kept it only after 0.7 s", cause.text)
 
+    def test_a_slow_beginning_did_not_break_off_its_end(self) -> None:
+        granted = asking("storage-1", "TurnBegun", 0.3)
+        self.write("entry", slow_answer(99.4, "r1", "BeginTurn", 0.3, granted), *BROKEN_OFF)
+        self.write("storage-1", held_up(99.4, "p1", 0.3))
+        self.write("storage-2", refused(102.0, "turn not kept", "r1", "", silent=["storage-1"]))
+        self.assertEqual([CauseKind.MAJORITY], self.kinds())
+
+    def test_a_slow_beginning_of_a_turn_that_was_served(self) -> None:
+        granted = asking("storage-1", "TurnBegun", 0.3)
+        self.write(
+            "entry",
+            slow_answer(99.4, "r1", "BeginTurn", 0.3, granted),
+            request_line(102.0, "r1", 200, program="p1", seconds=3.0),
+        )
+        self.write("storage-1", held_up(99.4, "p1", 0.3))
+        self.assertEqual([CauseKind.ACCOUNT], self.kinds())
+
     def test_a_turn_that_did_not_begin_waited_for_it(self) -> None:
         self.write("entry", *NOT_BEGUN)
         self.write(
@@ -124,7 +141,8 @@
         self.write("entry", *BROKEN_OFF)
         reason = "1 of 3 members answered"
         missing = {"silent": ["storage-3", "storage-2"], "joining": ["storage-3"]}
-        self.write("storage-1", refused(100.8, "turn not kept", "r1", reason, **missing))
+        line_of_it = refused(100.8, "turn not kept", "r1", reason, settled=False, **missing)
+        self.write("storage-1", line_of_it)
         (cause,) = self.causes()
         self.assertEqual(CauseKind.MAJORITY, cause.kind)
         self.assertEqual(
@@ -132,6 +150,12 @@
             cause.text,
         )
 
+    def test_the_member_that_a_settled_set_names_has_joined(self) -> None:
+        self.write("entry", *BROKEN_OFF)
+        missing = {"silent": ["storage-2"], "joining": ["storage-2"], "settled": True}
+        self.write("storage-1", refused(100.8, "turn not kept", "r1", "", **missing))
+        self.assertNotIn("joining", self.causes()[0].text)
+
     def test_those_that_most_processes_name_come_first(self) -> None:
         self.write("entry", *BROKEN_OFF)
         for name, silent in (("storage-1", ["storage-2", "storage-3"]), ("s-4", ["storage-3"])):
