--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -262,14 +262,12 @@
         busy = 0
         while True:
             for replica in self._in_order(message):
-                asked_at = self.clock()
-                left_s = end_at - asked_at
+                left_s = end_at - self.clock()
                 if left_s <= 0:
                     return last
-                note = Asked(replica.vm, asked_at)
+                note = Asked(replica.vm, self.clock())
                 asked.append(note)
                 answer = await self._ask(replica, message, min(ASK_S, left_s), note)
-                note.ended_at = self.clock()
                 if _could_not_act(message, answer):
                     self.avoided[replica.address] = self.clock() + AVOID_S
                 if _is_answer(answer) and good(answer):
@@ -291,7 +289,7 @@
             await asyncio.sleep(pause_s)
 
     async def _ask(self, replica: Replica, message: Any, timeout_s: float, note: Asked) -> Any:
-        """Ask one replica; None if it gives no answer."""
+        """Ask one replica, and note what came of it; None if it gives no answer."""
         try:
             answer = await self.links.to(replica.address).request(message, timeout_s)
         except LinkFailed as error:
@@ -305,6 +303,8 @@
         else:
             note.answer = _told(answer)
             return answer
+        finally:
+            note.ended_at = self.clock()
         return None
 
     @contextlib.contextmanager
