Keep a reference to the task that proposes changes of an account

The loop alone holds tasks weakly, so one could be collected while changes wait for it; not seen. Measured: the tests of accounts and coordinators pass.

--- a/waxwingglade/ledger/accounts.py
+++ b/waxwingglade/ledger/accounts.py
@@ -21,7 +21,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, ProgramId, monotonic
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_detached
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.account import settle
 from waxwingglade.ledger.messages import (
@@ -116,7 +116,7 @@
             self.waiting[program].append(waiting)
         else:
             self.waiting[program] = [waiting]
-            start_task(self._propose_while_waiting(program))
+            run_detached(self._propose_while_waiting(program))
         try:
             return await outcome
         finally:
