--- a/waxwingglade/ledger/tests/crowds.py
+++ b/waxwingglade/ledger/tests/crowds.py
@@ -1,12 +1,21 @@
-"""Callers of one program that begin and end turns at once, through entries of all zones."""
+"""Callers of one program that begin and end turns at once, through entries of all zones.
+
+They run in virtual time, on disks that flush in memory, so that a seed always is the same run.
+"""
 
 import asyncio
+import contextlib
 import random
+from collections.abc import Iterator
 from typing import Any
+from unittest import mock
+
+import msgspec
 
 from waxwingglade.base import ProgramId, WaxwinggladeError
 from waxwingglade.ledger.client import LedgerClient
 from waxwingglade.ledger.coordinator import Coordinator
+from waxwingglade.ledger.journal import Place
 from waxwingglade.ledger.messages import (
     BeginTurn,
     BudgetSpent,
@@ -16,7 +25,9 @@
     TurnBegun,
     TurnId,
 )
+from waxwingglade.ledger.replica import Replica
 from waxwingglade.ledger.tests.builders import FAR_FUTURE, PROGRAM, Cluster
+from waxwingglade.process.tests.virtual_time import run_in_virtual_time
 from waxwingglade.transport.links import LinkFailed
 
 MEMBERS = 5
@@ -24,7 +35,7 @@
 """One way between two zones, in seconds."""
 
 FLUSH_S = 0.012
-"""Seconds until a slow disk has flushed what it is given while it flushes something else."""
+"""Seconds that a slow disk takes for a flush."""
 
 TURN_S = 0.4
 """Seconds that an engine works on a turn."""
@@ -35,6 +46,81 @@
 TRIES = 3
 
 
+class MemoryJournal:
+    """A disk that flushes what is written together, as a ledger's does, and takes its time for it.
+
+    Parameters
+    ----------
+    disk : str
+        Name of its content.
+    """
+
+    def __init__(self, disk: str) -> None:
+        self.disk = disk
+        self.pending: list[asyncio.Future[Place]] = []
+        self.flushing: asyncio.Task[None] | None = None
+
+    def replay(self) -> Iterator[tuple[Place, bytes]]:
+        """Return what is on the disk, which is empty."""
+        return iter(())
+
+    def start(self) -> None:
+        """Begin to write."""
+
+    async def stop(self) -> None:
+        """Leave what is not flushed."""
+        if self.flushing is not None:
+            self.flushing.cancel()
+
+    def append(self, _content: bytes) -> asyncio.Future[Place]:
+        """Write with the next flush."""
+        future: asyncio.Future[Place] = asyncio.get_running_loop().create_future()
+        self.pending.append(future)
+        if self.flushing is None or self.flushing.done():
+            self.flushing = asyncio.ensure_future(self._flush())
+        return future
+
+    async def _flush(self) -> None:
+        while self.pending:
+            group, self.pending = self.pending, []
+            await asyncio.sleep(FLUSH_S)
+            for future in group:
+                if not future.done():
+                    future.set_result(Place(1, 0, 0))
+
+
+class TimedCluster(Cluster):
+    """Replicas whose disks and ways take the same time in each run."""
+
+    def add(self, vm: str) -> Replica:
+        """Add a replica with an empty disk."""
+        replica = super().add(vm)
+        replica.journal = MemoryJournal(f"disk-{vm}")  # type: ignore[assignment]
+        self.members[vm] = msgspec.structs.replace(self.members[vm], disk=replica.disk)
+        self.delays[vm] = WAY_S
+        return replica
+
+    def coordinator(self, vm: str) -> Coordinator:
+        """Return a coordinator in the process of a replica."""
+        coordinator = super().coordinator(vm)
+        coordinator.accounts.name = vm
+        return coordinator
+
+
+@contextlib.contextmanager
+def virtual_clocks(seed: int) -> Iterator[None]:
+    """Let the ledger read the time of the running loop, and draw by a seed."""
+    random.seed(seed)
+
+    def now() -> float:
+        return asyncio.get_running_loop().time()
+
+    with contextlib.ExitStack() as patches:
+        for module in ("accounts", "coordinator", "rounds"):
+            patches.enter_context(mock.patch(f"waxwingglade.ledger.{module}.monotonic", now))
+        yield
+
+
 class ClusterLinks:
     """Links of entries to the processes of a cluster; what is asked goes on after its caller left.
 
@@ -113,12 +199,12 @@
         self.random = random.Random(seed)
         self.budget = budget
         self.most_tokens = most_tokens
-        self.cluster = Cluster(MEMBERS, seed)
-        self.cluster.delays = {vm: WAY_S + FLUSH_S for vm in self.cluster.replicas}
+        self.cluster = TimedCluster(MEMBERS, seed)
         self.links = ClusterLinks(self.cluster)
         members = list(self.cluster.members.values())
+        clock = asyncio.get_running_loop().time
         self.clients = [
-            LedgerClient(self.links, lambda: members, member.zone)  # type: ignore[arg-type]
+            LedgerClient(self.links, lambda: members, member.zone, clock)  # type: ignore[arg-type]
             for member in members[:-1]
         ]
         self.ended: list[tuple[bool, float]] = []
@@ -161,4 +247,19 @@
         self.ended.append((done, asyncio.get_running_loop().time() - began_at))
 
 
-__all__ = ["Crowd"]
+def run_crowd(seed: int, agents: int) -> Crowd:
+    """Let a crowd of agents run to its end, and return what came of it."""
+
+    async def run() -> Crowd:
+        crowd = Crowd(seed)
+        try:
+            await crowd.run(agents)
+        finally:
+            await crowd.stop()
+        return crowd
+
+    with virtual_clocks(seed):
+        return run_in_virtual_time(run())
+
+
+__all__ = ["Crowd", "run_crowd"]
--- a/waxwingglade/ledger/tests/test_held_up_account.py
+++ b/waxwingglade/ledger/tests/test_held_up_account.py
@@ -8,10 +8,10 @@
 from waxwingglade.ledger.client import ASK_S
 from waxwingglade.ledger.messages import Accept, Prepare
 from waxwingglade.ledger.tests.builders import Cluster, begin, end
-from waxwingglade.ledger.tests.crowds import Crowd
+from waxwingglade.ledger.tests.crowds import Crowd, run_crowd
 
 AGENTS = 24
-SEEDS = range(1, 5)
+SEEDS = range(1, 21)
 
 
 class HeldUpAccountTest(unittest.IsolatedAsyncioTestCase):
@@ -39,25 +39,20 @@
     await asyncio.sleep(20.0)
 
 
-class CrowdTest(unittest.IsolatedAsyncioTestCase):
+class CrowdTest(unittest.TestCase):
     """Sub-agents of one program, through entries of all zones, on disks that take their time."""
 
-    async def crowd(self, seed: int) -> Crowd:
-        crowd = Crowd(seed)
-        self.addAsyncCleanup(crowd.stop)
-        await crowd.run(AGENTS)
-        self.assertGreater(crowd.begun, 0)
-        return crowd
+    def crowds(self) -> list[Crowd]:
+        return [run_crowd(seed, AGENTS) for seed in SEEDS]
 
-    async def test_no_whole_answer_waits_for_other_turns_of_its_program(self) -> None:
-        crowds = [await self.crowd(seed) for seed in SEEDS]
-        for crowd in crowds:
+    def test_no_whole_answer_waits_for_other_turns_of_its_program(self) -> None:
+        for crowd in self.crowds():
+            self.assertGreater(crowd.begun, 0)
             self.assertTrue(all(kept for kept, _ in crowd.ended))
             self.assertLess(max(seconds for _, seconds in crowd.ended), ASK_S)
 
-    async def test_turns_that_begin_together_are_all_decided(self) -> None:
-        crowds = [await self.crowd(seed) for seed in SEEDS]
-        self.assertEqual([0] * len(crowds), [crowd.undecided for crowd in crowds])
+    def test_turns_that_begin_together_are_all_decided(self) -> None:
+        self.assertEqual([0] * len(SEEDS), [crowd.undecided for crowd in self.crowds()])
 
 
 if __name__ == "__main__":
