Let a replica that catches up promise what the others have promised

Cause: a member that joins for a lost disk learnt what was accepted and not what was promised, so a round of promises that had counted on the lost disk was forgotten with it. With two proposals stuck in minorities a third, below one of them, could be accepted by a majority and then give way to it. A read without a write could tell the account of a proposal that does not come to hold.

What a replica holds now tells the promises that differ from the usual one, and whoever reads it promises them durably before it takes accounts.

--- a/waxwingglade/ledger/catch_up.py
+++ b/waxwingglade/ledger/catch_up.py
@@ -186,6 +186,7 @@
 
     async def _take_accounts(self, member: Member, held: Held) -> int:
         """Read the accounts of which a member has accepted a newer state; return how many."""
+        await self.replica.take_promises(held.promised)
         names = deque(held.accounts)
         taken = 0
         while names:
--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -339,10 +339,21 @@
 
 
 class Held(Message):
-    """Names of all turns, and the accepted ballot of each program's account."""
+    """What a replica holds, by name.
+
+    Parameters
+    ----------
+    turns : tuple of TurnId
+        All turns.
+    accounts : dict
+        Accepted ballot of each program's account.
+    promised : dict
+        Promised ballot of each account for which it is not the one that follows the accepted one.
+    """
 
     turns: tuple[TurnId, ...]
     accounts: dict[ProgramId, Ballot]
+    promised: dict[ProgramId, Ballot] = msgspec.field(default_factory=dict)
 
 
 class Fetch(Message):
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -322,7 +322,12 @@
         accounts = {
             program: slot.accepted for program, slot in self.slots.items() if slot.accepted.number
         }
-        return Held(tuple(self.turns), accounts)
+        promised = {
+            program: slot.promised
+            for program, slot in self.slots.items()
+            if slot.promised != slot.accepted.next()
+        }
+        return Held(tuple(self.turns), accounts, promised)
 
     async def fetch(self, message: Fetch) -> Any:
         """Return turns and accounts by name, turns up to a size."""
@@ -357,6 +362,19 @@
             writes.append(self._write(AcceptRecord(program, slot.promised, ballot, account)))
         await asyncio.gather(*writes)
 
+    async def take_promises(self, promised: dict[ProgramId, Ballot]) -> None:
+        """Promise what another replica has promised.
+
+        A round of promises that counted on a lost disk must not be forgotten with it.
+        """
+        writes = []
+        for program, ballot in promised.items():
+            slot = self.slots.setdefault(program, Slot())
+            if ballot > slot.promised:
+                slot.promised = ballot
+                writes.append(self._write(PromiseRecord(program, ballot)))
+        await asyncio.gather(*writes)
+
     # Expiry
 
     async def sweep_forever(self) -> None:
--- /dev/null
+++ b/waxwingglade/ledger/tests/test_lost_promise.py
@@ -0,0 +1,107 @@
+"""Promises for an account outlive the loss of a disk that gave one of them."""
+
+import unittest
+from typing import Any
+
+import msgspec
+
+from waxwingglade.follow.model import Replica as Member
+from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.ledger.catch_up import catch_up
+from waxwingglade.ledger.messages import (
+    Accept,
+    Accepted,
+    Ballot,
+    Prepare,
+    Promised,
+    TurnBegun,
+    TurnId,
+)
+from waxwingglade.ledger.tests.builders import FAR_FUTURE, PROGRAM, Cluster, Silence, begin
+
+BUDGET = 1000
+LOST, SPARE, LATE = "vm-4", "vm-5", "vm-2"
+"""VMs whose disk is lost, that takes its place, and whose answers come too late for that."""
+
+
+class LostPromiseTest(unittest.IsolatedAsyncioTestCase):
+    """Two proposals are stuck, each accepted by a minority, when a disk is lost and replaced."""
+
+    async def asyncSetUp(self) -> None:
+        self.cluster = Cluster(5)
+        self.addAsyncCleanup(self.cluster.close)
+        await self.cluster.start()
+        await self.cluster.coordinator(LOST).begin(begin(1))
+        highest = max(self.promised(vm) for vm in self.cluster.replicas)
+        self.lower, self.higher = Ballot(highest + 3, "lower"), Ballot(highest + 5, "higher")
+        await self.propose(self.lower, 700, ["vm-0", "vm-1", LATE], ["vm-0", "vm-1"])
+        await self.propose(self.higher, 100, [LATE, "vm-3", LOST], [LATE])
+        await self.replace()
+
+    def promised(self, vm: str) -> int:
+        """Return the number of the ballot that a member has promised."""
+        slot = self.cluster.replicas[vm].slots.get(PROGRAM)
+        return slot.promised.number if slot is not None else 0
+
+    async def propose(
+        self, ballot: Ballot, tokens: int, promising: list[str], accepting: list[str]
+    ) -> None:
+        """Bring some members to promise a ballot, and fewer to accept a reservation under it."""
+        replicas, epoch = self.cluster.replicas, self.cluster.set.epoch
+        for vm in promising:
+            self.assertIsInstance(
+                await replicas[vm].prepare(Prepare(epoch, PROGRAM, ballot)), Promised
+            )
+        before = replicas[LOST].slots[PROGRAM].account
+        reserved = {**before.open, TurnId(ballot.proposer): tokens}
+        account = msgspec.structs.replace(before, open=reserved, touched_at=FAR_FUTURE)
+        for vm in accepting:
+            answer = await replicas[vm].accept(Accept(epoch, PROGRAM, ballot, account))
+            self.assertIsInstance(answer, Accepted)
+
+    async def replace(self) -> None:
+        """Put a member with an empty disk in the place of one that is lost."""
+        joined = self.cluster.joined(SPARE)
+        self.cluster.isolate(LOST)
+        del self.cluster.replicas[LOST]
+        await self.settle(joined, [SPARE, "vm-0", "vm-1", "vm-3"])
+        await self.settle(self.cluster.without(LOST), [SPARE, "vm-0", "vm-1"])
+
+    async def settle(self, replicas: ReplicaSet, reading: list[str]) -> None:
+        """Bring a set into force, with some members that read what the others hold."""
+        await self.cluster.use(replicas)
+        for vm in reading:
+
+            async def ask(member: Member, message: Any, _timeout_s: float, vm: str = vm) -> Any:
+                if member.vm == LATE:
+                    raise Silence("late")
+                return await self.cluster.ask(vm, member, message)
+
+            await catch_up(self.cluster.replicas[vm], replicas, ask, lambda _: None)
+        await self.cluster.use(msgspec.structs.replace(replicas, settled=True))
+
+    async def test_a_turn_that_was_begun_is_not_lost_to_an_older_proposal(self) -> None:
+        one = self.cluster.coordinator("vm-0")
+        one.accounts.numbers[PROGRAM] = self.lower.number
+        self.cluster.isolate(LATE)
+        self.cluster.cut |= {("vm-0", "vm-3"), ("vm-3", "vm-0")}
+        self.assertIsInstance(await one.begin(begin(9, 50, BUDGET)), TurnBegun)
+        self.cluster.heal()
+        account = await self.account_seen_by_late()
+        self.assertIn("turn-9", account.open)
+
+    async def test_an_account_is_not_read_that_may_not_come_to_hold(self) -> None:
+        seen = await self.cluster.coordinator("vm-0").accounts.read(PROGRAM)
+        holding = await self.account_seen_by_late()
+        self.assertIn(seen, (None, holding))
+
+    async def account_seen_by_late(self) -> Any:
+        """Return the account that the late member brings to hold with two that know the least."""
+        self.cluster.cut = {(LATE, "vm-1"), (LATE, SPARE)}
+        late = self.cluster.coordinator(LATE)
+        await late.accounts.change(PROGRAM, lambda account: (account, None))
+        return late.accounts.last[PROGRAM].account
+
+
+if __name__ == "__main__":
+    unittest.main()
