Ask a replica that reached no majority to keep a turn last the next time

What it costs callers: an entry that asks again for a turn to be kept asks first, each time, a process that knows no members or reaches none. Cause: from the second asking on the settlement is left out, so the answer says settled, which counted as able to act. Now what decides is whether the turn was kept, where that was asked.

Measured: test_a_replica_that_keeps_no_turn_is_avoided fails before and passes; found by a review.

--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -387,7 +387,7 @@
         return True
     if not isinstance(answer, TurnEnded):
         return False
-    return not (answer.settled or (message.kept is not None and answer.kept))
+    return not (answer.kept if message.kept is not None else answer.settled)
 
 
 __all__ = ["LedgerClient"]
--- a/waxwingglade/ledger/tests/test_client.py
+++ b/waxwingglade/ledger/tests/test_client.py
@@ -152,6 +152,15 @@
         self.assertEqual({}, client.avoided)
         await client.finish(0.0)
 
+    async def test_a_replica_that_keeps_no_turn_is_avoided(self) -> None:
+        replicas = [Replica(f"disk-{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(2)]
+        links = mock.Mock()
+        links.to.return_value.request = mock.AsyncMock(return_value=TurnEnded(False, True))
+        client = LedgerClient(links, lambda: replicas, ZoneId("zone"))
+        self.assertFalse(await client.end(end(1), 0.0))
+        self.assertEqual({"a-0", "a-1"}, set(client.avoided))
+        await client.finish(0.0)
+
     async def test_where_all_failed_lately_the_last_one_is_asked_last(self) -> None:
         replicas = [Replica(f"disk-{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(3)]
         links = SettlingLinks()
