Ask less often for a turn that no majority keeps

An entry that keeps trying while its caller has time asked some three replicas a second, and each asking sends the turn to all members: a review counted 13 to 14 copies of the whole turn a second for each waiting one (11 members, 6 of them silent). Now the pause after each round of replicas doubles up to a second. Measured: the tests of the client and of late keeping pass; what it saves was not measured.

--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -53,6 +53,10 @@
 """Replicas that may answer that they have too much to do before a caller is refused."""
 
 RETRY_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
+"""Seconds up to which the pause of a patient caller doubles with each round of replicas, as each
+asking sends the turn to all members."""
+
 BUSY_PAUSE_S = 0.25
 """Seconds before replicas that have too much to do are asked again to keep a turn, about as long as
 they take for what they have."""
@@ -260,6 +264,7 @@
         """
         last: Any = None
         busy = 0
+        pause_s = RETRY_PAUSE_S
         while True:
             for replica in self._in_order(message):
                 left_s = end_at - self.clock()
@@ -280,13 +285,14 @@
                         return answer
                     continue
                 last = answer or Unavailable("no replica answered")
-            pause_s = RETRY_PAUSE_S
             if patient and busy:
-                pause_s = BUSY_PAUSE_S * (0.5 + random.random())
+                pause_s = max(pause_s, BUSY_PAUSE_S * (0.5 + random.random()))
                 busy = 0
             if self.clock() + pause_s >= end_at:
                 return last
             await asyncio.sleep(pause_s)
+            if patient:
+                pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
 
     async def _ask(self, replica: Replica, message: Any, timeout_s: float, note: Asked) -> Any:
         """Ask one replica, and note what came of it; None if it gives no answer."""
