Have a majority note an end before it is told without being settled

What callers could see: a program told that its budget is spent though tokens of a turn that had ended were free, for ten minutes. Cause: since a kept turn is told after 0.1 s without its settlement, the end lived in one ledger process's memory and at the entry; a review killed both and the next turn was refused. Now the members are asked to note the end, durably, and a majority is waited for, 0.1 s at most, before the answer; whoever judges the next turn hears a majority, which meets it. Entries tell nobody any more in that case.

Measured: test_an_end_that_is_told_unsettled_outlives_the_process_that_told_it fails before (none of three had noted it) and passes, with the tests of the client, of refused turns and of the crowd.

--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -146,10 +146,12 @@
         with self._log_if_slow(message) as asked:
             first_until = self.clock() + ASK_S
             answer = await self._try(message, first_until, _is_kept, asked, patient=True)
-            if not _is_kept(answer) or not answer.settled:
-                self._settle_apart(message)
             if _is_kept(answer):
+                if not answer.settled:
+                    # The replica has had a majority note the end, so nobody is told of it here.
+                    self._start(self._settle(message))
                 return True
+            self._settle_apart(message)
             # Asked with each try, the settlement would hold up the account for all of them.
             alone = msgspec.structs.replace(message, program=None)
             return _is_kept(await self._try(alone, end_at, _is_kept, asked, patient=True))
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -17,6 +17,7 @@
     Account,
     BeginTurn,
     BudgetSpent,
+    EndNoted,
     Ends,
     EndTurn,
     ListEnds,
@@ -208,6 +209,8 @@
         kept = await self._keep(message)
         kept_s = monotonic() - began_at
         await asyncio.wait({settling}, timeout=SETTLE_S if message.kept is not None else None)
+        if not settling.done():
+            await self._have_noted(message)
         settled = settling.done() and settling.result()
         seconds = monotonic() - began_at
         if message.kept is not None and (seconds >= SLOW_S or not settled):
@@ -221,6 +224,20 @@
             ).info("turn slow to end")
         return TurnEnded(kept, settled)
 
+    async def _have_noted(self, message: EndTurn) -> None:
+        """Have a majority note the end of a turn that is told before it is settled.
+
+        The settlement would otherwise be lost with this process and the entry, and its tokens would
+        count as spent.
+        """
+        members = list(self.rounds.members().members)
+        note = NoteEnd(msgspec.structs.replace(message, kept=None))
+        try:
+            async with asyncio.timeout(HEDGE_S):
+                await self.rounds.majority(members, len(members), note, EndNoted)
+        except (NoMajority, TimeoutError) as error:
+            self._log_failure("end of a turn not noted", message, error)
+
     async def _keep(self, message: EndTurn) -> bool:
         if message.kept is None:
             return True
--- a/waxwingglade/ledger/tests/test_held_up_account.py
+++ b/waxwingglade/ledger/tests/test_held_up_account.py
@@ -5,6 +5,8 @@
 import unittest
 from typing import Any
 
+from msgspec.structs import astuple
+
 from waxwingglade.ledger.client import ASK_S
 from waxwingglade.ledger.messages import Accept, Prepare
 from waxwingglade.ledger.tests.builders import Cluster, begin, end
@@ -33,6 +35,15 @@
         self.assertTrue(ended.kept)
         self.assertLess(seconds, ASK_S, "the entry has asked another replica by now")
 
+    async def test_an_end_that_is_told_unsettled_outlives_the_process_that_told_it(self) -> None:
+        self.assertEqual((True, False), astuple(await self.coordinator.end(end(1))))
+        noted = [len(replica.unsettled) for replica in self.cluster.replicas.values()]
+        self.assertGreaterEqual(sum(noted), self.cluster.set.majority)
+        await self.cluster.restart("vm-1")
+        await self.cluster.restart("vm-2")
+        after = [len(self.cluster.replicas[vm].unsettled) for vm in ("vm-1", "vm-2")]
+        self.assertGreaterEqual(sum(after), 1)
+
 
 async def held_up(_message: Any) -> None:
     """Answer a request when its asker has long given up."""
