Bound how long a process makes way for others' proposals

A proposal that waits for a slow member takes 0.3 s and more, and eight times that is longer than callers wait: all that waits at the process was refused meanwhile (found by a review). The pause is 0.5 s at most. The crowd of the tests gives back what was refused, as entries do.

--- a/waxwingglade/ledger/accounts.py
+++ b/waxwingglade/ledger/accounts.py
@@ -46,6 +46,9 @@
 REMEMBERED = 5_000
 """Accounts whose last proposal is remembered, for changes in one round."""
 
+LONGEST_PAUSE_S = 0.5
+"""Seconds that a process makes way at most; those that wait give up after 0.9."""
+
 MOST_TURNS = 8
 """Proposals of others for which a process makes way at most, before it proposes again."""
 
@@ -247,7 +250,8 @@
     Two that propose again at once outbid each other for ever, so the pause is drawn from a time in
     which others can bring theirs to an end, whatever disks and ways take.
     """
-    return random.random() * min(MOST_TURNS, 2**lost) * max(FIRST_PAUSE_S, proposal_s)
+    bound_s = min(MOST_TURNS, 2**lost) * max(FIRST_PAUSE_S, proposal_s)
+    return random.random() * min(bound_s, LONGEST_PAUSE_S)
 
 
 def _apply(batch: list[_Waiting], account: Account) -> tuple[Account, list[Any]]:
--- a/waxwingglade/ledger/tests/crowds.py
+++ b/waxwingglade/ledger/tests/crowds.py
@@ -236,7 +236,9 @@
                 await asyncio.sleep(TURN_S)
                 await self._end(client, turn)
                 return
-            self.undecided += not isinstance(answer, BudgetSpent)
+            if not isinstance(answer, BudgetSpent):
+                self.undecided += 1
+                client.settle_refused(EndTurn(turn, PROGRAM))
             await asyncio.sleep(AGAIN_S * (0.5 + self.random.random()))
 
     async def _end(self, client: LedgerClient, turn: TurnId) -> None:
--- a/waxwingglade/ledger/tests/test_accounts.py
+++ b/waxwingglade/ledger/tests/test_accounts.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from waxwingglade.ledger.accounts import MOST_TURNS, _pause_s
+from waxwingglade.ledger.accounts import LONGEST_PAUSE_S, MOST_TURNS, _pause_s
 from waxwingglade.ledger.messages import (
     Accept,
     Account,
@@ -141,6 +141,7 @@
 
     def test_it_is_bounded(self) -> None:
         self.assertLessEqual(self.longest(0.05, 30), MOST_TURNS * 0.05)
+        self.assertLessEqual(self.longest(0.3, 30), LONGEST_PAUSE_S)
 
 
 if __name__ == "__main__":
