Forget callers' connections that were closed

Cause: tornado's HTTPServer keeps the close of a connection to itself, so an entry's `on_close` was never called, and for each connection that a caller had ever opened the last exchange stayed in memory, with its body where the caller had left while it was sent. At a stop the entry went through all of them.

Now the server passes the close on to its delegate.

Measured: test_nothing_is_kept_of_a_connection_that_was_closed failed before and passes; the tests of callers that leave pass.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -66,6 +66,15 @@
 """Ranks of routes map to the engines' priorities 2, 4 and so on, up to the last."""
 
 
+class CallerServer(HTTPServer):
+    """An HTTP server that tells its delegate of closed connections, too."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
+
+
 class Ingress(HTTPServerConnectionDelegate):
     """State of an entry.
 
@@ -125,7 +134,7 @@
 
     def _listen(self, delegate: HTTPServerConnectionDelegate, address: str) -> HTTPServer:
         limits = ClientLimits()
-        server = HTTPServer(
+        server = CallerServer(
             delegate,
             max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
--- a/waxwingglade/ingress/tests/test_caller_gone.py
+++ b/waxwingglade/ingress/tests/test_caller_gone.py
@@ -144,6 +144,12 @@
                 self.assertEqual(entry.ledger.begun, [])
                 await self.expect_end(entry)
 
+    async def test_nothing_is_kept_of_a_connection_that_was_closed(self) -> None:
+        entry = await self.begin(FakeTarget())
+        await entry.call(PLAIN, "r1")
+        forgotten = await until(lambda: not entry.ingress.open_exchanges, GONE_S)
+        self.assertTrue(forgotten, "the entry still holds the connection")
+
     async def test_the_next_request_of_a_connection_is_served(self) -> None:
         fake = FakeTarget()
         entry = await self.begin(fake)
