Take no request on any connection after an entry's last waiting time

Cause: an entry that stops closed the connections that were idle at one moment. One on which a stream was still passed on, its head written before the signal and so without "Connection: close", stayed open after the answer; a further request on it was sent to a target and cut off when the time to end had come. Class: a look at the state at one moment, where each later moment counts.

Now such connections are closed after their answer, in the same turn of the loop as its last byte is written, so before another request is read. One that is accepted in the last turn of the waiting time is closed at once. The test of a request that crosses the close is unchanged but for the method's name.

Measured: test_a_stream_from_before_the_stop_ends_whole_and_is_the_last and test_a_connection_that_is_accepted_last_takes_no_request failed before on both event loops and pass.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -111,6 +111,7 @@
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
         self.draining = False
+        self.taking = True
         self.reached_before = False
         self.open_exchanges: dict[object, Exchange] = {}
         self.running: set[asyncio.Task] = set()
@@ -148,7 +149,7 @@
         """Stop without cutting off a request.
 
         Callers are served for as long as the balancer may still send some, and are told to close.
-        Then connections without a request are closed, and those with one are served to the end.
+        Then connections without a request are closed, and those with one after its answer.
         """
         began_at = time.monotonic()
         self.draining = True
@@ -156,8 +157,9 @@
         await asyncio.sleep(self.settings.drain_wait_s)
         assert self.callers is not None
         self.callers.stop()
+        self.taking = False
         for exchange in list(self.open_exchanges.values()):
-            exchange.close_if_idle()
+            exchange.close_when_idle()
         while self.running and time.monotonic() - began_at < self.settings.drain_timeout_s:
             await asyncio.sleep(LOOK_S / 4)
         await self.ledger.finish(began_at + self.settings.drain_timeout_s - time.monotonic())
@@ -289,6 +291,8 @@
         assert isinstance(request_conn, HTTP1Connection)
         exchange = Exchange(request_conn, self._serve, lambda: not self.ready)
         self.open_exchanges[server_conn] = exchange
+        if not self.taking:
+            exchange.close_when_idle()
         return exchange
 
     def on_close(self, server_conn: object) -> None:
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -50,6 +50,8 @@
         Whether the head of an answer was written.
     status : int
         Status of the answer; 0 before.
+    close_after : bool
+        Whether the connection is closed after the answer.
     """
 
     def __init__(
@@ -163,8 +165,12 @@
         self.done = True
         self.connection.stream.close()
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request has begun on it."""
+    def close_when_idle(self) -> None:
+        """Close the connection, after the answer if a request has begun on it.
+
+        Where the head of the answer is written the caller can't be told any more.
+        """
+        self.close_after = True
         if self.start_line is None:
             self.connection.stream.close()
 
@@ -181,7 +187,7 @@
                 head.add(name, value)
         if length is not None:
             head["Content-Length"] = str(length)
-        self.close_after = self.closing()
+        self.close_after = self.close_after or self.closing()
         if self.close_after:
             head["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -40,6 +40,7 @@
     HOLD = "reads it and says nothing"
     EVENT = "answers with one event and says no more"
     EVENTS = "answers with a whole stream"
+    EVENT_AND_END = "answers with one event, and ends the stream when it may proceed"
     ERROR = "answers 500"
     REFUSE = "promises not to run it, and is slow to finish saying so"
 
@@ -56,7 +57,7 @@
     opened : int
         Connections that there ever were.
     proceed : asyncio.Event
-        Ends the waiting of `REFUSE`.
+        Ends the waiting of `REFUSE` and `EVENT_AND_END`.
     delay_s : float
         Seconds before an answer.
     advertised : str
@@ -105,10 +106,12 @@
             writer.write(f"HTTP/1.1 200 OK\r\n{SEALED}Content-Length: 2\r\n\r\nok".encode())
         if self.behaviour is Behaviour.ERROR:
             writer.write(f"HTTP/1.1 500 No\r\n{SEALED}Content-Length: 2\r\n\r\nno".encode())
-        if self.behaviour in (Behaviour.EVENT, Behaviour.EVENTS):
+        if self.behaviour in (Behaviour.EVENT, Behaviour.EVENTS, Behaviour.EVENT_AND_END):
             head = f"HTTP/1.1 200 OK\r\n{SEALED}Transfer-Encoding: chunked\r\n\r\n"
             writer.write(head.encode() + b"11\r\nid: 1\ndata: one\n\n\r\n")
-        if self.behaviour is Behaviour.EVENTS:
+        if self.behaviour is Behaviour.EVENT_AND_END:
+            await self.proceed.wait()
+        if self.behaviour in (Behaviour.EVENTS, Behaviour.EVENT_AND_END):
             writer.write(b"0\r\n\r\n")
         if self.behaviour is Behaviour.REFUSE:
             head = "HTTP/1.1 503 Full\r\nX-Waxwingglade-Not-Run: 1\r\nContent-Length: 2\r\n\r\n"
@@ -168,6 +171,9 @@
 
     settle_refused = settle_later
 
+    async def finish(self, timeout_s: float) -> None:
+        """Wait for nothing: all is settled."""
+
 
 class EntryUnderTest:
     """An entry that serves callers, with targets and routes of the test's own.
--- /dev/null
+++ b/waxwingglade/ingress/tests/test_drain.py
@@ -0,0 +1,104 @@
+"""An entry that stops: once it takes no more requests, no connection brings it another."""
+
+import asyncio
+import unittest
+
+import msgspec
+
+from waxwingglade.base.tests.loops import OnDaemonLoop
+from waxwingglade.ingress.tests.entry_builders import (
+    HOST,
+    PLAIN,
+    TURNS,
+    Behaviour,
+    EntryUnderTest,
+    FakeTarget,
+    until,
+)
+from waxwingglade.transport import Broken, HttpRequest
+from waxwingglade.transport.http1 import Http1Connection, open_connection
+
+WAIT_S = 0.2
+"""Seconds for which the entry still takes requests."""
+
+TIMEOUT_S = 1.5
+"""Seconds after which it ends."""
+
+PATIENCE_S = 5.0
+
+
+class DrainTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.target = FakeTarget(Behaviour.EVENT_AND_END)
+        self.entry = EntryUnderTest(self.target, timeout_s=PATIENCE_S)
+        self.addAsyncCleanup(self.entry.stop)
+        self.entry.ingress.settings = msgspec.structs.replace(
+            self.entry.ingress.settings, drain_wait_s=WAIT_S, drain_timeout_s=TIMEOUT_S
+        )
+        await self.entry.start()
+
+    async def begin_stream(self) -> Http1Connection:
+        """Send a turn, and read the head and the first event of its answer."""
+        connection = await self.entry.send(TURNS)
+        self.addCleanup(connection.close)
+        head = await connection.read_head(lambda _: True)
+        self.assertIsNone(head.header("Connection"), "the entry was not told to stop yet")
+        await connection.read_piece()
+        return connection
+
+    def drain(self) -> "asyncio.Task[None]":
+        """Begin to stop."""
+        return asyncio.create_task(self.entry.ingress.drain())
+
+    async def ask_again(self, connection: Http1Connection) -> None:
+        """Send a further request on a connection, and check that it is closed without an answer."""
+        headers = [("Host", HOST), ("X-Waxwingglade-Request-Id", "r2")]
+        with self.assertRaises((Broken, OSError)):
+            connection.send(HttpRequest("POST", PLAIN, headers, b"body"))
+            async with asyncio.timeout(PATIENCE_S):
+                await connection.read_head(lambda _: True)
+
+    async def test_a_stream_from_before_the_stop_ends_whole_and_is_the_last(self) -> None:
+        connection = await self.begin_stream()
+        draining = self.drain()
+        await asyncio.sleep(1.5 * WAIT_S)
+        self.target.proceed.set()
+        await connection.read_body(1_000)
+        await self.ask_again(connection)
+        self.assertEqual(len(self.target.arrived), 1, "a target was sent the further request")
+        async with asyncio.timeout(TIMEOUT_S / 2):
+            await draining
+
+    async def test_a_connection_that_is_accepted_last_takes_no_request(self) -> None:
+        self.target.behaviour = Behaviour.ANSWER
+        self.entry.ingress.taking = False
+        connection = await open_connection(self.entry.address, PATIENCE_S)
+        self.addCleanup(connection.close)
+        await self.ask_again(connection)
+        self.assertEqual(self.target.arrived, [])
+
+    async def test_while_requests_are_taken_a_stream_leaves_its_connection_open(self) -> None:
+        connection = await self.begin_stream()
+        draining = self.drain()
+        self.target.proceed.set()
+        await connection.read_body(1_000)
+        headers = [("Host", HOST), ("X-Waxwingglade-Request-Id", "r2")]
+        connection.send(HttpRequest("POST", PLAIN, headers, b"body"))
+        head = await connection.read_head(lambda _: True)
+        self.assertEqual(head.header("Connection"), "close")
+        await draining
+
+    async def test_all_connections_are_closed_when_nothing_is_under_way(self) -> None:
+        idle = await open_connection(self.entry.address, PATIENCE_S)
+        self.addCleanup(idle.close)
+        self.assertTrue(await until(lambda: self.entry.ingress.open_exchanges, PATIENCE_S))
+        await self.drain()
+        self.assertTrue(await until(lambda: not self.entry.ingress.open_exchanges, PATIENCE_S))
+
+
+class DrainOnDaemonLoopTest(OnDaemonLoop, DrainTest):
+    """The same on the event loop of the daemons."""
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/waxwingglade/ingress/tests/test_exchange.py
+++ b/waxwingglade/ingress/tests/test_exchange.py
@@ -26,17 +26,17 @@
         self.exchange.finish()
 
     def test_a_connection_without_a_request_is_closed(self) -> None:
-        self.exchange.close_if_idle()
+        self.exchange.close_when_idle()
         self.connection.stream.close.assert_called_once()
 
     def test_a_request_that_was_read_before_is_served(self) -> None:
         self._read()
-        self.exchange.close_if_idle()
+        self.exchange.close_when_idle()
         self.connection.stream.close.assert_not_called()
         self.assertEqual(self.served, [self.exchange])
 
     def test_a_request_that_crosses_the_close_is_not_passed_on(self) -> None:
-        self.exchange.close_if_idle()
+        self.exchange.close_when_idle()
         self.connection.stream.closed.return_value = True
         self._read()
         self.assertEqual(self.served, [])
