Answer what is under way when a ledger process stops, and refuse the rest

Cause: a ledger process that got SIGTERM cancelled what it worked on without an answer, so each entry that had asked it waited 0.4 s before it asked the next replica, followers waited for their source's sign of life, and other replicas for their round's end.

Now it refuses what comes with an answer that sends the caller to the next replica, answers those that wait for news, and goes on with what was asked before for as long as an entry waits for one replica. Answers that are written last are still sent: the socket discarded them.

--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -67,6 +67,10 @@
 STANDBY_FRESH_S = 2 * STANDBY_WATCH_S
 """Age in seconds up to which a view is good enough for a process that nobody follows."""
 
+FINISH_S = 0.4
+"""Seconds for which a process that stops goes on with what it was asked before; entries wait no
+longer for one replica."""
+
 LINK_IDLE_S = 30.0
 """Seconds after which a connection to a process that is no longer a member is closed."""
 
@@ -159,6 +163,7 @@
             Ping: self.ping,
             ToReplica: self.to_replica,
         }
+        self.stopping = False
         self.working: Counter[type] = Counter()
         self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
         self.tasks: list[asyncio.Task] = []
@@ -185,7 +190,14 @@
         logger.bind(vm=self.own.vm, disk=self.own.disk, endpoint=self.own.address).info("started")
 
     async def stop(self) -> None:
-        """Stop answering, with everything durable that was acknowledged."""
+        """Stop answering, with everything durable that was acknowledged.
+
+        What is asked from now on is refused, so that whoever asks goes elsewhere at once.
+        """
+        self.stopping = True
+        # Followers wait for news for longer than a stop takes.
+        self.beliefs.tell()
+        await self.server.finish(FINISH_S)
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -265,6 +277,8 @@
             logger.warning("{} is no request", type(message).__name__)
             return None
         asked_at = monotonic()
+        if self.stopping:
+            return self._note(message, Unavailable("the process stops"), asked_at)
         kind = type(message)
         if self.working[kind] >= MOST_AT_ONCE.get(kind, sys.maxsize):
             self._log_busy(message)
--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -46,6 +46,10 @@
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 400
 CONNECT_TIMEOUT_MS = 500
+LAST_ANSWERS_MS = 100
+"""Milliseconds for which a process that stops holds on to answers that are not sent yet; a round
+trip takes some 3 ms, and a peer that does not read must not hold up the end."""
+
 RETRANSMIT_TIMEOUT_MS = 1_500
 """Milliseconds for which sent bytes may stay unacknowledged before the connection is dropped."""
 
@@ -151,11 +155,11 @@
             self._look_soon()
         return True
 
-    def close(self) -> None:
-        """Close the socket."""
+    def close(self, linger_ms: int = 0) -> None:
+        """Close the socket; what is not sent yet may still be sent for `linger_ms` milliseconds."""
         if not self.socket.closed:
             self.loop.remove_reader(self.socket.FD)
-            self.socket.close()
+            self.socket.close(linger_ms)
 
     def _look_soon(self) -> None:
         if not self.looking:
@@ -215,14 +219,20 @@
         self.port.start()
         return self.port.socket.getsockopt_string(zmq.LAST_ENDPOINT)
 
+    async def finish(self, timeout_s: float) -> None:
+        """Wait until what is under way now is answered, `timeout_s` seconds at most."""
+        if self.running:
+            await asyncio.wait(list(self.running), timeout=timeout_s)
+
     async def stop(self) -> None:
-        """Stop answering."""
+        """Stop answering, and send what was answered before."""
         tasks = list(self.running)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         if self.port is not None:
-            self.port.close()
+            self._flush()
+            self.port.close(LAST_ANSWERS_MS)
 
     def _received(self, frames: list[bytes]) -> None:
         sender, *requests = frames
