Judge a body by the limits in force when its head is read

Cause: the server takes its limit on bodies when a connection begins to wait for a request. A connection that was kept over a new version of the configuration refused with 400 what the version in force allowed, and a 400 ends a program. Class: a setting read before what it is applied to.

Now the limit is set for each request when its head has come.

Measured: test_a_kept_connection_takes_the_body_that_is_allowed_now (400 before) and its counterpart with a lowered limit (200 before) pass.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -216,6 +216,10 @@
         for target in self.balancer.update(view.targets):
             self.pool.forget(target.address)
 
+    def _limits(self) -> ClientLimits:
+        """Return what callers may send at present."""
+        return self.table.configuration.limits if self.table is not None else ClientLimits()
+
     def _use_limits(self, limits: ClientLimits) -> None:
         assert self.callers is not None
         params = self.callers.conn_params
@@ -289,7 +293,7 @@
     def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
         """Begin to read a request."""
         assert isinstance(request_conn, HTTP1Connection)
-        exchange = Exchange(request_conn, self._serve, lambda: not self.ready)
+        exchange = Exchange(request_conn, self._serve, lambda: not self.ready, self._limits)
         self.open_exchanges[server_conn] = exchange
         if not self.taking:
             exchange.close_when_idle()
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -14,6 +14,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from waxwingglade.follow.model import ClientLimits
 from waxwingglade.transport.messages import HeaderList
 
 PER_CONNECTION = {
@@ -41,6 +42,8 @@
         Starts the task that serves the request, once it was read whole.
     closing : callable
         Whether connections are to be closed after their answer.
+    limits : callable
+        What a caller may send at present.
 
     Attributes
     ----------
@@ -59,10 +62,12 @@
         connection: HTTP1Connection,
         serve: Callable[["Exchange"], asyncio.Task],
         closing: Callable[[], bool],
+        limits: Callable[[], ClientLimits] = ClientLimits,
     ) -> None:
         self.connection = connection
         self.serve = serve
         self.closing = closing
+        self.limits = limits
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.pieces: list[bytes] = []
@@ -84,6 +89,8 @@
         self.start_line = start_line
         self.headers = headers
         self.arrived_at = time.monotonic()
+        # The server took its own limit when the connection began to wait for this request.
+        self.connection.set_max_body_size(self.limits().max_body_bytes)
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a piece of the body."""
--- /dev/null
+++ b/waxwingglade/ingress/tests/test_limits.py
@@ -0,0 +1,69 @@
+"""A connection that is kept over a change of the configuration goes by the limits in force."""
+
+import time
+import unittest
+
+import msgspec
+
+from waxwingglade.base import ConfigVersion
+from waxwingglade.follow.model import ClientLimits, View
+from waxwingglade.ingress.tests.entry_builders import (
+    HOST,
+    PLAIN,
+    EntryUnderTest,
+    FakeTarget,
+)
+from waxwingglade.transport import HttpRequest
+from waxwingglade.transport.http1 import Http1Connection, open_connection
+
+SMALL, LARGE = 1_000, 100_000
+PATIENCE_S = 5.0
+
+
+class LimitsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.entry = EntryUnderTest(FakeTarget())
+        self.addAsyncCleanup(self.entry.stop)
+        await self.entry.start()
+
+    def put(self, **limits: float) -> None:
+        """Let a new version of the configuration come into force, with other limits."""
+        beliefs = self.entry.ingress.beliefs
+        before = beliefs.view.configuration
+        assert before is not None
+        configuration = msgspec.structs.replace(
+            before, version=ConfigVersion(before.version + 1), limits=ClientLimits(**limits)
+        )
+        beliefs.merge(View(configuration=configuration), time.monotonic())
+
+    async def connect(self) -> Http1Connection:
+        """Open a connection."""
+        connection = await open_connection(self.entry.address, PATIENCE_S)
+        self.addCleanup(connection.close)
+        return connection
+
+    async def ask(self, connection: Http1Connection, body: int) -> int:
+        """Send a request with a body of some bytes; return the status of its answer."""
+        headers = [("Host", HOST), ("X-Waxwingglade-Request-Id", f"r{body}")]
+        connection.send(HttpRequest("POST", PLAIN, headers, b"x" * body))
+        head = await connection.read_head(lambda _: True)
+        await connection.read_body(1_000)
+        return head.status
+
+    async def test_a_kept_connection_takes_the_body_that_is_allowed_now(self) -> None:
+        self.put(max_body_bytes=SMALL)
+        connection = await self.connect()
+        self.assertEqual(await self.ask(connection, 10), 200)
+        self.put(max_body_bytes=LARGE)
+        self.assertEqual(await self.ask(connection, 2 * SMALL), 200)
+
+    async def test_a_kept_connection_refuses_the_body_that_is_not_allowed_any_more(self) -> None:
+        self.put(max_body_bytes=LARGE)
+        connection = await self.connect()
+        self.assertEqual(await self.ask(connection, 2 * SMALL), 200)
+        self.put(max_body_bytes=SMALL)
+        self.assertEqual(await self.ask(connection, 2 * SMALL), 400)
+
+
+if __name__ == "__main__":
+    unittest.main()
