Close idle connections by the limit in force, not by an earlier one

Cause: the server takes the time for which a connection may be idle when it becomes idle. After a version of the configuration that raised it, connections were closed at the old time, under callers that use them for four fifths of the new one; after one that lowered it they were held for the old time. Class: a setting read before what it is applied to.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -139,7 +139,6 @@
             delegate,
             max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
-            idle_connection_timeout=limits.idle_timeout_s,
         )
         host, _, port = address.rpartition(":")
         server.add_sockets(bind_sockets(int(port), host, backlog=1024))
@@ -225,7 +224,6 @@
         params = self.callers.conn_params
         params.max_header_size = limits.max_header_bytes
         params.max_body_size = limits.max_body_bytes
-        params.header_timeout = limits.idle_timeout_s
 
     async def _find_replicas(self) -> None:
         """Read from the store who the ledger's members are, while none is known."""
@@ -248,6 +246,7 @@
             await self.loop_delay.sleep(LOOK_S)
             self._log_quorum()
             self.pool.sweep()
+            self.close_idle()
             self.links.keep_only(
                 {member.address for member in self.beliefs.view.replicas.members}, LINK_IDLE_S
             )
@@ -259,6 +258,16 @@
             elif time.monotonic() - lost_at > LOST_AFTER_S:
                 self._use_watcher()
 
+    def close_idle(self) -> None:
+        """Close connections on which no request has come for as long as they may be idle now.
+
+        The server would go by the limit of the moment from which on they are idle.
+        """
+        idle_since = time.monotonic() - self._limits().idle_timeout_s
+        for exchange in list(self.open_exchanges.values()):
+            if exchange.idle and exchange.arrived_at < idle_since:
+                exchange.close_when_idle()
+
     def _log_quorum(self) -> None:
         """Log when a majority of the ledger is lost and reached again."""
         if self.reaches_ledger == self.reached_before:
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -48,7 +48,8 @@
     Attributes
     ----------
     arrived_at : float
-        Monotonic time at which the head was read, in seconds.
+        Monotonic time at which the head was read, in seconds; before, that from which on it is
+        awaited.
     answered : bool
         Whether the head of an answer was written.
     status : int
@@ -178,9 +179,14 @@
         Where the head of the answer is written the caller can't be told any more.
         """
         self.close_after = True
-        if self.start_line is None:
+        if self.idle:
             self.connection.stream.close()
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request has begun."""
+        return self.start_line is None
+
     def _write_head(
         self, status: int, headers: HeaderList, body: bytes, length: int | None
     ) -> None:
--- a/waxwingglade/ingress/tests/test_limits.py
+++ b/waxwingglade/ingress/tests/test_limits.py
@@ -1,5 +1,6 @@
 """A connection that is kept over a change of the configuration goes by the limits in force."""
 
+import asyncio
 import time
 import unittest
 
@@ -12,19 +13,30 @@
     PLAIN,
     EntryUnderTest,
     FakeTarget,
+    until,
 )
 from waxwingglade.transport import HttpRequest
 from waxwingglade.transport.http1 import Http1Connection, open_connection
 
 SMALL, LARGE = 1_000, 100_000
+"""Bytes of a body."""
+
+SHORT_S, LONG_S = 0.4, 10.0
+"""Seconds for which a connection may be idle."""
+
 PATIENCE_S = 5.0
 
 
 class LimitsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
-        self.entry = EntryUnderTest(FakeTarget())
+        self.fake = FakeTarget()
+        self.entry = EntryUnderTest(self.fake, timeout_s=PATIENCE_S)
         self.addAsyncCleanup(self.entry.stop)
         await self.entry.start()
+        # With a source to follow it does not turn to the store.
+        self.entry.ingress.follower.good = True
+        looking = asyncio.create_task(self.entry.ingress._look_forever())
+        self.addCleanup(looking.cancel)
 
     def put(self, **limits: float) -> None:
         """Let a new version of the configuration come into force, with other limits."""
@@ -64,6 +76,31 @@
         self.put(max_body_bytes=SMALL)
         self.assertEqual(await self.ask(connection, 2 * SMALL), 400)
 
+    async def test_a_kept_connection_may_be_idle_for_as_long_as_is_allowed_now(self) -> None:
+        self.put(idle_timeout_s=SHORT_S)
+        kept, idle = await self.connect(), await self.connect()
+        self.assertEqual(await self.ask(kept, 10), 200)
+        self.put(idle_timeout_s=LONG_S)
+        await asyncio.sleep(2 * SHORT_S)
+        for connection in (kept, idle):
+            self.assertEqual(await self.ask(connection, 10), 200)
+
+    async def test_a_connection_that_is_idle_for_longer_than_is_allowed_now_is_closed(self) -> None:
+        self.put(idle_timeout_s=LONG_S)
+        kept, idle = await self.connect(), await self.connect()
+        self.assertEqual(await self.ask(kept, 10), 200)
+        self.put(idle_timeout_s=SHORT_S)
+        self.assertTrue(await until(lambda: not self.entry.ingress.open_exchanges, PATIENCE_S))
+        self.assertFalse(kept.usable)
+        self.assertFalse(idle.usable)
+
+    async def test_a_request_that_takes_longer_than_a_connection_may_be_idle_is_served(
+        self,
+    ) -> None:
+        self.put(idle_timeout_s=SHORT_S)
+        self.fake.delay_s = 3 * SHORT_S
+        self.assertEqual(await self.ask(await self.connect(), 10), 200)
+
 
 if __name__ == "__main__":
     unittest.main()
