Give up soon on a request that a lost link keeps from being sent

Cause: while nothing was connected a request stayed unsent for its whole time. For each of those that an entry sent to a ledger process that had ended, and was not avoiding yet or any more, that was 0.4 s. Class: waiting for what is known not to come.

ZeroMQ's socket tells within a millisecond or two that its only connection is gone, and that there is a new one. A link that was connected before now fails what it could not send after 0.1 s, which leaves time for the first try to connect again; one that is being opened for the first time waits as before. Failing at once would let entries that are cut off from all replicas ask them far more often.

--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -46,6 +46,10 @@
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 400
 CONNECT_TIMEOUT_MS = 500
+LOST_PATIENCE_S = 0.1
+"""Seconds for which a request waits for a connection that was lost: long enough for the first try
+to open it anew, and short against the time that a peer has for an answer."""
+
 LAST_ANSWERS_MS = 100
 """Milliseconds for which a process that stops holds on to answers that are not sent yet; a round
 trip takes some 3 ms, and a peer that does not read must not hold up the end."""
@@ -108,6 +112,8 @@
         Called with the frames of each message.
     writable : callable
         Called when messages may be sent that could not be sent before.
+    blocked : callable
+        Called when none may be sent.
     """
 
     def __init__(
@@ -116,10 +122,12 @@
         kind: int,
         received: Callable[[list[bytes]], None],
         writable: Callable[[], None] = lambda: None,
+        blocked: Callable[[], None] = lambda: None,
     ) -> None:
         self.loop = asyncio.get_running_loop()
         self.received = received
         self.writable = writable
+        self.blocked = blocked
         self.looking = False
         self.socket = context.socket(kind)
         self.socket.setsockopt(zmq.LINGER, 0)
@@ -177,6 +185,8 @@
                 return
         if events & POLLOUT:
             self.writable()
+        else:
+            self.blocked()
 
     def _receive(self) -> list[bytes]:
         """Return the frames of a message that is there."""
@@ -279,12 +289,21 @@
         Codec of the protocol.
     address : str
         The peer's endpoint.
+
+    Attributes
+    ----------
+    opened : bool
+        Whether the peer was ever connected.
+    lost : bool
+        Whether it was and is not any more, or has stopped to read.
     """
 
     def __init__(self, context: zmq.Context, codec: Codec, address: str) -> None:
         self.codec = codec
         self.address = address
-        self.port = Port(context, zmq.DEALER, self._received, self._flush)
+        self.opened = False
+        self.lost = False
+        self.port = Port(context, zmq.DEALER, self._received, self._writable, self._blocked)
         socket = self.port.socket
         socket.setsockopt(zmq.IMMEDIATE, 1)
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
@@ -311,7 +330,8 @@
     def post(self, body: Any, timeout_s: float) -> asyncio.Future[Any]:
         """Send a request and return the future of its answer.
 
-        It fails with `LinkFailed` if the peer is not connected, or does not answer in time.
+        It fails with `LinkFailed` if the peer is not connected, or does not answer in time.  While
+        a first connection is being opened it waits for it.
         """
         loop = self.port.loop
         future: asyncio.Future[Any] = loop.create_future()
@@ -325,6 +345,8 @@
         self.unsent[number] = self.codec.encode(number, body)
         timer = loop.call_later(timeout_s, self._expire, number)
         self.waiting[number] = future
+        if self.lost:
+            loop.call_later(LOST_PATIENCE_S, self._expire_unsent, number)
 
         def forget(_: asyncio.Future[Any]) -> None:
             timer.cancel()
@@ -343,6 +365,24 @@
         reason = "gave no answer" if sent else "is not connected"
         future.set_exception(LinkFailed(f"{self.address} {reason}", sent))
 
+    def _expire_unsent(self, number: int) -> None:
+        """Give up on a request that the loss of the connection has kept from being sent."""
+        self._flush()
+        if number in self.unsent:
+            self._expire(number)
+
+    def _writable(self) -> None:
+        self.opened = True
+        self.lost = False
+        self._flush()
+
+    def _blocked(self) -> None:
+        if not self.opened or self.lost:
+            return
+        self.lost = True
+        for number in self.unsent:
+            self.port.loop.call_later(LOST_PATIENCE_S, self._expire_unsent, number)
+
     def _flush(self) -> None:
         """Send what was asked in this turn of the loop, or could not be sent before."""
         if not self.unsent or self.port.socket.closed:
--- a/waxwingglade/transport/tests/test_links.py
+++ b/waxwingglade/transport/tests/test_links.py
@@ -1,6 +1,7 @@
 """Requests between two ends over real sockets: matching, batches, and peers that are not there."""
 
 import asyncio
+import time
 import unittest
 from typing import Any
 from unittest import mock
@@ -9,7 +10,17 @@
 import zmq
 
 from waxwingglade.base.tests.loops import OnDaemonLoop
-from waxwingglade.transport.links import Codec, LinkFailed, Links, LinkServer, Port
+from waxwingglade.transport.links import (
+    LOST_PATIENCE_S,
+    Codec,
+    LinkFailed,
+    Links,
+    LinkServer,
+    Port,
+)
+
+GONE_S = 1.0
+"""Seconds within which it has to be noticed that a peer has gone, on a busy machine."""
 
 
 class Ping(msgspec.Struct, tag=True):
@@ -100,6 +111,48 @@
         with self.assertRaises(LinkFailed):
             await link.request(Ping(2), 20.0)
 
+    async def lose_peer(self) -> None:
+        """Let the peer answer once and go."""
+        await self.ask(Ping(0))
+        await self.server.stop()
+        async with asyncio.timeout(GONE_S):
+            while not self.links.to(self.address).lost:
+                await asyncio.sleep(0.005)
+
+    async def come_back(self) -> None:
+        """Let a peer answer at the same address."""
+        server = LinkServer(self.context, self.links.codec, answer)
+        self.addAsyncCleanup(server.stop)
+        server.start(self.address)
+
+    async def test_a_request_to_a_peer_that_has_gone_does_not_take_all_its_time(self) -> None:
+        await self.lose_peer()
+        for number in range(2):
+            began_at = time.monotonic()
+            (failed,) = await self.ask(Ping(number))
+            self.assertIsInstance(failed, LinkFailed)
+            self.assertFalse(failed.sent)
+            self.assertLess(time.monotonic() - began_at, GONE_S)
+        link = self.links.to(self.address)
+        self.assertEqual((link.unsent, link.waiting), ({}, {}))
+
+    async def test_a_request_waits_for_a_connection_that_is_opened_anew(self) -> None:
+        with mock.patch("waxwingglade.transport.links.LOST_PATIENCE_S", 1.0):
+            await self.lose_peer()
+            asked = asyncio.create_task(self.ask(Ping(1, 1.2)))
+            await asyncio.sleep(0)
+            await self.come_back()
+            self.assertEqual(await asked, [Pong(1)], "sent in time, and answered in its own time")
+        self.assertFalse(self.links.to(self.address).lost)
+
+    async def test_a_request_waits_for_a_connection_that_is_opened_first(self) -> None:
+        await self.server.stop()
+        asked = asyncio.create_task(self.ask(Ping(1)))
+        await asyncio.sleep(5 * LOST_PATIENCE_S)
+        self.assertFalse(asked.done())
+        await self.come_back()
+        self.assertEqual(await asked, [Pong(1)])
+
     async def test_a_frame_that_cannot_be_read_is_ignored(self) -> None:
         link = self.links.to(self.address)
         await self.ask(Ping(1))
