Close a connection only once the end of its answer was handed over

Cause: before it closed a connection after an answer, an entry waited for the write of the answer's head. The last chunk of a stream could still be in the entry's own buffer, where the kernel's was full as the caller read slowly; it was thrown away, and the caller saw an answer that was cut off. Class: waiting for another event than the one that counts.

Now it waits until all that it wrote was handed to the kernel. The wait ends in the turn of the loop in which the server learns of it, so that no further request is read in between.

--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -204,16 +204,21 @@
         if self.close_after:
             head["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        self.last_write = self.connection.write_headers(line, head, body or None)
+        self.connection.write_headers(line, head, body or None)
 
     async def _finish(self) -> None:
         self.done = True
         stream = self.connection.stream
+        gone = stream.closed()
         try:
             self.connection.finish()
-            await self.last_write
+            if stream.writing():
+                # Nothing, but written behind all the rest: done once that was handed to the kernel.
+                await stream.write(b"")
         except StreamClosedError as error:
             raise CallerGone from error
+        if gone:
+            raise CallerGone
         if self.close_after:
             stream.close()
 
--- /dev/null
+++ b/waxwingglade/ingress/tests/test_slow_reader.py
@@ -0,0 +1,82 @@
+"""A caller that reads slowly gets its whole answer before its connection is closed."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from tornado.iostream import IOStream
+
+from waxwingglade.base.tests.loops import OnDaemonLoop
+from waxwingglade.ingress.tests.entry_builders import (
+    PLAIN,
+    TURNS,
+    Behaviour,
+    EntryUnderTest,
+    FakeTarget,
+)
+
+LAST_CHUNK = b"0\r\n\r\n"
+FULL_S = 0.1
+"""Seconds for which the kernel takes nothing more."""
+
+PATIENCE_S = 5.0
+
+
+class FullBuffer:
+    """The kernel's buffer of an entry's connections, which is full when some bytes come.
+
+    Parameters
+    ----------
+    before : bytes
+        What a write that finds it full ends with.
+    """
+
+    def __init__(self, before: bytes) -> None:
+        self.before = before
+        self.write = IOStream.write_to_fd
+        self.waited = False
+        self.room = asyncio.Event()
+
+    def __call__(self, stream: IOStream, data: memoryview) -> int:
+        """Write what there is room for."""
+        if not self.waited and bytes(data).endswith(self.before):
+            self.waited = True
+            asyncio.get_running_loop().call_later(FULL_S, self.room.set)
+        if self.waited and not self.room.is_set():
+            raise BlockingIOError
+        return self.write(stream, data)
+
+
+class SlowReaderTest(unittest.IsolatedAsyncioTestCase):
+    async def expect_whole(self, behaviour: Behaviour, path: str, before: bytes) -> None:
+        """Let the buffer be full before some bytes, and check that a whole answer comes."""
+        full = FullBuffer(before)
+        entry = EntryUnderTest(FakeTarget(behaviour), timeout_s=PATIENCE_S)
+        self.addAsyncCleanup(entry.stop)
+        await entry.start()
+        entry.ingress.draining = True
+        with mock.patch.object(IOStream, "write_to_fd", autospec=True, side_effect=full):
+            async with asyncio.timeout(PATIENCE_S):
+                connection = await entry.send(path)
+                self.addCleanup(connection.close)
+                head = await connection.read_head(lambda _: True)
+                self.assertEqual((head.status, head.header("Connection")), (200, "close"))
+                self.assertTrue(await connection.read_body(1_000))
+        self.assertTrue(full.waited)
+
+    async def test_the_end_of_a_stream(self) -> None:
+        await self.expect_whole(Behaviour.EVENTS, TURNS, LAST_CHUNK)
+
+    async def test_a_stream_from_its_head_on(self) -> None:
+        await self.expect_whole(Behaviour.EVENTS, TURNS, b"\r\n\r\n")
+
+    async def test_a_plain_answer(self) -> None:
+        await self.expect_whole(Behaviour.ANSWER, PLAIN, b"ok")
+
+
+class SlowReaderOnDaemonLoopTest(OnDaemonLoop, SlowReaderTest):
+    """The same on the event loop of the daemons."""
+
+
+if __name__ == "__main__":
+    unittest.main()
