Open no link once all are closed

Cause: a ledger process that stops closed its links, and a task that still worked for a turn (a settlement in the background, a round that nobody waited for) then opened one anew. The ZeroMQ context waits for all sockets, so the process hung until it was killed at the end of its grace. Class: a resource that is made on demand after its owner has been closed.

Now links stay closed, and requests on them fail.

The test of a link that is opened first now uses a port of its own: on one that a server had just given up, a request could reach that server's last moment.

--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -409,13 +409,19 @@
         self.context = context
         self.codec = codec
         self.links: dict[str, Link] = {}
+        self.closed = False
 
     def to(self, address: str) -> Link:
-        """Return the connection to a peer, opening it where there is none."""
+        """Return the connection to a peer, opening it where there is none.
+
+        After `close` all are closed: an open one would keep the context from ending.
+        """
         link = self.links.get(address)
         if link is None:
             link = Link(self.context, self.codec, address)
             self.links[address] = link
+            if self.closed:
+                link.close()
         return link
 
     def keep_only(self, addresses: set[str], idle_s: float) -> None:
@@ -428,10 +434,10 @@
             link.close()
 
     def close(self) -> None:
-        """Close every connection."""
+        """Close every connection, and open no more."""
+        self.closed = True
         for link in self.links.values():
             link.close()
-        self.links.clear()
 
 
 __all__ = ["Codec", "Link", "LinkFailed", "LinkServer", "Links"]
--- a/waxwingglade/transport/tests/test_links.py
+++ b/waxwingglade/transport/tests/test_links.py
@@ -9,6 +9,7 @@
 import msgspec
 import zmq
 
+from tests.ports import ReservedPorts
 from waxwingglade.base.tests.loops import OnDaemonLoop
 from waxwingglade.transport.links import (
     LOST_PATIENCE_S,
@@ -146,13 +147,26 @@
         self.assertFalse(self.links.to(self.address).lost)
 
     async def test_a_request_waits_for_a_connection_that_is_opened_first(self) -> None:
-        await self.server.stop()
+        ports = ReservedPorts()
+        self.addCleanup(ports.close)
+        self.address = f"tcp://127.0.0.1:{ports.reserve()}"
         asked = asyncio.create_task(self.ask(Ping(1)))
         await asyncio.sleep(5 * LOST_PATIENCE_S)
         self.assertFalse(asked.done())
         await self.come_back()
         self.assertEqual(await asked, [Pong(1)])
 
+    async def test_no_link_is_opened_once_all_are_closed(self) -> None:
+        await self.ask(Ping(1))
+        self.links.close()
+        for address in (self.address, "tcp://127.0.0.1:1"):
+            with self.subTest(address):
+                link = self.links.to(address)
+                self.addCleanup(link.close)
+                self.assertTrue(link.port.socket.closed)
+                with self.assertRaises(LinkFailed):
+                    await link.request(Ping(2), 20.0)
+
     async def test_a_frame_that_cannot_be_read_is_ignored(self) -> None:
         link = self.links.to(self.address)
         await self.ask(Ping(1))
