Give the last answers of a ledger process time to be read

Cause: a link whose connection ends drops what it has received and not handed on yet, since it may send only while it is connected.

Now the socket stays open for 0.1 s after what was under way is answered, refusing what comes, and has no linger.

--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -50,9 +50,9 @@
 """Seconds for which a request waits for a connection that was lost: long enough for the first try
 to open it anew, and short against the time that a peer has for an answer."""
 
-LAST_ANSWERS_MS = 100
-"""Milliseconds for which a process that stops holds on to answers that are not sent yet; a round
-trip takes some 3 ms, and a peer that does not read must not hold up the end."""
+LAST_ANSWERS_S = 0.1
+"""Seconds that answers have to be read before the connection ends.  A peer whose connection ends
+loses what it has not read; a round trip takes some 3 ms."""
 
 RETRANSMIT_TIMEOUT_MS = 1_500
 """Milliseconds for which sent bytes may stay unacknowledged before the connection is dropped."""
@@ -163,11 +163,11 @@
             self._look_soon()
         return True
 
-    def close(self, linger_ms: int = 0) -> None:
-        """Close the socket; what is not sent yet may still be sent for `linger_ms` milliseconds."""
+    def close(self) -> None:
+        """Close the socket."""
         if not self.socket.closed:
             self.loop.remove_reader(self.socket.FD)
-            self.socket.close(linger_ms)
+            self.socket.close()
 
     def _look_soon(self) -> None:
         if not self.looking:
@@ -230,19 +230,25 @@
         return self.port.socket.getsockopt_string(zmq.LAST_ENDPOINT)
 
     async def finish(self, timeout_s: float) -> None:
-        """Wait until what is under way now is answered, `timeout_s` seconds at most."""
+        """Wait until what is under way now is answered, and the answers are read.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Most seconds until all is answered.
+        """
         if self.running:
             await asyncio.wait(list(self.running), timeout=timeout_s)
+        await asyncio.sleep(LAST_ANSWERS_S)
 
     async def stop(self) -> None:
-        """Stop answering, and send what was answered before."""
+        """Stop answering."""
         tasks = list(self.running)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         if self.port is not None:
-            self._flush()
-            self.port.close(LAST_ANSWERS_MS)
+            self.port.close()
 
     def _received(self, frames: list[bytes]) -> None:
         sender, *requests = frames
--- a/waxwingglade/transport/tests/test_links.py
+++ b/waxwingglade/transport/tests/test_links.py
@@ -20,6 +20,9 @@
     Port,
 )
 
+LAST_TRIES = 20
+"""Ends of a peer; one in five lost its last answer."""
+
 GONE_S = 1.0
 """Seconds within which it has to be noticed that a peer has gone, on a busy machine."""
 
@@ -156,6 +159,18 @@
         await self.come_back()
         self.assertEqual(await asked, [Pong(1)])
 
+    async def test_the_last_answers_are_read_before_the_connection_ends(self) -> None:
+        for number in range(LAST_TRIES):
+            asking = self.links.to(self.address).post(Ping(number, 0.01), 20.0)
+            while not self.server.running:
+                await asyncio.sleep(0.001)
+            await self.server.finish(20.0)
+            await self.server.stop()
+            self.assertEqual(await asking, Pong(number))
+            self.server = LinkServer(self.context, self.links.codec, answer)
+            self.addAsyncCleanup(self.server.stop)
+            self.address = self.server.start("tcp://127.0.0.1:*")
+
     async def test_no_link_is_opened_once_all_are_closed(self) -> None:
         await self.ask(Ping(1))
         self.links.close()
