--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -66,6 +66,15 @@
 """Ranks of routes map to the engines' priorities 2, 4 and so on, up to the last."""
 
 
+class CallerServer(HTTPServer):
+    """An HTTP server that tells its delegate of closed connections, too."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection."""
+        super().on_close(server_conn)
+        self.request_callback.on_close(server_conn)
+
+
 class Ingress(HTTPServerConnectionDelegate):
     """State of an entry.
 
@@ -102,6 +111,7 @@
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
         self.draining = False
+        self.taking = True
         self.reached_before = False
         self.open_exchanges: dict[object, Exchange] = {}
         self.running: set[asyncio.Task] = set()
@@ -125,11 +135,10 @@
 
     def _listen(self, delegate: HTTPServerConnectionDelegate, address: str) -> HTTPServer:
         limits = ClientLimits()
-        server = HTTPServer(
+        server = CallerServer(
             delegate,
             max_header_size=limits.max_header_bytes,
             max_body_size=limits.max_body_bytes,
-            idle_connection_timeout=limits.idle_timeout_s,
         )
         host, _, port = address.rpartition(":")
         server.add_sockets(bind_sockets(int(port), host, backlog=1024))
@@ -139,7 +148,7 @@
         """Stop without cutting off a request.
 
         Callers are served for as long as the balancer may still send some, and are told to close.
-        Then connections without a request are closed, and those with one are served to the end.
+        Then connections without a request are closed, and those with one after its answer.
         """
         began_at = time.monotonic()
         self.draining = True
@@ -147,8 +156,9 @@
         await asyncio.sleep(self.settings.drain_wait_s)
         assert self.callers is not None
         self.callers.stop()
+        self.taking = False
         for exchange in list(self.open_exchanges.values()):
-            exchange.close_if_idle()
+            exchange.close_when_idle()
         while self.running and time.monotonic() - began_at < self.settings.drain_timeout_s:
             await asyncio.sleep(LOOK_S / 4)
         await self.ledger.finish(began_at + self.settings.drain_timeout_s - time.monotonic())
@@ -205,12 +215,15 @@
         for target in self.balancer.update(view.targets):
             self.pool.forget(target.address)
 
+    def _limits(self) -> ClientLimits:
+        """Return what callers may send at present."""
+        return self.table.configuration.limits if self.table is not None else ClientLimits()
+
     def _use_limits(self, limits: ClientLimits) -> None:
         assert self.callers is not None
         params = self.callers.conn_params
         params.max_header_size = limits.max_header_bytes
         params.max_body_size = limits.max_body_bytes
-        params.header_timeout = limits.idle_timeout_s
 
     async def _find_replicas(self) -> None:
         """Read from the store who the ledger's members are, while none is known."""
@@ -233,6 +246,7 @@
             await self.loop_delay.sleep(LOOK_S)
             self._log_quorum()
             self.pool.sweep()
+            self.close_idle()
             self.links.keep_only(
                 {member.address for member in self.beliefs.view.replicas.members}, LINK_IDLE_S
             )
@@ -244,6 +258,16 @@
             elif time.monotonic() - lost_at > LOST_AFTER_S:
                 self._use_watcher()
 
+    def close_idle(self) -> None:
+        """Close connections on which no request has come for as long as they may be idle now.
+
+        The server would go by the limit of the moment from which on they are idle.
+        """
+        idle_since = time.monotonic() - self._limits().idle_timeout_s
+        for exchange in list(self.open_exchanges.values()):
+            if exchange.idle and exchange.arrived_at < idle_since:
+                exchange.close_when_idle()
+
     def _log_quorum(self) -> None:
         """Log when a majority of the ledger is lost and reached again."""
         if self.reaches_ledger == self.reached_before:
@@ -278,8 +302,10 @@
     def start_request(self, server_conn: object, request_conn: Any) -> HTTPMessageDelegate:
         """Begin to read a request."""
         assert isinstance(request_conn, HTTP1Connection)
-        exchange = Exchange(request_conn, self._serve, lambda: not self.ready)
+        exchange = Exchange(request_conn, self._serve, lambda: not self.ready, self._limits)
         self.open_exchanges[server_conn] = exchange
+        if not self.taking:
+            exchange.close_when_idle()
         return exchange
 
     def on_close(self, server_conn: object) -> None:
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -14,6 +14,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from waxwingglade.follow.model import ClientLimits
 from waxwingglade.transport.messages import HeaderList
 
 PER_CONNECTION = {
@@ -41,15 +42,20 @@
         Starts the task that serves the request, once it was read whole.
     closing : callable
         Whether connections are to be closed after their answer.
+    limits : callable
+        What a caller may send at present.
 
     Attributes
     ----------
     arrived_at : float
-        Monotonic time at which the head was read, in seconds.
+        Monotonic time at which the head was read, in seconds; before, that from which on it is
+        awaited.
     answered : bool
         Whether the head of an answer was written.
     status : int
         Status of the answer; 0 before.
+    close_after : bool
+        Whether the connection is closed after the answer.
     """
 
     def __init__(
@@ -57,10 +63,12 @@
         connection: HTTP1Connection,
         serve: Callable[["Exchange"], asyncio.Task],
         closing: Callable[[], bool],
+        limits: Callable[[], ClientLimits] = ClientLimits,
     ) -> None:
         self.connection = connection
         self.serve = serve
         self.closing = closing
+        self.limits = limits
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.pieces: list[bytes] = []
@@ -82,6 +90,8 @@
         self.start_line = start_line
         self.headers = headers
         self.arrived_at = time.monotonic()
+        # The server took its own limit when the connection began to wait for this request.
+        self.connection.set_max_body_size(self.limits().max_body_bytes)
 
     def data_received(self, chunk: bytes) -> None:
         """Keep a piece of the body."""
@@ -163,11 +173,20 @@
         self.done = True
         self.connection.stream.close()
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request has begun on it."""
-        if self.start_line is None:
+    def close_when_idle(self) -> None:
+        """Close the connection, after the answer if a request has begun on it.
+
+        Where the head of the answer is written the caller can't be told any more.
+        """
+        self.close_after = True
+        if self.idle:
             self.connection.stream.close()
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request has begun."""
+        return self.start_line is None
+
     def _write_head(
         self, status: int, headers: HeaderList, body: bytes, length: int | None
     ) -> None:
@@ -181,20 +200,25 @@
                 head.add(name, value)
         if length is not None:
             head["Content-Length"] = str(length)
-        self.close_after = self.closing()
+        self.close_after = self.close_after or self.closing()
         if self.close_after:
             head["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, responses.get(status, "Unknown"))
-        self.last_write = self.connection.write_headers(line, head, body or None)
+        self.connection.write_headers(line, head, body or None)
 
     async def _finish(self) -> None:
         self.done = True
         stream = self.connection.stream
+        gone = stream.closed()
         try:
             self.connection.finish()
-            await self.last_write
+            if stream.writing():
+                # Nothing, but written behind all the rest: done once that was handed to the kernel.
+                await stream.write(b"")
         except StreamClosedError as error:
             raise CallerGone from error
+        if gone:
+            raise CallerGone
         if self.close_after:
             stream.close()
 
--- a/waxwingglade/ledger/tests/test_node.py
+++ b/waxwingglade/ledger/tests/test_node.py
@@ -1,19 +1,42 @@
-"""A ledger process that has more to do than it can answer in time."""
+"""A ledger process that has more to do than it can answer in time, and one that stops."""
 
 import asyncio
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
+import zmq
+
 from waxwingglade.base import ProgramId, ZoneId
+from waxwingglade.base.tests.loops import OnDaemonLoop
+from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
-from waxwingglade.ledger.messages import BeginTurn, Busy, EndTurn, TurnBegun, TurnEnded, TurnId
-from waxwingglade.ledger.node import MOST_BEGINNING, LedgerNode, LedgerSettings
+from waxwingglade.ledger.messages import (
+    BeginTurn,
+    Busy,
+    EndTurn,
+    TurnBegun,
+    TurnEnded,
+    TurnId,
+    Unavailable,
+)
+from waxwingglade.ledger.node import CONFIRM_S, FINISH_S, MOST_BEGINNING, LedgerNode, LedgerSettings
+from waxwingglade.transport.links import Link, Links
+
+BEGIN = BeginTurn(TurnId("t"), ProgramId("p"), 40, 100)
+LATE_S = 2.0
+"""Seconds by which a busy machine may be late."""
+
+ASK_S = 10.0
+"""Seconds for an answer; nothing here takes as long unless it never comes."""
 
 
-class SheddingTest(unittest.IsolatedAsyncioTestCase):
+class NodeTest(unittest.IsolatedAsyncioTestCase):
+    """A ledger process whose turns begin when a test lets them."""
+
     async def asyncSetUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -34,16 +57,103 @@
     async def _end(self, _: Any) -> TurnEnded:
         return TurnEnded(True, True)
 
+
+class SheddingTest(NodeTest):
     async def test_turns_beyond_a_bound_are_refused_at_once_and_others_still_end(self) -> None:
-        begin = BeginTurn(TurnId("t"), ProgramId("p"), 40, 100)
-        begun = [asyncio.create_task(self.node.answer(begin)) for _ in range(MOST_BEGINNING)]
+        begun = [asyncio.create_task(self.node.answer(BEGIN)) for _ in range(MOST_BEGINNING)]
         await asyncio.sleep(0)
-        self.assertEqual(await self.node.answer(begin), Busy())
+        self.assertEqual(await self.node.answer(BEGIN), Busy())
         end = EndTurn(TurnId("t"), ProgramId("p"), 40)
         self.assertEqual(await self.node.answer(end), TurnEnded(True, True))
         self.go_on.set()
         self.assertEqual(await asyncio.gather(*begun), [TurnBegun()] * MOST_BEGINNING)
-        self.assertEqual(await self.node.answer(begin), TurnBegun())
+        self.assertEqual(await self.node.answer(BEGIN), TurnBegun())
+
+
+class StoppingTest(NodeTest):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.node.start()
+        self.links = Links(self.node.context, self.node.codec)
+        self.addCleanup(self.links.close)
+        port = self.node.server.port
+        assert port is not None
+        self.address = port.socket.getsockopt_string(zmq.LAST_ENDPOINT)
+        self.stopped: asyncio.Task[None] | None = None
+        self.addAsyncCleanup(self.end)
+
+    async def end(self) -> None:
+        """Stop, where a test has not."""
+        await self.stop()
+
+    def stop(self) -> "asyncio.Task[None]":
+        """Begin to stop."""
+        if self.stopped is None:
+            self.stopped = asyncio.create_task(self._stop())
+        return self.stopped
+
+    async def _stop(self) -> None:
+        # The last step waits for all sockets, and those of the test are closed after it.
+        with mock.patch.object(self.node, "context"):
+            await self.node.stop()
+
+    @property
+    def link(self) -> Link:
+        """The link of an entry."""
+        return self.links.to(self.address)
+
+    async def under_way(self, message: Any) -> "asyncio.Future[Any]":
+        """Send a request, and return the future of its answer once the process works on it."""
+        asking = self.link.post(message, ASK_S)
+        async with asyncio.timeout(ASK_S):
+            while not self.node.server.running:
+                await asyncio.sleep(0.005)
+        return asking
+
+    async def test_what_is_under_way_is_answered_and_what_comes_is_refused(self) -> None:
+        begun = await self.under_way(BEGIN)
+        with mock.patch("waxwingglade.ledger.node.FINISH_S", 2 * ASK_S):
+            stopped = self.stop()
+            await asyncio.sleep(0.05)
+            self.assertIsInstance(await self.link.request(BEGIN, ASK_S), Unavailable)
+            self.go_on.set()
+            self.assertEqual(await begun, TurnBegun())
+            async with asyncio.timeout(ASK_S):
+                await stopped
+
+    async def test_what_does_not_end_holds_up_no_stop(self) -> None:
+        begun = await self.under_way(BEGIN)
+        began_at = time.monotonic()
+        await self.stop()
+        self.assertLess(time.monotonic() - began_at, FINISH_S + LATE_S)
+        begun.cancel()
+
+    async def until_no_news(self) -> None:
+        """Wait until the process has told its followers all that the store holds."""
+        async with asyncio.timeout(ASK_S):
+            while not (
+                self.node.replica.replicas.settled and self.node.beliefs.view.targets.revision
+            ):
+                await asyncio.sleep(0.005)
+        await asyncio.sleep(3 * CONFIRM_S)
+
+    async def test_a_follower_is_answered_at_once_and_sent_elsewhere(self) -> None:
+        await self.until_no_news()
+        view = self.node.beliefs.view
+        follow = Follow(view.version, view.targets.revision, view.replicas.epoch, ASK_S)
+        told = await self.under_way(follow)
+        await asyncio.sleep(3 * CONFIRM_S)
+        self.assertFalse(told.done(), "there was news")
+        # An answer at the end of its wait, or of the time for what is under way, would be too late.
+        with mock.patch("waxwingglade.ledger.node.FINISH_S", 2 * ASK_S):
+            stopped = self.stop()
+            async with asyncio.timeout(LATE_S):
+                self.assertIsInstance(await told, Followed)
+                await stopped
+
+
+class StoppingOnDaemonLoopTest(OnDaemonLoop, StoppingTest):
+    """The same on the event loop of the daemons."""
 
 
 if __name__ == "__main__":
--- a/waxwingglade/transport/tests/test_links.py
+++ b/waxwingglade/transport/tests/test_links.py
@@ -1,6 +1,7 @@
 """Requests between two ends over real sockets: matching, batches, and peers that are not there."""
 
 import asyncio
+import time
 import unittest
 from typing import Any
 from unittest import mock
@@ -8,8 +9,22 @@
 import msgspec
 import zmq
 
+from tests.ports import ReservedPorts
 from waxwingglade.base.tests.loops import OnDaemonLoop
-from waxwingglade.transport.links import Codec, LinkFailed, Links, LinkServer, Port
+from waxwingglade.transport.links import (
+    LOST_PATIENCE_S,
+    Codec,
+    LinkFailed,
+    Links,
+    LinkServer,
+    Port,
+)
+
+LAST_TRIES = 20
+"""Ends of a peer; one in five lost its last answer."""
+
+GONE_S = 1.0
+"""Seconds within which it has to be noticed that a peer has gone, on a busy machine."""
 
 
 class Ping(msgspec.Struct, tag=True):
@@ -100,6 +115,73 @@
         with self.assertRaises(LinkFailed):
             await link.request(Ping(2), 20.0)
 
+    async def lose_peer(self) -> None:
+        """Let the peer answer once and go."""
+        await self.ask(Ping(0))
+        await self.server.stop()
+        async with asyncio.timeout(GONE_S):
+            while not self.links.to(self.address).lost:
+                await asyncio.sleep(0.005)
+
+    async def come_back(self) -> None:
+        """Let a peer answer at the same address."""
+        server = LinkServer(self.context, self.links.codec, answer)
+        self.addAsyncCleanup(server.stop)
+        server.start(self.address)
+
+    async def test_a_request_to_a_peer_that_has_gone_does_not_take_all_its_time(self) -> None:
+        await self.lose_peer()
+        for number in range(2):
+            began_at = time.monotonic()
+            (failed,) = await self.ask(Ping(number))
+            self.assertIsInstance(failed, LinkFailed)
+            self.assertFalse(failed.sent)
+            self.assertLess(time.monotonic() - began_at, GONE_S)
+        link = self.links.to(self.address)
+        self.assertEqual((link.unsent, link.waiting), ({}, {}))
+
+    async def test_a_request_waits_for_a_connection_that_is_opened_anew(self) -> None:
+        with mock.patch("waxwingglade.transport.links.LOST_PATIENCE_S", 1.0):
+            await self.lose_peer()
+            asked = asyncio.create_task(self.ask(Ping(1, 1.2)))
+            await asyncio.sleep(0)
+            await self.come_back()
+            self.assertEqual(await asked, [Pong(1)], "sent in time, and answered in its own time")
+        self.assertFalse(self.links.to(self.address).lost)
+
+    async def test_a_request_waits_for_a_connection_that_is_opened_first(self) -> None:
+        ports = ReservedPorts()
+        self.addCleanup(ports.close)
+        self.address = f"tcp://127.0.0.1:{ports.reserve()}"
+        asked = asyncio.create_task(self.ask(Ping(1)))
+        await asyncio.sleep(5 * LOST_PATIENCE_S)
+        self.assertFalse(asked.done())
+        await self.come_back()
+        self.assertEqual(await asked, [Pong(1)])
+
+    async def test_the_last_answers_are_read_before_the_connection_ends(self) -> None:
+        for number in range(LAST_TRIES):
+            asking = self.links.to(self.address).post(Ping(number, 0.01), 20.0)
+            while not self.server.running:
+                await asyncio.sleep(0.001)
+            await self.server.finish(20.0)
+            await self.server.stop()
+            self.assertEqual(await asking, Pong(number))
+            self.server = LinkServer(self.context, self.links.codec, answer)
+            self.addAsyncCleanup(self.server.stop)
+            self.address = self.server.start("tcp://127.0.0.1:*")
+
+    async def test_no_link_is_opened_once_all_are_closed(self) -> None:
+        await self.ask(Ping(1))
+        self.links.close()
+        for address in (self.address, "tcp://127.0.0.1:1"):
+            with self.subTest(address):
+                link = self.links.to(address)
+                self.addCleanup(link.close)
+                self.assertTrue(link.port.socket.closed)
+                with self.assertRaises(LinkFailed):
+                    await link.request(Ping(2), 20.0)
+
     async def test_a_frame_that_cannot_be_read_is_ignored(self) -> None:
         link = self.links.to(self.address)
         await self.ask(Ping(1))
