The soak notes what servers ran to their end, and which processes a fault touched

Cause: to say whether an entry broke a whole answer off, it has to be known that a server had ended it, and which entry, servers and ledger processes faults touched meanwhile. And disks of tests are faster than the users', so that decisions of the ledger hardly ever meet.

Change: a server of the soak notes the requests that it ran to their end. A fault of the store's links names both processes, a series of wiped disks each process for its own time; both were one name before. A ledger process can be started with slow flushes by a script among the tests; nothing of it is in the product.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -30,6 +30,8 @@
 DEPLOY_FILE = "deploy/system.toml"
 STREAM, CALL, ORDER = "/turns/", "/notes/", "/orders/"
 TOKENS_PER_EVENT = 10
+ROUTE_S = 5.0
+"""Seconds that a route gives to a request."""
 
 
 def reserve_network() -> tuple[socket.socket, str]:
@@ -59,7 +61,12 @@
 
 def configuration(version: int, extra: list[dict] | None = None) -> dict:
     """Return a configuration of the operator, as it lies in the store."""
-    common = {"host": HOST, "timeout_ms": 5000, "target_latency_ms": 200, "priority": 1}
+    common = {
+        "host": HOST,
+        "timeout_ms": int(1000 * ROUTE_S),
+        "target_latency_ms": 200,
+        "priority": 1,
+    }
     routes = [
         {
             **common,
@@ -144,6 +151,10 @@
         self.process: subprocess.Popen | None = None
         self.log_start = 0
 
+    def command(self) -> list[str]:
+        """Return the command that starts the process."""
+        return start_command(self.purpose, self.checkout)
+
     def start(self) -> None:
         """Start the process."""
         log_path = self.folder / "log"
@@ -153,7 +164,7 @@
             environment["PYTHONPATH"] = str(self.libraries)
         with (self.folder / "log").open("ab") as log:
             self.process = subprocess.Popen(
-                start_command(self.purpose, self.checkout),
+                self.command(),
                 cwd=self.checkout,
                 env=environment,
                 stdout=log,
@@ -201,6 +212,8 @@
         Folder of the libraries that they use; None for those of this interpreter.
     """
 
+    server_type: type[RegisteredServer] = RegisteredServer
+
     def __init__(
         self,
         entries: int = 2,
@@ -217,8 +230,8 @@
         self.store = MetadataStore()
         self.store.start()
         self.store.put("op/config", configuration(3))
-        self.engines = [RegisteredServer(self.store, "engines", events=4) for _ in range(2)]
-        self.notes = [RegisteredServer(self.store, "notes") for _ in range(2)]
+        self.engines = [self.server_type(self.store, "engines", events=4) for _ in range(2)]
+        self.notes = [self.server_type(self.store, "notes") for _ in range(2)]
         self.entries = [Node(self, "front", number) for number in range(entries)]
         self.ledgers = [Node(self, "storage", number) for number in range(ledgers)]
         self.numbers = itertools.count(1)
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -1,12 +1,16 @@
 """The daemons of the platform behind relays, so that each of their connections can be harmed."""
 
+import asyncio
 import json
 import random
 import signal
+import time
+from pathlib import Path
 
 from tests.platform_cluster import Node, PlatformCluster
 from tests.prove.relay import ADDRESS, STORE, Relays
 from waxwingglade.platform.registry import REPLICAS_KEY
+from waxwingglade.standins.metadata_store import MetadataStore
 from waxwingglade.standins.registered_server import RegisteredServer
 
 CALLERS = 200
@@ -18,6 +22,37 @@
 MEMBERS = 3
 """Members of the ledger; further ledger processes stand by."""
 
+SLOW_DISK = Path(__file__).with_name("slow_disk.py")
+
+
+class SoakServer(RegisteredServer):
+    """A server that also notes the requests that it ran to their end, and when."""
+
+    def __init__(
+        self, store: MetadataStore, service: str, events: int = 0, event_s: float = 0.005
+    ) -> None:
+        super().__init__(store, service, events, event_s)
+        self.ended: dict[str, float] = {}
+
+    async def _run(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
+        whole = await super()._run(writer, request, body)
+        if whole:
+            self.ended[request] = time.monotonic()
+        return whole
+
+
+class LedgerProcess(Node):
+    """A ledger process each of whose flushes takes `flush_s` seconds longer."""
+
+    flush_s = 0.0
+
+    def command(self) -> list[str]:
+        """Return the command that starts the process."""
+        interpreter, option, *command = super().command()
+        if not self.flush_s:
+            return [interpreter, option, *command]
+        return [interpreter, option, str(SLOW_DISK), str(self.flush_s), *command]
+
 
 class SoakCluster(PlatformCluster):
     """Entries, ledger processes, servers and a store, with relays between them.
@@ -28,20 +63,25 @@
         Entries.
     spares : int
         Ledger processes beside the three members, one in each zone.
+    flush_s : float
+        Seconds by which each flush of a ledger process takes longer.
 
     Attributes
     ----------
-    retired : list of RegisteredServer
+    retired : list of SoakServer
         Servers that were drained, with what they ran.
     """
 
-    def __init__(self, entries: int, spares: int = 0) -> None:
+    server_type = SoakServer
+
+    def __init__(self, entries: int, spares: int = 0, flush_s: float = 0.0) -> None:
         self.relays = Relays(dict)
         self.store_ports: dict[str, int] = {}
         self.wanted_entries = entries
         self.wanted_ledgers = MEMBERS + spares
+        self.flush_s = flush_s
         self.server_numbers: dict[str, int] = {}
-        self.retired: list[RegisteredServer] = []
+        self.retired: list[SoakServer] = []
 
     async def open(self) -> None:
         """Start everything, the relays first: the settings name their ports."""
@@ -52,9 +92,13 @@
         for number, name in enumerate(names):
             self.store_ports[name] = await self.relays.add(STORE, store_port, source=number)
         self.entries = [Node(self, "front", number) for number in range(self.wanted_entries)]
-        self.ledgers = [Node(self, "storage", number) for number in range(self.wanted_ledgers)]
+        self.ledgers = [
+            LedgerProcess(self, "storage", number) for number in range(self.wanted_ledgers)
+        ]
         for server in [*self.engines, *self.notes]:
             await self.admit(server)
+        for node in self.ledgers:
+            node.flush_s = self.flush_s
         for node in [*self.ledgers[:MEMBERS], *self.entries]:
             node.start()
         await self.until(lambda: len(self.members()) == MEMBERS)
@@ -106,17 +150,17 @@
         server.advertised = f"{ADDRESS}:{relay}"
         server.register("ready")
 
-    async def replace(self, draw: random.Random) -> RegisteredServer:
+    async def replace(self, draw: random.Random) -> SoakServer:
         """Admit a new server in the place of another, which drains; return the one that drains."""
         pool = draw.choice([self.engines, self.notes])
         leaving = pool.pop(draw.randrange(len(pool)))
-        coming = RegisteredServer(self.store, leaving.service, leaving.events, leaving.event_s)
+        coming = SoakServer(self.store, leaving.service, leaving.events, leaving.event_s)
         await self.admit(coming)
         pool.append(coming)
         leaving.register("draining")
         self.retired.append(leaving)
         return leaving
 
-    def all_servers(self) -> list[RegisteredServer]:
+    def all_servers(self) -> list[SoakServer]:
         """Return every server there ever was."""
         return [*self.engines, *self.notes, *self.retired]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,7 +10,7 @@
 from tests.prove.relay import STORE, CutMode
 from tests.soak.cluster import CALLERS, SoakCluster
 from tests.soak.disks import tear, wipe
-from tests.soak.kinds import FaultKind, Happening
+from tests.soak.kinds import EVERYWHERE, FaultKind, Happening
 from waxwingglade.platform.registry import RETIRE_PREFIX
 from waxwingglade.standins.metadata_store import StoreFault
 from waxwingglade.standins.registered_server import ServerFault
@@ -85,7 +85,13 @@
         }
 
     async def run(self, seconds: float) -> None:
-        """Let faults begin for some seconds, then wait until all have ended."""
+        """Let faults begin for some seconds, then wait until all have ended.
+
+        Where there are no kinds to draw from, nothing happens in these seconds.
+        """
+        if not self.kinds:
+            await asyncio.sleep(seconds)
+            return
         end_at = time.monotonic() + seconds
         tasks = []
         while time.monotonic() < end_at:
@@ -94,8 +100,8 @@
             await asyncio.sleep(self.draw.expovariate(1.2))
         await asyncio.gather(*tasks)
 
-    def _begin(self, kind: FaultKind, where: str) -> Happening:
-        happening = Happening(kind, where, time.monotonic())
+    def _begin(self, kind: FaultKind, *where: str) -> Happening:
+        happening = Happening(kind, " ".join(where), time.monotonic())
         self.happened.append(happening)
         return happening
 
@@ -176,14 +182,14 @@
     async def _wipe_series(self, _lasts_s: float) -> None:
         """Wipe one disk after the other, each as soon as the set is whole without the last one."""
         async with self.ledger_lock:
-            happening = self._begin(FaultKind.WIPE_SERIES, "everywhere")
             for node in self.draw.sample(self.cluster.ledgers, len(self.cluster.ledgers)):
                 async with self._lock(node):
+                    happening = self._begin(FaultKind.WIPE_SERIES, node.name)
                     node.kill()
                     wipe(node.folder / "data")
                     node.start()
                     await self._until_settled()
-            self._end(happening)
+                    self._end(happening)
 
     async def _empty_ledger(self, _lasts_s: float) -> None:
         """Have a member emptied; once it is, it may stand by again."""
@@ -198,7 +204,7 @@
 
     async def _falter_ledgers(self, lasts_s: float) -> None:
         """Let each learn of changes, and answer, a little before or after the others."""
-        happening = self._begin(FaultKind.FALTER_LEDGERS, "everywhere")
+        happening = self._begin(FaultKind.FALTER_LEDGERS, EVERYWHERE)
         await asyncio.gather(*(self._falter(node, lasts_s) for node in self.cluster.ledgers))
         self._end(happening)
 
@@ -230,7 +236,7 @@
             locks = [self._lock(node) for node in nodes]
             for lock in locks:
                 await lock.acquire()
-            happening = self._begin(FaultKind.KILL_ALL, "everywhere")
+            happening = self._begin(FaultKind.KILL_ALL, EVERYWHERE)
             for node in nodes:
                 node.kill()
             await asyncio.sleep(lasts_s / 3)
@@ -270,7 +276,7 @@
 
     async def _store_link(self, lasts_s: float) -> None:
         nodes = self.draw.sample(self.cluster.nodes(), 2)
-        happening = self._begin(FaultKind.STORE_LINK, nodes[0].name)
+        happening = self._begin(FaultKind.STORE_LINK, *(node.name for node in nodes))
         for node in nodes:
             self._cut(self.cluster.number_of(node), STORE)
         await asyncio.sleep(lasts_s)
@@ -299,7 +305,7 @@
     async def _silence(self, _lasts_s: float) -> None:
         """Let the open connections of one process, or all of those to the store, fall silent."""
         nodes = self.draw.choice([self.cluster.nodes(), [self.draw.choice(self.cluster.nodes())]])
-        where = nodes[0].name if len(nodes) == 1 else "everywhere"
+        where = nodes[0].name if len(nodes) == 1 else EVERYWHERE
         happening = self._begin(FaultKind.SILENT_LINKS, where)
         for node in nodes:
             self.cluster.relays.silence(self.cluster.number_of(node), STORE)
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -34,6 +34,8 @@
     FALTER_LEDGERS = "ledger processes stand still for moments, each at its own times"
 
 
+EVERYWHERE = "everywhere"
+
 FIRST_KINDS = tuple(FaultKind)[:20]
 """The kinds there were when the first seeds failed; with others a seed is another run."""
 
@@ -48,7 +50,13 @@
 
 
 class Happening(msgspec.Struct):
-    """One fault, as it happened."""
+    """One fault, as it happened.
+
+    Parameters
+    ----------
+    where : str
+        Names of what it touches, ``everywhere`` for all processes.
+    """
 
     kind: FaultKind
     where: str
@@ -59,5 +67,11 @@
         """Return whether it overlaps a span of time."""
         return self.began_at <= end and self.ended_at >= begin
 
+    def harms(self, name: str) -> bool:
+        """Return whether a process or server is touched, or a link of its."""
+        if self.kind is FaultKind.HUP:
+            return False
+        return self.where == EVERYWHERE or name in self.where.split()
+
 
-__all__ = ["FIRST_KINDS", "LEDGER_KINDS", "FaultKind", "Happening"]
+__all__ = ["EVERYWHERE", "FIRST_KINDS", "LEDGER_KINDS", "FaultKind", "Happening"]
