The soak checks for whole answers that an entry breaks off, and runs quietly

Change: a turn that a server ran to its end, and whose caller had time left, has to reach its caller whole, unless from 2.5 s before it was sent until it was broken off a fault touched its entry, its server, or at one moment two of the three members of the ledger. A paused, killed or wiped ledger process, the store's refusals, a signal or a new configuration excuse nothing. In a run without any fault no turn is refused with 503 for the ledger's sake.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 
 from tests.soak.kinds import FIRST_KINDS, LEDGER_KINDS
 from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
-from tests.soak.run import Size, soak
+from tests.soak.run import QUIET_SIZE, Size, soak
 
 KEPT = Path("runs/soak")
 LEDGER_SIZE = Size(entries=4, programs=24, kinds=LEDGER_KINDS)
@@ -31,11 +31,21 @@
             help="many programs, faults of the ledger only; seconds, entries and programs are set"
         ),
     ] = False,
+    quiet: Annotated[
+        bool,
+        typer.Option(help="many sub-agents on slow disks, no faults; all other sizes are set"),
+    ] = False,
+    flush_ms: Annotated[
+        float, typer.Option(help="milliseconds by which a flush takes longer in a quiet run")
+    ] = 1000
+    * QUIET_SIZE.flush_s,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
     size = Size(seconds, entries, programs, swarms=swarms)
     if ledger:
         size = LEDGER_SIZE
+    if quiet:
+        size = msgspec.structs.replace(QUIET_SIZE, flush_s=flush_ms / 1000)
     runs = [(seed, size) for seed in range(first, first + count)]
     if regressions:
         # No sub-agents: there were none when these seeds failed.
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from tests.platform_cluster import ORDER, STREAM, Node
+from tests.soak.broken_off import Ended, check_decided, check_whole
 from tests.soak.checks import check, check_drained
 from tests.soak.cluster import SoakCluster
 from tests.soak.faults import Faults
@@ -51,9 +52,12 @@
     spares : int
         Ledger processes beside the three members.
     kinds : tuple of FaultKind
-        Faults that are drawn from; with others the same seed is another run.
+        Faults that are drawn from, none for a run without; with others the same seed is another
+        run.
     swarms : int
         Programs with sub-agents at a time; with others the same seed is another run.
+    flush_s : float
+        Seconds by which each flush of a ledger process takes longer.
     """
 
     seconds: float = 12.0
@@ -63,6 +67,13 @@
     spares: int = 1
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
     swarms: int = 2
+    flush_s: float = 0.0
+
+
+QUIET_SIZE = Size(
+    seconds=10.0, entries=6, programs=2, plain=1, spares=0, kinds=(), swarms=4, flush_s=0.01
+)
+"""Many sub-agents through two entries of each zone, on slow disks, and nothing else."""
 
 
 class Outcome(msgspec.Struct):
@@ -87,7 +98,7 @@
     kept : Path or None
         Folder where the logs of a run that broke a promise are kept.
     """
-    cluster = SoakCluster(size.entries, size.spares)
+    cluster = SoakCluster(size.entries, size.spares, size.flush_s)
     try:
         await cluster.open()
         callers = Callers(cluster, random.Random(seed))
@@ -169,6 +180,14 @@
         calm = not _touched(faults.happened, STORE_TROUBLE, drained_at - 1.0, drained_at + 4.0)
         broken += check_drained(server.name, drained_at, calm, server.runs)
     broken += _check_stops(callers, faults, {run.request for run in runs})
+    ended = {
+        request: Ended(server.name, at)
+        for server in cluster.all_servers()
+        for request, at in server.ended.items()
+    }
+    ledgers = [node.name for node in cluster.ledgers]
+    broken += check_whole(callers.attempts, ended, faults.happened, ledgers)
+    broken += check_decided(callers.attempts, faults.happened)
     for node in cluster.nodes():
         broken += _check_process(node)
     return broken
@@ -229,4 +248,4 @@
     (folder / "requests.jsonl").write_text("\n".join(sent) + "\n")
 
 
-__all__ = ["Outcome", "Size", "soak"]
+__all__ = ["QUIET_SIZE", "Outcome", "Size", "soak"]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,19 +1,25 @@
 """A short run of the soak, and the checks on histories that break a promise."""
 
 import asyncio
+import subprocess
+import sys
+import tempfile
 import time
 import unittest
 from pathlib import Path
 
 import msgspec
 
-from tests.platform_cluster import ORDER, STREAM
+from tests.platform_cluster import ORDER, ROUTE_S, STREAM
 from tests.prove.relay import ADDRESS, Relays
+from tests.soak.broken_off import AFTERMATH_S, Ended, check_decided, check_whole
 from tests.soak.checks import answer_to_turn, check, check_drained
-from tests.soak.kinds import LEDGER_KINDS
-from tests.soak.run import Size, soak
+from tests.soak.cluster import SLOW_DISK, SoakServer
+from tests.soak.kinds import EVERYWHERE, LEDGER_KINDS, FaultKind, Happening
+from tests.soak.run import QUIET_SIZE, Size, soak
 from tests.soak.workload import Attempt
-from waxwingglade.standins.registered_server import Run, answer_to
+from waxwingglade.standins.metadata_store import MetadataStore
+from waxwingglade.standins.registered_server import Run, ServerFault, answer_to
 
 KEPT = Path("runs/soak")
 SHORT = Size(seconds=6.0, entries=2, programs=4, plain=2)
@@ -22,7 +28,17 @@
 
 SEED = 7
 LEDGER_SEED = 1001
+QUIET_SEED = 2
+LEDGERS = ("storage-0", "storage-1", "storage-2", "storage-3")
+SENT_AT, BROKEN_AT = 100.0, 102.0
 PROMPT = b"asks"
+FLUSHES = """
+import os, sys, time
+with open(sys.argv[1] + "/file", "w") as file:
+    began_at = time.monotonic()
+    os.fdatasync(file.fileno())
+    print(time.monotonic() - began_at)
+"""
 
 
 def turn(name: str, **changes: object) -> Attempt:
@@ -51,6 +67,12 @@
     async def test_no_promise_is_broken_where_the_ledger_does_not_decide_in_time(self) -> None:
         await self.check(LEDGER_SEED, SHORT_LEDGER)
 
+    async def test_no_turn_is_broken_off_where_many_sub_agents_begin_at_once(self) -> None:
+        outcome = await soak(QUIET_SEED, QUIET_SIZE, KEPT)
+        self.assertEqual(outcome.broken, [])
+        self.assertGreater(outcome.served, 0)
+        self.assertEqual(outcome.faults, 0)
+
     async def check(self, seed: int, size: Size) -> None:
         """Run a seed, and see that something was served and something happened."""
         outcome = await soak(seed, size, KEPT)
@@ -86,6 +108,33 @@
         server.close()
 
 
+class EndedRequests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_server_notes_what_it_ran_to_its_end(self) -> None:
+        server = SoakServer(MetadataStore(), "engines", events=2)
+        await server.listen()
+        for fault in (ServerFault.NONE, ServerFault.TORN, ServerFault.CUT):
+            server.fault = fault
+            reader, writer = await asyncio.open_connection(*server.address.split(":"))
+            head = f"POST / HTTP/1.1\r\nX-Waxwingglade-Request-Id: {fault.name}\r\n\r\n"
+            writer.write(head.encode())
+            writer.write_eof()
+            await reader.read()
+            writer.close()
+        self.assertEqual(list(server.ended), ["NONE"])
+        assert server.server is not None
+        server.server.close()
+
+
+class SlowDisk(unittest.TestCase):
+    def test_a_scripts_flushes_take_longer(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            script = Path(folder, "flush.py")
+            script.write_text(FLUSHES)
+            command = [sys.executable, "-S", str(SLOW_DISK), "0.05", str(script), folder]
+            seconds = float(subprocess.check_output(command))
+        self.assertGreaterEqual(seconds, 0.05)
+
+
 class Checks(unittest.TestCase):
     def test_good_histories_pass(self) -> None:
         first, second = turn("a"), turn("b")
@@ -136,5 +185,90 @@
         self.assertEqual(check_drained("i-1", now, True, [run_of("a", began_at=now + 1.0)]), [])
 
 
+class BrokenOff(unittest.TestCase):
+    def test_a_turn_that_its_entry_broke_off_is_found(self) -> None:
+        for status, answer in ((200, answer_to_turn(PROMPT)), (0, b""), (502, b"broke off")):
+            with self.subTest(status):
+                self.assertIn("broken off by front-0", self.check(status=status, answer=answer)[0])
+
+    def test_what_is_not_broken_off(self) -> None:
+        late = SENT_AT + ROUTE_S
+        for changes in ({"status": 200, "whole": True}, {"ended_at": late}, {"path": ORDER}):
+            with self.subTest(**changes):
+                self.assertEqual(self.check(**changes), [])
+        self.assertEqual(check_whole([self.attempt()], {}, [], LEDGERS), [])
+
+    def test_a_fault_of_the_entry_the_server_or_a_majority_of_the_ledger_excuses(self) -> None:
+        excuses = {
+            "entry": [(FaultKind.PAUSE_ENTRY, "front-0")],
+            "callers' link": [(FaultKind.CALLER_LINK, "front-0")],
+            "store's link": [(FaultKind.STORE_LINK, "storage-1 front-0")],
+            "server": [(FaultKind.SERVER_FAULT, "i-1")],
+            "all": [(FaultKind.KILL_ALL, EVERYWHERE)],
+            "two of three": [
+                (FaultKind.PAUSE_LEDGER, "storage-1"),
+                (FaultKind.SILENT_LINKS, "storage-2"),
+            ],
+        }
+        for name, faults in excuses.items():
+            with self.subTest(name):
+                self.assertEqual(self.check(*(self.fault(*fault) for fault in faults)), [])
+
+    def test_a_fault_that_has_to_be_borne_excuses_nothing(self) -> None:
+        borne = {
+            "paused": (FaultKind.PAUSE_LEDGER, "storage-0"),
+            "killed": (FaultKind.KILL_LEDGER, "storage-0"),
+            "wiped": (FaultKind.WIPE_LEDGER, "storage-0"),
+            "another entry": (FaultKind.KILL_ENTRY, "front-1"),
+            "another server": (FaultKind.SERVER_LINK, "i-2"),
+            "signal": (FaultKind.HUP, "front-0"),
+            "store": (FaultKind.STORE_BUSY, "store"),
+            "configuration": (FaultKind.CONFIGURE, "store"),
+        }
+        for name, fault in borne.items():
+            with self.subTest(name):
+                self.assertEqual(len(self.check(self.fault(*fault))), 1)
+
+    def test_two_ledger_processes_one_after_the_other_excuse_nothing(self) -> None:
+        first = self.fault(FaultKind.KILL_LEDGER, "storage-0", 99.0, 100.5)
+        second = self.fault(FaultKind.KILL_LEDGER, "storage-1", 100.6, 102.0)
+        self.assertEqual(len(self.check(first, second)), 1)
+
+    def test_an_excuse_lasts_for_its_aftermath(self) -> None:
+        for ended_at, broken in ((SENT_AT - AFTERMATH_S, 0), (SENT_AT - AFTERMATH_S - 0.1, 1)):
+            fault = self.fault(FaultKind.PAUSE_ENTRY, "front-0", 90.0, ended_at)
+            with self.subTest(ended_at):
+                self.assertEqual(len(self.check(fault)), broken)
+        later = self.fault(FaultKind.PAUSE_ENTRY, "front-0", BROKEN_AT + 0.1, BROKEN_AT + 1.0)
+        self.assertEqual(len(self.check(later)), 1)
+
+    def test_a_refusal_for_the_ledgers_sake_is_found_where_nothing_happened(self) -> None:
+        reason = b"not run: the ledger did not decide: no replica answered"
+        refused = self.attempt(status=503, answer=reason)
+        self.assertIn("did not decide", check_decided([refused], [])[0])
+        fault = self.fault(FaultKind.CONFIGURE, "store")
+        self.assertEqual(check_decided([refused], [fault]), [])
+        full = self.attempt(status=503, answer=b"not run: the engines have all that they can do")
+        self.assertEqual(check_decided([full], []), [])
+
+    def check(self, *faults: Happening, **changes: object) -> list[str]:
+        """Check a turn that its server has ended."""
+        ended = {"a": Ended("i-1", SENT_AT + 0.5)}
+        return check_whole([self.attempt(**changes)], ended, faults, LEDGERS)
+
+    @staticmethod
+    def attempt(**changes: object) -> Attempt:
+        """Return a turn that was broken off."""
+        broken = {"sent_at": SENT_AT, "ended_at": BROKEN_AT, "whole": False}
+        return turn("a", **{**broken, **changes})
+
+    @staticmethod
+    def fault(
+        kind: FaultKind, where: str, began_at: float = 100.5, ended_at: float = 101.0
+    ) -> Happening:
+        """Return a fault."""
+        return Happening(kind, where, began_at, ended_at)
+
+
 if __name__ == "__main__":
     unittest.main()
