A killed process of the soak counts as lost until it has started again

Cause: a kill was noted as over when the process was started, a second or more before it answers.

Change: a fault that ends processes also notes when they had started again. Only the new check reads it; the checks of stops and of draining servers, the order of faults and what is drawn are as before.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -21,6 +21,9 @@
 NOTICED_S = 3.0
 """Seconds for which silent connections count as a fault; they are noticed sooner."""
 
+START_LOOK_S = 0.1
+"""Seconds between looks at whether a process has started."""
+
 MOMENT_S = 0.06
 """Longest moment that a process stands still, or runs in between: some ten rounds of messages."""
 
@@ -53,6 +56,7 @@
         self.drained: dict[str, float] = {}
         self.ledger_lock = asyncio.Lock()
         self.node_locks: dict[str, asyncio.Lock] = {}
+        self.starting: set[asyncio.Task] = set()
         self.actions: dict[FaultKind, Callable[[float], Awaitable[None]]] = {
             FaultKind.KILL_ENTRY: self._kill_entry,
             FaultKind.PAUSE_ENTRY: self._pause_entry,
@@ -100,6 +104,11 @@
             await asyncio.sleep(self.draw.expovariate(1.2))
         await asyncio.gather(*tasks)
 
+    def stop(self) -> None:
+        """Stop to watch processes that have not started."""
+        for task in self.starting.copy():
+            task.cancel()
+
     def _begin(self, kind: FaultKind, *where: str) -> Happening:
         happening = Happening(kind, " ".join(where), time.monotonic())
         self.happened.append(happening)
@@ -108,6 +117,20 @@
     def _end(self, happening: Happening) -> None:
         happening.ended_at = time.monotonic()
 
+    def _start(self, happening: Happening, *nodes: Node) -> None:
+        """Start processes again, and note when all of them have started."""
+        for node in nodes:
+            node.start()
+        happening.started_at = float("inf")
+        task = asyncio.create_task(self._note_start(happening, nodes))
+        self.starting.add(task)
+        task.add_done_callback(self.starting.discard)
+
+    async def _note_start(self, happening: Happening, nodes: Sequence[Node]) -> None:
+        while not all(node.has_started for node in nodes):
+            await asyncio.sleep(START_LOOK_S)
+        happening.started_at = time.monotonic()
+
     def _lock(self, node: Node) -> asyncio.Lock:
         return self.node_locks.setdefault(node.name, asyncio.Lock())
 
@@ -119,7 +142,7 @@
             happening = self._begin(FaultKind.KILL_ENTRY, entry.name)
             entry.kill()
             await asyncio.sleep(lasts_s / 3)
-            entry.start()
+            self._start(happening, entry)
             self._end(happening)
 
     async def _pause_entry(self, lasts_s: float) -> None:
@@ -137,7 +160,7 @@
             happening = self._begin(FaultKind.STOP_ENTRY, entry.name)
             await self._stop(entry)
             self._end(happening)
-            entry.start()
+            self._start(happening, entry)
 
     async def _stop(self, node: Node) -> None:
         """Tell a process to stop, and see that it ends by itself within its grace."""
@@ -175,7 +198,7 @@
                 wipe(node.folder / "data")
             if kind is FaultKind.TEAR_JOURNAL:
                 tear(node.folder / "data", self.draw)
-            node.start()
+            self._start(happening, node)
             await self._until_settled()
             self._end(happening)
 
@@ -187,7 +210,7 @@
                     happening = self._begin(FaultKind.WIPE_SERIES, node.name)
                     node.kill()
                     wipe(node.folder / "data")
-                    node.start()
+                    self._start(happening, node)
                     await self._until_settled()
                     self._end(happening)
 
@@ -240,8 +263,7 @@
             for node in nodes:
                 node.kill()
             await asyncio.sleep(lasts_s / 3)
-            for node in nodes:
-                node.start()
+            self._start(happening, *nodes)
             for lock in locks:
                 lock.release()
             await self._until_settled()
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -56,17 +56,24 @@
     ----------
     where : str
         Names of what it touches, ``everywhere`` for all processes.
+    started_at : float
+        When the processes that it ended had started again, which may be after `ended_at`.
     """
 
     kind: FaultKind
     where: str
     began_at: float
     ended_at: float = float("inf")
+    started_at: float = 0.0
 
     def touches(self, begin: float, end: float) -> bool:
         """Return whether it overlaps a span of time."""
         return self.began_at <= end and self.ended_at >= begin
 
+    def disturbs(self, begin: float, end: float) -> bool:
+        """Return whether in a span of time it lasted, or a process was still starting."""
+        return self.began_at <= end and max(self.ended_at, self.started_at) >= begin
+
     def harms(self, name: str) -> bool:
         """Return whether a process or server is touched, or a link of its."""
         if self.kind is FaultKind.HUP:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -115,6 +115,7 @@
         broken += await _check_continuation(cluster, callers)
         await asyncio.sleep(LATE_S)
         await supervisor.stop()
+        faults.stop()
         broken += _verdict(cluster, callers, faults)
         broken += supervisor.broken
         if broken and kept is not None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -236,6 +236,14 @@
         second = self.fault(FaultKind.KILL_LEDGER, "storage-1", 100.6, 102.0)
         self.assertEqual(len(self.check(first, second)), 1)
 
+    def test_a_process_counts_as_lost_until_it_has_started_again(self) -> None:
+        first = self.fault(FaultKind.KILL_LEDGER, "storage-0", 100.5, 100.5)
+        second = self.fault(FaultKind.KILL_LEDGER, "storage-1", 100.6, 100.6)
+        for started_at, broken in ((101.5, 0), (100.55, 1)):
+            first.started_at, second.started_at = started_at, 101.6
+            with self.subTest(started_at):
+                self.assertEqual(len(self.check(first, second)), broken)
+
     def test_an_excuse_lasts_for_its_aftermath(self) -> None:
         for ended_at, broken in ((SENT_AT - AFTERMATH_S, 0), (SENT_AT - AFTERMATH_S - 0.1, 1)):
             fault = self.fault(FaultKind.PAUSE_ENTRY, "front-0", 90.0, ended_at)
