--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -5,11 +5,12 @@
 from pathlib import Path
 from typing import Annotated
 
+import msgspec
 import typer
 
 from tests.soak.kinds import FIRST_KINDS, LEDGER_KINDS
 from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
-from tests.soak.run import Size, soak
+from tests.soak.run import QUIET_SIZE, Size, soak
 
 KEPT = Path("runs/soak")
 LEDGER_SIZE = Size(entries=4, programs=24, kinds=LEDGER_KINDS)
@@ -22,6 +23,7 @@
     seconds: Annotated[float, typer.Option(help="seconds of faults in each run")] = 12.0,
     entries: Annotated[int, typer.Option(help="entries")] = 3,
     programs: Annotated[int, typer.Option(help="programs at a time")] = 6,
+    swarms: Annotated[int, typer.Option(help="programs with sub-agents at a time")] = 2,
     regressions: Annotated[bool, typer.Option(help="only the seeds that once failed")] = False,
     ledger: Annotated[
         bool,
@@ -29,15 +31,30 @@
             help="many programs, faults of the ledger only; seconds, entries and programs are set"
         ),
     ] = False,
+    quiet: Annotated[
+        bool,
+        typer.Option(help="many sub-agents on slow disks, no faults; all other sizes are set"),
+    ] = False,
+    flush_ms: Annotated[
+        float, typer.Option(help="milliseconds that a flush takes in a quiet run")
+    ] = 1000
+    * QUIET_SIZE.flush_s,
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
-    size = LEDGER_SIZE if ledger else Size(seconds, entries, programs)
+    size = Size(seconds, entries, programs, swarms=swarms)
+    if ledger:
+        size = LEDGER_SIZE
+    if quiet:
+        size = msgspec.structs.replace(QUIET_SIZE, flush_s=flush_ms / 1000)
     runs = [(seed, size) for seed in range(first, first + count)]
     if regressions:
-        first_size = Size(seconds, entries, programs, spares=0, kinds=FIRST_KINDS)
+        # On the machine's disk and without sub-agents, as it was when these seeds failed.
+        later_size = Size(seconds, entries, programs, swarms=0, flush_s=0.0)
+        first_size = msgspec.structs.replace(later_size, spares=0, kinds=FIRST_KINDS)
+        ledger_size = msgspec.structs.replace(LEDGER_SIZE, swarms=0, flush_s=0.0)
         runs = [(seed, first_size) for seed in REGRESSIONS]
-        runs += [(seed, size) for seed in LATER_REGRESSIONS]
-        runs += [(seed, LEDGER_SIZE) for seed in LEDGER_REGRESSIONS]
+        runs += [(seed, later_size) for seed in LATER_REGRESSIONS]
+        runs += [(seed, ledger_size) for seed in LEDGER_REGRESSIONS]
     failed = 0
     for seed, its_size in runs:
         outcome = asyncio.run(soak(seed, its_size, KEPT))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,7 +10,7 @@
 from tests.prove.relay import STORE, CutMode
 from tests.soak.cluster import CALLERS, SoakCluster
 from tests.soak.disks import tear, wipe
-from tests.soak.kinds import FaultKind, Happening
+from tests.soak.kinds import EVERYWHERE, FaultKind, Happening
 from waxwingglade.platform.registry import RETIRE_PREFIX
 from waxwingglade.standins.metadata_store import StoreFault
 from waxwingglade.standins.registered_server import ServerFault
@@ -21,6 +21,9 @@
 NOTICED_S = 3.0
 """Seconds for which silent connections count as a fault; they are noticed sooner."""
 
+START_LOOK_S = 0.1
+"""Seconds between looks at whether a process has started."""
+
 MOMENT_S = 0.06
 """Longest moment that a process stands still, or runs in between: some ten rounds of messages."""
 
@@ -53,6 +56,7 @@
         self.drained: dict[str, float] = {}
         self.ledger_lock = asyncio.Lock()
         self.node_locks: dict[str, asyncio.Lock] = {}
+        self.starting: set[asyncio.Task] = set()
         self.actions: dict[FaultKind, Callable[[float], Awaitable[None]]] = {
             FaultKind.KILL_ENTRY: self._kill_entry,
             FaultKind.PAUSE_ENTRY: self._pause_entry,
@@ -85,7 +89,13 @@
         }
 
     async def run(self, seconds: float) -> None:
-        """Let faults begin for some seconds, then wait until all have ended."""
+        """Let faults begin for some seconds, then wait until all have ended.
+
+        Where there are no kinds to draw from, nothing happens in these seconds.
+        """
+        if not self.kinds:
+            await asyncio.sleep(seconds)
+            return
         end_at = time.monotonic() + seconds
         tasks = []
         while time.monotonic() < end_at:
@@ -94,14 +104,33 @@
             await asyncio.sleep(self.draw.expovariate(1.2))
         await asyncio.gather(*tasks)
 
-    def _begin(self, kind: FaultKind, where: str) -> Happening:
-        happening = Happening(kind, where, time.monotonic())
+    def stop(self) -> None:
+        """Stop to watch processes that have not started."""
+        for task in self.starting.copy():
+            task.cancel()
+
+    def _begin(self, kind: FaultKind, *where: str) -> Happening:
+        happening = Happening(kind, " ".join(where), time.monotonic())
         self.happened.append(happening)
         return happening
 
     def _end(self, happening: Happening) -> None:
         happening.ended_at = time.monotonic()
 
+    def _start(self, happening: Happening, *nodes: Node) -> None:
+        """Start processes again, and note when all of them have started."""
+        for node in nodes:
+            node.start()
+        happening.started_at = float("inf")
+        task = asyncio.create_task(self._note_start(happening, nodes))
+        self.starting.add(task)
+        task.add_done_callback(self.starting.discard)
+
+    async def _note_start(self, happening: Happening, nodes: Sequence[Node]) -> None:
+        while not all(node.has_started for node in nodes):
+            await asyncio.sleep(START_LOOK_S)
+        happening.started_at = time.monotonic()
+
     def _lock(self, node: Node) -> asyncio.Lock:
         return self.node_locks.setdefault(node.name, asyncio.Lock())
 
@@ -113,7 +142,7 @@
             happening = self._begin(FaultKind.KILL_ENTRY, entry.name)
             entry.kill()
             await asyncio.sleep(lasts_s / 3)
-            entry.start()
+            self._start(happening, entry)
             self._end(happening)
 
     async def _pause_entry(self, lasts_s: float) -> None:
@@ -131,7 +160,7 @@
             happening = self._begin(FaultKind.STOP_ENTRY, entry.name)
             await self._stop(entry)
             self._end(happening)
-            entry.start()
+            self._start(happening, entry)
 
     async def _stop(self, node: Node) -> None:
         """Tell a process to stop, and see that it ends by itself within its grace."""
@@ -169,21 +198,21 @@
                 wipe(node.folder / "data")
             if kind is FaultKind.TEAR_JOURNAL:
                 tear(node.folder / "data", self.draw)
-            node.start()
+            self._start(happening, node)
             await self._until_settled()
             self._end(happening)
 
     async def _wipe_series(self, _lasts_s: float) -> None:
         """Wipe one disk after the other, each as soon as the set is whole without the last one."""
         async with self.ledger_lock:
-            happening = self._begin(FaultKind.WIPE_SERIES, "everywhere")
             for node in self.draw.sample(self.cluster.ledgers, len(self.cluster.ledgers)):
                 async with self._lock(node):
+                    happening = self._begin(FaultKind.WIPE_SERIES, node.name)
                     node.kill()
                     wipe(node.folder / "data")
-                    node.start()
+                    self._start(happening, node)
                     await self._until_settled()
-            self._end(happening)
+                    self._end(happening)
 
     async def _empty_ledger(self, _lasts_s: float) -> None:
         """Have a member emptied; once it is, it may stand by again."""
@@ -198,7 +227,7 @@
 
     async def _falter_ledgers(self, lasts_s: float) -> None:
         """Let each learn of changes, and answer, a little before or after the others."""
-        happening = self._begin(FaultKind.FALTER_LEDGERS, "everywhere")
+        happening = self._begin(FaultKind.FALTER_LEDGERS, EVERYWHERE)
         await asyncio.gather(*(self._falter(node, lasts_s) for node in self.cluster.ledgers))
         self._end(happening)
 
@@ -230,12 +259,11 @@
             locks = [self._lock(node) for node in nodes]
             for lock in locks:
                 await lock.acquire()
-            happening = self._begin(FaultKind.KILL_ALL, "everywhere")
+            happening = self._begin(FaultKind.KILL_ALL, EVERYWHERE)
             for node in nodes:
                 node.kill()
             await asyncio.sleep(lasts_s / 3)
-            for node in nodes:
-                node.start()
+            self._start(happening, *nodes)
             for lock in locks:
                 lock.release()
             await self._until_settled()
@@ -270,7 +298,7 @@
 
     async def _store_link(self, lasts_s: float) -> None:
         nodes = self.draw.sample(self.cluster.nodes(), 2)
-        happening = self._begin(FaultKind.STORE_LINK, nodes[0].name)
+        happening = self._begin(FaultKind.STORE_LINK, *(node.name for node in nodes))
         for node in nodes:
             self._cut(self.cluster.number_of(node), STORE)
         await asyncio.sleep(lasts_s)
@@ -299,7 +327,7 @@
     async def _silence(self, _lasts_s: float) -> None:
         """Let the open connections of one process, or all of those to the store, fall silent."""
         nodes = self.draw.choice([self.cluster.nodes(), [self.draw.choice(self.cluster.nodes())]])
-        where = nodes[0].name if len(nodes) == 1 else "everywhere"
+        where = nodes[0].name if len(nodes) == 1 else EVERYWHERE
         happening = self._begin(FaultKind.SILENT_LINKS, where)
         for node in nodes:
             self.cluster.relays.silence(self.cluster.number_of(node), STORE)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,10 +9,12 @@
 import msgspec
 
 from tests.platform_cluster import ORDER, STREAM, Node
+from tests.soak.broken_off import Ended, check_decided, check_whole
 from tests.soak.checks import check, check_drained
 from tests.soak.cluster import SoakCluster
 from tests.soak.faults import Faults
-from tests.soak.kinds import FaultKind, Happening
+from tests.soak.kinds import EVERYWHERE, FaultKind, Happening
+from tests.soak.sub_agents import SubAgents
 from tests.soak.supervisor import Supervisor
 from tests.soak.workload import NO_ANSWER, Attempt, Callers
 
@@ -43,14 +45,19 @@
 
 
 class Size(msgspec.Struct, frozen=True):
-    """How large a run is: seconds of faults, entries, callers of two kinds, and what may happen.
+    """How large a run is: seconds of faults, entries, callers of each kind, and what may happen.
 
     Parameters
     ----------
     spares : int
         Ledger processes beside the three members.
     kinds : tuple of FaultKind
-        Faults that are drawn from; with others the same seed is another run.
+        Faults that are drawn from, none for a run without; with others the same seed is another
+        run.
+    swarms : int
+        Programs with sub-agents at a time; with others the same seed is another run.
+    flush_s : float
+        Seconds that a flush of a ledger process takes; 0 for the machine's own disk.
     """
 
     seconds: float = 12.0
@@ -59,6 +66,14 @@
     plain: int = 4
     spares: int = 1
     kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    swarms: int = 2
+    flush_s: float = 0.001
+
+
+QUIET_SIZE = Size(
+    seconds=15.0, entries=6, programs=2, plain=1, spares=0, kinds=(), swarms=4, flush_s=0.012
+)
+"""Many sub-agents through two entries of each zone, on slow disks, and nothing else."""
 
 
 class Outcome(msgspec.Struct):
@@ -83,14 +98,15 @@
     kept : Path or None
         Folder where the logs of a run that broke a promise are kept.
     """
-    cluster = SoakCluster(size.entries, size.spares)
+    cluster = SoakCluster(size.entries, size.spares, size.flush_s)
     try:
         await cluster.open()
         callers = Callers(cluster, random.Random(seed))
+        swarms = SubAgents(callers, random.Random(seed + 2_000_000))
         faults = Faults(cluster, random.Random(seed + 1_000_000), size.kinds)
         supervisor = Supervisor(cluster)
         supervisor.start()
-        working = asyncio.create_task(callers.run(size.programs, size.plain))
+        working = asyncio.gather(callers.run(size.programs, size.plain), swarms.run(size.swarms))
         await faults.run(size.seconds)
         broken = faults.broken
         broken += await _check_recovery(cluster, callers, faults)
@@ -99,6 +115,7 @@
         broken += await _check_continuation(cluster, callers)
         await asyncio.sleep(LATE_S)
         await supervisor.stop()
+        faults.stop()
         broken += _verdict(cluster, callers, faults)
         broken += supervisor.broken
         if broken and kept is not None:
@@ -164,6 +181,14 @@
         calm = not _touched(faults.happened, STORE_TROUBLE, drained_at - 1.0, drained_at + 4.0)
         broken += check_drained(server.name, drained_at, calm, server.runs)
     broken += _check_stops(callers, faults, {run.request for run in runs})
+    ended = {
+        request: Ended(server.name, at)
+        for server in cluster.all_servers()
+        for request, at in server.ended.items()
+    }
+    ledgers = [node.name for node in cluster.ledgers]
+    broken += check_whole(callers.attempts, ended, faults.happened, ledgers)
+    broken += check_decided(callers.attempts, faults.happened)
     for node in cluster.nodes():
         broken += _check_process(node)
     return broken
@@ -181,7 +206,7 @@
         harmed = any(
             each.touches(stop.began_at - 3.0, stop.ended_at)
             and (
-                (each.kind in HARMS_CALLERS and each.where in (stop.where, "everywhere"))
+                (each.kind in HARMS_CALLERS and each.where in (stop.where, EVERYWHERE))
                 or (each.kind is FaultKind.CALLER_LINK and each.where == stop.where)
             )
             for each in faults.happened
@@ -224,4 +249,4 @@
     (folder / "requests.jsonl").write_text("\n".join(sent) + "\n")
 
 
-__all__ = ["Outcome", "Size", "soak"]
+__all__ = ["QUIET_SIZE", "Outcome", "Size", "soak"]
