Tests that wait for a turn show what a refusal says

A turn was refused with 503 in one of four runs of tests.test_platform_day and in one run of tests.test_refused_turn, beside other load, and the reason was not kept. The checks are the same; their message now has the answer's body.

--- a/tests/test_platform_day.py
+++ b/tests/test_platform_day.py
@@ -259,7 +259,7 @@
                 answer = await self.cluster.turn(
                     self.two, f"after{number}", b"x", program_id="p1", token_budget=100
                 )
-                self.assertIn(answer.status, (200, 402))
+                self.assertIn(answer.status, (200, 402), answer.body)
             self.assertEqual(len(self.runs("after0")), 1)
 
     async def test_callers_that_left_while_an_entry_stood_still_get_no_work_done(self) -> None:
--- a/tests/test_refused_turn.py
+++ b/tests/test_refused_turn.py
@@ -47,7 +47,7 @@
         for number in range(ROUNDS):
             program = {"program_id": f"p{number}", "token_budget": BUDGET}
             answer = await self.cluster.turn(first, f"whole-{number}", b"asks", **program)
-            self.assertEqual(200, answer.status)
+            self.assertEqual(200, answer.status, answer.body)
             self.signal_ledgers(signal.SIGSTOP)
             refused = await self.cluster.turn(first, f"refused-{number}", b"asks", **program)
             self.assertEqual(NOT_RUN, refused.status)
