Ask for a turn to be kept once more before its caller's time is over

What a caller could see: a whole answer broken off up to a second before its deadline. Cause: the pause between rounds of replicas, which doubles, was not begun where it reached past the end. Now it is cut so that one more replica is asked.

Measured: test_replicas_are_asked_to_keep_a_turn_until_its_caller_has_no_time_left fails before (given up at 1.55 of 2 s) and passes.

--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -290,6 +290,9 @@
             if patient and busy:
                 pause_s = max(pause_s, BUSY_PAUSE_S * (0.5 + random.random()))
                 busy = 0
+            if patient:
+                # One more replica can be asked before the time is over.
+                pause_s = max(RETRY_PAUSE_S, min(pause_s, end_at - self.clock() - ASK_S))
             if self.clock() + pause_s >= end_at:
                 return last
             await asyncio.sleep(pause_s)
--- a/waxwingglade/ledger/tests/test_client.py
+++ b/waxwingglade/ledger/tests/test_client.py
@@ -201,6 +201,21 @@
         asked = [each for each in self.links.asked if isinstance(each, EndTurn) and each.kept]
         self.assertLessEqual(len(asked), 3 * MOST_BUSY + 1, "replicas are given time")
 
+    async def test_replicas_are_asked_to_keep_a_turn_until_its_caller_has_no_time_left(
+        self,
+    ) -> None:
+        replica = Replica("disk", "vm", "address", ZoneId("zone"))
+        loop = asyncio.get_running_loop()
+        keeps_at = loop.time() + 1.6
+        links = mock.Mock()
+
+        async def request(_body: Any, _timeout_s: float) -> TurnEnded:
+            return TurnEnded(loop.time() >= keeps_at, True)
+
+        links.to.return_value.request = request
+        client = LedgerClient(links, lambda: [replica], ZoneId("zone"))
+        self.assertTrue(await client.end(end(1), 2.0))
+
     async def test_a_turn_that_somebody_may_have_begun_is_not_called_busy(self) -> None:
         replicas = [Replica(f"disk-{n}", f"vm-{n}", f"a-{n}", ZoneId("zone")) for n in range(3)]
         client = LedgerClient(self.links, lambda: replicas, ZoneId("zone"))
