Have an end noted as well where its settlement fails at once

Since a ledger process has a majority note an end that it tells unsettled, entries tell nobody of it; but where the settlement had failed within 0.1 s, rather than not come about, nothing was asked. Found on reading the change.

Measured: test_an_end_whose_settlement_fails_at_once_is_noted_as_well fails before (one of three had noted it) and passes, with the tests of coordinators, of the client and of refused turns.

--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -209,9 +209,9 @@
         kept = await self._keep(message)
         kept_s = monotonic() - began_at
         await asyncio.wait({settling}, timeout=SETTLE_S if message.kept is not None else None)
-        if not settling.done():
+        if message.kept is not None and not _is_settled(settling):
             await self._have_noted(message)
-        settled = settling.done() and settling.result()
+        settled = _is_settled(settling)
         seconds = monotonic() - began_at
         if message.kept is not None and (seconds >= SLOW_S or not settled):
             logger.bind(
@@ -285,6 +285,11 @@
         ).warning(event)
 
 
+def _is_settled(settling: asyncio.Task[bool]) -> bool:
+    """Return whether a settlement has come about by now."""
+    return settling.done() and settling.result()
+
+
 def _reason(error: NoMajority | TimeoutError) -> str:
     return str(error) or "no majority in time"
 
--- a/waxwingglade/ledger/tests/test_held_up_account.py
+++ b/waxwingglade/ledger/tests/test_held_up_account.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 from typing import Any
+from unittest import mock
 
 from msgspec.structs import astuple
 
@@ -35,6 +36,13 @@
         self.assertTrue(ended.kept)
         self.assertLess(seconds, ASK_S, "the entry has asked another replica by now")
 
+    async def test_an_end_whose_settlement_fails_at_once_is_noted_as_well(self) -> None:
+        for replica in self.cluster.replicas.values():
+            replica.handlers[Prepare] = replica.handlers[Accept] = mock.AsyncMock(return_value=None)
+        self.assertEqual((True, False), astuple(await self.coordinator.end(end(1))))
+        noted = [len(replica.unsettled) for replica in self.cluster.replicas.values()]
+        self.assertGreaterEqual(sum(noted), self.cluster.set.majority)
+
     async def test_an_end_that_is_told_unsettled_outlives_the_process_that_told_it(self) -> None:
         self.assertEqual((True, False), astuple(await self.coordinator.end(end(1))))
         noted = [len(replica.unsettled) for replica in self.cluster.replicas.values()]
