--- a/waxwingglade/ledger/accounts.py
+++ b/waxwingglade/ledger/accounts.py
@@ -47,7 +47,8 @@
 """Accounts whose last proposal is remembered, for changes in one round."""
 
 LONGEST_PAUSE_S = 0.5
-"""Seconds that a process makes way at most; those that wait give up after 0.9."""
+"""Seconds that a process makes way at most: short against the time after which those that wait for
+its changes give up."""
 
 MOST_TURNS = 8
 """Proposals of others for which a process makes way at most, before it proposes again."""
