Refuse an undecided turn once a majority has noted its end

Cause: an entry that refused a turn on which the ledger did not decide told the ledger processes of the end and answered its caller at once.

Change: the refusal waits until a majority has noted the end, 0.1 s at most.

--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -166,7 +166,8 @@
         raise Refusal(NOT_FOUND, "no such turn")
     if isinstance(answer, Busy):
         raise Refusal(UNAVAILABLE, "not run: the ledger has too much to do", BUSY_RETRY_S)
-    _settle_refused(serving, ledger)
+    # Its caller's next turn would count this one if all who know of its end were killed.
+    await ledger.noted(_settle_refused(serving, ledger))
     reason = f"not run: the ledger did not decide: {answer.reason}"
     raise Refusal(UNAVAILABLE, reason, AWAY_RETRY_S)
 
@@ -213,11 +214,13 @@
         ledger.settle_later(message)
 
 
-def _settle_refused(serving: Serving, ledger: LedgerClient) -> None:
-    """Give back what the ledger may have reserved for a turn that it did not decide on."""
+def _settle_refused(serving: Serving, ledger: LedgerClient) -> list[asyncio.Task[bool]]:
+    """Give back what the ledger may have reserved for a turn that it did not decide on.
+
+    Returns what tells the replicas, for `LedgerClient.noted`.
+    """
     message = _end_message(serving, Relay(), keep=False)
-    if message.program is not None:
-        ledger.settle_refused(message)
+    return [] if message.program is None else ledger.settle_refused(message)
 
 
 async def _end_turn(serving: Serving, ledger: LedgerClient, relay: Relay) -> None:
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -169,7 +169,14 @@
         """Settle a reservation."""
         self.settled.append(message)
 
-    settle_refused = settle_later
+    def settle_refused(self, message: EndTurn) -> list[asyncio.Task[bool]]:
+        """Settle what may be reserved."""
+        self.settled.append(message)
+        return []
+
+    async def noted(self, telling: list[asyncio.Task[bool]]) -> bool:
+        """Return at once that all is noted."""
+        return True
 
     async def finish(self, timeout_s: float) -> None:
         """Wait for nothing: all is settled."""
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 from collections.abc import Callable, Coroutine, Iterable, Iterator
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 import xxhash
@@ -17,6 +17,7 @@
     BeginTurn,
     BudgetSpent,
     Busy,
+    EndNoted,
     EndTurn,
     NoSuchTurn,
     NoteEnd,
@@ -45,6 +46,10 @@
 takes some 5 ms, and 0.24 s at a process that has as much to do as it takes on; telling all of a
 ledger that is merely busy would make it busier."""
 
+NOTED_S = 0.1
+"""Seconds for which a refusal waits until a majority has noted that its turn has ended; longer than
+a flush of a slow disk, and short against the time in which a caller comes back."""
+
 HAND_OVER_S = 0.1
 """Seconds for which a process that ends waits until replicas have noted what it has not settled; a
 flush of a disk takes some 1 ms."""
@@ -67,6 +72,8 @@
 SLOW_S = 0.2
 """Seconds from which on a line tells whom a request was sent to, and what each answered."""
 
+T = TypeVar("T")
+
 
 class Asked(msgspec.Struct):
     """One asking of a replica, for the log.
@@ -167,14 +174,30 @@
         """Settle a reservation without waiting for it."""
         self._start(self._settle_now(message))
 
-    def settle_refused(self, message: EndTurn) -> None:
+    def settle_refused(self, message: EndTurn) -> list[asyncio.Task[bool]]:
         """Settle what may be reserved for a turn on which the ledger did not decide.
 
         All replicas are told at once: the caller that is refused may come back before a majority
-        has settled it.
+        has settled it.  Returns what tells them, for `noted`.
         """
-        self.tell_all(message)
+        telling = self.tell_all(message)
         self._start(self._settle_now(message, told=True))
+        return telling
+
+    async def noted(self, telling: list[asyncio.Task[bool]]) -> bool:
+        """Wait until a majority has noted a turn's end; return whether it has, within `NOTED_S`.
+
+        An end that is durable at a majority outlives this process and theirs.
+        """
+        missing = len(telling) // 2 + 1
+        open_tasks = set(telling)
+        end_at = self.clock() + NOTED_S
+        while missing > 0 and open_tasks and (left_s := end_at - self.clock()) > 0:
+            done, open_tasks = await asyncio.wait(
+                open_tasks, timeout=left_s, return_when=asyncio.FIRST_COMPLETED
+            )
+            missing -= sum(not task.cancelled() and task.result() for task in done)
+        return missing <= 0
 
     async def finish(self, timeout_s: float) -> None:
         """Wait until what is being settled is settled, and hand the rest over after `timeout_s`.
@@ -202,27 +225,29 @@
             task.cancel()
         await asyncio.gather(*telling, return_exceptions=True)
 
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+    def _start(self, coroutine: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         task = start_task(coroutine)
         self.settling.add(task)
         task.add_done_callback(self.settling.discard)
+        return task
 
-    def tell_all(self, message: EndTurn) -> None:
+    def tell_all(self, message: EndTurn) -> list[asyncio.Task[bool]]:
         """Tell every replica that a turn has ended, without waiting for it.
 
         Each of them settles it with the next change of the account, and says so when it is asked.
         """
         note = NoteEnd(msgspec.structs.replace(message, kept=None))
-        for replica in self.replicas():
-            self._start(self._tell(replica, note))
+        return [self._start(self._tell(replica, note)) for replica in self.replicas()]
 
-    async def _tell(self, replica: Replica, note: NoteEnd) -> None:
+    async def _tell(self, replica: Replica, note: NoteEnd) -> bool:
         try:
-            await self.links.to(replica.address).request(note, ASK_S)
+            answer = await self.links.to(replica.address).request(note, ASK_S)
         except LinkFailed as error:
             logger.bind(replica=replica.vm, turn=note.end.turn, reason=str(error)).info(
                 "replica not told of a turn's end"
             )
+            return False
+        return isinstance(answer, EndNoted)
 
     async def _settle_now(self, message: EndTurn, told: bool = False) -> None:
         self.unsettled[message.turn] = message
--- a/waxwingglade/ledger/tests/test_client.py
+++ b/waxwingglade/ledger/tests/test_client.py
@@ -1,13 +1,14 @@
 """The ledger as an entry uses it, on links that a test answers."""
 
 import asyncio
+import time
 import unittest
 from typing import Any
 from unittest import mock
 
 from waxwingglade.base import ProgramId, ZoneId
 from waxwingglade.follow.model import Replica
-from waxwingglade.ledger.client import MOST_BUSY, LedgerClient
+from waxwingglade.ledger.client import ASK_S, MOST_BUSY, LedgerClient
 from waxwingglade.ledger.messages import (
     BeginTurn,
     Busy,
@@ -66,12 +67,13 @@
 
     def __init__(self) -> None:
         self.noted: dict[str, list[EndTurn]] = {}
+        self.silent: set[str] = set()
 
     def to(self, address: str) -> mock.Mock:
         """Return the link to a peer."""
 
         async def request(body: Any, _timeout_s: float) -> Any:
-            if isinstance(body, NoteEnd):
+            if isinstance(body, NoteEnd) and address not in self.silent:
                 self.noted.setdefault(address, []).append(body.end)
                 return EndNoted()
             await asyncio.sleep(20.0)
@@ -99,6 +101,17 @@
             await asyncio.sleep(0)
         self.assertEqual(self.all, self.links.noted)
 
+    async def test_a_refusal_waits_for_a_majority_to_note_the_end(self) -> None:
+        self.links.silent = {"a-0"}
+        self.assertTrue(await self.client.noted(self.client.settle_refused(MESSAGE)))
+        self.assertEqual({"a-1", "a-2"}, set(self.links.noted))
+
+    async def test_a_refusal_does_not_wait_long_for_replicas_that_are_silent(self) -> None:
+        self.links.silent = {"a-0", "a-1"}
+        asked_at = time.monotonic()
+        self.assertFalse(await self.client.noted(self.client.settle_refused(MESSAGE)))
+        self.assertLess(time.monotonic() - asked_at, ASK_S)
+
     async def test_an_end_that_is_not_settled_in_time(self) -> None:
         self.client.settle_later(MESSAGE)
         await asyncio.sleep(0.02)
