Count the limits of client accounts at the ledger's members

Change: each member of the ledger may grant a fixed part of every limit, so that the parts never add up to more than the whole, whoever is cut off from whom. A turn is counted by the message with which it begins, a call of a tool by one message to a member, the nearest first; one without room sends the entry on to the others. Grants are written to the member's disk before they are answered, a member that has joined waits until nobody may go by an older set, and one whose view is older than five seconds grants nothing. Programs under way go before new ones. Beyond the limit: 429 with the time after which there is room.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -24,6 +24,7 @@
 from waxwingglade.ingress.dialect import Call, Dialect
 from waxwingglade.ingress.exchange import CallerGone, Exchange
 from waxwingglade.ingress.metrics import IngressMetrics
+from waxwingglade.ingress.quota import take_quota
 from waxwingglade.ingress.refusal import Refusal, own_answer
 from waxwingglade.ingress.request_log import RequestLog
 from waxwingglade.ingress.routes import RouteTable
@@ -361,6 +362,7 @@
                     patience_s = BEGIN_S if self.reaches_ledger else HOPELESS_S
                     await serve_stream(serving, attempts, self.ledger, self._priority, patience_s)
                 else:
+                    await take_quota(serving, self.ledger)
                     await serve_plain(serving, attempts, self._priority)
         except TimeoutError as error:
             raise out_of_time(attempts) from error
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -11,6 +11,7 @@
 from waxwingglade.ingress.attempt import MAX_ANSWER_BYTES, Attempts, Head
 from waxwingglade.ingress.balance import Balancer, History
 from waxwingglade.ingress.events import Event, EventSplitter, StreamError
+from waxwingglade.ingress.quota import over_limit, take_quota
 from waxwingglade.ingress.refusal import BUDGET_SPENT, NOT_FOUND, UNAVAILABLE, Refusal
 from waxwingglade.ingress.serving import (
     Priority,
@@ -26,6 +27,7 @@
     Busy,
     EndTurn,
     NoSuchTurn,
+    QuotaSpent,
     Turn,
     TurnBegun,
 )
@@ -137,6 +139,7 @@
     previous = call.previous_turn if serving.route.keeps_turns else None
     budget = _budget(serving)
     if previous is None and budget is None:
+        await take_quota(serving, ledger, _begins_a_chain(serving))
         return call.body
     message = BeginTurn(
         serving.turn,
@@ -145,6 +148,7 @@
         budget or 0,
         previous,
         call.account,
+        _begins_a_chain(serving),
     )
     asked_at = time.monotonic()
     try:
@@ -162,6 +166,8 @@
         raise Refusal(BUDGET_SPENT, reason)
     if isinstance(answer, NoSuchTurn):
         raise Refusal(NOT_FOUND, "no such turn")
+    if isinstance(answer, QuotaSpent):
+        raise over_limit(answer)
     if isinstance(answer, Busy):
         raise Refusal(UNAVAILABLE, "not run: the ledger has too much to do", BUSY_RETRY_S)
     # Its caller's next turn would count this one if all who know of its end were killed.
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -24,7 +24,15 @@
 from waxwingglade.ingress.settings import IngressSettings
 from waxwingglade.ingress.tests.builders import configuration, route, target, targets
 from waxwingglade.ledger.client import LedgerClient
-from waxwingglade.ledger.messages import BeginTurn, EndTurn, Turn, TurnBegun
+from waxwingglade.ledger.messages import (
+    BeginTurn,
+    EndTurn,
+    QuotaSpent,
+    QuotaTaken,
+    TakeQuota,
+    Turn,
+    TurnBegun,
+)
 from waxwingglade.platform.headers import DIALECT
 from waxwingglade.platform.process import KEYS
 from waxwingglade.transport import HttpRequest
@@ -146,6 +154,10 @@
         The turns before each turn that begins.
     failed_at : IncarnationName or None
         Target that failed the program's last turn.
+    taken : list
+        Requests that were to be granted within the limits of their accounts.
+    spent : QuotaSpent or None
+        Answer to all of them, if the accounts have no room.
     """
 
     def __init__(self) -> None:
@@ -153,14 +165,23 @@
         self.ended: list[EndTurn] = []
         self.settled: list[EndTurn] = []
         self.chain: tuple[Turn, ...] = ()
+        self.taken: list[TakeQuota] = []
+        self.spent: QuotaSpent | None = None
         self.failed_at: IncarnationName | None = None
         self.may_begin = asyncio.Event()
         self.may_end = asyncio.Event()
         self.may_begin.set()
         self.may_end.set()
 
-    async def begin(self, message: BeginTurn, timeout_s: float) -> TurnBegun:
+    async def take(self, message: TakeQuota, timeout_s: float) -> QuotaTaken | QuotaSpent:
+        """Grant a request."""
+        self.taken.append(message)
+        return self.spent or QuotaTaken()
+
+    async def begin(self, message: BeginTurn, timeout_s: float) -> TurnBegun | QuotaSpent:
         """Begin a turn."""
+        if self.spent is not None:
+            return self.spent
         self.begun.append(message)
         await self.may_begin.wait()
         return TurnBegun(self.chain, failed_at=self.failed_at)
--- a/waxwingglade/ingress/tests/test_accounts.py
+++ b/waxwingglade/ingress/tests/test_accounts.py
@@ -10,9 +10,16 @@
 from waxwingglade.base.credentials import bearer_token, digest_of
 from waxwingglade.follow.model import ClientAccount, ClientAccountId
 from waxwingglade.ingress.accounts import AccountTable, KeyRules, identify
-from waxwingglade.ingress.refusal import UNAUTHORIZED, UNAVAILABLE, Refusal
+from waxwingglade.ingress.refusal import TOO_MANY, UNAUTHORIZED, UNAVAILABLE, Refusal
 from waxwingglade.ingress.tests.builders import NOTES, account, call
-from waxwingglade.ingress.tests.entry_builders import PLAIN, TURNS, EntryUnderTest, FakeTarget
+from waxwingglade.ingress.tests.entry_builders import (
+    PLAIN,
+    TURNS,
+    EntryUnderTest,
+    FakeTarget,
+    until,
+)
+from waxwingglade.ledger.messages import QuotaSpent, TakeQuota
 from waxwingglade.platform.headers import ACCOUNT, AUTHORIZATION
 
 KEY, OTHER_KEY = "k" * 20, "o" * 20
@@ -139,6 +146,30 @@
         self.assertEqual(UNAVAILABLE, await self.status((AUTHORIZATION, BEARER)))
         self.assertEqual(1, len(self.target.heads))
 
+    async def test_a_call_is_granted_before_it_is_sent_and_a_turn_where_it_begins(self) -> None:
+        limited = account("shop", KEY, rate_per_s=9.0)
+        await self.serve((limited, ACCOUNTS[1]))
+        await self.status((AUTHORIZATION, BEARER))
+        self.assertEqual([TakeQuota("shop")], self.entry.ledger.taken)
+        await self.status((AUTHORIZATION, f"Bearer {OTHER_KEY}"))
+        self.assertEqual(1, len(self.entry.ledger.taken), "the other account has no limit")
+        turn = await self.entry.send(TURNS, "t1", (AUTHORIZATION, BEARER))
+        self.addCleanup(turn.close)
+        self.assertTrue(await until(lambda: self.entry.ledger.begun, 1.0))
+        begun = self.entry.ledger.begun[0]
+        self.assertEqual(("shop", True, False), (begun.client, begun.is_first, begun.is_counted))
+
+    async def test_over_the_limit_nothing_is_sent_and_the_caller_is_told_when_to_come(self) -> None:
+        await self.serve((account("shop", KEY, rate_per_s=9.0),))
+        self.entry.ledger.spent = QuotaSpent(0.75)
+        for path in (PLAIN, TURNS):
+            connection = await self.entry.send(path, "r1", (AUTHORIZATION, BEARER))
+            self.addCleanup(connection.close)
+            head = await connection.read_head(lambda _: True)
+            self.assertEqual((TOO_MANY, "0.75"), (head.status, head.header("Retry-After")))
+        self.assertEqual([], self.target.heads)
+        self.assertEqual([], self.entry.ledger.settled)
+
     async def test_a_denial_says_how_to_authenticate(self) -> None:
         await self.serve()
         connection = await self.entry.send(PLAIN)
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -12,7 +12,7 @@
 
 from waxwingglade.base import Clock, WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.tasks import start_task
-from waxwingglade.follow.model import Replica
+from waxwingglade.follow.model import ClientAccountId, Replica
 from waxwingglade.ledger.messages import (
     BeginTurn,
     BudgetSpent,
@@ -21,6 +21,9 @@
     EndTurn,
     NoSuchTurn,
     NoteEnd,
+    QuotaSpent,
+    QuotaTaken,
+    TakeQuota,
     TurnBegun,
     TurnEnded,
     TurnId,
@@ -54,6 +57,13 @@
 """Seconds for which a process that ends waits until replicas have noted what it has not settled; a
 flush of a disk takes some 1 ms."""
 
+TAKE_S = 0.15
+"""Seconds for a member to grant a request before another is asked."""
+
+SPENT_S = 0.25
+"""Longest time in seconds for which an account that no member granted anything is refused without
+asking again."""
+
 MOST_BUSY = 2
 """Replicas that may answer that they have too much to do before a caller is refused."""
 
@@ -123,21 +133,87 @@
         self.avoided: dict[str, float] = {}
         self.settling: set[asyncio.Task] = set()
         self.unsettled: dict[TurnId, EndTurn] = {}
+        self.spent: dict[tuple[ClientAccountId, bool], float] = {}
 
     async def begin(
         self, message: BeginTurn, timeout_s: float
-    ) -> TurnBegun | BudgetSpent | NoSuchTurn | Unavailable | Busy:
+    ) -> TurnBegun | BudgetSpent | NoSuchTurn | QuotaSpent | Unavailable | Busy:
         """Reserve a turn's tokens and get the chain before it, within `timeout_s` seconds.
 
-        `Busy` says that no replica did anything, so that nothing has to be settled.
+        `Busy` and `QuotaSpent` say that no replica did anything, so that nothing has to be settled.
         """
         end_at = self.clock() + min(timeout_s, BEGIN_S)
+        if message.client is not None and (spent := self._known_spent(message)) is not None:
+            return spent
         with self._log_if_slow(message) as asked:
             answer = await self._try(message, end_at, lambda _: True, asked)
-        if isinstance(answer, TurnBegun | BudgetSpent | NoSuchTurn | Unavailable | Busy):
+            if isinstance(answer, QuotaSpent):
+                # Its part is used up; another member may still grant the turn.
+                others = [each for each in self._in_order(message) if each.vm != asked[-1].replica]
+                answer = await self._take_from(others, message, answer, end_at)
+                if isinstance(answer, QuotaTaken):
+                    counted = msgspec.structs.replace(message, is_counted=True)
+                    answer = await self._try(counted, end_at, lambda _: True, asked)
+        if isinstance(
+            answer, TurnBegun | BudgetSpent | NoSuchTurn | QuotaSpent | Unavailable | Busy
+        ):
             return answer
         return Unavailable("no replica answered")
 
+    async def take(
+        self, message: TakeQuota, timeout_s: float
+    ) -> QuotaTaken | QuotaSpent | Unavailable:
+        """Have a request granted within the limit of its client account."""
+        if (spent := self._known_spent(message)) is not None:
+            return spent
+        end_at = self.clock() + min(timeout_s, BEGIN_S)
+        return await self._take_from(self._in_order(message), message, None, end_at)
+
+    def _known_spent(self, message: TakeQuota | BeginTurn) -> QuotaSpent | None:
+        """Return the refusal of an account of which all members said lately that it has no room."""
+        assert message.client is not None
+        left_s = self.spent.get((message.client, message.is_first), 0.0) - self.clock()
+        return QuotaSpent(left_s) if left_s > 0 else None
+
+    async def _take_from(
+        self,
+        members: list[Replica],
+        message: TakeQuota | BeginTurn,
+        spent: QuotaSpent | None,
+        end_at: float,
+    ) -> QuotaTaken | QuotaSpent | Unavailable:
+        """Ask members one after the other until one grants a request.
+
+        Where some have no room and the others do not answer, the request is refused as over the
+        limit: a member that does not answer may have granted its part to others.
+        """
+        assert message.client is not None
+        taking = TakeQuota(message.client, message.is_first)
+        for member in members:
+            left_s = end_at - self.clock()
+            if left_s <= 0:
+                break
+            answer = await self._take(member, taking, min(TAKE_S, left_s))
+            if isinstance(answer, QuotaTaken):
+                return answer
+            if isinstance(answer, QuotaSpent) and (spent is None or answer.retry_s < spent.retry_s):
+                spent = answer
+        if spent is None:
+            return Unavailable("no member granted or refused the request")
+        until = self.clock() + min(SPENT_S, spent.retry_s)
+        self.spent[(message.client, message.is_first)] = until
+        return spent
+
+    async def _take(self, member: Replica, taking: TakeQuota, timeout_s: float) -> Any:
+        try:
+            return await self.links.to(member.address).request(taking, timeout_s)
+        except WaxwinggladeError as error:
+            self.avoided[member.address] = self.clock() + AVOID_S
+            logger.bind(replica=member.vm, account=taking.client, reason=str(error)).info(
+                "limit not asked for"
+            )
+            return None
+
     async def end(self, message: EndTurn, timeout_s: float) -> bool:
         """Keep a turn and settle its reservation; return whether the turn is kept.
 
@@ -370,7 +446,7 @@
         takes one round instead of two.
         """
         now = self.clock()
-        key = message.program or message.turn
+        key = _key_of(message)
 
         def order(replica: Replica) -> tuple[float, bool, int]:
             until = self.avoided.get(replica.address, 0.0)
@@ -381,6 +457,13 @@
         return sorted(self.replicas(), key=order)
 
 
+def _key_of(message: Any) -> str:
+    """Return what spreads requests over the members: the program, where one is named."""
+    if isinstance(message, TakeQuota):
+        return random.random().hex()
+    return message.program or message.turn
+
+
 def _loggable(asked: Asked, began_at: float, now: float) -> dict[str, Any]:
     """Return the fields of one asking, with times from the beginning of the request on."""
     ended_at = now if asked.ended_at is None else asked.ended_at
--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -115,6 +115,10 @@
         Turn whose chain is wanted.
     client : ClientAccountId or None
         Client account that asks; None where callers need no key.
+    is_first : bool
+        Whether its program begins with the turn.
+    is_counted : bool
+        Whether the turn was granted within the account's limit already.
     """
 
     turn: TurnId
@@ -123,6 +127,8 @@
     budget: int = 0
     previous: TurnId | None = None
     client: ClientAccountId | None = None
+    is_first: bool = False
+    is_counted: bool = False
 
 
 class TurnBegun(Message):
@@ -154,6 +160,23 @@
     """The turn to continue does not exist, for certain; nothing was reserved."""
 
 
+class TakeQuota(Message):
+    """Ask whether a client account may send one more request."""
+
+    client: ClientAccountId
+    is_first: bool = False
+
+
+class QuotaTaken(Message):
+    """The request may go to a target, and is counted."""
+
+
+class QuotaSpent(Message):
+    """This member may grant the account nothing for `retry_s` seconds; nothing was reserved."""
+
+    retry_s: float
+
+
 class EndTurn(Message):
     """Keep a turn, and replace what it reserved by what it used.
 
@@ -403,6 +426,9 @@
     | TurnBegun
     | BudgetSpent
     | NoSuchTurn
+    | TakeQuota
+    | QuotaTaken
+    | QuotaSpent
     | EndTurn
     | TurnEnded
     | NoteEnd
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -16,6 +16,7 @@
 from waxwingglade.base.logs import Sampler
 from waxwingglade.base.loop_delay import LoopDelay
 from waxwingglade.base.tasks import start_task
+from waxwingglade.decisions.quota import QuotaRules
 from waxwingglade.follow.feed import FRESH_S, Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Replica as Member
@@ -33,10 +34,13 @@
     NoteEnd,
     NotHere,
     Ping,
+    TakeQuota,
     ToReplica,
+    TurnBegun,
     Unavailable,
 )
 from waxwingglade.ledger.metrics import LedgerMetrics
+from waxwingglade.ledger.quotas import Granted, Quotas
 from waxwingglade.ledger.replica import Replica
 from waxwingglade.transport.links import Codec, Links, LinkServer
 from waxwingglade.transport.page import serve_metrics
@@ -96,6 +100,10 @@
         Where the state of orders to empty a VM is written.
     metrics : str
         ``IP:PORT`` of the metrics page; empty for none.
+    quota : QuotaRules
+        How the limits of client accounts are counted.
+    bootstrap : bool
+        Whether the whole system starts for the first time.
     """
 
     vm: str
@@ -106,6 +114,8 @@
     zones: int
     status_prefix: str
     metrics: str = ""
+    quota: QuotaRules = QuotaRules(1.0)
+    bootstrap: bool = False
 
 
 class LedgerNode:
@@ -155,8 +165,16 @@
         self.follower = FeedFollower(
             self.beliefs, self._sources, ask_over(self.links), self._needs_source
         )
+        self.quotas = Quotas(
+            settings.quota,
+            settings.wanted_members,
+            self.beliefs,
+            self.replica,
+            settings.bootstrap,
+        )
         self.handlers: dict[type, Callable[[Any], Any]] = {
-            BeginTurn: self.coordinator.begin,
+            BeginTurn: self.begin,
+            TakeQuota: self.quotas.take,
             EndTurn: self.coordinator.end,
             NoteEnd: self.replica.note_end,
             Follow: self.follow,
@@ -174,6 +192,7 @@
     async def start(self) -> None:
         """Read the disk, and begin to answer and to follow."""
         self.replica.open()
+        self.quotas.open()
         if self.replica.replicas.epoch:
             self.beliefs.merge(View(replicas=self.replica.replicas), float("-inf"))
         self.server.start(self.settings.endpoint)
@@ -237,6 +256,7 @@
             await self.loop_delay.sleep(CONFIRM_S)
             self._take_watched()
             self._learn_members(self.beliefs.view.replicas)
+            self.quotas.learn()
             if self.membership.quorum != told:
                 told = self.membership.quorum
                 self.beliefs.tell()
@@ -312,6 +332,21 @@
             self.metrics.note(*kinds, monotonic() - asked_at)
         return answer
 
+    async def begin(self, message: BeginTurn) -> Any:
+        """Begin a turn, within the limit of its client account."""
+        client = message.client
+        if client is None or message.is_counted:
+            return await self.coordinator.begin(message)
+        granted = self.quotas.count(client, message.is_first)
+        if not isinstance(granted, Granted):
+            return granted
+        answer = await self.coordinator.begin(message)
+        if not isinstance(answer, TurnBegun):
+            self.quotas.give_back(client, message.is_first)
+        elif granted.durable is not None:
+            await granted.durable
+        return answer
+
     async def follow(self, message: Follow) -> Followed:
         """Tell what is known."""
         answer = await self.beliefs.answer(message)
--- /dev/null
+++ b/waxwingglade/ledger/quotas.py
@@ -0,0 +1,144 @@
+"""Limits of client accounts, counted at the members of the ledger on behalf of entries."""
+
+import asyncio
+from typing import Any
+
+import msgspec
+from loguru import logger
+
+from waxwingglade.base import Clock, monotonic
+from waxwingglade.base.logs import Sampler
+from waxwingglade.decisions.parts import PartRules, Parts
+from waxwingglade.decisions.quota import Grants, QuotaRules, judge
+from waxwingglade.follow.feed import Beliefs
+from waxwingglade.follow.model import ClientAccount, ClientAccountId, Configuration
+from waxwingglade.ledger.messages import QuotaSpent, QuotaTaken, TakeQuota, Unavailable
+from waxwingglade.ledger.replica import Replica
+
+OLDEST_VIEW_S = 5.0
+"""Age in seconds of the view up to which requests are granted.  Once it is older, other members may
+grant this one's part."""
+
+REFUSALS_LOGGED_PER_S = 5.0
+
+
+class Granted(msgspec.Struct):
+    """A request that may go to a target; `durable` is done once a restart would not forget it."""
+
+    durable: asyncio.Future[Any] | None = None
+
+
+class Quotas:
+    """Counts the requests of client accounts in one ledger process.
+
+    Parameters
+    ----------
+    rules : QuotaRules
+        How limits are counted.
+    usual_members : int
+        Members among which limits are divided, unless there are more.
+    beliefs : Beliefs
+        The configuration and the members, and up to when they are known to be complete.
+    replica : Replica
+        Where grants are kept.
+    bootstrap : bool
+        Whether the whole system starts for the first time, so that nobody has granted anything.
+    clock : Clock
+        Monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        rules: QuotaRules,
+        usual_members: int,
+        beliefs: Beliefs,
+        replica: Replica,
+        bootstrap: bool = False,
+        clock: Clock = monotonic,
+    ) -> None:
+        self.rules = rules
+        self.part_rules = PartRules(OLDEST_VIEW_S, rules.window_s, usual_members)
+        self.beliefs = beliefs
+        self.replica = replica
+        self.bootstrap = bootstrap
+        self.clock = clock
+        self.parts = Parts(self.part_rules, replica.disk)
+        self.configuration: Configuration | None = None
+        self.accounts: dict[ClientAccountId, ClientAccount] = {}
+        self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
+
+    def open(self) -> None:
+        """Go on from what the disk holds."""
+        joined_before = self.bootstrap or self.replica.counts
+        self.parts = Parts(
+            self.part_rules, self.replica.disk, joined_before, self.replica.largest_set
+        )
+
+    async def take(self, message: TakeQuota) -> QuotaTaken | QuotaSpent | Unavailable:
+        """Count a request that needs nothing else of the ledger."""
+        outcome = self.count(message.client, message.is_first)
+        if not isinstance(outcome, Granted):
+            return outcome
+        if outcome.durable is not None:
+            await outcome.durable
+        return QuotaTaken()
+
+    def count(self, client: ClientAccountId, is_first: bool) -> Granted | QuotaSpent | Unavailable:
+        """Count a request, if the account may still send it."""
+        self.learn()
+        if self.beliefs.incomplete_s > OLDEST_VIEW_S:
+            return Unavailable("limits were confirmed too long ago")
+        account = self.accounts.get(client)
+        if account is None:
+            return Unavailable("the client account is not known")
+        if account.rate_per_s <= 0:
+            return Granted()
+        now = self.clock()
+        most = self.rules.most(account.rate_per_s, account.burst)
+        part = self.parts.of(most, client, now)
+        grants = self.replica.grants.setdefault(client, Grants())
+        verdict = judge(grants, part, self.rules, now, is_first)
+        if not verdict.granted:
+            self._log(account, part, grants)
+            return QuotaSpent(verdict.retry_s)
+        grants.note(now, is_first)
+        return Granted(self.replica.note_grant(client, now, is_first))
+
+    def give_back(self, client: ClientAccountId, is_first: bool) -> None:
+        """Take back the grant of a request that reaches no target."""
+        grants = self.replica.grants.get(client)
+        if grants is not None:
+            grants.give_back(is_first)
+
+    def learn(self) -> None:
+        """Take in the present members and accounts."""
+        view = self.beliefs.view
+        members = [member.disk for member in view.replicas.members]
+        now = self.clock()
+        self.parts.learn(view.replicas.epoch, members, now)
+        self._note_counting(now)
+        if view.configuration is self.configuration:
+            return
+        self.configuration = view.configuration
+        accounts = (view.configuration.accounts if view.configuration else None) or ()
+        self.accounts = {account.name: account for account in reversed(accounts)}
+
+    def _note_counting(self, now: float) -> None:
+        """Remember over a restart whether this member has been one for long enough."""
+        settled = self.parts.settled(now)
+        if settled != self.replica.counts:
+            self.replica.note_counting(settled)
+
+    def _log(self, account: ClientAccount, part: int, grants: Grants) -> None:
+        if self.refusals.allows():
+            logger.bind(
+                account=account.name,
+                rate_per_s=account.rate_per_s,
+                part=part,
+                granted=len(grants.times),
+                begun=len(grants.begun),
+                left_out=self.refusals.take_left_out(),
+            ).info("over the limit here")
+
+
+__all__ = ["Granted", "Quotas"]
--- a/waxwingglade/ledger/records.py
+++ b/waxwingglade/ledger/records.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from waxwingglade.base import ProgramId
-from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.follow.model import ClientAccountId, ReplicaSet
 from waxwingglade.ledger.messages import Account, Ballot, EndTurn, Turn
 
 
@@ -41,13 +41,37 @@
     replicas: ReplicaSet
 
 
-Record = TurnRecord | PromiseRecord | AcceptRecord | EndRecord | MembersRecord
+class GrantRecord(msgspec.Struct, frozen=True, array_like=True, tag="g"):
+    """A request that was granted to a client account, and when by the monotonic clock."""
+
+    client: ClientAccountId
+    at: float
+    is_first: bool = False
+
+
+class CountingRecord(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """Whether this member has been one for long enough to grant its part of the limits."""
+
+    counts: bool
+
+
+Record = (
+    TurnRecord
+    | PromiseRecord
+    | AcceptRecord
+    | EndRecord
+    | MembersRecord
+    | GrantRecord
+    | CountingRecord
+)
 encode = msgspec.msgpack.Encoder().encode
 decode = msgspec.msgpack.Decoder(Record).decode
 
 __all__ = [
     "AcceptRecord",
+    "CountingRecord",
     "EndRecord",
+    "GrantRecord",
     "MembersRecord",
     "PromiseRecord",
     "Record",
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -8,8 +8,9 @@
 import msgspec
 from loguru import logger
 
-from waxwingglade.base import Clock, ProgramId, wall
-from waxwingglade.follow.model import ReplicaSet
+from waxwingglade.base import Clock, ProgramId, monotonic, wall
+from waxwingglade.decisions.quota import Grants
+from waxwingglade.follow.model import ClientAccountId, ReplicaSet
 from waxwingglade.ledger.journal import Journal, Place
 from waxwingglade.ledger.messages import (
     NEW_ACCOUNT,
@@ -42,7 +43,9 @@
 )
 from waxwingglade.ledger.records import (
     AcceptRecord,
+    CountingRecord,
     EndRecord,
+    GrantRecord,
     MembersRecord,
     PromiseRecord,
     TurnRecord,
@@ -58,6 +61,9 @@
 EXPIRY_MARGIN_S = 60.0
 """Seconds for which a turn is kept beyond its time; clocks of VMs differ by seconds."""
 
+GRANTS_KEPT_S = 60.0
+"""Seconds for which grants stay on the disk, longer than any span in which they are counted."""
+
 SWEEP_S = 5.0
 CACHED_BYTES = 16 * 1024 * 1024
 """Turns kept in memory for reading, in bytes; older ones are read from the disk."""
@@ -101,10 +107,17 @@
         The newest set of members that this replica knows; it refuses requests under older ones.
     unsettled : UnsettledEnds
         What this process was told of turns that have ended.
+    grants : dict
+        What was granted to each client account lately.
+    counts : bool
+        Whether this member grants its part of the accounts' limits.
+    largest_set : int
+        Members of the largest set that the disk held at the start.
     """
 
-    def __init__(self, folder: Path, wall_clock: Clock = wall) -> None:
+    def __init__(self, folder: Path, wall_clock: Clock = wall, clock: Clock = monotonic) -> None:
         self.wall_clock = wall_clock
+        self.clock = clock
         self.journal = Journal(folder)
         self.slots: dict[ProgramId, Slot] = {}
         self.turns: dict[TurnId, TurnPlace] = {}
@@ -112,6 +125,10 @@
         self.cached_bytes = 0
         self.replicas = ReplicaSet()
         self.unsettled = UnsettledEnds()
+        self.grants: dict[ClientAccountId, Grants] = {}
+        self.granted_in: dict[int, float] = {}
+        self.counts = False
+        self.largest_set = 0
         self.members_written: asyncio.Future[Place] | None = None
         self.handlers = {
             Prepare: self.prepare,
@@ -149,6 +166,13 @@
             self._index(record.turn, place)
         elif isinstance(record, MembersRecord):
             self.replicas = record.replicas
+            self.largest_set = max(self.largest_set, len(record.replicas.members))
+        elif isinstance(record, GrantRecord):
+            # The clock begins anew when the machine does; what seems to lie ahead may be recent.
+            at = min(record.at, self.clock())
+            self.grants.setdefault(record.client, Grants()).note(at, record.is_first)
+        elif isinstance(record, CountingRecord):
+            self.counts = record.counts
         elif isinstance(record, EndRecord):
             self.unsettled.add(record.end)
         else:
@@ -239,6 +263,20 @@
         """Return the ends of a program's turns that were noted here."""
         return Ends(self.unsettled.of(message.program))
 
+    # Limits of client accounts
+
+    def note_grant(
+        self, client: ClientAccountId, at: float, is_first: bool
+    ) -> "asyncio.Future[Place]":
+        """Write down that a request was granted; the future is done once that is durable."""
+        self.granted_in[self.journal.active] = at
+        return self._write(GrantRecord(client, at, is_first))
+
+    def note_counting(self, counts: bool) -> None:
+        """Write down whether this member grants its part of the limits."""
+        self.counts = counts
+        self._write(CountingRecord(counts))
+
     # Turns
 
     async def keep(self, message: Keep) -> Any:
@@ -398,15 +436,23 @@
                 del self.slots[program]
                 self.unsettled.programs.pop(program, None)
 
+    def _segments_with_grants(self) -> list[int]:
+        """Return the segments from which on grants lie that may still count."""
+        since = self.clock() - GRANTS_KEPT_S
+        self.granted_in = {each: at for each, at in self.granted_in.items() if at > since}
+        return list(self.granted_in)
+
     async def _drop_segments(self) -> None:
         """Copy what is still needed to the active segment, and remove the older ones."""
         active = self.journal.active
         needed = [where.place.segment for where in self.turns.values()]
+        needed += self._segments_with_grants()
         oldest = min(needed, default=active)
         if oldest <= min(self.journal.segments, default=active):
             return
         writes = [self._write(MembersRecord(self.replicas))]
         writes += [self._write(EndRecord(end)) for end in self.unsettled.all()]
+        writes.append(self._write(CountingRecord(self.counts)))
         for program, slot in self.slots.items():
             writes.append(
                 self._write(AcceptRecord(program, slot.promised, slot.accepted, slot.account))
--- a/waxwingglade/platform/process.py
+++ b/waxwingglade/platform/process.py
@@ -106,11 +106,13 @@
 
 async def run_ledger(settings: NodeSettings, stop: asyncio.Event) -> None:
     """Run a ledger process until it is told to stop."""
+    from waxwingglade.decisions.quota import QuotaRules  # noqa: PLC0415
     from waxwingglade.ledger.node import LedgerNode, LedgerSettings  # noqa: PLC0415
 
     end_loading()
     if settings.data_dir is None:
         raise SettingsError("a ledger process needs a data folder")
+    bounds = settings.bounds
     node = LedgerNode(
         LedgerSettings(
             vm=settings.node_name,
@@ -121,6 +123,8 @@
             zones=len(settings.zones),
             metrics=f"{settings.ip}:{METRICS_PORT}",
             status_prefix=registry.RETIRE_STATUS_PREFIX,
+            quota=QuotaRules(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack),
+            bootstrap=settings.bootstrap,
         ),
         PlatformStore(settings.provider.address),
         KEYS,
