Soak: client accounts with limits, and keys that are replaced

Checked from what servers ran: the account told is that of the key, the key is not passed on, none is honoured later than its bound, no window is above a limit, no good key is denied; each check is shown to fail on a history that breaks it.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -11,6 +11,7 @@
 import tempfile
 import tomllib
 from pathlib import Path
+from typing import ClassVar
 
 from tests.ports import ReservedPorts
 from waxwingglade.base import WaxwinggladeError
@@ -59,7 +60,9 @@
     return [sys.executable, *run.split()[1:]]
 
 
-def configuration(version: int, extra: list[dict] | None = None) -> dict:
+def configuration(
+    version: int, extra: list[dict] | None = None, tenants: list[dict] | None = None
+) -> dict:
     """Return a configuration of the operator, as it lies in the store."""
     common = {
         "host": HOST,
@@ -98,7 +101,9 @@
         *(extra or []),
     ]
     engine = {"slots": 8, "kv_capacity": 100_000, "stride": TOKENS_PER_EVENT}
+    accounts = {} if tenants is None else {"tenants": tenants}
     return {
+        **accounts,
         "version": version,
         "routes": routes,
         "services": [
@@ -143,7 +148,7 @@
             "port_range": [first, first],
             "bootstrap": True,
             "data_dir": str(data) if purpose == "storage" else None,
-            "bounds": {"grace_s": GRACE_S},
+            "bounds": {"grace_s": GRACE_S, **cluster.bounds},
             "fault_tolerance": {"machines": 1, "zones": 1},
             "provider": {"address": cluster.store_address(self.name)},
         }
@@ -210,8 +215,20 @@
         Where the processes are started; another checkout than this one, to compare two versions.
     libraries : Path or None
         Folder of the libraries that they use; None for those of this interpreter.
+
+    Attributes
+    ----------
+    bounds : dict
+        Bounds of the platform in the settings of all processes, beside the grace.
+    tenants : list of dict or None
+        Client accounts of the first configuration.
+    key : str
+        Key with which `call` sends requests; empty for none.
     """
 
+    bounds: ClassVar[dict[str, float]] = {}
+    tenants: list[dict] | None = None
+    key = ""
     server_type: type[RegisteredServer] = RegisteredServer
 
     def __init__(
@@ -229,7 +246,7 @@
         self.folder = Path(self.temporary.name)
         self.store = MetadataStore()
         self.store.start()
-        self.store.put("op/config", configuration(3))
+        self.store.put("op/config", configuration(3, tenants=self.tenants))
         self.engines = [self.server_type(self.store, "engines", events=4) for _ in range(2)]
         self.notes = [self.server_type(self.store, "notes") for _ in range(2)]
         self.entries = [Node(self, "front", number) for number in range(entries)]
@@ -310,6 +327,8 @@
         """
         request = str(headers.pop("request_id", f"request-{next(self.numbers)}"))
         pairs = [("Host", HOST), ("X-Waxwingglade-Request-Id", request)]
+        if self.key:
+            pairs.append(("Authorization", f"Bearer {self.key}"))
         for name, value in headers.items():
             pairs.append(("X-Waxwingglade-" + name.replace("_", "-").title(), str(value)))
         connection = await open_connection(f"{entry.ip}:{entry.port}", 2.0)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 import msgspec
 import typer
 
-from tests.soak.kinds import FIRST_KINDS, LEDGER_KINDS
+from tests.soak.kinds import FIRST_KINDS, LEDGER_KINDS, FaultKind
 from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
 from tests.soak.run import QUIET_SIZE, Size, soak
 
@@ -35,6 +35,9 @@
         bool,
         typer.Option(help="many sub-agents on slow disks, no faults; all other sizes are set"),
     ] = False,
+    accounts: Annotated[
+        bool, typer.Option(help="callers need keys, which are replaced; some have a limit")
+    ] = False,
     flush_ms: Annotated[
         float, typer.Option(help="milliseconds that a flush takes in a quiet run")
     ] = 1000
@@ -42,6 +45,8 @@
 ) -> None:
     """Run seeds one after the other; exit with 1 if a promise was broken."""
     size = Size(seconds, entries, programs, swarms=swarms)
+    if accounts:
+        size = msgspec.structs.replace(size, accounts=True, kinds=tuple(FaultKind))
     if ledger:
         size = LEDGER_SIZE
     if quiet:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -9,6 +9,7 @@
 
 from tests.platform_cluster import Node, PlatformCluster
 from tests.prove.relay import ADDRESS, STORE, Relays
+from tests.soak.accounts import BOUNDS, FREE, Accounts
 from waxwingglade.platform.registry import REPLICAS_KEY
 from waxwingglade.standins.metadata_store import MetadataStore
 from waxwingglade.standins.registered_server import RegisteredServer
@@ -65,6 +66,8 @@
         Ledger processes beside the three members, one in each zone.
     flush_s : float
         Seconds that a flush of a ledger process takes; 0 for the machine's own disk.
+    accounts : Accounts or None
+        Client accounts whose keys callers need.
 
     Attributes
     ----------
@@ -74,7 +77,18 @@
 
     server_type = SoakServer
 
-    def __init__(self, entries: int, spares: int = 0, flush_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        entries: int,
+        spares: int = 0,
+        flush_s: float = 0.0,
+        accounts: Accounts | None = None,
+    ) -> None:
+        self.accounts = accounts
+        if accounts is not None:
+            self.bounds = BOUNDS
+            self.tenants = accounts.tenants()
+            self.key = accounts.of(FREE)[0].text
         self.relays = Relays(dict)
         self.store_ports: dict[str, int] = {}
         self.wanted_entries = entries
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -86,6 +86,7 @@
             FaultKind.WIPE_SERIES: self._wipe_series,
             FaultKind.EMPTY_LEDGER: self._empty_ledger,
             FaultKind.FALTER_LEDGERS: self._falter_ledgers,
+            FaultKind.REVOKE: self._revoke,
         }
 
     async def run(self, seconds: float) -> None:
@@ -364,7 +365,20 @@
         path = f"/new{self.version}/"
         route = {"name": path, "host": HOST, "path_prefix": path, "kind": "safe"}
         self.routes.append({**route, "service": "notes", "max_attempts": 2})
-        self.cluster.store.put("op/config", configuration(self.version, self.routes))
+        self._write_configuration()
+
+    async def _revoke(self, _lasts_s: float) -> None:
+        accounts = self.cluster.accounts
+        assert accounts is not None
+        self._end(self._begin(FaultKind.REVOKE, "store"))
+        self.version += self.draw.randint(1, 5)
+        accounts.replace_key()
+        self._write_configuration()
+
+    def _write_configuration(self) -> None:
+        accounts = self.cluster.accounts
+        tenants = None if accounts is None else accounts.tenants()
+        self.cluster.store.put("op/config", configuration(self.version, self.routes, tenants))
 
 
 __all__ = ["Faults"]
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -32,6 +32,7 @@
     WIPE_SERIES = "all ledger processes lose their disks, one after the other"
     EMPTY_LEDGER = "a ledger process is emptied while another stands by"
     FALTER_LEDGERS = "ledger processes stand still for moments, each at its own times"
+    REVOKE = "an account's key is replaced by another"
 
 
 EVERYWHERE = "everywhere"
@@ -39,6 +40,9 @@
 FIRST_KINDS = tuple(FaultKind)[:20]
 """The kinds there were when the first seeds failed; with others a seed is another run."""
 
+USUAL_KINDS = tuple(kind for kind in FaultKind if kind is not FaultKind.REVOKE)
+"""All that may happen where callers need no keys."""
+
 LEDGER_KINDS = (
     FaultKind.PAUSE_LEDGER,
     FaultKind.KILL_LEDGER,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,11 +9,13 @@
 import msgspec
 
 from tests.platform_cluster import ORDER, STREAM, Node
+from tests.soak.account_checks import check_accounts
+from tests.soak.accounts import RULES, Accounts
 from tests.soak.broken_off import Ended, check_decided, check_whole
 from tests.soak.checks import check, check_drained
 from tests.soak.cluster import SoakCluster
 from tests.soak.faults import Faults
-from tests.soak.kinds import EVERYWHERE, FaultKind, Happening
+from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind, Happening
 from tests.soak.sub_agents import SubAgents
 from tests.soak.supervisor import Supervisor
 from tests.soak.workload import NO_ANSWER, Attempt, Callers
@@ -21,6 +23,7 @@
 RECOVERY_S = 15.0
 """Seconds after the last fault within which every entry serves turns again."""
 
+OVER_LIMIT = 429
 LATE_S = 1.0
 """Seconds that the servers are watched after the last request, for what runs too late."""
 
@@ -58,6 +61,8 @@
         Programs with sub-agents at a time; with others the same seed is another run.
     flush_s : float
         Seconds that a flush of a ledger process takes; 0 for the machine's own disk.
+    accounts : bool
+        Whether callers need the keys of client accounts.
     """
 
     seconds: float = 12.0
@@ -65,9 +70,10 @@
     programs: int = 6
     plain: int = 4
     spares: int = 1
-    kinds: tuple[FaultKind, ...] = tuple(FaultKind)
+    kinds: tuple[FaultKind, ...] = USUAL_KINDS
     swarms: int = 2
     flush_s: float = 0.001
+    accounts: bool = False
 
 
 QUIET_SIZE = Size(
@@ -98,7 +104,8 @@
     kept : Path or None
         Folder where the logs of a run that broke a promise are kept.
     """
-    cluster = SoakCluster(size.entries, size.spares, size.flush_s)
+    accounts = Accounts(random.Random(seed + 3_000_000)) if size.accounts else None
+    cluster = SoakCluster(size.entries, size.spares, size.flush_s, accounts)
     try:
         await cluster.open()
         callers = Callers(cluster, random.Random(seed))
@@ -108,6 +115,8 @@
         supervisor.start()
         working = asyncio.gather(callers.run(size.programs, size.plain), swarms.run(size.swarms))
         await faults.run(size.seconds)
+        if accounts is not None:
+            accounts.settled = True
         broken = faults.broken
         broken += await _check_recovery(cluster, callers, faults)
         callers.stopping = True
@@ -160,9 +169,13 @@
     for program, attempt in last.items():
         for _ in range(3):
             body = b"goes on"
-            later = await callers.send(STREAM, body, attempt.request, f"{program}-later", 400)
+            later = await callers.send(
+                STREAM, body, attempt.request, f"{program}-later", 400, account=attempt.account
+            )
             if later.status == 200:
                 break
+            if later.status == OVER_LIMIT:
+                await asyncio.sleep(RULES.window_s)
         else:
             broken.append(f"{attempt.request}: can't be continued, status {later.status}")
     return broken
@@ -176,6 +189,8 @@
         if not run.request.startswith("request-")
     ]
     broken = check(callers.attempts, runs)
+    if cluster.accounts is not None:
+        broken += check_accounts(callers.attempts, runs, cluster.accounts.keys)
     for server in cluster.retired:
         drained_at = faults.drained[server.name]
         calm = not _touched(faults.happened, STORE_TROUBLE, drained_at - 1.0, drained_at + 4.0)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,11 +7,14 @@
 import time
 import unittest
 from pathlib import Path
+from typing import ClassVar
 
 import msgspec
 
 from tests.platform_cluster import ORDER, ROUTE_S, STREAM
 from tests.prove.relay import ADDRESS, Relays
+from tests.soak.account_checks import check_accounts
+from tests.soak.accounts import FREE, LIMITED, LIMITS, REVOKE_S, RULES, Key
 from tests.soak.broken_off import AFTERMATH_S, Ended, check_decided, check_whole
 from tests.soak.checks import answer_to_turn, check, check_drained
 from tests.soak.cluster import SLOW_DISK, SoakServer
@@ -31,6 +34,18 @@
 SEED = 7
 LEDGER_SEED = 1001
 QUIET_SEED = 2
+ACCOUNTS_SEED = 3
+ACCOUNT_KINDS = (
+    FaultKind.REVOKE,
+    FaultKind.STORE_LINK,
+    FaultKind.STORE_SILENT,
+    FaultKind.PAUSE_ENTRY,
+    FaultKind.KILL_LEDGER,
+    FaultKind.KILL_ALL,
+)
+SHORT_ACCOUNTS = Size(
+    seconds=6.0, entries=3, programs=6, plain=4, kinds=ACCOUNT_KINDS, swarms=0, accounts=True
+)
 LEDGERS = ("storage-0", "storage-1", "storage-2", "storage-3")
 SENT_AT, BROKEN_AT = 100.0, 102.0
 PROMPT = b"asks"
@@ -69,6 +84,11 @@
     async def test_no_promise_is_broken_where_the_ledger_does_not_decide_in_time(self) -> None:
         await self.check(LEDGER_SEED, SHORT_LEDGER)
 
+    async def test_no_promise_is_broken_where_keys_are_taken_away_and_accounts_limited(
+        self,
+    ) -> None:
+        await self.check(ACCOUNTS_SEED, SHORT_ACCOUNTS)
+
     async def test_no_turn_is_broken_off_where_many_sub_agents_begin_at_once(self) -> None:
         outcome = await soak(QUIET_SEED, QUIET_SIZE, KEPT)
         self.assertEqual(outcome.broken, [])
@@ -280,5 +300,56 @@
         return Happening(kind, where, began_at, ended_at)
 
 
+class AccountChecksTest(unittest.TestCase):
+    """Each check of client accounts sees a history that breaks it."""
+
+    KEYS: ClassVar[dict[str, Key]] = {
+        "old": Key(LIMITED, "old", 0.0, 50.0),
+        "new": Key(LIMITED, "new", 40.0),
+    }
+
+    def broken(self, attempt: Attempt, **headers: str) -> list[str]:
+        told = {"x-waxwingglade-tenant": LIMITED, **headers}
+        run = Run(attempt.request, "POST", attempt.path, told, PROMPT, attempt.sent_at)
+        return check_accounts([attempt], [run], self.KEYS)
+
+    def test_a_sound_history_passes(self) -> None:
+        attempt = order(key="old", account=LIMITED, sent_at=50.0 + REVOKE_S)
+        self.assertEqual([], self.broken(attempt))
+
+    def test_a_key_that_was_taken_away_is_dead_after_its_time(self) -> None:
+        late = order(key="old", account=LIMITED, sent_at=50.1 + REVOKE_S)
+        self.assertIn("taken away", self.broken(late)[0])
+
+    def test_a_key_that_never_was_serves_nobody(self) -> None:
+        self.assertIn("never was", self.broken(order(key="forged"))[0])
+
+    def test_the_account_is_that_of_the_key(self) -> None:
+        attempt = order(key="new", account=LIMITED, sent_at=60.0)
+        wrong = self.broken(attempt, **{"x-waxwingglade-tenant": FREE})
+        self.assertIn("ran for free", wrong[0])
+
+    def test_a_key_is_not_passed_on(self) -> None:
+        attempt = order(key="new", account=LIMITED, sent_at=60.0)
+        self.assertIn("passed on", self.broken(attempt, authorization="Bearer new")[0])
+
+    def test_a_good_key_is_not_denied(self) -> None:
+        denied = order(key="new", account=LIMITED, sent_at=60.0, ended_at=60.1, status=401)
+        self.assertIn("401", check_accounts([denied], [], self.KEYS)[0])
+        early = msgspec.structs.replace(denied, sent_at=41.0)
+        self.assertEqual([], check_accounts([early], [], self.KEYS))
+
+    def test_no_window_is_above_the_limit_wherever_it_begins(self) -> None:
+        most = RULES.most(*LIMITS[LIMITED])
+        attempts = [
+            order(request=f"r{number}", key="new", account=LIMITED, sent_at=60.0 + number * 1e-3)
+            for number in range(most + 1)
+        ]
+        headers = {"x-waxwingglade-tenant": LIMITED}
+        runs = [Run(each.request, "", "", headers, b"", each.sent_at) for each in attempts]
+        self.assertEqual([], check_accounts(attempts, runs[:most], self.KEYS))
+        self.assertIn("allowed", check_accounts(attempts, runs, self.KEYS)[0])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -9,6 +9,7 @@
 
 from tests.platform_cluster import CALL, HOST, ORDER, STREAM, TOKENS_PER_EVENT, Node
 from tests.prove.relay import ADDRESS
+from tests.soak.accounts import FREE, LIMITED
 from tests.soak.cluster import SoakCluster
 from waxwingglade.base import WaxwinggladeError
 from waxwingglade.transport import Http1Connection, HttpRequest, open_connection
@@ -46,6 +47,8 @@
     previous: str | None = None
     program: str | None = None
     budget: int = 0
+    account: str = ""
+    key: str = ""
     status: int = NO_ANSWER
     whole: bool = False
     answer: bytes = b""
@@ -87,6 +90,7 @@
 
     async def _program(self, program: str) -> None:
         """Run turns that continue one another, or at times an earlier one, to the budget's end."""
+        account = self.draw_account()
         budget = self.draw.choice(BUDGETS)
         turns: list[str] = []
         for number in range(12):
@@ -94,7 +98,7 @@
                 return
             previous = self.draw.choice(turns[-2:]) if turns else None
             body = f"{program} asks {number}".encode()
-            attempt = await self.send(STREAM, body, previous, program, budget)
+            attempt = await self.send(STREAM, body, previous, program, budget, account=account)
             if attempt.status == 200 and attempt.whole:
                 turns.append(attempt.request)
             elif attempt.status in (402, 404):
@@ -104,9 +108,15 @@
     async def _plain_calls(self) -> None:
         while not self.stopping:
             path = self.draw.choice([CALL, ORDER])
-            await self.send(path, f"call {self.draw.random()}".encode())
+            body = f"call {self.draw.random()}".encode()
+            await self.send(path, body, account=self.draw_account())
             await asyncio.sleep(self.draw.random() * THINK_S)
 
+    def draw_account(self) -> str:
+        """Return the account of a program or call; empty where callers need no keys."""
+        accounts = self.cluster.accounts
+        return "" if accounts is None else accounts.draw.choice((FREE, LIMITED))
+
     async def send(
         self,
         path: str,
@@ -115,6 +125,7 @@
         program: str | None = None,
         budget: int = 0,
         entry: Node | None = None,
+        account: str = FREE,
     ) -> Attempt:
         """Send a request to some entry and record what comes back."""
         entry = entry or self.draw.choice(self.cluster.entries)
@@ -128,6 +139,9 @@
             program,
             budget,
         )
+        if self.cluster.accounts is not None:
+            attempt.account = account
+            attempt.key = self.cluster.accounts.draw_key(account)
         self.attempts.append(attempt)
         try:
             async with asyncio.timeout(PATIENCE_S):
@@ -169,6 +183,8 @@
 def headers_of(attempt: Attempt) -> list[tuple[str, str]]:
     """Return the headers of a request."""
     pairs = [("Host", HOST), ("X-Waxwingglade-Request-Id", attempt.request)]
+    if attempt.key:
+        pairs.append(("Authorization", f"Bearer {attempt.key}"))
     if attempt.program is not None:
         pairs += [
             ("X-Waxwingglade-Program-Id", attempt.program),
