Judge a program's first turn by what programs need over all accounts; explain refusals

Change: a program begins while those begun before leave anything of the part, and the size of a program is learnt over all accounts that are refused nothing.

--- a/waxwingglade/decisions/quota.py
+++ b/waxwingglade/decisions/quota.py
@@ -13,8 +13,8 @@
 
 import msgspec
 
-USUAL_REQUESTS = 20.0
-"""Requests of a program, before any was counted to its end."""
+USUAL_REQUESTS = 16.0
+"""Requests of a program, before any was counted."""
 
 MARGIN = 1.4
 """How many times its usual requests a program is taken to need while programs under way are
@@ -23,7 +23,7 @@
 PRESSED_S = 10.0
 """Seconds for which that goes on after a program under way was refused."""
 
-FORGETTING = 0.98
+FORGETTING = 0.99
 """Weight that what was counted of programs keeps with each later one."""
 
 
@@ -66,6 +66,32 @@
 GRANTED = Verdict(True)
 
 
+class ProgramSize:
+    """How many requests a program makes, over all accounts that are refused nothing.
+
+    Attributes
+    ----------
+    requests, programs : float
+        Requests and programs that were counted, the later ones with more weight.
+    """
+
+    def __init__(self) -> None:
+        self.requests = USUAL_REQUESTS
+        self.programs = 1.0
+
+    def note(self, is_first: bool) -> None:
+        """Count a request, with which a program may begin."""
+        if is_first:
+            self.requests *= FORGETTING
+            self.programs = self.programs * FORGETTING + 1
+        self.requests += 1
+
+    @property
+    def usual(self) -> float:
+        """Requests of a usual program."""
+        return self.requests / self.programs
+
+
 class Grants:
     """What one counter has granted to one account lately; times are monotonic seconds.
 
@@ -75,8 +101,6 @@
         When requests were granted, in order.
     begun : deque of float
         When requests with which programs begin were granted, in order.
-    requests_per_program : float
-        How many requests a program makes, learnt from programs that were refused nothing.
     refused_at : float
         When a request of a program under way was refused last.
     """
@@ -84,22 +108,13 @@
     def __init__(self) -> None:
         self.times: deque[float] = deque()
         self.begun: deque[float] = deque()
-        self.requests_per_program = USUAL_REQUESTS
-        self.since_begun = 0
         self.refused_at = float("-inf")
 
     def note(self, at: float, is_first: bool) -> None:
         """Count a request that was granted."""
         self.times.append(at)
-        self.since_begun += 1
-        if not is_first:
-            return
-        self.begun.append(at)
-        # Programs that were refused end early, and would pass for short ones.
-        if not self.times or self.refused_at < self.times[0]:
-            self.requests_per_program *= FORGETTING
-            self.requests_per_program += (1 - FORGETTING) * self.since_begun
-        self.since_begun = 0
+        if is_first:
+            self.begun.append(at)
 
     def give_back(self, is_first: bool) -> None:
         """Take back the grant of a request that reaches no target."""
@@ -107,6 +122,10 @@
             if times:
                 times.pop()
 
+    def pressed(self, now: float) -> bool:
+        """Return whether a program under way was refused lately."""
+        return now - self.refused_at < PRESSED_S
+
     def forget(self, before: float) -> None:
         """Forget what was granted before a moment."""
         for times in (self.times, self.begun):
@@ -114,7 +133,14 @@
                 times.popleft()
 
 
-def judge(grants: Grants, most: int, rules: QuotaRules, now: float, is_first: bool) -> Verdict:
+def judge(
+    grants: Grants,
+    most: int,
+    rules: QuotaRules,
+    now: float,
+    is_first: bool,
+    program_size: float = USUAL_REQUESTS,
+) -> Verdict:
     """Judge one request, letting programs under way go before new ones.
 
     Parameters
@@ -125,6 +151,8 @@
         What it may grant in a window.
     is_first : bool
         Whether a program begins with the request.
+    program_size : float
+        Requests of a usual program.
     """
     grants.forget(now - rules.window_s)
     verdict = judge_in_order(grants, most, rules, now)
@@ -132,15 +160,19 @@
         grants.refused_at = now
     if not verdict.granted or not is_first or not grants.begun:
         return verdict
-    pressed = now - grants.refused_at < PRESSED_S
-    needed = grants.requests_per_program * (MARGIN if pressed else 1.0)
-    if (len(grants.begun) + 1) * needed <= most:
+    needed = program_size * (MARGIN if grants.pressed(now) else 1.0)
+    if len(grants.begun) * needed < most:
         return verdict
     return Verdict(False, grants.begun[0] + rules.window_s - now)
 
 
 def judge_in_order(
-    grants: Grants, most: int, rules: QuotaRules, now: float, _is_first: bool = False
+    grants: Grants,
+    most: int,
+    rules: QuotaRules,
+    now: float,
+    _is_first: bool = False,
+    _program_size: float = USUAL_REQUESTS,
 ) -> Verdict:
     """Judge one request by what was granted alone, whichever it is."""
     grants.forget(now - rules.window_s)
@@ -151,4 +183,12 @@
     return Verdict(False, grants.times[-most] + rules.window_s - now)
 
 
-__all__ = ["GRANTED", "Grants", "QuotaRules", "Verdict", "judge", "judge_in_order"]
+__all__ = [
+    "GRANTED",
+    "Grants",
+    "ProgramSize",
+    "QuotaRules",
+    "Verdict",
+    "judge",
+    "judge_in_order",
+]
--- a/waxwingglade/explain/cause.py
+++ b/waxwingglade/explain/cause.py
@@ -38,6 +38,24 @@
         "not run: the engines have all that they can do",
         "by the loads that the entry believed no engine could begin the turn in time",
     ),
+    Cause(
+        "not run: the client account is over its limit",
+        "no ledger member that was asked had room left in its part of the account's limit; see "
+        "'over the limit here' in the ledgers' lines around it",
+    ),
+    Cause(
+        "not run: keys were confirmed",
+        "the entry had not heard of the store for longer than a key that was taken away, or one "
+        "that was added, may go unnoticed",
+    ),
+    Cause(
+        "not run: limits were confirmed",
+        "the ledger member asked had not heard of the store for so long that others may grant its "
+        "part of the limits",
+    ),
+    Cause("not run: no member granted", "no ledger member that counts limits answered in time"),
+    Cause("no key", "the request named no key, or more than one, on a route that needs one"),
+    Cause("unknown key", "no client account of the configuration in force holds the request's key"),
     Cause("not run: the time of the request is over", "no target had taken it in its time"),
     Cause(
         "not run: no route for a turn that goes on", "the entry's configuration was an older one"
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -13,10 +13,11 @@
     from waxwingglade.ingress.serving import Trace
 
 PREFIX = "waxwingglade_ingress_"
-MOST_ROUTES = 50
-"""Routes with series of their own; a configuration may have hundreds, the rest counts as one."""
+MOST_NAMES = 50
+"""Routes, and client accounts, with series of their own; a configuration may have hundreds, and the
+rest counts as one."""
 
-OTHER_ROUTE = "other"
+OTHER = "other"
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.41, 1.0, 2.0, 3.0, 5.0, float("inf"))
 """Upper bounds in seconds; the aims to the first event, 0.2 and 0.41 s, are among them."""
 
@@ -27,9 +28,13 @@
     def __init__(self) -> None:
         self.registry = Registry()
         self.routes: set[str] = set()
+        self.accounts: set[str] = set()
         self.requests = self._count(
             "requests_total", "Answers by route and status.", "route", "status"
         )
+        self.by_account = self._count(
+            "account_requests_total", "Answers by client account and status.", "account", "status"
+        )
         self.refusals = self._count(
             "refusals_total", "Answers of this system by reason.", "route", "status"
         )
@@ -44,6 +49,7 @@
         self.keep = self._time("keep_seconds", "Waiting for the ledger to keep a turn.")
         self.tallies = (
             self.requests,
+            self.by_account,
             self.refusals,
             self.attempts,
             self.seconds,
@@ -63,10 +69,12 @@
 
     def note(self, exchange: "Exchange", trace: "Trace", seconds: float) -> None:
         """Count one request."""
-        route = self._label(trace.route)
+        route = _label(self.routes, trace.route)
         status = str(exchange.status)
         self.requests.add(route, status)
         self.seconds.observe(seconds, route)
+        if trace.account:
+            self.by_account.add(_label(self.accounts, trace.account), status)
         if trace.first_event_s is not None:
             self.first_event.observe(trace.first_event_s, route)
         if trace.reserved_s is not None:
@@ -78,19 +86,12 @@
         for record in trace.attempts.records if trace.attempts else []:
             self.attempts.add(record.verdict.value if record.verdict else "open")
 
-    def _label(self, route: str) -> str:
-        if route in self.routes:
-            return route
-        if len(self.routes) >= MOST_ROUTES:
-            return OTHER_ROUTE
-        self.routes.add(route)
-        return route
-
     def text(self, ingress: "Ingress") -> str:
         """Return all metrics in Prometheus's text format."""
         facts = {
             "configuration_version": float(ingress.beliefs.view.version),
             "view_age_seconds": min(ingress.beliefs.age_s, 1e6),
+            "view_incomplete_seconds": min(ingress.beliefs.incomplete_s, 1e6),
             "ledger_epoch": float(ingress.beliefs.view.replicas.epoch),
             "ledger_reached": float(ingress.reaches_ledger),
             "ready": float(ingress.ready),
@@ -108,4 +109,14 @@
         return content.decode()
 
 
+def _label(known: set[str], name: str) -> str:
+    """Return the name under which something is counted; those that came first have their own."""
+    if name in known:
+        return name
+    if len(known) >= MOST_NAMES:
+        return OTHER
+    known.add(name)
+    return name
+
+
 __all__ = ["IngressMetrics"]
--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -9,7 +9,7 @@
 from waxwingglade.base import Clock, monotonic
 from waxwingglade.base.logs import Sampler
 from waxwingglade.decisions.parts import PartRules, Parts
-from waxwingglade.decisions.quota import Grants, QuotaRules, judge
+from waxwingglade.decisions.quota import Grants, ProgramSize, QuotaRules, judge
 from waxwingglade.follow.feed import Beliefs
 from waxwingglade.follow.model import ClientAccount, ClientAccountId, Configuration
 from waxwingglade.ledger.messages import QuotaSpent, QuotaTaken, TakeQuota, Unavailable
@@ -65,6 +65,7 @@
         self.parts = Parts(self.part_rules, replica.disk)
         self.configuration: Configuration | None = None
         self.accounts: dict[ClientAccountId, ClientAccount] = {}
+        self.program_size = ProgramSize()
         self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
 
     def open(self) -> None:
@@ -97,11 +98,14 @@
         most = self.rules.most(account.rate_per_s, account.burst)
         part = self.parts.of(most, client, now)
         grants = self.replica.grants.setdefault(client, Grants())
-        verdict = judge(grants, part, self.rules, now, is_first)
+        verdict = judge(grants, part, self.rules, now, is_first, self.program_size.usual)
         if not verdict.granted:
             self._log(account, part, grants)
             return QuotaSpent(verdict.retry_s)
         grants.note(now, is_first)
+        if not grants.pressed(now):
+            # Programs that were refused end early, and would pass for short ones.
+            self.program_size.note(is_first)
         return Granted(self.replica.note_grant(client, now, is_first))
 
     def give_back(self, client: ClientAccountId, is_first: bool) -> None:
