Tell callers of a cut-off entry early, and when the balancer sends them elsewhere

Cause: a turn that was run whole in a zone cut off from the ledger was held until its caller's time was over, two to three seconds, and one that waited to begin for 0.9 s; both came back to the same zone after a fixed second, often before the balancer had moved them.

Change: an entry waits for the ledger until its majority is out of reach for 0.1 s (to begin) or 0.5 s (to keep a turn), however long it waited before; a ledger that says that it reaches its majority is waited for as before. The time to come back follows from the balancer's questions and the answers that it got.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -25,6 +25,7 @@
 from waxwingglade.ingress.exchange import CallerGone, Exchange
 from waxwingglade.ingress.metrics import IngressMetrics
 from waxwingglade.ingress.quota import take_quota
+from waxwingglade.ingress.reach import Reach, Rotation
 from waxwingglade.ingress.refusal import Refusal, own_answer
 from waxwingglade.ingress.request_log import RequestLog
 from waxwingglade.ingress.routes import RouteTable
@@ -37,8 +38,8 @@
     serve_plain,
 )
 from waxwingglade.ingress.settings import IngressSettings
-from waxwingglade.ingress.streaming import serve_stream
-from waxwingglade.ledger.client import BEGIN_S, LedgerClient
+from waxwingglade.ingress.streaming import LedgerWay, serve_stream
+from waxwingglade.ledger.client import LedgerClient
 from waxwingglade.ledger.messages import LedgerMessage
 from waxwingglade.transport import ConnectionPool
 from waxwingglade.transport.links import Codec, Links
@@ -58,10 +59,6 @@
 """Seconds without word of a majority of the ledger after which callers should go elsewhere.  Word
 comes twice a second; the balancer takes two seconds more to act on it."""
 
-HOPELESS_S = 0.1
-"""Seconds that a turn waits for the ledger while no majority is reached; a decision takes some 5
-ms, and a caller that is refused early can go elsewhere."""
-
 PRIORITY_STEP = 2
 LAST_PRIORITY = 9
 """Ranks of routes map to the engines' priorities 2, 4 and so on, up to the last."""
@@ -113,7 +110,8 @@
         self.table: RouteTable | None = None
         self.draining = False
         self.taking = True
-        self.reached_before = False
+        self.reach = Reach(lambda: self.reaches_ledger)
+        self.rotation = Rotation()
         self.open_exchanges: dict[object, Exchange] = {}
         self.running: set[asyncio.Task] = set()
         self.callers: HTTPServer | None = None
@@ -197,7 +195,9 @@
     @property
     def ready_status(self) -> int:
         """Answer to the balancer's question."""
-        return 200 if self.ready else 503
+        ready = self.ready
+        self.rotation.note(ready)
+        return 200 if ready else 503
 
     @property
     def reaches_ledger(self) -> bool:
@@ -273,10 +273,9 @@
 
     def _log_quorum(self) -> None:
         """Log when a majority of the ledger is lost and reached again."""
-        if self.reaches_ledger == self.reached_before:
+        if not self.reach.look():
             return
-        self.reached_before = self.reaches_ledger
-        event = "ledger quorum regained" if self.reached_before else "ledger quorum lost"
+        event = "ledger quorum regained" if self.reach.reached else "ledger quorum lost"
         logger.bind(epoch=self.beliefs.view.replicas.epoch, ready=self.ready).warning(event)
 
     def _use_watcher(self) -> None:
@@ -359,8 +358,9 @@
         try:
             async with asyncio.timeout(left_s):
                 if is_stream(serving.route):
-                    patience_s = BEGIN_S if self.reaches_ledger else HOPELESS_S
-                    await serve_stream(serving, attempts, self.ledger, self._priority, patience_s)
+                    self._log_quorum()
+                    way = LedgerWay(self.ledger, self.reach, self.rotation)
+                    await serve_stream(serving, attempts, way, self._priority)
                 else:
                     await take_quota(serving, self.ledger)
                     await serve_plain(serving, attempts, self._priority)
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -12,6 +12,7 @@
 from waxwingglade.ingress.balance import Balancer, History
 from waxwingglade.ingress.events import Event, EventSplitter, StreamError
 from waxwingglade.ingress.quota import over_limit, take_quota
+from waxwingglade.ingress.reach import LedgerLost, Reach, Rotation
 from waxwingglade.ingress.refusal import BUDGET_SPENT, NOT_FOUND, UNAVAILABLE, Refusal
 from waxwingglade.ingress.serving import (
     Priority,
@@ -20,7 +21,7 @@
     give_up_unless_repeatable,
     open_answer,
 )
-from waxwingglade.ledger.client import LedgerClient
+from waxwingglade.ledger.client import BEGIN_S, LedgerClient
 from waxwingglade.ledger.messages import (
     BeginTurn,
     BudgetSpent,
@@ -30,13 +31,18 @@
     QuotaSpent,
     Turn,
     TurnBegun,
+    Unavailable,
 )
 from waxwingglade.transport import Broken
 
 OK = 200
-AWAY_RETRY_S = 1.0
-"""Seconds after which a caller may come back with a turn for which no majority was reached; the
-balancer takes two to three to send it to another zone."""
+HOPELESS_S = 0.1
+"""Seconds that a turn waits to begin while no majority is in reach; a decision takes some 5 ms, and
+a caller that is refused early can go elsewhere."""
+
+KEEP_LOST_S = 0.5
+"""Seconds that a turn waits to be kept while no majority is in reach; longer than a majority is out
+of reach while a member restarts."""
 
 BUSY_RETRY_S = 0.3
 """The same for a turn that came while all replicas had as much to decide as they can answer in
@@ -67,23 +73,22 @@
     failed_at: IncarnationName | None = None
 
 
+class LedgerWay(msgspec.Struct):
+    """An entry's way to the ledger, and what is known of whether it is open."""
+
+    ledger: LedgerClient
+    reach: Reach
+    rotation: Rotation
+
+
 async def serve_stream(
-    serving: Serving,
-    attempts: Attempts,
-    ledger: LedgerClient,
-    priority: Priority,
-    patience_s: float,
+    serving: Serving, attempts: Attempts, way: LedgerWay, priority: Priority
 ) -> None:
-    """Serve a call whose events are passed on as they come.
-
-    Parameters
-    ----------
-    patience_s : float
-        Seconds to wait for the ledger's leave.
-    """
+    """Serve a call whose events are passed on as they come."""
+    ledger = way.ledger
     _admit(serving, attempts.balancer, _begins_a_chain(serving))
     relay = Relay(last_event=serving.call.last_event if serving.route.resumable else None)
-    prompt = await _begin_turn(serving, attempts, ledger, patience_s)
+    prompt = await _begin_turn(serving, attempts, way)
     ended = False
     try:
         if _begins_an_account(serving, attempts):
@@ -91,7 +96,7 @@
         await _relay_attempts(serving, attempts, relay, prompt, priority)
         if serving.exchange.done:
             return
-        await _end_turn(serving, ledger, relay)
+        await _end_turn(serving, way, relay)
         ended = True
     finally:
         # Whatever cuts a turn off, also while it is being kept, its reservation is replaced;
@@ -131,11 +136,9 @@
         raise Refusal(UNAVAILABLE, "not run: the engines have all that they can do", retry_s)
 
 
-async def _begin_turn(
-    serving: Serving, attempts: Attempts, ledger: LedgerClient, patience_s: float
-) -> bytes:
-    """Reserve the turn's tokens within `patience_s` seconds, and return the whole prompt."""
-    call = serving.call
+async def _begin_turn(serving: Serving, attempts: Attempts, way: LedgerWay) -> bytes:
+    """Reserve the turn's tokens, and return the whole prompt."""
+    call, ledger = serving.call, way.ledger
     previous = call.previous_turn if serving.route.keeps_turns else None
     budget = _budget(serving)
     if previous is None and budget is None:
@@ -152,7 +155,10 @@
     )
     asked_at = time.monotonic()
     try:
-        answer = await ledger.begin(message, min(serving.time_left(), patience_s))
+        begun = ledger.begin(message, min(serving.time_left(), BEGIN_S))
+        answer = await way.reach.wait(begun, HOPELESS_S)
+    except LedgerLost:
+        answer = Unavailable("no majority is in reach")
     except asyncio.CancelledError:
         # The ledger may have reserved the tokens, and no other turn could use them any more.
         _settle_refused(serving, ledger)
@@ -173,7 +179,7 @@
     # Its caller's next turn would count this one if all who know of its end were killed.
     await ledger.noted(_settle_refused(serving, ledger))
     reason = f"not run: the ledger did not decide: {answer.reason}"
-    raise Refusal(UNAVAILABLE, reason, AWAY_RETRY_S)
+    raise Refusal(UNAVAILABLE, reason, way.rotation.elsewhere_s)
 
 
 def _history(serving: Serving, begun: TurnBegun) -> History | None:
@@ -228,16 +234,20 @@
     return [] if message.program is None else ledger.settle_refused(message)
 
 
-async def _end_turn(serving: Serving, ledger: LedgerClient, relay: Relay) -> None:
+async def _end_turn(serving: Serving, way: LedgerWay, relay: Relay) -> None:
     """End the stream as complete, once the turn is kept."""
     message = _end_message(serving, relay, keep=True)
     if message.kept is None:
         await serving.exchange.end_stream()
         if message.program is not None:
-            ledger.settle_later(message)
+            way.ledger.settle_later(message)
         return
     asked_at = time.monotonic()
-    kept = await ledger.end(message, serving.time_left())
+    try:
+        kept = await way.reach.wait(way.ledger.end(message, serving.time_left()), KEEP_LOST_S)
+    except LedgerLost:
+        kept = False
+        _settle(serving, way.ledger, relay)
     serving.trace.kept_s = round(time.monotonic() - asked_at, 4)
     if not kept:
         serving.trace.reason = "the turn could not be kept"
@@ -310,4 +320,4 @@
     await serving.exchange.write(event.raw)
 
 
-__all__ = ["serve_stream"]
+__all__ = ["LedgerWay", "serve_stream"]
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -241,6 +241,7 @@
             self.ingress = Ingress(settings, cast(Store, mock.Mock()), KEYS, DIALECT)
         self.ingress.ledger = cast(LedgerClient, self.ledger)
         self.ingress.follower.quorum_at = float("inf")
+        self.ingress.reach.look()
         self.address = ""
 
     async def start(self) -> None:
--- a/waxwingglade/ingress/tests/test_admission.py
+++ b/waxwingglade/ingress/tests/test_admission.py
@@ -8,9 +8,10 @@
 from waxwingglade.follow.model import CallKind, IncarnationName
 from waxwingglade.ingress.balance import Balancer
 from waxwingglade.ingress.dialect import LoadStamp
+from waxwingglade.ingress.reach import Reach, Rotation
 from waxwingglade.ingress.refusal import UNAVAILABLE, Refusal
 from waxwingglade.ingress.serving import Serving, Trace
-from waxwingglade.ingress.streaming import serve_stream
+from waxwingglade.ingress.streaming import LedgerWay, serve_stream
 from waxwingglade.ingress.tests.builders import ENGINES, NOTES, call, route, target, targets
 from waxwingglade.ledger.messages import EndTurn, TurnBegun
 
@@ -45,7 +46,10 @@
         serving = Serving(mock.Mock(), made, turns, service, Trace(), end_at)
         attempts = mock.Mock(balancer=self.balancer, history=None, failed_at=None)
         with self.assertRaises(Refusal) as caught:
-            await serve_stream(serving, attempts, ledger, mock.Mock(), 1.0)
+            reach = Reach(lambda: True)
+            reach.look()
+            way = LedgerWay(ledger, reach, Rotation())
+            await serve_stream(serving, attempts, way, mock.Mock())
         return caught.exception
 
     def crowd(self, *waiting: int) -> None:
--- /dev/null
+++ b/waxwingglade/ingress/tests/test_reach.py
@@ -0,0 +1,133 @@
+"""What an entry does for its callers once it is cut off from the ledger, and while it is only slow.
+
+A zone that is cut off holds its callers' turns: none begins, and none that an engine has run can be
+kept.  Callers told early come back in time for another zone; those of a ledger that is merely slow
+wait for it.
+"""
+
+import asyncio
+import time
+import unittest
+
+from waxwingglade.ingress.reach import MISSES, MOVE_S, LedgerLost, Reach, Rotation
+from waxwingglade.ingress.streaming import HOPELESS_S, KEEP_LOST_S
+from waxwingglade.ingress.tests.entry_builders import (
+    TURNS,
+    Behaviour,
+    EntryUnderTest,
+    FakeTarget,
+    until,
+)
+from waxwingglade.transport import Broken
+
+ROUTE_S = 3.0
+SLACK_S = 0.4
+
+
+class RotationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 100.0
+        self.rotation = Rotation(lambda: self.now)
+
+    def test_callers_go_elsewhere_after_two_bad_answers_a_second_apart(self) -> None:
+        self.rotation.note(True)
+        self.now += 0.4
+        self.assertAlmostEqual(1.6 + MOVE_S, self.rotation.elsewhere_s)
+        self.now += 0.6
+        self.rotation.note(False)
+        self.assertAlmostEqual(1.0 + MOVE_S, self.rotation.elsewhere_s)
+        self.now += 1.0
+        self.rotation.note(False)
+        self.assertAlmostEqual(MOVE_S, self.rotation.elsewhere_s)
+
+    def test_a_good_answer_in_between_begins_anew(self) -> None:
+        for ready in (False, True):
+            self.rotation.note(ready)
+        self.assertAlmostEqual(MISSES + MOVE_S, self.rotation.elsewhere_s)
+
+    def test_before_it_was_asked_it_is_taken_to_be_asked_soon(self) -> None:
+        self.assertLessEqual(self.rotation.elsewhere_s, MISSES + MOVE_S)
+
+
+class ReachTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.reaches = True
+        self.reach = Reach(lambda: self.reaches)
+        self.reach.look()
+
+    def lose(self, lost: bool = True) -> None:
+        self.reaches = not lost
+        self.reach.look()
+
+    async def test_while_the_majority_is_in_reach_it_waits(self) -> None:
+        self.assertEqual("kept", await self.reach.wait(asyncio.sleep(0.2, "kept"), 0.01))
+
+    async def test_a_majority_that_is_lost_while_it_waits_ends_it(self) -> None:
+        asyncio.get_running_loop().call_later(0.1, self.lose)
+        began_at = time.monotonic()
+        with self.assertRaises(LedgerLost):
+            await self.reach.wait(asyncio.sleep(5.0), 0.1)
+        self.assertLess(time.monotonic() - began_at, 0.2 + SLACK_S)
+        self.assertEqual({}, self.reach.waiting)
+
+    async def test_a_majority_that_comes_back_is_waited_for(self) -> None:
+        self.lose()
+        asyncio.get_running_loop().call_later(0.05, self.lose, False)
+        self.assertEqual("kept", await self.reach.wait(asyncio.sleep(0.4, "kept"), 0.2))
+
+    async def test_an_error_of_what_was_asked_is_its_own(self) -> None:
+        async def fails() -> None:
+            raise TimeoutError("its own")
+
+        with self.assertRaisesRegex(TimeoutError, "its own"):
+            await self.reach.wait(fails(), 1.0)
+
+
+class CutTest(unittest.IsolatedAsyncioTestCase):
+    """An entry whose turn an engine has run whole when its zone is cut off."""
+
+    async def asyncSetUp(self) -> None:
+        self.entry = EntryUnderTest(FakeTarget(Behaviour.EVENTS), timeout_s=ROUTE_S)
+        self.addAsyncCleanup(self.entry.stop)
+        await self.entry.start()
+
+    def cut_off(self) -> None:
+        self.entry.ingress.follower.quorum_at = float("-inf")
+        self.entry.ingress.reach.look()
+
+    async def test_a_turn_that_can_not_be_kept_is_broken_off_while_there_is_time(self) -> None:
+        self.entry.ledger.may_end.clear()
+        began_at = time.monotonic()
+        call = asyncio.create_task(self.entry.call(TURNS, "r1"))
+        self.assertTrue(await until(lambda: self.entry.ledger.ended, 1.0))
+        self.cut_off()
+        with self.assertRaises(Broken):
+            await call
+        self.assertLess(time.monotonic() - began_at, KEEP_LOST_S + SLACK_S)
+        self.assertTrue(self.entry.ledger.settled)
+
+    async def test_a_turn_that_waits_to_begin_is_refused_with_when_to_come_back(self) -> None:
+        self.entry.ledger.may_begin.clear()
+        self.entry.ingress.rotation.note(False)
+        began_at = time.monotonic()
+        connection = await self.entry.send(TURNS)
+        self.addCleanup(connection.close)
+        self.assertTrue(await until(lambda: self.entry.ledger.begun, 1.0))
+        self.cut_off()
+        head = await connection.read_head(lambda _: True)
+        self.assertLess(time.monotonic() - began_at, HOPELESS_S + SLACK_S)
+        self.assertEqual(503, head.status)
+        self.assertLessEqual(float(head.header("Retry-After") or 0.0), 1.0 + MOVE_S)
+
+    async def test_a_ledger_that_is_slow_and_in_reach_is_waited_for(self) -> None:
+        self.entry.ledger.may_end.clear()
+        call = asyncio.create_task(self.entry.call(TURNS, "r1"))
+        self.assertTrue(await until(lambda: self.entry.ledger.ended, 1.0))
+        await asyncio.sleep(2 * KEEP_LOST_S)
+        self.entry.ledger.may_end.set()
+        status, _ = await call
+        self.assertEqual(200, status)
+
+
+if __name__ == "__main__":
+    unittest.main()
