Judge an account's programs at one member, and hold requests that find room soon

Most windows that were too full were so by a few requests, and a program under way that was refused one had no try left.

Change: one member, the same for all entries, judges which programs of an account begin, against the whole limit and with a margin that grows with what is refused to programs under way; the parts of the members keep the limit itself. A request that finds no room waits for it up to half a second.

--- a/waxwingglade/ingress/quota.py
+++ b/waxwingglade/ingress/quota.py
@@ -1,12 +1,26 @@
 """The limits of client accounts, as an entry asks for them."""
 
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
 from waxwingglade.ingress.refusal import TOO_MANY, UNAVAILABLE, Refusal
 from waxwingglade.ingress.serving import Serving
 from waxwingglade.ledger.client import LedgerClient
 from waxwingglade.ledger.messages import QuotaSpent, QuotaTaken, TakeQuota
 
+HOLD_S = 0.5
+"""Longest time in seconds for which a request of a program under way waits for room.  Refused, its
+caller may have no try left; programs allow for some fractions of a second."""
+
+SHORTEST_PAUSE_S = 0.02
+"""Seconds before room is asked for again, at least."""
+
+T = TypeVar("T")
+
 
-async def take_quota(serving: Serving, ledger: LedgerClient, is_first: bool = False) -> None:
+async def take_quota(serving: Serving, ledger: LedgerClient) -> None:
     """Have a call granted within the limit of its client account, if it has one.
 
     Raises
@@ -17,17 +31,50 @@
     account = serving.account
     if account is None or account.rate_per_s <= 0:
         return
-    answer = await ledger.take(TakeQuota(account.name, is_first), serving.time_left())
+    message = TakeQuota(account.name)
+    answer = await hold(lambda: ledger.take(message, serving.time_left()))
     if isinstance(answer, QuotaTaken):
         return
     if isinstance(answer, QuotaSpent):
-        raise over_limit(answer)
+        raise over_limit(serving, ledger, answer)
     raise Refusal(UNAVAILABLE, f"not run: {answer.reason}")
 
 
-def over_limit(spent: QuotaSpent) -> Refusal:
-    """Return the refusal of a call beyond the limit of its client account."""
+async def may_begin_program(serving: Serving, ledger: LedgerClient) -> None:
+    """Raise a `Refusal` if a call's account should begin no program now.
+
+    Its limit would not carry the program to its end, and those under way would lose by it.
+    """
+    account = serving.account
+    if account is None or account.rate_per_s <= 0:
+        return
+    spent = await ledger.begin_program(account.name)
+    if spent is not None:
+        raise _refusal(spent)
+
+
+async def hold(ask: Callable[[], Awaitable[T]]) -> T:
+    """Ask for room until there is some, for `HOLD_S` seconds at most; return the last answer."""
+    end_at = time.monotonic() + HOLD_S
+    while True:
+        answer = await ask()
+        if not isinstance(answer, QuotaSpent):
+            return answer
+        pause_s = max(SHORTEST_PAUSE_S, answer.retry_s)
+        if time.monotonic() + pause_s > end_at:
+            return answer
+        await asyncio.sleep(pause_s)
+
+
+def over_limit(serving: Serving, ledger: LedgerClient, spent: QuotaSpent) -> Refusal:
+    """Return the refusal of a call beyond the limit of its client account, and note it."""
+    assert serving.account is not None
+    ledger.note_refused(serving.account.name)
+    return _refusal(spent)
+
+
+def _refusal(spent: QuotaSpent) -> Refusal:
     return Refusal(TOO_MANY, "not run: the client account is over its limit", spent.retry_s)
 
 
-__all__ = ["over_limit", "take_quota"]
+__all__ = ["hold", "may_begin_program", "over_limit", "take_quota"]
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -11,7 +11,7 @@
 from waxwingglade.ingress.attempt import MAX_ANSWER_BYTES, Attempts, Head
 from waxwingglade.ingress.balance import Balancer, History
 from waxwingglade.ingress.events import Event, EventSplitter, StreamError
-from waxwingglade.ingress.quota import over_limit, take_quota
+from waxwingglade.ingress.quota import hold, may_begin_program, over_limit, take_quota
 from waxwingglade.ingress.reach import LedgerLost, Reach, Rotation
 from waxwingglade.ingress.refusal import BUDGET_SPENT, NOT_FOUND, UNAVAILABLE, Refusal
 from waxwingglade.ingress.serving import (
@@ -142,8 +142,10 @@
     previous = call.previous_turn if serving.route.keeps_turns else None
     budget = _budget(serving)
     if previous is None and budget is None:
-        await take_quota(serving, ledger, _begins_a_chain(serving))
+        await take_quota(serving, ledger)
         return call.body
+    if _begins_a_chain(serving):
+        await may_begin_program(serving, ledger)
     message = BeginTurn(
         serving.turn,
         call.program if budget is not None else None,
@@ -155,8 +157,11 @@
     )
     asked_at = time.monotonic()
     try:
-        begun = ledger.begin(message, min(serving.time_left(), BEGIN_S))
-        answer = await way.reach.wait(begun, HOPELESS_S)
+        answer = await hold(
+            lambda: way.reach.wait(
+                ledger.begin(message, min(serving.time_left(), BEGIN_S)), HOPELESS_S
+            )
+        )
     except LedgerLost:
         answer = Unavailable("no majority is in reach")
     except asyncio.CancelledError:
@@ -173,7 +178,7 @@
     if isinstance(answer, NoSuchTurn):
         raise Refusal(NOT_FOUND, "no such turn")
     if isinstance(answer, QuotaSpent):
-        raise over_limit(answer)
+        raise over_limit(serving, ledger, answer)
     if isinstance(answer, Busy):
         raise Refusal(UNAVAILABLE, "not run: the ledger has too much to do", BUSY_RETRY_S)
     # Its caller's next turn would count this one if all who know of its end were killed.
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -11,6 +11,7 @@
 from waxwingglade.follow.model import (
     CallKind,
     ClientAccount,
+    ClientAccountId,
     IncarnationName,
     Route,
     ServiceName,
@@ -158,6 +159,10 @@
         Requests that were to be granted within the limits of their accounts.
     spent : QuotaSpent or None
         Answer to all of them, if the accounts have no room.
+    no_program : QuotaSpent or None
+        Answer to programs that would begin, if their accounts have no room for them.
+    refused : list
+        Accounts of requests that were refused as over a limit.
     """
 
     def __init__(self) -> None:
@@ -167,6 +172,8 @@
         self.chain: tuple[Turn, ...] = ()
         self.taken: list[TakeQuota] = []
         self.spent: QuotaSpent | None = None
+        self.no_program: QuotaSpent | None = None
+        self.refused: list[ClientAccountId] = []
         self.failed_at: IncarnationName | None = None
         self.may_begin = asyncio.Event()
         self.may_end = asyncio.Event()
@@ -178,6 +185,14 @@
         self.taken.append(message)
         return self.spent or QuotaTaken()
 
+    async def begin_program(self, client: ClientAccountId) -> QuotaSpent | None:
+        """Let a program begin."""
+        return self.no_program
+
+    def note_refused(self, client: ClientAccountId) -> None:
+        """Note a refusal."""
+        self.refused.append(client)
+
     async def begin(self, message: BeginTurn, timeout_s: float) -> TurnBegun | QuotaSpent:
         """Begin a turn."""
         if self.spent is not None:
--- a/waxwingglade/ingress/tests/test_accounts.py
+++ b/waxwingglade/ingress/tests/test_accounts.py
@@ -1,5 +1,6 @@
 """Keys of client accounts: who is served, who is refused, and what a target is told."""
 
+import asyncio
 import time
 import unittest
 from typing import Any
@@ -15,6 +16,7 @@
 from waxwingglade.ingress.tests.entry_builders import (
     PLAIN,
     TURNS,
+    Behaviour,
     EntryUnderTest,
     FakeTarget,
     until,
@@ -86,8 +88,13 @@
 class EntryTest(unittest.IsolatedAsyncioTestCase):
     """An entry whose callers need keys, and the headers with which a target gets their requests."""
 
-    async def serve(self, accounts: tuple[ClientAccount, ...] | None = ACCOUNTS, **fields: Any):
-        self.target = FakeTarget()
+    async def serve(
+        self,
+        accounts: tuple[ClientAccount, ...] | None = ACCOUNTS,
+        behaviour: Behaviour = Behaviour.ANSWER,
+        **fields: Any,
+    ) -> None:
+        self.target = FakeTarget(behaviour)
         self.entry = EntryUnderTest(self.target, accounts=accounts, **fields)
         self.addAsyncCleanup(self.entry.stop)
         await self.entry.start()
@@ -170,6 +177,27 @@
         self.assertEqual([], self.target.heads)
         self.assertEqual([], self.entry.ledger.settled)
 
+    async def test_room_that_comes_soon_is_waited_for(self) -> None:
+        await self.serve((account("shop", KEY, rate_per_s=9.0),), Behaviour.EVENTS)
+        self.entry.ledger.spent = QuotaSpent(0.1)
+        for path in (PLAIN, TURNS):
+            call = asyncio.create_task(self.status((AUTHORIZATION, BEARER), path=path))
+            await asyncio.sleep(0.15)
+            self.entry.ledger.spent = None
+            self.assertEqual(200, await call)
+            self.entry.ledger.spent = QuotaSpent(0.1)
+
+    async def test_a_program_that_its_limit_would_not_carry_is_refused_before_it_begins(
+        self,
+    ) -> None:
+        await self.serve((account("shop", KEY, rate_per_s=9.0),), Behaviour.EVENTS)
+        self.entry.ledger.no_program = QuotaSpent(1.5)
+        self.assertEqual(TOO_MANY, await self.status((AUTHORIZATION, BEARER), path=TURNS))
+        self.assertEqual([], self.entry.ledger.begun)
+        later = (("X-Waxwingglade-Previous-Turn", "t0"), (AUTHORIZATION, BEARER))
+        self.assertEqual(200, await self.status(*later, path=TURNS))
+        self.assertEqual([], self.entry.ledger.refused, "it was no program under way")
+
     async def test_a_denial_says_how_to_authenticate(self) -> None:
         await self.serve()
         connection = await self.entry.send(PLAIN)
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any, TypeVar
 
@@ -14,6 +15,7 @@
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.model import ClientAccountId, Replica
 from waxwingglade.ledger.messages import (
+    BeginProgram,
     BeginTurn,
     BudgetSpent,
     Busy,
@@ -133,7 +135,8 @@
         self.avoided: dict[str, float] = {}
         self.settling: set[asyncio.Task] = set()
         self.unsettled: dict[TurnId, EndTurn] = {}
-        self.spent: dict[tuple[ClientAccountId, bool], float] = {}
+        self.spent: dict[ClientAccountId, float] = {}
+        self.refused: Counter[ClientAccountId] = Counter()
 
     async def begin(
         self, message: BeginTurn, timeout_s: float
@@ -172,7 +175,7 @@
     def _known_spent(self, message: TakeQuota | BeginTurn) -> QuotaSpent | None:
         """Return the refusal of an account of which all members said lately that it has no room."""
         assert message.client is not None
-        left_s = self.spent.get((message.client, message.is_first), 0.0) - self.clock()
+        left_s = self.spent.get(message.client, 0.0) - self.clock()
         return QuotaSpent(left_s) if left_s > 0 else None
 
     async def _take_from(
@@ -188,7 +191,7 @@
         limit: a member that does not answer may have granted its part to others.
         """
         assert message.client is not None
-        taking = TakeQuota(message.client, message.is_first)
+        taking = TakeQuota(message.client)
         for member in members:
             left_s = end_at - self.clock()
             if left_s <= 0:
@@ -200,11 +203,30 @@
                 spent = answer
         if spent is None:
             return Unavailable("no member granted or refused the request")
-        until = self.clock() + min(SPENT_S, spent.retry_s)
-        self.spent[(message.client, message.is_first)] = until
+        self.spent[message.client] = self.clock() + min(SPENT_S, spent.retry_s)
         return spent
 
-    async def _take(self, member: Replica, taking: TakeQuota, timeout_s: float) -> Any:
+    async def begin_program(self, client: ClientAccountId) -> QuotaSpent | None:
+        """Ask whether an account may begin a program; return why not, None if it may try.
+
+        One member is asked for all programs of an account, so that it knows of all of them.  Where
+        it does not answer a program begins: its requests are counted in any case.
+        """
+        members = list(self.replicas())
+        if not members:
+            return None
+        member = max(members, key=lambda each: _weight(client, each))
+        message = BeginProgram(client, self.refused.pop(client, 0))
+        answer = await self._take(member, message, TAKE_S)
+        return answer if isinstance(answer, QuotaSpent) else None
+
+    def note_refused(self, client: ClientAccountId) -> None:
+        """Note that a request of a program under way was refused as over its account's limit."""
+        self.refused[client] += 1
+
+    async def _take(
+        self, member: Replica, taking: TakeQuota | BeginProgram, timeout_s: float
+    ) -> Any:
         try:
             return await self.links.to(member.address).request(taking, timeout_s)
         except WaxwinggladeError as error:
@@ -451,8 +473,7 @@
         def order(replica: Replica) -> tuple[float, bool, int]:
             until = self.avoided.get(replica.address, 0.0)
             avoided = until if until > now else 0.0
-            weight = xxhash.xxh32_intdigest(f"{key}|{replica.disk}".encode())
-            return avoided, replica.zone != self.zone, weight
+            return avoided, replica.zone != self.zone, _weight(key, replica)
 
         return sorted(self.replicas(), key=order)
 
@@ -464,6 +485,11 @@
     return message.program or message.turn
 
 
+def _weight(key: str, replica: Replica) -> int:
+    """Return a replica's weight for a key, by which entries agree on an order without a word."""
+    return xxhash.xxh32_intdigest(f"{key}|{replica.disk}".encode())
+
+
 def _loggable(asked: Asked, began_at: float, now: float) -> dict[str, Any]:
     """Return the fields of one asking, with times from the beginning of the request on."""
     ended_at = now if asked.ended_at is None else asked.ended_at
--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -164,11 +164,23 @@
     """Ask whether a client account may send one more request."""
 
     client: ClientAccountId
-    is_first: bool = False
+
+
+class BeginProgram(Message):
+    """Ask whether a client account may begin one more program.
+
+    Parameters
+    ----------
+    refused : int
+        Requests of its programs under way that the asking entry has refused since it asked before.
+    """
+
+    client: ClientAccountId
+    refused: int = 0
 
 
 class QuotaTaken(Message):
-    """The request may go to a target, and is counted."""
+    """The request may go to a target, or the program may begin, and is counted."""
 
 
 class QuotaSpent(Message):
@@ -427,6 +439,7 @@
     | BudgetSpent
     | NoSuchTurn
     | TakeQuota
+    | BeginProgram
     | QuotaTaken
     | QuotaSpent
     | EndTurn
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -27,6 +27,7 @@
 from waxwingglade.ledger.coordinator import Coordinator
 from waxwingglade.ledger.membership import Membership
 from waxwingglade.ledger.messages import (
+    BeginProgram,
     BeginTurn,
     Busy,
     EndTurn,
@@ -175,6 +176,7 @@
         self.handlers: dict[type, Callable[[Any], Any]] = {
             BeginTurn: self.begin,
             TakeQuota: self.quotas.take,
+            BeginProgram: self.quotas.begin_program,
             EndTurn: self.coordinator.end,
             NoteEnd: self.replica.note_end,
             Follow: self.follow,
@@ -342,7 +344,7 @@
             return granted
         answer = await self.coordinator.begin(message)
         if not isinstance(answer, TurnBegun):
-            self.quotas.give_back(client, message.is_first)
+            self.quotas.give_back(client)
         elif granted.durable is not None:
             await granted.durable
         return answer
--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -9,10 +9,17 @@
 from waxwingglade.base import Clock, monotonic
 from waxwingglade.base.logs import Sampler
 from waxwingglade.decisions.parts import PartRules, Parts
-from waxwingglade.decisions.quota import Grants, ProgramSize, QuotaRules, judge
+from waxwingglade.decisions.program_starts import ProgramSize, Starts, may_begin
+from waxwingglade.decisions.quota import Grants, QuotaRules, judge
 from waxwingglade.follow.feed import Beliefs
 from waxwingglade.follow.model import ClientAccount, ClientAccountId, Configuration
-from waxwingglade.ledger.messages import QuotaSpent, QuotaTaken, TakeQuota, Unavailable
+from waxwingglade.ledger.messages import (
+    BeginProgram,
+    QuotaSpent,
+    QuotaTaken,
+    TakeQuota,
+    Unavailable,
+)
 from waxwingglade.ledger.replica import Replica
 
 OLDEST_VIEW_S = 5.0
@@ -66,6 +73,7 @@
         self.configuration: Configuration | None = None
         self.accounts: dict[ClientAccountId, ClientAccount] = {}
         self.program_size = ProgramSize()
+        self.starts: dict[ClientAccountId, Starts] = {}
         self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
 
     def open(self) -> None:
@@ -77,42 +85,65 @@
 
     async def take(self, message: TakeQuota) -> QuotaTaken | QuotaSpent | Unavailable:
         """Count a request that needs nothing else of the ledger."""
-        outcome = self.count(message.client, message.is_first)
+        outcome = self.count(message.client)
         if not isinstance(outcome, Granted):
             return outcome
         if outcome.durable is not None:
             await outcome.durable
         return QuotaTaken()
 
-    def count(self, client: ClientAccountId, is_first: bool) -> Granted | QuotaSpent | Unavailable:
-        """Count a request, if the account may still send it."""
+    async def begin_program(self, message: BeginProgram) -> QuotaTaken | QuotaSpent | Unavailable:
+        """Count a program that begins, if the account's limit may carry it to its end.
+
+        This only spares requests that would be refused; the limit itself is kept by `count`.
+        """
+        account = self._account(message.client)
+        if isinstance(account, Unavailable):
+            return account
+        now = self.clock()
+        starts = self.starts.setdefault(account.name, Starts())
+        starts.note_refused(message.refused, now)
+        most = self.rules.most(account.rate_per_s, account.burst)
+        verdict = may_begin(starts, most, self.rules, now, self.program_size.usual)
+        if account.rate_per_s <= 0 or verdict.granted:
+            return QuotaTaken()
+        return QuotaSpent(verdict.retry_s)
+
+    def _account(self, client: ClientAccountId) -> ClientAccount | Unavailable:
+        """Return an account by its name, or why it can't be told of."""
         self.learn()
         if self.beliefs.incomplete_s > OLDEST_VIEW_S:
             return Unavailable("limits were confirmed too long ago")
-        account = self.accounts.get(client)
-        if account is None:
-            return Unavailable("the client account is not known")
+        return self.accounts.get(client) or Unavailable("the client account is not known")
+
+    def count(
+        self, client: ClientAccountId, is_first: bool = False
+    ) -> Granted | QuotaSpent | Unavailable:
+        """Count a request, if the account may still send it."""
+        account = self._account(client)
+        if isinstance(account, Unavailable):
+            return account
         if account.rate_per_s <= 0:
             return Granted()
         now = self.clock()
         most = self.rules.most(account.rate_per_s, account.burst)
         part = self.parts.of(most, client, now)
         grants = self.replica.grants.setdefault(client, Grants())
-        verdict = judge(grants, part, self.rules, now, is_first, self.program_size.usual)
+        verdict = judge(grants, part, self.rules, now)
         if not verdict.granted:
             self._log(account, part, grants)
             return QuotaSpent(verdict.retry_s)
-        grants.note(now, is_first)
-        if not grants.pressed(now):
+        grants.note(now)
+        if not grants.refused_lately(now):
             # Programs that were refused end early, and would pass for short ones.
             self.program_size.note(is_first)
-        return Granted(self.replica.note_grant(client, now, is_first))
+        return Granted(self.replica.note_grant(client, now))
 
-    def give_back(self, client: ClientAccountId, is_first: bool) -> None:
+    def give_back(self, client: ClientAccountId) -> None:
         """Take back the grant of a request that reaches no target."""
         grants = self.replica.grants.get(client)
         if grants is not None:
-            grants.give_back(is_first)
+            grants.give_back()
 
     def learn(self) -> None:
         """Take in the present members and accounts."""
@@ -140,7 +171,6 @@
                 rate_per_s=account.rate_per_s,
                 part=part,
                 granted=len(grants.times),
-                begun=len(grants.begun),
                 left_out=self.refusals.take_left_out(),
             ).info("over the limit here")
 
--- a/waxwingglade/ledger/records.py
+++ b/waxwingglade/ledger/records.py
@@ -46,7 +46,6 @@
 
     client: ClientAccountId
     at: float
-    is_first: bool = False
 
 
 class CountingRecord(msgspec.Struct, frozen=True, array_like=True, tag="c"):
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -170,7 +170,7 @@
         elif isinstance(record, GrantRecord):
             # The clock begins anew when the machine does; what seems to lie ahead may be recent.
             at = min(record.at, self.clock())
-            self.grants.setdefault(record.client, Grants()).note(at, record.is_first)
+            self.grants.setdefault(record.client, Grants()).note(at)
         elif isinstance(record, CountingRecord):
             self.counts = record.counts
         elif isinstance(record, EndRecord):
@@ -265,12 +265,10 @@
 
     # Limits of client accounts
 
-    def note_grant(
-        self, client: ClientAccountId, at: float, is_first: bool
-    ) -> "asyncio.Future[Place]":
+    def note_grant(self, client: ClientAccountId, at: float) -> "asyncio.Future[Place]":
         """Write down that a request was granted; the future is done once that is durable."""
         self.granted_in[self.journal.active] = at
-        return self._write(GrantRecord(client, at, is_first))
+        return self._write(GrantRecord(client, at))
 
     def note_counting(self, counts: bool) -> None:
         """Write down whether this member grants its part of the limits."""
--- a/waxwingglade/ledger/tests/test_quotas.py
+++ b/waxwingglade/ledger/tests/test_quotas.py
@@ -20,6 +20,7 @@
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.ledger.client import LedgerClient
 from waxwingglade.ledger.messages import (
+    BeginProgram,
     BeginTurn,
     QuotaSpent,
     QuotaTaken,
@@ -172,10 +173,28 @@
         taken = await self.counters[0].quotas.take(TakeQuota(ClientAccountId("new")))
         self.assertIsInstance(taken, Unavailable)
 
+    async def test_a_program_begins_only_where_the_limit_carries_it_to_its_end(self) -> None:
+        first = self.counters[0]
+        begun = 0
+        while isinstance(await first.quotas.begin_program(BeginProgram(SHOP)), QuotaTaken):
+            begun += 1
+        self.assertEqual(-(-MOST // 16), begun)
+        refused = await first.quotas.begin_program(BeginProgram(SHOP))
+        assert isinstance(refused, QuotaSpent)
+        self.now += refused.retry_s
+        self.learn(first)
+        self.assertIsInstance(
+            await first.quotas.begin_program(BeginProgram(SHOP, refused=MOST)), QuotaTaken
+        )
+        after = 0
+        while isinstance(await first.quotas.begin_program(BeginProgram(SHOP)), QuotaTaken):
+            after += 1
+        self.assertLess(after + 1, begun, "fewer, while those under way are refused")
+
     async def test_what_was_given_back_may_be_taken_again(self) -> None:
         first = self.counters[0]
         taken = await self.take_all(first)
-        first.quotas.give_back(SHOP, False)
+        first.quotas.give_back(SHOP)
         self.assertEqual(1, await self.take_all(first))
         self.assertGreater(taken, 1)
 
@@ -214,6 +233,8 @@
                 raise LinkFailed("cut off", sent=True)
             if isinstance(body, BeginTurn) and body.is_counted:
                 return TurnBegun()
+            if isinstance(body, BeginProgram):
+                return QuotaSpent(0.5) if address not in self.granting else QuotaTaken()
             if address not in self.granting:
                 return QuotaSpent(0.7)
             return TurnBegun() if isinstance(body, BeginTurn) else QuotaTaken()
@@ -255,6 +276,18 @@
         client = self.client(set(), cut={"a-0", "a-1", "a-2"})
         self.assertIsInstance(await client.take(TAKE, 1.0), Unavailable)
 
+    async def test_all_programs_of_an_account_are_judged_by_one_member(self) -> None:
+        client = self.client({"a-0", "a-1", "a-2"})
+        for _ in range(5):
+            self.assertIsNone(await client.begin_program(SHOP))
+        (judge,) = {address for address, _ in self.links.asked}
+        self.links.granting.discard(judge)
+        client.note_refused(SHOP)
+        self.assertEqual(QuotaSpent(0.5), await client.begin_program(SHOP))
+        self.assertEqual(BeginProgram(SHOP, 1), self.links.asked[-1][1])
+        self.links.cut = {judge}
+        self.assertIsNone(await client.begin_program(SHOP), "the requests are counted anyway")
+
     async def test_a_turn_goes_on_where_it_was_refused_once_another_has_granted_it(self) -> None:
         client = self.client({"a-1"})
         turn = BeginTurn(TurnId("t"), most_tokens=1, client=SHOP)
