--- a/waxwingglade/decisions/ranks.py
+++ b/waxwingglade/decisions/ranks.py
@@ -2,14 +2,11 @@
 
 Engines admit the more urgent first and preempt others for them, so of what lies at an engine only
 the turns that are at least as urgent stand before one that comes.  This answers bursts in which
-urgent programs would be refused for what they overtake: with four times the usual programs, three
-of ten urgent, these earned 0.91 and 0.85 of their worth in virtual time, and 1.00 and 0.97 with it;
-all programs 0.73, and 0.75 with it.
+urgent programs would be refused for what they overtake.
 """
 
 FORGETTING = 0.98
-"""Weight that a turn keeps with each later one: the last 50 make up two thirds of a share, a second
-or two of an entry's turns under load."""
+"""Weight that a turn keeps with each later one; the last 50 make up two thirds of a share."""
 
 
 class RankShares:
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -46,10 +46,9 @@
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
-"""Pause between failed calls, doubled up to the longest: calls are priced when they fail, too.  It
-is counted from the beginning of the call, since both add up to how late the return of a silent
-store is noticed: with a pause after the timeout a version was known up to 2.3 s after it (virtual
-time, 50 moments), past the two seconds within which it is to be in force."""
+"""Pause between failed calls in seconds, doubled up to the longest: calls are priced when they fail,
+too.  It is counted from the beginning of the call, since both add up to how late the return of a
+silent store is noticed."""
 
 SHORTEST_PAUSE_S = 0.05
 """Pause after a call that took longer than that, so that a failure is never asked about at once."""
--- a/waxwingglade/ingress/request_log.py
+++ b/waxwingglade/ingress/request_log.py
@@ -37,8 +37,7 @@
         """Write the line of a request that has ended after some seconds.
 
         Fields that say nothing are left out: a log that is kept by its size then reaches back
-        further. Lines took 429 bytes on average with them and take 339 without (3,181 lines of a
-        played day).
+        further.
         """
         good = 200 <= exchange.status < 300 and not trace.reason
         sampler = self.successes if good else self.failures
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -115,9 +115,7 @@
     """Return whether the ledger has told that no turn of a program has ended yet.
 
     Where turns are not kept, nothing else tells the turn with which a program begins, and a burst
-    beyond what engines carry went on after its cause: with four and six times the usual programs
-    0.56 to 0.60 and 0.22 to 0.25 of the worth in virtual time, with this 0.72 to 0.73 and 0.54 to
-    0.58.
+    beyond what engines carry would go on after its cause.
     """
     history = attempts.history
     return not serving.route.keeps_turns and history is not None and history.holder is None
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -154,11 +154,7 @@
         """Ask whether a reservation that keeps a turn out of its budget belongs to one that ended.
 
         An entry tells all replicas when it refuses a turn on which the ledger did not decide, and
-        its caller may come back, elsewhere, before that is settled.  With neither telling nor
-        asking, 2, 1, 0 and 2 programs of four runs of the soak were told that their budget was
-        spent though it held one more turn, with both none of 24 runs (24 programs at a time,
-        ledger processes paused, killed, wiped and faltering); the two were not measured apart.
-        It costs a round of messages, and no write, for each turn that open reservations keep out.
+        its caller may come back, elsewhere, before that is settled.  It costs a round of messages, and no write, for each turn that open reservations keep out.
         """
         assert message.program is not None
         if account.spent + message.most_tokens > message.budget:
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -45,7 +45,7 @@
 SUCCEED_S = 1.5
 """Seconds of silence after which a replica joins beside a member of its zone; which of the two
 stays is decided later, when both or only one is heard.  Members whose links fell silent are heard
-again after 0.7 to 1.2 s (ten silences), and are sound meanwhile.  A replacement must count within
+again sooner, and are sound meanwhile.  A replacement must count within
 four seconds, and further steps of the set take 1.5 s after this one."""
 
 STANDBY_S = 2.0
@@ -163,9 +163,8 @@
     async def ping_forever(self) -> None:
         """Ask the other members for a sign of life, again and again."""
         while True:
-            # None waits for another: with one member silent, all others were asked only each 0.45
-            # s, which is `QUORUM_S`, and half of 80 processes lost sight of their majority at least
-            # once in 20 s.
+            # None waits for another, or one silent member would keep all others from being asked in
+            # time.
             for member in self.replicas.members:
                 if member.disk != self.own.disk:
                     run_detached(self._ping(member))
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -51,11 +51,8 @@
 a lost majority is noticed."""
 
 MOST_BEGINNING = 24
-"""Turns that this process begins at once.  A process that decides a hundred a second, the least
-that was seen, answers within 0.24 s then.  Beyond that callers give up before they are answered and
-ask again elsewhere, and the work done twice leaves no time for any: with 300 callers on five
-replicas in one process, no turn was begun in time.
-"""
+"""Turns that this process begins at once.  Beyond that callers give up before they are answered and
+ask again elsewhere, and the work done twice leaves no time for any."""
 
 MOST_ENDING = 4 * MOST_BEGINNING
 """Turns that it ends at once: more, since a turn that ends takes load away."""
--- a/waxwingglade/ledger/rounds.py
+++ b/waxwingglade/ledger/rounds.py
@@ -97,9 +97,7 @@
 
         Accounts are changed at as many members as are needed, and at the others only once one of
         these has refused or has not answered within `HEDGE_S`.  A member that was left out learns
-        of a change when its promise is asked for.  Five replicas at 160 turns/s took 6.9 ms of
-        processor time a turn when all were asked, and 4.5 ms now; a turn was begun in 16 and in 4
-        ms at the median.
+        of a change when its promise is asked for.
 
         Parameters
         ----------
--- a/waxwingglade/ledger/turns.py
+++ b/waxwingglade/ledger/turns.py
@@ -92,9 +92,7 @@
     async def _find_here(self, replicas: ReplicaSet, message: Find) -> tuple[Turn, ...] | None:
         """Return the chain up to a turn if this process's replica holds all of it.
 
-        It mostly does.  When all members were asked at once, each sent the whole chain: 0.12 GB
-        between three zones for 2,450 turns, against 0.033 GB now (the users' calm day, one run
-        each).
+        It mostly does.  If all members were asked at once, each would send the whole chain.
         """
         for member in replicas.members:
             if member.disk != self.rounds.own.disk:
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -30,10 +30,9 @@
 a second, after which a new attempt is quicker."""
 
 ANSWER_TIMEOUT_S = 1.1
-"""Seconds for an answer; the store is slow at times by a factor of fifty, some 200 ms.  What was
-asked while the store was silent is never answered, so this counts against the two seconds within
-which a changed configuration is in force: with 1.5 s a process that started in a silence knew it
-2.7 s after."""
+"""Seconds for an answer; a slow store takes some 200 ms.  What was asked while the store was silent
+is never answered, so this counts against the two seconds within which a changed configuration is in
+force."""
 
 PAGE_LIMIT = 1000
 """Pages of one listing, against a store that would never say that it is done."""
@@ -198,8 +197,7 @@
                 response.body = await connection.read_body(MAX_BODY_BYTES)
         except (Broken, TimeoutError) as error:
             # Other connections may have fallen silent with this one, and each would cost its
-            # timeout: three idle ones kept a version from being known for 4.7 s (virtual time, 50
-            # moments).
+            # timeout.
             self.pool.forget(self.address)
             raise StoreUnavailable(str(error) or "no answer", may_have_run=True) from error
         finally:
--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -7,8 +7,7 @@
 
 What is to be sent in one turn of the event loop goes out as the frames of one message.  Under load
 a message then carries many requests or answers, and the cost of a message, which is mostly that of
-system calls and of waking threads, is paid once: five replicas with 60 callers took 4.2 ms of
-processor time a turn with a message for each, and 2.6 ms with this.
+system calls and of waking threads, is paid once.
 """
 
 import asyncio
