--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -46,9 +46,9 @@
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
-"""Pause between failed calls in seconds, doubled up to the longest: calls are priced when they fail,
-too.  It is counted from the beginning of the call, since both add up to how late the return of a
-silent store is noticed."""
+"""Seconds between failed calls, doubled up to the longest, as calls are priced when they fail, too.
+Counted from the beginning of the call, since both add up to how late the return of a silent store
+is noticed."""
 
 SHORTEST_PAUSE_S = 0.05
 """Pause after a call that took longer than that, so that a failure is never asked about at once."""
--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -154,7 +154,8 @@
         """Ask whether a reservation that keeps a turn out of its budget belongs to one that ended.
 
         An entry tells all replicas when it refuses a turn on which the ledger did not decide, and
-        its caller may come back, elsewhere, before that is settled.  It costs a round of messages, and no write, for each turn that open reservations keep out.
+        its caller may come back, elsewhere, before that is settled.  It costs a round of messages,
+        and no write, for each turn that open reservations keep out.
         """
         assert message.program is not None
         if account.spent + message.most_tokens > message.budget:
