Give back exactly what was granted, and settle a turn that may be reserved beside a full limit

A request that reaches no target gave back the latest grant, not its own, so that a later one counted for too short. A turn refused as over a limit by one replica may have been reserved by another that gave no answer before; it is now settled like one on which the ledger did not decide.

--- a/waxwingglade/decisions/quota.py
+++ b/waxwingglade/decisions/quota.py
@@ -71,10 +71,10 @@
         """Count a request that was granted."""
         self.times.append(at)
 
-    def give_back(self) -> None:
-        """Take back the grant of a request that reaches no target."""
-        if self.times:
-            self.times.pop()
+    def give_back(self, at: float) -> None:
+        """Take back what was granted at a moment, as the request reaches no target."""
+        if at in self.times:
+            self.times.remove(at)
 
     def refused_lately(self, now: float) -> bool:
         """Return whether a request was refused lately."""
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -81,6 +81,9 @@
 AVOID_S = 1.0
 """Seconds for which a replica that gave no answer, or reached no majority, is asked last."""
 
+NOT_CONNECTED = "not connected"
+"""What is noted of a replica to which nothing was sent."""
+
 SLOW_S = 0.2
 """Seconds from which on a line tells whom a request was sent to, and what each answered."""
 
@@ -157,6 +160,8 @@
                 if isinstance(answer, QuotaTaken):
                     counted = msgspec.structs.replace(message, is_counted=True)
                     answer = await self._try(counted, end_at, lambda _: True, asked)
+            if isinstance(answer, QuotaSpent | Busy) and any(map(_may_have_acted, asked)):
+                answer = Unavailable(f"a replica gave no answer, another {_told(answer)}")
         if isinstance(
             answer, TurnBegun | BudgetSpent | NoSuchTurn | QuotaSpent | Unavailable | Busy
         ):
@@ -427,7 +432,7 @@
         try:
             answer = await self.links.to(replica.address).request(message, timeout_s)
         except LinkFailed as error:
-            note.answer = "no answer" if error.sent else "not connected"
+            note.answer = "no answer" if error.sent else NOT_CONNECTED
             logger.bind(replica=replica.vm, turn=message.turn, reason=str(error)).info(
                 "replica not asked"
             )
@@ -485,6 +490,11 @@
     return message.program or message.turn
 
 
+def _may_have_acted(asked: Asked) -> bool:
+    """Return whether a replica may have reserved something, by what it answered."""
+    return asked.answer not in (NOT_CONNECTED, Busy.__name__, QuotaSpent.__name__)
+
+
 def _weight(key: str, replica: Replica) -> int:
     """Return a replica's weight for a key, by which entries agree on an order without a word."""
     return xxhash.xxh32_intdigest(f"{key}|{replica.disk}".encode())
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -341,7 +341,7 @@
             return granted
         answer = await self.coordinator.begin(message)
         if not isinstance(answer, TurnBegun):
-            self.quotas.give_back(client)
+            self.quotas.give_back(client, granted)
         elif granted.durable is not None:
             await granted.durable
         return answer
--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -30,8 +30,17 @@
 
 
 class Granted(msgspec.Struct):
-    """A request that may go to a target; `durable` is done once a restart would not forget it."""
+    """A request that may go to a target.
 
+    Parameters
+    ----------
+    at : float
+        When that was said, in monotonic seconds.
+    durable : asyncio.Future or None
+        Done once a restart would not forget it; None where nothing was counted.
+    """
+
+    at: float = 0.0
     durable: asyncio.Future[Any] | None = None
 
 
@@ -137,13 +146,12 @@
         if not grants.refused_lately(now):
             # Programs that were refused end early, and would pass for short ones.
             self.program_size.note(is_first)
-        return Granted(self.replica.note_grant(client, now))
+        return Granted(now, self.replica.note_grant(client, now))
 
-    def give_back(self, client: ClientAccountId) -> None:
+    def give_back(self, client: ClientAccountId, granted: Granted) -> None:
         """Take back the grant of a request that reaches no target."""
-        grants = self.replica.grants.get(client)
-        if grants is not None:
-            grants.give_back()
+        if granted.durable is not None:
+            self.replica.grants[client].give_back(granted.at)
 
     def learn(self) -> None:
         """Take in the present members and accounts."""
@@ -151,7 +159,8 @@
         members = [member.disk for member in view.replicas.members]
         now = self.clock()
         self.parts.learn(view.replicas.epoch, members, now)
-        self._note_counting(now)
+        if view.replicas.epoch:
+            self._note_counting(now)
         if view.configuration is self.configuration:
             return
         self.configuration = view.configuration
