--- a/waxwingglade/ingress/quota.py
+++ b/waxwingglade/ingress/quota.py
@@ -8,7 +8,7 @@
 from waxwingglade.ingress.refusal import TOO_MANY, UNAVAILABLE, Refusal
 from waxwingglade.ingress.serving import Serving
 from waxwingglade.ledger.client import LedgerClient
-from waxwingglade.ledger.messages import QuotaSpent, QuotaTaken, TakeQuota
+from waxwingglade.ledger.messages import QuotaSpent, QuotaTaken
 
 HOLD_S = 0.5
 """Longest time in seconds for which a request of a program under way waits for room.  Refused, its
@@ -31,8 +31,7 @@
     account = serving.account
     if account is None or account.rate_per_s <= 0:
         return
-    message = TakeQuota(account.name)
-    answer = await hold(lambda: ledger.take(message, serving.time_left()))
+    answer = await hold(lambda: ledger.quotas.take(account.name, serving.time_left()))
     if isinstance(answer, QuotaTaken):
         return
     if isinstance(answer, QuotaSpent):
@@ -48,7 +47,7 @@
     account = serving.account
     if account is None or account.rate_per_s <= 0:
         return
-    spent = await ledger.begin_program(account.name)
+    spent = await ledger.quotas.begin_program(account.name)
     if spent is not None:
         raise _refusal(spent)
 
@@ -69,7 +68,7 @@
 def over_limit(serving: Serving, ledger: LedgerClient, spent: QuotaSpent) -> Refusal:
     """Return the refusal of a call beyond the limit of its client account, and note it."""
     assert serving.account is not None
-    ledger.note_refused(serving.account.name)
+    ledger.quotas.note_refused(serving.account.name)
     return _refusal(spent)
 
 
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -30,7 +30,6 @@
     EndTurn,
     QuotaSpent,
     QuotaTaken,
-    TakeQuota,
     Turn,
     TurnBegun,
 )
@@ -156,7 +155,7 @@
     failed_at : IncarnationName or None
         Target that failed the program's last turn.
     taken : list
-        Requests that were to be granted within the limits of their accounts.
+        Accounts of requests that were to be granted within their limits.
     spent : QuotaSpent or None
         Answer to all of them, if the accounts have no room.
     no_program : QuotaSpent or None
@@ -170,7 +169,7 @@
         self.ended: list[EndTurn] = []
         self.settled: list[EndTurn] = []
         self.chain: tuple[Turn, ...] = ()
-        self.taken: list[TakeQuota] = []
+        self.taken: list[ClientAccountId] = []
         self.spent: QuotaSpent | None = None
         self.no_program: QuotaSpent | None = None
         self.refused: list[ClientAccountId] = []
@@ -180,9 +179,14 @@
         self.may_begin.set()
         self.may_end.set()
 
-    async def take(self, message: TakeQuota, timeout_s: float) -> QuotaTaken | QuotaSpent:
+    @property
+    def quotas(self) -> "FakeLedger":
+        """The limits of client accounts."""
+        return self
+
+    async def take(self, client: ClientAccountId, timeout_s: float) -> QuotaTaken | QuotaSpent:
         """Grant a request."""
-        self.taken.append(message)
+        self.taken.append(client)
         return self.spent or QuotaTaken()
 
     async def begin_program(self, client: ClientAccountId) -> QuotaSpent | None:
--- a/waxwingglade/ingress/tests/test_accounts.py
+++ b/waxwingglade/ingress/tests/test_accounts.py
@@ -21,7 +21,7 @@
     FakeTarget,
     until,
 )
-from waxwingglade.ledger.messages import QuotaSpent, TakeQuota
+from waxwingglade.ledger.messages import QuotaSpent
 from waxwingglade.platform.headers import ACCOUNT, AUTHORIZATION
 
 KEY, OTHER_KEY = "k" * 20, "o" * 20
@@ -157,7 +157,7 @@
         limited = account("shop", KEY, rate_per_s=9.0)
         await self.serve((limited, ACCOUNTS[1]))
         await self.status((AUTHORIZATION, BEARER))
-        self.assertEqual([TakeQuota("shop")], self.entry.ledger.taken)
+        self.assertEqual(["shop"], self.entry.ledger.taken)
         await self.status((AUTHORIZATION, f"Bearer {OTHER_KEY}"))
         self.assertEqual(1, len(self.entry.ledger.taken), "the other account has no limit")
         turn = await self.entry.send(TURNS, "t1", (AUTHORIZATION, BEARER))
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -3,19 +3,16 @@
 import asyncio
 import contextlib
 import random
-from collections import Counter
 from collections.abc import Callable, Coroutine, Iterable, Iterator
 from typing import Any, TypeVar
 
 import msgspec
-import xxhash
 from loguru import logger
 
 from waxwingglade.base import Clock, WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.tasks import start_task
-from waxwingglade.follow.model import ClientAccountId, Replica
+from waxwingglade.follow.model import Replica
 from waxwingglade.ledger.messages import (
-    BeginProgram,
     BeginTurn,
     BudgetSpent,
     Busy,
@@ -31,6 +28,7 @@
     TurnId,
     Unavailable,
 )
+from waxwingglade.ledger.quota_client import QuotaClient, weight_of
 from waxwingglade.transport.links import LinkFailed, Links
 
 ASK_S = 0.4
@@ -59,13 +57,6 @@
 """Seconds for which a process that ends waits until replicas have noted what it has not settled; a
 flush of a disk takes some 1 ms."""
 
-TAKE_S = 0.15
-"""Seconds for a member to grant a request before another is asked."""
-
-SPENT_S = 0.25
-"""Longest time in seconds for which an account that no member granted anything is refused without
-asking again."""
-
 MOST_BUSY = 2
 """Replicas that may answer that they have too much to do before a caller is refused."""
 
@@ -138,8 +129,7 @@
         self.avoided: dict[str, float] = {}
         self.settling: set[asyncio.Task] = set()
         self.unsettled: dict[TurnId, EndTurn] = {}
-        self.spent: dict[ClientAccountId, float] = {}
-        self.refused: Counter[ClientAccountId] = Counter()
+        self.quotas = QuotaClient(links, self._in_order, self._avoid, clock)
 
     async def begin(
         self, message: BeginTurn, timeout_s: float
@@ -149,14 +139,15 @@
         `Busy` and `QuotaSpent` say that no replica did anything, so that nothing has to be settled.
         """
         end_at = self.clock() + min(timeout_s, BEGIN_S)
-        if message.client is not None and (spent := self._known_spent(message)) is not None:
+        if message.client is not None and (spent := self.quotas.known_spent(message.client)):
             return spent
         with self._log_if_slow(message) as asked:
             answer = await self._try(message, end_at, lambda _: True, asked)
             if isinstance(answer, QuotaSpent):
                 # Its part is used up; another member may still grant the turn.
+                assert message.client is not None
                 others = [each for each in self._in_order(message) if each.vm != asked[-1].replica]
-                answer = await self._take_from(others, message, answer, end_at)
+                answer = await self.quotas.take_from(others, message.client, answer, end_at)
                 if isinstance(answer, QuotaTaken):
                     counted = msgspec.structs.replace(message, is_counted=True)
                     answer = await self._try(counted, end_at, lambda _: True, asked)
@@ -168,79 +159,6 @@
             return answer
         return Unavailable("no replica answered")
 
-    async def take(
-        self, message: TakeQuota, timeout_s: float
-    ) -> QuotaTaken | QuotaSpent | Unavailable:
-        """Have a request granted within the limit of its client account."""
-        if (spent := self._known_spent(message)) is not None:
-            return spent
-        end_at = self.clock() + min(timeout_s, BEGIN_S)
-        return await self._take_from(self._in_order(message), message, None, end_at)
-
-    def _known_spent(self, message: TakeQuota | BeginTurn) -> QuotaSpent | None:
-        """Return the refusal of an account of which all members said lately that it has no room."""
-        assert message.client is not None
-        left_s = self.spent.get(message.client, 0.0) - self.clock()
-        return QuotaSpent(left_s) if left_s > 0 else None
-
-    async def _take_from(
-        self,
-        members: list[Replica],
-        message: TakeQuota | BeginTurn,
-        spent: QuotaSpent | None,
-        end_at: float,
-    ) -> QuotaTaken | QuotaSpent | Unavailable:
-        """Ask members one after the other until one grants a request.
-
-        Where some have no room and the others do not answer, the request is refused as over the
-        limit: a member that does not answer may have granted its part to others.
-        """
-        assert message.client is not None
-        taking = TakeQuota(message.client)
-        for member in members:
-            left_s = end_at - self.clock()
-            if left_s <= 0:
-                break
-            answer = await self._take(member, taking, min(TAKE_S, left_s))
-            if isinstance(answer, QuotaTaken):
-                return answer
-            if isinstance(answer, QuotaSpent) and (spent is None or answer.retry_s < spent.retry_s):
-                spent = answer
-        if spent is None:
-            return Unavailable("no member granted or refused the request")
-        self.spent[message.client] = self.clock() + min(SPENT_S, spent.retry_s)
-        return spent
-
-    async def begin_program(self, client: ClientAccountId) -> QuotaSpent | None:
-        """Ask whether an account may begin a program; return why not, None if it may try.
-
-        One member is asked for all programs of an account, so that it knows of all of them.  Where
-        it does not answer a program begins: its requests are counted in any case.
-        """
-        members = list(self.replicas())
-        if not members:
-            return None
-        member = max(members, key=lambda each: _weight(client, each))
-        message = BeginProgram(client, self.refused.pop(client, 0))
-        answer = await self._take(member, message, TAKE_S)
-        return answer if isinstance(answer, QuotaSpent) else None
-
-    def note_refused(self, client: ClientAccountId) -> None:
-        """Note that a request of a program under way was refused as over its account's limit."""
-        self.refused[client] += 1
-
-    async def _take(
-        self, member: Replica, taking: TakeQuota | BeginProgram, timeout_s: float
-    ) -> Any:
-        try:
-            return await self.links.to(member.address).request(taking, timeout_s)
-        except WaxwinggladeError as error:
-            self.avoided[member.address] = self.clock() + AVOID_S
-            logger.bind(replica=member.vm, account=taking.client, reason=str(error)).info(
-                "limit not asked for"
-            )
-            return None
-
     async def end(self, message: EndTurn, timeout_s: float) -> bool:
         """Keep a turn and settle its reservation; return whether the turn is kept.
 
@@ -404,7 +322,7 @@
                 asked.append(note)
                 answer = await self._ask(replica, message, min(ASK_S, left_s), note)
                 if _could_not_act(message, answer):
-                    self.avoided[replica.address] = self.clock() + AVOID_S
+                    self._avoid(replica)
                 if _is_answer(answer) and good(answer):
                     return answer
                 if isinstance(answer, Busy):
@@ -464,6 +382,10 @@
                     asked=[_loggable(each, began_at, now) for each in asked],
                 ).info("ledger slow to answer")
 
+    def _avoid(self, replica: Replica) -> None:
+        """Ask a replica last for a while."""
+        self.avoided[replica.address] = self.clock() + AVOID_S
+
     def _in_order(self, message: Any) -> list[Replica]:
         """Return the replicas to ask: the nearest first, and those that failed lately last.
 
@@ -478,26 +400,21 @@
         def order(replica: Replica) -> tuple[float, bool, int]:
             until = self.avoided.get(replica.address, 0.0)
             avoided = until if until > now else 0.0
-            return avoided, replica.zone != self.zone, _weight(key, replica)
+            return avoided, replica.zone != self.zone, weight_of(key, replica)
 
         return sorted(self.replicas(), key=order)
 
 
-def _key_of(message: Any) -> str:
-    """Return what spreads requests over the members: the program, where one is named."""
-    if isinstance(message, TakeQuota):
-        return random.random().hex()
-    return message.program or message.turn
-
-
 def _may_have_acted(asked: Asked) -> bool:
     """Return whether a replica may have reserved something, by what it answered."""
     return asked.answer not in (NOT_CONNECTED, Busy.__name__, QuotaSpent.__name__)
 
 
-def _weight(key: str, replica: Replica) -> int:
-    """Return a replica's weight for a key, by which entries agree on an order without a word."""
-    return xxhash.xxh32_intdigest(f"{key}|{replica.disk}".encode())
+def _key_of(message: Any) -> str:
+    """Return what spreads requests over the members: the program, where one is named."""
+    if isinstance(message, TakeQuota):
+        return random.random().hex()
+    return message.program or message.turn
 
 
 def _loggable(asked: Asked, began_at: float, now: float) -> dict[str, Any]:
--- a/waxwingglade/ledger/tests/test_quotas.py
+++ b/waxwingglade/ledger/tests/test_quotas.py
@@ -259,35 +259,37 @@
     async def test_any_member_with_room_grants(self) -> None:
         client = self.client({"a-1"}, cut={"a-2"})
         for _ in range(20):
-            self.assertEqual(QuotaTaken(), await client.take(TAKE, 1.0))
+            self.assertEqual(QuotaTaken(), await client.quotas.take(SHOP, 1.0))
 
     async def test_without_room_anywhere_it_is_refused_and_not_asked_again_at_once(self) -> None:
         client = self.client(set())
-        self.assertEqual(QuotaSpent(0.7), await client.take(TAKE, 1.0))
+        self.assertEqual(QuotaSpent(0.7), await client.quotas.take(SHOP, 1.0))
         asked = len(self.links.asked)
-        refused = await client.take(TAKE, 1.0)
+        refused = await client.quotas.take(SHOP, 1.0)
         assert isinstance(refused, QuotaSpent)
         self.assertGreater(refused.retry_s, 0.0)
         self.assertEqual(asked, len(self.links.asked))
         self.now += 1.0
         self.links.granting = {"a-0"}
-        self.assertEqual(QuotaTaken(), await client.take(TAKE, 1.0))
+        self.assertEqual(QuotaTaken(), await client.quotas.take(SHOP, 1.0))
 
     async def test_where_nobody_answers_it_is_not_called_over_its_limit(self) -> None:
         client = self.client(set(), cut={"a-0", "a-1", "a-2"})
-        self.assertIsInstance(await client.take(TAKE, 1.0), Unavailable)
+        self.assertIsInstance(await client.quotas.take(SHOP, 1.0), Unavailable)
 
     async def test_all_programs_of_an_account_are_judged_by_one_member(self) -> None:
         client = self.client({"a-0", "a-1", "a-2"})
         for _ in range(5):
-            self.assertIsNone(await client.begin_program(SHOP))
+            self.assertIsNone(await client.quotas.begin_program(SHOP))
         (judge,) = {address for address, _ in self.links.asked}
         self.links.granting.discard(judge)
-        client.note_refused(SHOP)
-        self.assertEqual(QuotaSpent(0.5), await client.begin_program(SHOP))
+        client.quotas.note_refused(SHOP)
+        self.assertEqual(QuotaSpent(0.5), await client.quotas.begin_program(SHOP))
         self.assertEqual(BeginProgram(SHOP, 1), self.links.asked[-1][1])
         self.links.cut = {judge}
-        self.assertIsNone(await client.begin_program(SHOP), "the requests are counted anyway")
+        self.assertIsNone(
+            await client.quotas.begin_program(SHOP), "the requests are counted anyway"
+        )
 
     async def test_a_turn_goes_on_where_it_was_refused_once_another_has_granted_it(self) -> None:
         client = self.client({"a-1"})
