--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -26,6 +26,8 @@
 """Seconds beyond the wait after which a source is taken for lost."""
 
 SOURCE_PAUSE_S = 0.1
+LONGEST_AGE_S = 1e6
+"""Stands for an age that is not known, in seconds."""
 
 Ask = Callable[[str, Follow, float], Awaitable[Followed]]
 
@@ -106,10 +108,6 @@
         return Followed(news, max(0.0, min(self.age_s, LONGEST_AGE_S)), complete_s=complete_s)
 
 
-LONGEST_AGE_S = 1e6
-"""Stands for an age that is not known, in seconds."""
-
-
 def _has_news(view: View, message: Follow) -> bool:
     return (
         view.configuration is not None
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -40,6 +40,10 @@
 """Seconds that a turn waits to begin while no majority is in reach; a decision takes some 5 ms, and
 a caller that is refused early can go elsewhere."""
 
+UNDECIDED_RETRY_S = 1.0
+"""Seconds after which a caller may come back with a turn on which the ledger did not decide, though
+its majority is in reach."""
+
 KEEP_LOST_S = 1.0
 """Seconds that a turn waits to be kept while no majority is in reach; about as long as its caller
 would be sent back to this zone."""
@@ -182,7 +186,8 @@
     # Its caller's next turn would count this one if all who know of its end were killed.
     await ledger.noted(_settle_refused(serving, ledger))
     reason = f"not run: the ledger did not decide: {answer.reason}"
-    raise Refusal(UNAVAILABLE, reason, way.rotation.elsewhere_s)
+    retry_s = UNDECIDED_RETRY_S if way.reach.reached else way.rotation.elsewhere_s
+    raise Refusal(UNAVAILABLE, reason, retry_s)
 
 
 def _history(serving: Serving, begun: TurnBegun) -> History | None:
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -32,6 +32,7 @@
     QuotaTaken,
     Turn,
     TurnBegun,
+    Unavailable,
 )
 from waxwingglade.platform.headers import DIALECT
 from waxwingglade.platform.process import KEYS
@@ -162,6 +163,8 @@
         Answer to programs that would begin, if their accounts have no room for them.
     refused : list
         Accounts of requests that were refused as over a limit.
+    undecided : bool
+        Whether it decides on no turn that begins.
     """
 
     def __init__(self) -> None:
@@ -173,6 +176,7 @@
         self.spent: QuotaSpent | None = None
         self.no_program: QuotaSpent | None = None
         self.refused: list[ClientAccountId] = []
+        self.undecided = False
         self.failed_at: IncarnationName | None = None
         self.may_begin = asyncio.Event()
         self.may_end = asyncio.Event()
@@ -197,10 +201,12 @@
         """Note a refusal."""
         self.refused.append(client)
 
-    async def begin(self, message: BeginTurn, timeout_s: float) -> TurnBegun | QuotaSpent:
+    async def begin(self, message: BeginTurn, timeout_s: float) -> Any:
         """Begin a turn."""
         if self.spent is not None:
             return self.spent
+        if self.undecided:
+            return Unavailable("no majority")
         self.begun.append(message)
         await self.may_begin.wait()
         return TurnBegun(self.chain, failed_at=self.failed_at)
--- a/waxwingglade/ingress/tests/test_reach.py
+++ b/waxwingglade/ingress/tests/test_reach.py
@@ -10,7 +10,7 @@
 import unittest
 
 from waxwingglade.ingress.reach import MISSES, MOVE_S, SOON_S, LedgerLost, Reach, Rotation
-from waxwingglade.ingress.streaming import HOPELESS_S, KEEP_LOST_S
+from waxwingglade.ingress.streaming import HOPELESS_S, KEEP_LOST_S, UNDECIDED_RETRY_S
 from waxwingglade.ingress.tests.entry_builders import (
     TURNS,
     Behaviour,
@@ -122,6 +122,16 @@
         self.assertEqual(503, head.status)
         self.assertLessEqual(float(head.header("Retry-After") or 0.0), 1.0 + MOVE_S)
 
+    async def test_a_ledger_that_does_not_decide_in_reach_is_asked_again_after_a_while(
+        self,
+    ) -> None:
+        self.entry.ledger.undecided = True
+        connection = await self.entry.send(TURNS)
+        self.addCleanup(connection.close)
+        head = await connection.read_head(lambda _: True)
+        told = float(head.header("Retry-After") or 0.0)
+        self.assertEqual((503, UNDECIDED_RETRY_S), (head.status, told))
+
     async def test_a_ledger_that_is_slow_and_in_reach_is_waited_for(self) -> None:
         self.entry.ledger.may_end.clear()
         call = asyncio.create_task(self.entry.call(TURNS, "r1"))
