--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -37,6 +37,8 @@
         Whether the answer came to its end.
     events : int
         Whole events received.
+    account, key : str
+        Client account, and the key that was sent; empty where callers need none.
     """
 
     request: str
@@ -47,12 +49,12 @@
     previous: str | None = None
     program: str | None = None
     budget: int = 0
-    account: str = ""
-    key: str = ""
     status: int = NO_ANSWER
     whole: bool = False
     answer: bytes = b""
     ended_at: float = 0.0
+    account: str = ""
+    key: str = ""
 
     @property
     def events(self) -> int:
