Count grants of before a loss of power by how long before it they were

The clock of a machine begins anew with it, and all grants on the disk, those of a minute, counted as made just now.

Change: they count by their distance from the last one before the loss; how long the machine was off is taken for nothing.

--- a/waxwingglade/decisions/quota.py
+++ b/waxwingglade/decisions/quota.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from collections.abc import Sequence
 
 import msgspec
 
@@ -81,6 +82,29 @@
         return now - self.refused_at < RECENT_S
 
 
+def restored(times: Sequence[float], now: float) -> list[float]:
+    """Return the latest moments, by the present clock, at which requests can have been granted.
+
+    The clock begins anew when the machine does, so a time may lie ahead of a later one, or of now.
+    How long the machine was off is not known, and taken for nothing.
+
+    Parameters
+    ----------
+    times : sequence of float
+        When they were granted, in order, by the clock of the time.
+    now : float
+        The present time.
+    """
+    moments: list[float] = []
+    later = moment = now
+    for at in reversed(times):
+        # A time that lies ahead of a later one is of a clock before that.
+        moment -= max(0.0, later - at)
+        later = at
+        moments.append(moment)
+    return moments[::-1]
+
+
 def judge(grants: Grants, most: int, rules: QuotaRules, now: float) -> Verdict:
     """Judge one request by what was granted in the window that ends with it.
 
@@ -102,4 +126,4 @@
     return Verdict(False, times[-most] + rules.window_s - now)
 
 
-__all__ = ["GRANTED", "Grants", "QuotaRules", "Verdict", "judge"]
+__all__ = ["GRANTED", "Grants", "QuotaRules", "Verdict", "judge", "restored"]
--- a/waxwingglade/decisions/tests/test_quota.py
+++ b/waxwingglade/decisions/tests/test_quota.py
@@ -5,7 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from waxwingglade.decisions.quota import Grants, QuotaRules, judge
+from waxwingglade.decisions.quota import Grants, QuotaRules, judge, restored
 
 RULES = QuotaRules(window_s=5.0, excess=0.1, slack=20.0)
 
@@ -18,6 +18,31 @@
     )
 
 
+class RestoredTest(unittest.TestCase):
+    """Times of a clock that goes on, or began anew with the machine."""
+
+    def test_by_a_clock_that_goes_on_they_are_as_they_were(self) -> None:
+        self.assertEqual([1.0, 3.0, 4.0], restored([1.0, 3.0, 4.0], 9.0))
+        self.assertEqual([], restored([], 9.0))
+
+    def test_by_a_clock_that_began_anew_the_last_is_now_and_the_others_lie_before(self) -> None:
+        self.assertEqual([-1.0, 1.0, 2.0], restored([70.0, 72.0, 73.0], 2.0))
+
+    def test_a_machine_that_began_anew_twice(self) -> None:
+        self.assertEqual([-1.0, 1.0, 1.0, 2.0], restored([70.0, 72.0, 4.0, 5.0], 2.0))
+
+    @given(st.lists(st.tuples(st.floats(0.0, 9.0), st.booleans()), min_size=1, max_size=30))
+    def test_none_is_taken_for_older_than_it_is(self, steps: list[tuple[float, bool]]) -> None:
+        true, clock, times, moments = 0.0, 100.0, [], []
+        for pause_s, begins_anew in steps:
+            true += pause_s
+            clock = 0.0 if begins_anew else clock + pause_s
+            times.append(clock)
+            moments.append(true)
+        for moment, read in zip(moments, restored(times, clock), strict=True):
+            self.assertGreaterEqual(true - moment + 1e-6, clock - read)
+
+
 class LimitTest(unittest.TestCase):
     def test_the_limit_of_a_window_with_what_is_tolerated(self) -> None:
         self.assertEqual(int(1.1 * (10 * 5 + 10) + 20), RULES.most(10.0, 10.0))
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, ProgramId, monotonic, wall
-from waxwingglade.decisions.quota import Grants
+from waxwingglade.decisions.quota import Grants, restored
 from waxwingglade.follow.model import ClientAccountId, ReplicaSet
 from waxwingglade.ledger.journal import Journal, Place
 from waxwingglade.ledger.messages import (
@@ -126,6 +126,7 @@
         self.replicas = ReplicaSet()
         self.unsettled = UnsettledEnds()
         self.grants: dict[ClientAccountId, Grants] = {}
+        self.granted_before: list[GrantRecord] = []
         self.granted_in: dict[int, float] = {}
         self.counts = False
         self.largest_set = 0
@@ -151,6 +152,7 @@
         """Read the disk and begin to write."""
         for place, content in self.journal.replay():
             self._replay(place, content)
+        self._restore_grants()
         self.journal.start()
         logger.bind(
             disk=self.disk,
@@ -168,9 +170,7 @@
             self.replicas = record.replicas
             self.largest_set = max(self.largest_set, len(record.replicas.members))
         elif isinstance(record, GrantRecord):
-            # The clock begins anew when the machine does; what seems to lie ahead may be recent.
-            at = min(record.at, self.clock())
-            self.grants.setdefault(record.client, Grants()).note(at)
+            self.granted_before.append(record)
         elif isinstance(record, CountingRecord):
             self.counts = record.counts
         elif isinstance(record, EndRecord):
@@ -181,6 +181,15 @@
             if isinstance(record, AcceptRecord) and record.accepted >= slot.accepted:
                 slot.accepted, slot.account = record.accepted, record.account
 
+    def _restore_grants(self) -> None:
+        """Count what was granted before the start, as far as it may be recent."""
+        now = self.clock()
+        records, self.granted_before = self.granted_before, []
+        moments = restored([record.at for record in records], now)
+        for record, at in zip(records, moments, strict=True):
+            if at > now - GRANTS_KEPT_S:
+                self.grants.setdefault(record.client, Grants()).note(at)
+
     async def stop(self) -> None:
         """Close the disk."""
         await self.journal.stop()
