One rendezvous hash for placing, limits and the order of replicas

Cause: the change that brought limits wrote the hash of a key and a name twice more, beside those of decisions/placement.py and ledger/rounds.py, and made up a message only to get replicas in an order.

Change: base/rendezvous.py has it for all four; the limits ask for an order by a key. The same values come out, so what is placed where does not change.

--- a/bench/turns/policies.py
+++ b/bench/turns/policies.py
@@ -10,9 +10,9 @@
 from bench.turns.previous import PreviousBalancer
 from bench.turns.sheet import EngineFigures, Sheet
 from waxwingglade.base import ProgramId, TargetId, ZoneId
+from waxwingglade.base.rendezvous import weight
 from waxwingglade.decisions.admission import Waiting, retry_after_s
 from waxwingglade.decisions.pace import EnginePace, Turn
-from waxwingglade.decisions.placement import weight
 from waxwingglade.follow.model import (
     EngineTraits,
     Revision,
--- a/bench/turns/previous.py
+++ b/bench/turns/previous.py
@@ -3,7 +3,8 @@
 from collections import OrderedDict
 
 from waxwingglade.base import Clock, ProgramId, TargetId, ZoneId
-from waxwingglade.decisions.placement import homes, weight
+from waxwingglade.base.rendezvous import weight
+from waxwingglade.decisions.placement import homes
 from waxwingglade.follow.model import Service, Target
 from waxwingglade.ingress.balance import Balancer, History
 from waxwingglade.ingress.dialect import Call
--- a/waxwingglade/decisions/parts.py
+++ b/waxwingglade/decisions/parts.py
@@ -10,7 +10,8 @@
 from collections.abc import Collection
 
 import msgspec
-import xxhash
+
+from waxwingglade.base.rendezvous import weight
 
 
 class PartRules(msgspec.Struct, frozen=True):
@@ -116,9 +117,7 @@
 
     def _place(self, account: str) -> int:
         """Return this counter's place in the order in which an account's remainder is dealt out."""
-        order = sorted(
-            self.members, key=lambda name: xxhash.xxh32_intdigest(f"{account}|{name}".encode())
-        )
+        order = sorted(self.members, key=lambda name: weight(account, name))
         return order.index(self.own)
 
 
--- a/waxwingglade/decisions/placement.py
+++ b/waxwingglade/decisions/placement.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterable, Mapping, Sequence
 
 import msgspec
-import xxhash
 
 from waxwingglade.base import TargetId, ZoneId
+from waxwingglade.base.rendezvous import weight
 from waxwingglade.decisions.pace import EnginePace
 
 
@@ -106,9 +106,4 @@
     return chosen
 
 
-def weight(key: str | None, target: TargetId) -> int:
-    """Return a target's weight in the rendezvous hashing of a key; the same at every entry."""
-    return xxhash.xxh32_intdigest(f"{key}|{target}".encode())
-
-
-__all__ = ["Engine", "homes", "queue_s", "tokens_to_read", "turn_cost_s", "weight"]
+__all__ = ["Engine", "homes", "queue_s", "tokens_to_read", "turn_cost_s"]
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -10,8 +10,9 @@
 import msgspec
 
 from waxwingglade.base import Clock, TargetId, ZoneId, monotonic
+from waxwingglade.base.rendezvous import weight
 from waxwingglade.decisions.pace import EnginePace, Turn
-from waxwingglade.decisions.placement import Engine, homes, tokens_to_read, turn_cost_s, weight
+from waxwingglade.decisions.placement import Engine, homes, tokens_to_read, turn_cost_s
 from waxwingglade.decisions.ranks import RankShares
 from waxwingglade.follow.model import (
     IncarnationName,
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, WaxwinggladeError, ZoneId, monotonic
+from waxwingglade.base.rendezvous import weight
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.model import Replica
 from waxwingglade.ledger.messages import (
@@ -22,13 +23,12 @@
     NoteEnd,
     QuotaSpent,
     QuotaTaken,
-    TakeQuota,
     TurnBegun,
     TurnEnded,
     TurnId,
     Unavailable,
 )
-from waxwingglade.ledger.quota_client import QuotaClient, weight_of
+from waxwingglade.ledger.quota_client import QuotaClient
 from waxwingglade.transport.links import LinkFailed, Links
 
 ASK_S = 0.4
@@ -129,7 +129,7 @@
         self.avoided: dict[str, float] = {}
         self.settling: set[asyncio.Task] = set()
         self.unsettled: dict[TurnId, EndTurn] = {}
-        self.quotas = QuotaClient(links, self._in_order, self._avoid, clock)
+        self.quotas = QuotaClient(links, self._spread, self._avoid, clock)
 
     async def begin(
         self, message: BeginTurn, timeout_s: float
@@ -387,20 +387,25 @@
         self.avoided[replica.address] = self.clock() + AVOID_S
 
     def _in_order(self, message: Any) -> list[Replica]:
+        """Return the replicas to ask for a turn.
+
+        Entries of a zone ask the same one for a program: it then knows the account, and a change
+        takes one round instead of two.
+        """
+        return self._spread(message.program or message.turn)
+
+    def _spread(self, key: str) -> list[Replica]:
         """Return the replicas to ask: the nearest first, and those that failed lately last.
 
         Of these the one that failed longest ago comes first, so that where all have failed they are
         asked in turn, and not always the nearest.
-        Entries of a zone ask the same one for a program: it then knows the account, and a change
-        takes one round instead of two.
         """
         now = self.clock()
-        key = _key_of(message)
 
         def order(replica: Replica) -> tuple[float, bool, int]:
             until = self.avoided.get(replica.address, 0.0)
             avoided = until if until > now else 0.0
-            return avoided, replica.zone != self.zone, weight_of(key, replica)
+            return avoided, replica.zone != self.zone, weight(key, replica.disk)
 
         return sorted(self.replicas(), key=order)
 
@@ -410,13 +415,6 @@
     return asked.answer not in (NOT_CONNECTED, Busy.__name__, QuotaSpent.__name__)
 
 
-def _key_of(message: Any) -> str:
-    """Return what spreads requests over the members: the program, where one is named."""
-    if isinstance(message, TakeQuota):
-        return random.random().hex()
-    return message.program or message.turn
-
-
 def _loggable(asked: Asked, began_at: float, now: float) -> dict[str, Any]:
     """Return the fields of one asking, with times from the beginning of the request on."""
     ended_at = now if asked.ended_at is None else asked.ended_at
--- a/waxwingglade/ledger/quota_client.py
+++ b/waxwingglade/ledger/quota_client.py
@@ -1,13 +1,14 @@
 """The limits of client accounts, as an entry asks the ledger's members for them."""
 
+import random
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
-import xxhash
 from loguru import logger
 
 from waxwingglade.base import Clock, WaxwinggladeError, monotonic
+from waxwingglade.base.rendezvous import weight
 from waxwingglade.follow.model import ClientAccountId, Replica
 from waxwingglade.ledger.messages import (
     BeginProgram,
@@ -37,7 +38,7 @@
     links : Links
         Connections to members.
     in_order : callable
-        The members in the order in which they are asked for a message.
+        The members in the order in which they are asked; a key spreads what is asked over them.
     avoid : callable
         Called with a member that gave no answer, which is asked last for a while.
     clock : Clock
@@ -54,7 +55,7 @@
     def __init__(
         self,
         links: Links,
-        in_order: Callable[[Any], list[Replica]],
+        in_order: Callable[[str], list[Replica]],
         avoid: Callable[[Replica], None],
         clock: Clock = monotonic,
     ) -> None:
@@ -72,7 +73,7 @@
         if (spent := self.known_spent(client)) is not None:
             return spent
         end_at = self.clock() + min(timeout_s, ASK_FOR_S)
-        return await self.take_from(self.in_order(TakeQuota(client)), client, None, end_at)
+        return await self.take_from(self.in_order(random.random().hex()), client, None, end_at)
 
     def known_spent(self, client: ClientAccountId) -> QuotaSpent | None:
         """Return the refusal of an account of which all members said lately that it has no room."""
@@ -118,10 +119,10 @@
         One member is asked for all programs of an account, so that it knows of all of them.  Where
         it does not answer a program begins: its requests are counted in any case.
         """
-        members = self.in_order(TakeQuota(client))
+        members = self.in_order(client)
         if not members:
             return None
-        member = max(members, key=lambda each: weight_of(client, each))
+        member = max(members, key=lambda each: weight(client, each.disk))
         message = BeginProgram(client, self.refused.pop(client, 0))
         answer = await self._ask(member, message, TAKE_S)
         return answer if isinstance(answer, QuotaSpent) else None
@@ -144,9 +145,4 @@
             return None
 
 
-def weight_of(key: str, replica: Replica) -> int:
-    """Return a replica's weight for a key, by which entries agree on an order without a word."""
-    return xxhash.xxh32_intdigest(f"{key}|{replica.disk}".encode())
-
-
-__all__ = ["QuotaClient", "weight_of"]
+__all__ = ["QuotaClient"]
--- a/waxwingglade/ledger/rounds.py
+++ b/waxwingglade/ledger/rounds.py
@@ -5,10 +5,10 @@
 from functools import partial
 from typing import Any
 
-import xxhash
 from loguru import logger
 
 from waxwingglade.base import ProgramId, WaxwinggladeError, monotonic
+from waxwingglade.base.rendezvous import weight
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.messages import Ballot, OtherEpoch, Rejected
@@ -163,8 +163,8 @@
 
         def order(member: Member) -> tuple[bool, bool, bool, int]:
             avoided = self.avoided.get(member.disk, 0.0) > now
-            weight = xxhash.xxh32_intdigest(f"{program}|{member.disk}".encode())
-            return avoided, member.disk != self.own.disk, member.zone != self.own.zone, weight
+            own, near = member.disk == self.own.disk, member.zone == self.own.zone
+            return avoided, not own, not near, weight(program, member.disk)
 
         return sorted(replicas.members, key=order)
 
