Forget old moments in one place, and call a ruling on a request a judgement

Cause: the loop that drops moments out of a window stood three times, and Verdict is the project's word for whether a failed request ran.

Change: decisions/quota.py has forget() for grants, starts and refusals, and Judgement for what is said of one request. Nothing behaves otherwise.

Measured: test_quota and test_program_starts, unchanged, pass.

--- a/waxwingglade/decisions/program_starts.py
+++ b/waxwingglade/decisions/program_starts.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 
-from waxwingglade.decisions.quota import GRANTED, RECENT_S, QuotaRules, Verdict
+from waxwingglade.decisions.quota import GRANTED, RECENT_S, Judgement, QuotaRules, forget
 
 USUAL_REQUESTS = 16.0
 """Requests of a program, before any was counted."""
@@ -60,16 +60,10 @@
         """Take in that requests of programs under way were refused."""
         self.refused.extend([now] * requests)
 
-    def forget(self, window_s: float, now: float) -> None:
-        """Forget what no longer counts."""
-        for times, kept_s in ((self.begun, window_s), (self.refused, RECENT_S)):
-            while times and times[0] <= now - kept_s:
-                times.popleft()
-
 
 def may_begin(
     starts: Starts, most: int, rules: QuotaRules, now: float, program_size: float
-) -> Verdict:
+) -> Judgement:
     """Judge whether an account may begin one more program, and count it if so.
 
     Parameters
@@ -81,13 +75,14 @@
     program_size : float
         Requests of a usual program.
     """
-    starts.forget(rules.window_s, now)
+    forget(starts.begun, now - rules.window_s)
+    forget(starts.refused, now - RECENT_S)
     refused = len(starts.refused) / most if most > 0 else 1.0
     needed = program_size * (1 + min(MOST_MARGIN, MARGIN_PER_REFUSED * refused))
     if not starts.begun or len(starts.begun) * needed < most:
         starts.begun.append(now)
         return GRANTED
-    return Verdict(False, starts.begun[0] + rules.window_s - now)
+    return Judgement(False, starts.begun[0] + rules.window_s - now)
 
 
 __all__ = ["ProgramSize", "Starts", "may_begin"]
--- a/waxwingglade/decisions/quota.py
+++ b/waxwingglade/decisions/quota.py
@@ -35,7 +35,7 @@
         return int(limit * (1 + self.excess) + self.slack)
 
 
-class Verdict(msgspec.Struct, frozen=True):
+class Judgement(msgspec.Struct, frozen=True):
     """What is said of one request.
 
     Parameters
@@ -50,7 +50,13 @@
     retry_s: float = 0.0
 
 
-GRANTED = Verdict(True)
+GRANTED = Judgement(True)
+
+
+def forget(times: deque[float], until: float) -> None:
+    """Remove the moments up to one from a sequence of them in order."""
+    while times and times[0] <= until:
+        times.popleft()
 
 
 class Grants:
@@ -105,7 +111,7 @@
     return moments[::-1]
 
 
-def judge(grants: Grants, most: int, rules: QuotaRules, now: float) -> Verdict:
+def judge(grants: Grants, most: int, rules: QuotaRules, now: float) -> Judgement:
     """Judge one request by what was granted in the window that ends with it.
 
     Parameters
@@ -116,14 +122,13 @@
         What it may grant in a window.
     """
     times = grants.times
-    while times and times[0] <= now - rules.window_s:
-        times.popleft()
+    forget(times, now - rules.window_s)
     if len(times) < most:
         return GRANTED
     grants.refused_at = now
     if most <= 0:
-        return Verdict(False, rules.window_s)
-    return Verdict(False, times[-most] + rules.window_s - now)
+        return Judgement(False, rules.window_s)
+    return Judgement(False, times[-most] + rules.window_s - now)
 
 
-__all__ = ["GRANTED", "Grants", "QuotaRules", "Verdict", "judge", "restored"]
+__all__ = ["GRANTED", "Grants", "Judgement", "QuotaRules", "forget", "judge", "restored"]
