One stand-in for an age that is not known; say what looking at the quorum does

Cause: the number that stands for an infinite age had two names and stood as a literal in five places, and a method named for logging also ended waits.

Change: LONGEST_AGE_S of follow/feed.py serves all of them; the method is _look_at_quorum. Nothing behaves otherwise.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -27,7 +27,7 @@
 
 SOURCE_PAUSE_S = 0.1
 LONGEST_AGE_S = 1e6
-"""Stands for an age that is not known, in seconds."""
+"""Stands for an age in seconds that is infinite, which JSON can't hold."""
 
 Ask = Callable[[str, Follow, float], Awaitable[Followed]]
 
@@ -236,4 +236,4 @@
     return sorted(replicas, key=lambda replica: (replica.zone != zone, hash((key, replica.disk))))
 
 
-__all__ = ["FRESH_S", "Beliefs", "FeedFollower", "ask_over", "nearest_first"]
+__all__ = ["FRESH_S", "LONGEST_AGE_S", "Beliefs", "FeedFollower", "ask_over", "nearest_first"]
--- a/waxwingglade/ingress/accounts.py
+++ b/waxwingglade/ingress/accounts.py
@@ -4,6 +4,7 @@
 from loguru import logger
 
 from waxwingglade.base.credentials import KeyDigest, bearer_token, digest_of
+from waxwingglade.follow.feed import LONGEST_AGE_S
 from waxwingglade.follow.model import ClientAccount
 from waxwingglade.ingress.dialect import Call
 from waxwingglade.ingress.refusal import UNAUTHORIZED, UNAVAILABLE, Refusal
@@ -72,7 +73,9 @@
     if account is None and age_s <= rules.deny_s:
         raise Refusal(UNAUTHORIZED, "no key" if not call.credentials else "unknown key")
     if account is None or age_s > rules.honour_s:
-        raise Refusal(UNAVAILABLE, f"not run: keys were confirmed {min(age_s, 1e6):.1f} s ago")
+        raise Refusal(
+            UNAVAILABLE, f"not run: keys were confirmed {min(age_s, LONGEST_AGE_S):.1f} s ago"
+        )
     return account
 
 
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -14,7 +14,7 @@
 
 from waxwingglade.base.loop_delay import LoopDelay
 from waxwingglade.base.tasks import start_task
-from waxwingglade.follow.feed import Beliefs, FeedFollower, ask_over, nearest_first
+from waxwingglade.follow.feed import LONGEST_AGE_S, Beliefs, FeedFollower, ask_over, nearest_first
 from waxwingglade.follow.model import ClientAccount, ClientLimits, Replica, View
 from waxwingglade.follow.store import Store, StoreUnavailable
 from waxwingglade.follow.watcher import Keys, Watcher
@@ -247,7 +247,7 @@
         lost_at: float | None = None
         while True:
             await self.loop_delay.sleep(LOOK_S)
-            self._log_quorum()
+            self._look_at_quorum()
             self.pool.sweep()
             self.close_idle()
             self.links.keep_only(
@@ -271,8 +271,8 @@
             if exchange.idle and exchange.arrived_at < idle_since:
                 exchange.close_when_idle()
 
-    def _log_quorum(self) -> None:
-        """Log when a majority of the ledger is lost and reached again."""
+    def _look_at_quorum(self) -> None:
+        """Take in whether a majority of the ledger is in reach, and log when that changes."""
         if not self.reach.look():
             return
         event = "ledger quorum regained" if self.reach.reached else "ledger quorum lost"
@@ -281,7 +281,7 @@
     def _use_watcher(self) -> None:
         """Follow the store itself: no replica knows enough."""
         if self.watcher is None:
-            logger.bind(age_s=round(min(self.beliefs.age_s, 1e6), 2)).warning(
+            logger.bind(age_s=round(min(self.beliefs.age_s, LONGEST_AGE_S), 2)).warning(
                 "no source, following the store"
             )
             known = self.beliefs.view.targets
@@ -358,7 +358,7 @@
         try:
             async with asyncio.timeout(left_s):
                 if is_stream(serving.route):
-                    self._log_quorum()
+                    self._look_at_quorum()
                     way = LedgerWay(self.ledger, self.reach, self.rotation)
                     await serve_stream(serving, attempts, way, self._priority)
                 else:
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus.renderer import render
 
 from waxwingglade.base.tally import Counts, Times
+from waxwingglade.follow.feed import LONGEST_AGE_S
 
 if TYPE_CHECKING:
     from waxwingglade.ingress.entry import Ingress
@@ -90,8 +91,8 @@
         """Return all metrics in Prometheus's text format."""
         facts = {
             "configuration_version": float(ingress.beliefs.view.version),
-            "view_age_seconds": min(ingress.beliefs.age_s, 1e6),
-            "view_incomplete_seconds": min(ingress.beliefs.incomplete_s, 1e6),
+            "view_age_seconds": min(ingress.beliefs.age_s, LONGEST_AGE_S),
+            "view_incomplete_seconds": min(ingress.beliefs.incomplete_s, LONGEST_AGE_S),
             "ledger_epoch": float(ingress.beliefs.view.replicas.epoch),
             "ledger_reached": float(ingress.reaches_ledger),
             "ready": float(ingress.ready),
--- a/waxwingglade/ingress/request_log.py
+++ b/waxwingglade/ingress/request_log.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from waxwingglade.base.logs import Sampler
-from waxwingglade.follow.feed import Beliefs
+from waxwingglade.follow.feed import LONGEST_AGE_S, Beliefs
 from waxwingglade.ingress.attempt import AttemptRecord
 from waxwingglade.ingress.exchange import Exchange
 from waxwingglade.ingress.serving import Trace
@@ -15,9 +15,6 @@
 
 FAILURES_LOGGED_PER_S = 50.0
 
-UNKNOWN_AGE_S = 1e6
-"""Stands for an age that is infinite, which JSON can't hold."""
-
 
 class RequestLog:
     """Writes one line for each request, up to a bound.
@@ -52,7 +49,7 @@
             "route": trace.route,
             "account": trace.account,
             "version": trace.version,
-            "view_age_s": round(min(self.beliefs.age_s, UNKNOWN_AGE_S), 2),
+            "view_age_s": round(min(self.beliefs.age_s, LONGEST_AGE_S), 2),
             "epoch": self.beliefs.view.replicas.epoch,
             "status": exchange.status,
             "reason": trace.reason,
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -6,6 +6,7 @@
 from aioprometheus.renderer import render
 
 from waxwingglade.base.tally import Counts, Times
+from waxwingglade.follow.feed import LONGEST_AGE_S
 
 if TYPE_CHECKING:
     from waxwingglade.ledger.node import LedgerNode
@@ -49,7 +50,7 @@
             "epoch": replica.replicas.epoch,
             "settled": replica.replicas.settled,
             "quorum": node.membership.quorum,
-            "view_age_seconds": min(node.beliefs.age_s, 1e6),
+            "view_age_seconds": min(node.beliefs.age_s, LONGEST_AGE_S),
             "configuration_version": node.beliefs.view.version,
             "disk_bytes": sum(journal.segments.values()),
             "disk_flushes": journal.flushes,
