Tell callers that the end of a program interrupted their call, and whether it ran

Seen by callers: a call that waited or ran while its program ended (out of turns, over its wall time, or on request) was answered 503 `cancelled`, may_have_run, "the call was cut short", as by a crash: also where nothing had been sent.

Cause: `end_program` cancels the tasks of the program's calls, and one fallback answered every task that was cancelled or raised an exception alike, with no line in the log.

Change: such a call is answered `program_ended` (410) with the reason. The verdict comes from what was sent: not_run while it waits for its turn or a target, and while its start is made durable (its reservation is released); may_have_run once it was sent. A call whose outcome is in the log keeps that outcome: it is no longer cancelled while the outcome becomes durable. A call that the entry stops keeps `cancelled`; an exception is `internal`; each has a line "call interrupted". A call that is cancelled before its task has run any line was never answered, and now is. The starts of sub-agents are finished in the log, too. Checks of the proof are as they were.

--- a/waxwingglade/process/calls.py
+++ b/waxwingglade/process/calls.py
@@ -2,13 +2,15 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from functools import partial
 
 import msgspec
 
 from waxwingglade.base import ErrorCode, Failure, Verdict, make_program_id, new_nonce
 from waxwingglade.connection.peer_messages import CallerEvent, FollowCall, SubmitCall
 from waxwingglade.process.entry import Entry, RunningProgram
-from waxwingglade.process.logs import log_context, log_outcome
+from waxwingglade.process.interruption import interrupted, record_interruption
+from waxwingglade.process.logs import log_context, log_interruption, log_outcome
 from waxwingglade.process.owned_log import TAKEN_OVER, OwnedLog
 from waxwingglade.program import (
     Call,
@@ -24,6 +26,7 @@
     CallExecution,
     finish,
     new_execution,
+    program_ended,
     record_start,
 )
 from waxwingglade.request.events import CallEvents, replay
@@ -100,10 +103,7 @@
 
 
 def _refusal(entry: Entry, state: ProgramState) -> Failure | None:
-    if state.ended is not None:
-        text = f"the program ended: {state.ended.reason}"
-        return Failure(Verdict.NOT_RUN, ErrorCode.PROGRAM_ENDED, text)
-    return None
+    return program_ended(state) if state.ended is not None else None
 
 
 async def _replay_recorded(
@@ -142,13 +142,16 @@
     running: RunningProgram,
     request: SubmitCall,
 ) -> CallEvents:
-    """Start a call in its own task, which continues when the caller disconnects."""
+    """Start a call in its own task, which continues when the caller disconnects.
+
+    Its callers are answered when the task ends; a task that is cancelled early runs no line.
+    """
     on_text = entry.metrics.text_timer(state.created)
     events = CallEvents(new_nonce(), request.call, on_text)
     running.calls[request.call.call] = events
     task = entry.spawn(_run(entry, owned, state, running, request, events))
-    running.tasks.add(task)
-    task.add_done_callback(running.tasks.discard)
+    running.tasks[task] = events
+    task.add_done_callback(partial(_end_call, owned, state, running))
     return events
 
 
@@ -159,18 +162,30 @@
     running: RunningProgram,
     request: SubmitCall,
     events: CallEvents,
-) -> None:
-    call = request.call
-    outcome: Done | Failure | None = None
+) -> Done | Failure:
     started_at = entry.clock()
     try:
-        with log_context(owned, state, call.call):
-            outcome = await _run_in_order(entry, owned, state, running, request, events)
+        with log_context(owned, state, request.call.call):
+            return await _run_in_order(entry, owned, state, running, request, events)
     finally:
         running.service_received_s += entry.clock() - started_at
         entry.metrics.observe_call(state.created, entry.clock() - started_at)
-        running.calls.pop(call.call, None)
-        events.finish(outcome or _interrupted(owned))
+
+
+def _end_call(
+    owned: OwnedLog, state: ProgramState, running: RunningProgram, task: asyncio.Task
+) -> None:
+    """Answer the callers of a call whose task has ended."""
+    events = running.tasks.pop(task)
+    call = events.call.call
+    running.calls.pop(call, None)
+    if not task.cancelled() and task.exception() is None:
+        events.finish(task.result())
+        return
+    failure = interrupted(owned, state, running, call, task.cancelled())
+    with log_context(owned, state, call):
+        log_interruption(failure)
+    events.finish(failure)
 
 
 async def _run_in_order(
@@ -187,27 +202,29 @@
         if request.history_length not in (None, len(state.history)):
             text = "the history has changed since the call was prepared"
             return Failure(Verdict.NOT_RUN, ErrorCode.CONFLICT, text)
-        outcome = await _run_in_turn(entry, owned, state, request.call, events)
+        outcome = await _run_in_turn(entry, owned, state, running, request.call, events)
     log_outcome(outcome)
     return outcome
 
 
-def _interrupted(owned: OwnedLog) -> Failure:
-    """Return the outcome of a call that was cancelled or that raised an unexpected exception."""
-    if owned.fenced:
-        return Failure(Verdict.MAY_HAVE_RUN, ErrorCode.FENCED, TAKEN_OVER, RETRY_AFTER_S)
-    return Failure(Verdict.MAY_HAVE_RUN, ErrorCode.CANCELLED, "the call was cut short")
-
-
 async def _run_in_turn(
-    entry: Entry, owned: OwnedLog, state: ProgramState, call: Call, events: CallEvents
+    entry: Entry,
+    owned: OwnedLog,
+    state: ProgramState,
+    running: RunningProgram,
+    call: Call,
+    events: CallEvents,
 ) -> Done | Failure:
     execution = new_execution(entry, owned, state, call, events.attempt)
-    if isinstance(call, ModelCall):
-        return await run_model_call(execution, events)
-    if isinstance(call, ToolCall):
-        return await run_tool_call(execution)
-    return await run_sub_program(execution)
+    try:
+        if isinstance(call, ModelCall):
+            return await run_model_call(execution, events)
+        if isinstance(call, ToolCall):
+            return await run_tool_call(execution)
+        return await run_sub_program(execution)
+    except BaseException as error:
+        await record_interruption(execution, running, isinstance(error, asyncio.CancelledError))
+        raise
 
 
 async def run_sub_program(execution: CallExecution) -> Done | Failure:
@@ -220,6 +237,7 @@
     if started.is_err():
         return started.err_value
     child = make_program_id(owned.log)
+    execution.is_sent = True
     created = msgspec.structs.replace(
         state.created,
         created_at=execution.entry.wall_clock(),
--- a/waxwingglade/process/entry.py
+++ b/waxwingglade/process/entry.py
@@ -64,13 +64,15 @@
 
     `created_at_estimate` is the program's creation on this process's monotonic clock, in seconds,
     derived from its age when this process first saw it; `blocks` is the hash chain of the last
-    prompt.
+    prompt.  `tasks` are the calls that run in this process; `ended` is True once the program's end
+    is durable, so that its calls are cancelled.
     """
 
     order: CallOrder
     calls: dict[CallId, CallEvents]
-    tasks: set[asyncio.Task]
+    tasks: dict[asyncio.Task, CallEvents]
     created_at_estimate: float
+    ended: bool = False
     service_received_s: float = 0.0
     blocks: tuple[BlockHash, ...] = ()
 
@@ -227,6 +229,6 @@
         running = self.running.get(state.program)
         if running is None:
             age_s = max(0.0, self.wall_clock() - state.created.created_at)
-            running = RunningProgram(CallOrder(), {}, set(), self.clock() - age_s)
+            running = RunningProgram(CallOrder(), {}, {}, self.clock() - age_s)
             self.running[state.program] = running
         return running
--- a/waxwingglade/process/logs.py
+++ b/waxwingglade/process/logs.py
@@ -78,6 +78,13 @@
     logger.debug("call ended after {} tokens", outcome.usage.output_tokens)
 
 
+def log_interruption(failure: Failure) -> None:
+    """Log that a call was cancelled or raised an exception, with the answer to its caller."""
+    logger.info(
+        "call interrupted: {}, {}: {}", failure.code.value, failure.verdict.value, failure.message
+    )
+
+
 def json_line(record: Any) -> str:
     """Return a loguru record as a line of JSON."""
     line = {
--- a/waxwingglade/process/programs.py
+++ b/waxwingglade/process/programs.py
@@ -17,6 +17,7 @@
 from waxwingglade.process.owned_log import OwnedLog
 from waxwingglade.process.ownership import log_for_new_program
 from waxwingglade.program import Call, Created, ProgramEnded, ProgramState
+from waxwingglade.request.events import CallEvents
 from waxwingglade.settings import Budget
 from waxwingglade.version import PolicyPath
 
@@ -143,8 +144,20 @@
 
 
 async def _cancel_calls(entry: Entry, state: ProgramState) -> None:
-    running = entry.running.get(state.program)
-    tasks = list(running.tasks) if running else []
-    for task in tasks:
-        task.cancel()
+    """Cancel the running calls of a program that has ended; those with an outcome may finish."""
+    running = entry.running_program(state)
+    running.ended = True
+    tasks = list(running.tasks)
+    for task, events in running.tasks.items():
+        if not _has_outcome(state, events):
+            task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _has_outcome(state: ProgramState, events: CallEvents) -> bool:
+    """Return whether the outcome of a running call is in the log, though perhaps not yet durable.
+
+    The log may also have the outcome of an earlier attempt, which the caller repeats.
+    """
+    known = state.calls.get(events.call.call)
+    return known is not None and known.outcome is not None and known.attempt == events.attempt
--- a/waxwingglade/request/call_execution.py
+++ b/waxwingglade/request/call_execution.py
@@ -8,10 +8,8 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-from loguru import logger
 
 from waxwingglade.base import ConfigVersion, Err, ErrorCode, Failure, Ok, Outcome, Verdict, not_run
-from waxwingglade.connection.peer_messages import EntryState
 from waxwingglade.decisions import Grant, Pool, Work
 from waxwingglade.program import Amount, Call, CallEnded, CallMoved, CallStarted, Done, ProgramState
 from waxwingglade.program.budget import check_amount, check_time, check_turns
@@ -52,6 +50,8 @@
         Whether the call may be sent again after an attempt that may have run.
     grant : Grant or None
         Permission to send to a target; None between attempts.
+    is_sent : bool
+        Whether the current attempt may have reached its target.
     reserved : Amount
         Reservation for all attempts together.
     possibly_spent : Amount
@@ -70,6 +70,7 @@
     attempt: str
     idempotent: bool = True
     grant: Grant | None = None
+    is_sent: bool = False
     reserved: Amount = ZERO_AMOUNT
     possibly_spent: Amount = ZERO_AMOUNT
     reported_failure: Failure | None = None
@@ -142,7 +143,7 @@
     """
     state = execution.state
     if state.ended is not None:
-        return not_run(ErrorCode.PROGRAM_ENDED, f"the program ended: {state.ended.reason}")
+        return Err(program_ended(state))
     allowed = _check_budget(execution, amount)
     if allowed.is_err():
         return allowed
@@ -211,15 +212,23 @@
     """Record that a call did not run, since its start failed or came too late; nothing was sent."""
     refusal = msgspec.structs.replace(failure, verdict=Verdict.NOT_RUN)
     if not execution.owned.fenced:
-        await _append_end(execution, refusal, ZERO_AMOUNT)
+        await append_end(execution, refusal, ZERO_AMOUNT)
     return Err(refusal)
 
 
+def program_ended(state: ProgramState, verdict: Verdict = Verdict.NOT_RUN) -> Failure:
+    """Return the failure of a call whose program has ended."""
+    assert state.ended is not None
+    text = f"the program ended: {state.ended.reason}"
+    return Failure(verdict, ErrorCode.PROGRAM_ENDED, text)
+
+
 def record_failed_attempt(execution: CallExecution, failure: Failure, amount: Amount) -> None:
     """Record the failure of an attempt for which `amount` was reserved."""
     if execution.grant is not None:
         execution.grant.failed(failure)
         execution.grant = None
+    execution.is_sent = False
     if failure.verdict is not Verdict.NOT_RUN:
         execution.possibly_spent = execution.possibly_spent.plus(amount)
     if execution.reported_failure is None or execution.reported_failure.verdict is Verdict.NOT_RUN:
@@ -266,7 +275,7 @@
     used : Amount
         Amount that the last attempt used; the amounts of failed attempts are added.
     """
-    appended = await _append_end(execution, outcome, execution.possibly_spent.plus(used))
+    appended = await append_end(execution, outcome, execution.possibly_spent.plus(used))
     if appended.is_ok():
         return outcome
     verdict = outcome.verdict if isinstance(outcome, Failure) else Verdict.MAY_HAVE_RUN
@@ -279,25 +288,7 @@
     return await finish(execution, execution.reported_failure, ZERO_AMOUNT)
 
 
-async def finish_cancelled(execution: CallExecution) -> None:
-    """Record the outcome of a cancelled call; its whole reservation counts as spent."""
-    leaving = execution.entry.members.state is EntryState.DRAINING
-    code = ErrorCode.OWNER_LOST if leaving else ErrorCode.CANCELLED
-    failure = Failure(Verdict.MAY_HAVE_RUN, code, "the call was cancelled")
-    if execution.grant is not None:
-        execution.grant.failed(failure)
-    known = execution.state.calls.get(execution.call.call)
-    if execution.owned.fenced or known is None or known.outcome is not None:
-        return
-    appended = await _append_end(execution, failure, execution.reserved)
-    if appended.is_err():
-        logger.warning(
-            "the outcome of call {} of {} could not be made durable",
-            execution.call.call,
-            execution.state.program,
-        )
-
-
-async def _append_end(execution: CallExecution, outcome: Done | Failure, spent: Amount) -> Outcome:
+async def append_end(execution: CallExecution, outcome: Done | Failure, spent: Amount) -> Outcome:
+    """Record the end of a call and wait until it is durable."""
     ended = CallEnded(execution.call.call, outcome, spent, execution.entry.wall_clock())
     return await execution.owned.append(execution.state.program, ended)
--- a/waxwingglade/request/model_call.py
+++ b/waxwingglade/request/model_call.py
@@ -26,7 +26,6 @@
     ZERO_AMOUNT,
     CallExecution,
     finish,
-    finish_cancelled,
     finish_failed,
     reassign,
     record_failed_attempt,
@@ -94,14 +93,10 @@
     work = work_for(execution, Pool(generation.call.model))
     work.blocks = _prompt_blocks(execution, generation)
     work.prompt_tokens = generation.prompt_tokens
-    try:
-        started = await start(execution, work, _reservation(execution, generation))
-        if started.is_err():
-            return started.err_value
-        return await _generate(execution, generation, work)
-    except BaseException:
-        await finish_cancelled(execution)
-        raise
+    started = await start(execution, work, _reservation(execution, generation))
+    if started.is_err():
+        return started.err_value
+    return await _generate(execution, generation, work)
 
 
 def _prepare(execution: CallExecution, events: CallEvents) -> Generation:
@@ -144,6 +139,7 @@
             break
         assert execution.grant is not None
         await transfer_cache(execution, execution.grant)
+        execution.is_sent = True
         ended = await _stream(execution, generation, execution.grant, attempt)
         if isinstance(ended, EngineDone):
             execution.grant.finished(ended.usage)
--- a/waxwingglade/request/tool_call.py
+++ b/waxwingglade/request/tool_call.py
@@ -15,7 +15,6 @@
 from waxwingglade.request.call_execution import (
     CallExecution,
     finish,
-    finish_cancelled,
     finish_failed,
     reassign,
     record_failed_attempt,
@@ -51,15 +50,11 @@
         return not_run(ErrorCode.NOT_FOUND, text).err_value
     execution.idempotent = tool.idempotent
     work = work_for(execution, pool_of_tool(call.tool))
-    try:
-        started = await start(execution, work, amount_of_tool_call(tool))
-        if started.is_err():
-            return started.err_value
-        with tool_pause(execution, call.tool):
-            return await _send(execution, call, tool, work)
-    except BaseException:
-        await finish_cancelled(execution)
-        raise
+    started = await start(execution, work, amount_of_tool_call(tool))
+    if started.is_err():
+        return started.err_value
+    with tool_pause(execution, call.tool):
+        return await _send(execution, call, tool, work)
 
 
 def find_tool(entry: "Entry", call: ToolCall) -> ToolSettings | None:
@@ -84,6 +79,7 @@
         if attempt and (await reassign(execution, work, price)).is_err():
             break
         assert execution.grant is not None
+        execution.is_sent = True
         answer = await call_tool(
             execution.entry.http,
             execution.entry.targets[execution.grant.target],
