Hand over a log that comes back to an entry during its drain

An entry that drains could own a log at its end that it had not handed over, and start calls in it.

Cause: a log that another entry has claimed in the store without taking it over is claimed back by its owner, also while that owner drains, and a reclaim may be under way when the drain begins. The log then comes back as a new object under its old name. The drain remembered the names of the logs it had handed over, so it passed over this one, and the log did not know that it was to be handed over.

Change: a draining entry claims no log back, as its peers take the log over on request, whoever claimed it; the drain remembers the logs themselves; a log taken over during the drain starts no calls.

--- a/waxwingglade/process/drain.py
+++ b/waxwingglade/process/drain.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from waxwingglade.base import EntryRef, ErrorCode, Failure, LogId, Verdict
+from waxwingglade.base import EntryRef, ErrorCode, Failure, Verdict
 from waxwingglade.connection.peer_messages import (
     EntryState,
     LogTaken,
@@ -56,13 +56,16 @@
 
 
 async def _hand_over_all(entry: Entry) -> None:
-    """Hand over every log, including those whose takeover was running when the drain began."""
-    tried: set[LogId] = set()
+    """Hand over every log, including those whose takeover was running when the drain began.
+
+    Such a takeover may be of a log that this entry owned before.
+    """
+    tried: set[OwnedLog] = set()
     while True:
-        logs = [owned for log, owned in entry.owned.items() if log not in tried]
+        logs = [owned for owned in entry.owned.values() if owned not in tried]
         if not logs and not entry.taking_over:
             return
-        tried.update(owned.log for owned in logs)
+        tried.update(logs)
         await asyncio.gather(*(_hand_over(entry, owned) for owned in logs))
         await asyncio.sleep(0 if logs else POLL_S)
 
--- a/waxwingglade/process/ownership.py
+++ b/waxwingglade/process/ownership.py
@@ -187,10 +187,15 @@
 
 
 async def _reclaim(entry: Entry, owned: OwnedLog) -> None:
-    """Claim a log again if another entry claimed it in the store but did not take it over."""
+    """Claim a log again if another entry claimed it in the store but did not take it over.
+
+    A draining entry does not: it asks its peers to take the log over, whoever has claimed it.
+    """
     claimant = owned.contested_by
     if claimant is None or await _serves(entry, claimant, owned.log):
         return
+    if entry.members.state is EntryState.DRAINING:
+        return
     await take_over_log(entry, owned.log, None, requested_by_owner=True)
 
 
@@ -340,6 +345,7 @@
         logger.warning("log {} could not be taken over: {}", log, taken.err_value.message)
         return taken
     owned = taken.ok_value
+    owned.handing_over = entry.members.state is EntryState.DRAINING
     entry.owned[log] = owned
     entry.copies.forget(log, owned.epoch)
     resolve_unfinished(entry, owned)
