--- a/waxwingglade/process/tests/test_interruption.py
+++ b/waxwingglade/process/tests/test_interruption.py
@@ -9,7 +9,7 @@
 from typing import Any
 from unittest.mock import patch
 
-from waxwingglade.base import ErrorCode, Failure, Verdict
+from waxwingglade.base import Epoch, ErrorCode, Failure, Verdict
 from waxwingglade.connection.peer_messages import EndProgram, EntryState, SubmitCall
 from waxwingglade.process import calls
 from waxwingglade.process.expiry import TURNS_EXCEEDED, WALL_TIME_EXCEEDED
@@ -254,6 +254,19 @@
         verdicts = [outcome.verdict for outcome in outcomes]
         self.assertEqual([Verdict.MAY_HAVE_RUN, Verdict.NOT_RUN], verdicts)
 
+    async def test_a_call_whose_program_was_taken_over_is_sent_to_the_new_owner(self) -> None:
+        async with one_entry() as running:
+            program = await running.create()
+            owned = running.entry.log_for(program)
+            state = owned.programs[program]
+            await self.hang(running, program, ToolCall("c1", "booking", {}))
+            events = running.entry.running_program(state).calls["c1"]
+            owned.fence(Epoch(owned.epoch + 1))
+            running.entry.demote(owned)
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                outcome = await events.wait()
+        self.assertEqual((ErrorCode.FENCED, Verdict.MAY_HAVE_RUN), (outcome.code, outcome.verdict))
+
     async def test_an_exception_has_an_answer_of_its_own(self) -> None:
         async def fail(execution):
             raise RuntimeError("planted")
