Wait for the owner of a log that a draining entry has just come to hold

Cause: a new holder receives a log while the holders are being changed, with the names of the holders before. Its owner sends it nothing more until the next record, so its copy does not name it, though the store does. A draining entry waited for those copies only that name it, and left.

Change: a draining entry waits for every copy that has an owner, until the owner drops it. The end of a drain has a line with the copies that remain.

--- a/waxwingglade/process/drain.py
+++ b/waxwingglade/process/drain.py
@@ -43,6 +43,7 @@
             await _notify_peers(entry)
             await _hand_over_all(entry)
             await _wait_for_copies(entry)
+        logger.info("drained; {} copies of other logs remain", len(entry.copies.logs))
     except TimeoutError:
         remaining = [log for log, owned in entry.owned.items() if not owned.fenced]
         logger.warning(
@@ -106,7 +107,7 @@
 
 
 async def _wait_for_copies(entry: Entry) -> None:
-    """Wait until the owners of other logs have replaced this entry as a holder.
+    """Wait until the owners of other logs have dropped their copies here.
 
     It also waits for a log that has just lost its owner, because the takeover needs a majority of
     the copies, and for unresponsive peers, because on a busy machine all may be so for a moment.
@@ -116,9 +117,12 @@
 
 
 def _is_needed(entry: Entry, copy: LogCopy) -> bool:
-    if not entry.members.any_not_draining() or copy.owner is None:
-        return False
-    return any(entry.own.answers_to(ref.incarnation) for ref in copy.copies)
+    """Return whether the log of a copy may depend on it.
+
+    The holders that a copy names do not decide this: a new holder receives the log before the store
+    names it, and its owner may send it nothing more.
+    """
+    return copy.owner is not None and entry.members.any_not_draining()
 
 
 async def take_over_on_request(entry: Entry, body: TakeLog) -> PeerBody:
