Hand a log over although a call waits for one that has not arrived

Seen by callers: numbered calls of a program got no answer for as long as its entry drained (30 s, and 30 s more until it stopped); what still waited then was cut off with "the call was cut short".

Cause: a draining entry starts no new call, so c2 waited for the log's next owner; the log was handed over only once no call of it was left, and c3 was left, waiting for c2.

Change: calls that cannot begin, as their predecessor has not arrived, do not hold up the handover. They are answered `fenced`, not_run, by which the entry that serves the caller sends them to the new owner. Calls that run or may begin to run are waited for as before. A call that a takeover interrupts before its start is in the log is not_run as well.

--- a/waxwingglade/process/drain.py
+++ b/waxwingglade/process/drain.py
@@ -17,11 +17,12 @@
     Refused,
     TakeLog,
 )
-from waxwingglade.process.entry import Entry
+from waxwingglade.process.entry import Entry, RunningProgram
 from waxwingglade.process.log_copy import LogCopy
 from waxwingglade.process.owned_log import OwnedLog
 from waxwingglade.process.ownership import fallback_entry, take_over_log
 from waxwingglade.process.placement import rank
+from waxwingglade.program import ProgramState
 
 POLL_S = 0.05
 """Seconds between checks whether calls have ended and copies are still needed."""
@@ -72,7 +73,10 @@
 
 
 async def _hand_over(entry: Entry, owned: OwnedLog) -> None:
-    """Hand a log over to the first peer that accepts it, once no call of the log runs."""
+    """Hand a log over to the first peer that accepts it, once no call of the log runs.
+
+    Calls that still wait for their turn are then sent to the new owner.
+    """
     owned.handing_over = True
     while not owned.fenced:
         if _calls_running(entry, owned):
@@ -99,13 +103,25 @@
 
 
 def _calls_running(entry: Entry, owned: OwnedLog) -> bool:
+    """Return whether a call of the log runs or may begin to run.
+
+    A call whose predecessor has not arrived cannot: a draining entry starts no new calls.
+    """
     return any(
-        running.tasks
-        for program in owned.programs
+        _may_proceed(state, running)
+        for program, state in owned.programs.items()
         if (running := entry.running.get(program)) is not None
     )
 
 
+def _may_proceed(state: ProgramState, running: RunningProgram) -> bool:
+    calls = [events.call for events in running.tasks.values()]
+    return bool(calls) and (
+        running.order.busy
+        or any(call.order is None or call.order <= state.next_order for call in calls)
+    )
+
+
 async def _wait_for_copies(entry: Entry) -> None:
     """Wait until the owners of other logs have dropped their copies here.
 
--- a/waxwingglade/process/interruption.py
+++ b/waxwingglade/process/interruption.py
@@ -39,9 +39,10 @@
     cancelled : bool
         Whether the call was cancelled; otherwise it raised an unexpected exception.
     """
+    verdict = _recorded_verdict(state, call)
     if owned.fenced:
-        return Failure(Verdict.MAY_HAVE_RUN, ErrorCode.FENCED, TAKEN_OVER, RETRY_AFTER_S)
-    return _failure(state, running, _recorded_verdict(state, call), cancelled)
+        return Failure(verdict, ErrorCode.FENCED, TAKEN_OVER, RETRY_AFTER_S)
+    return _failure(state, running, verdict, cancelled)
 
 
 async def record_interruption(
