--- a/waxwingglade/process/tests/one_entry.py
+++ b/waxwingglade/process/tests/one_entry.py
@@ -1,7 +1,8 @@
 """One real entry with stand-ins for its surroundings, in one event loop."""
 
+import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import msgspec
@@ -17,6 +18,14 @@
 from waxwingglade.standins import EngineStandin, PlatformStandin, StoreStandin, ToolStandin
 
 TENANT = TenantId("kettu")
+WAIT_LIMIT_S = 20.0
+
+
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait for a condition, and fail if it is not met within `WAIT_LIMIT_S`."""
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.01)
 
 
 class OneEntry:
--- a/waxwingglade/process/tests/test_interruption.py
+++ b/waxwingglade/process/tests/test_interruption.py
@@ -14,7 +14,7 @@
 from waxwingglade.process import calls
 from waxwingglade.process.expiry import TURNS_EXCEEDED, WALL_TIME_EXCEEDED
 from waxwingglade.process.tests.held_append import held_append
-from waxwingglade.process.tests.one_entry import TENANT, OneEntry, one_entry
+from waxwingglade.process.tests.one_entry import TENANT, WAIT_LIMIT_S, OneEntry, one_entry, until
 from waxwingglade.program import (
     CallEnded,
     CallStarted,
@@ -29,7 +29,6 @@
 from waxwingglade.settings import Budget, ProgramPolicy
 from waxwingglade.standins import EngineFaults, ToolFaults
 
-WAIT_LIMIT_S = 20.0
 REASON = "asked for"
 
 
@@ -43,19 +42,13 @@
         """Submit a call without waiting for its outcome."""
         return asyncio.create_task(running.outcome(SubmitCall(TENANT, program, call)))
 
-    async def until(self, condition) -> None:
-        """Wait for a condition, and fail if it is not met within `WAIT_LIMIT_S`."""
-        async with asyncio.timeout(WAIT_LIMIT_S):
-            while not condition():
-                await asyncio.sleep(0.01)
-
     async def hang(self, running: OneEntry, program, call) -> asyncio.Task:
         """Submit a call that its target never answers, and wait until it was sent."""
         running.tool.faults = ToolFaults(hang=True)
         running.engine.faults = EngineFaults(hang=True)
         task = self.submit(running, program, call)
         views = running.entry.table.targets.values()
-        await self.until(lambda: any(view.in_flight for view in views))
+        await until(lambda: any(view.in_flight for view in views))
         return task
 
     async def end(self, running: OneEntry, program) -> Any:
@@ -89,7 +82,7 @@
             sent = await self.hang(running, program, ToolCall("c1", "booking", {}, order=1))
             waiting = self.submit(running, program, ToolCall("c2", "order", {}, order=2))
             state = running.entry.log_for(program).programs[program]
-            await self.until(lambda: "c2" in running.entry.running_program(state).calls)
+            await until(lambda: "c2" in running.entry.running_program(state).calls)
             await self.end(running, program)
             self.assert_ended(await sent, Verdict.MAY_HAVE_RUN)
             self.assert_ended(await waiting, Verdict.NOT_RUN)
@@ -230,7 +223,7 @@
                 await held.added.wait()
                 ending = asyncio.create_task(self.end(running, program))
                 state = running.entry.log_for(program).programs[program]
-                await self.until(lambda: running.entry.running_program(state).ended)
+                await until(lambda: running.entry.running_program(state).ended)
                 held.release.set()
                 outcome = await call
                 view = await ending
--- a/waxwingglade/process/tests/test_late_takeover.py
+++ b/waxwingglade/process/tests/test_late_takeover.py
@@ -18,9 +18,8 @@
 from waxwingglade.process import drain as draining
 from waxwingglade.process.owned_log import OwnedLog
 from waxwingglade.process.ownership import build_log, take_over_log
-from waxwingglade.process.tests.one_entry import one_entry
+from waxwingglade.process.tests.one_entry import one_entry, until
 
-WAIT_LIMIT_S = 20.0
 TAKEN_OVER = LogId("zone-1.other.i.home0")
 FAST = {"takeover_period_s": 0.01, "suspect_after_s": 0.05, "heartbeat_s": 0.01}
 CLAIMANT = EntryRef(
@@ -50,12 +49,6 @@
 class ReclaimedLog(unittest.IsolatedAsyncioTestCase):
     """A log of a draining entry that another entry has claimed in the store, without taking it."""
 
-    async def until_registered(self, owned: OwnedLog) -> None:
-        """Wait until the store has a record of a log."""
-        async with asyncio.timeout(WAIT_LIMIT_S):
-            while not owned.store_revision:
-                await asyncio.sleep(0.01)
-
     async def test_a_log_reclaimed_during_the_drain_is_handed_over(self):
         """The log comes back under its name, after the drain has handed it over."""
         async with one_entry(drain_timeout_s=2.0) as running:
@@ -78,7 +71,7 @@
         async with one_entry(durability=FAST) as running:
             entry = running.entry
             owned = next(iter(entry.owned.values()))
-            await self.until_registered(owned)
+            await until(lambda: owned.store_revision > 0)
             entry.members.state = EntryState.DRAINING
             owned.contested_by = CLAIMANT
             await asyncio.sleep(10 * FAST["suspect_after_s"])
@@ -91,7 +84,7 @@
             entry = running.entry
             program = await running.create()
             log = entry.log_for(program).log
-            await self.until_registered(entry.owned[log])
+            await until(lambda: entry.owned[log].store_revision > 0)
             entry.members.state = EntryState.DRAINING
             taken = await take_over_log(entry, log, None, requested_by_owner=True)
             self.assertTrue(taken.is_ok(), taken)
--- a/waxwingglade/process/tests/test_limits.py
+++ b/waxwingglade/process/tests/test_limits.py
@@ -1,26 +1,17 @@
 """Budgets, ends of programs, leaving targets and unused caches, with one real entry."""
 
-import asyncio
 import unittest
 
 from waxwingglade.base import ErrorCode, Failure, Verdict
 from waxwingglade.connection.peer_messages import EndProgram, ReadProgram, SubmitCall
-from waxwingglade.process.tests.one_entry import TENANT, one_entry
+from waxwingglade.process.tests.one_entry import TENANT, one_entry, until
 from waxwingglade.program import Done, SubProgramCall
 from waxwingglade.settings import Budget, ProgramPolicy
 from waxwingglade.standins.platform import VM, VMState
 
-WAIT_LIMIT_S = 20.0
 LONG_PROMPT = "a text that fills whole blocks of the prefix cache " * 20
 
 
-async def until(condition):
-    """Wait for a condition, and fail if it is not met within `WAIT_LIMIT_S`."""
-    async with asyncio.timeout(WAIT_LIMIT_S):
-        while not condition():
-            await asyncio.sleep(0.02)
-
-
 class Budgets(unittest.IsolatedAsyncioTestCase):
     async def test_tokens_are_refused_before_they_could_be_exceeded(self):
         policy = ProgramPolicy(budget=Budget(tokens=400), max_output_tokens=40)
