Log an interrupted call without the reason for which its program ended

Cause: the line "call interrupted" had the message of the failure. For a program that was ended it quotes the reason in EndProgram, which is text of the one who asked; log_outcome leaves messages out for this. Change: the line has the code and the verdict, which tell the causes apart. Measured: test_the_reason_that_a_caller_gave_is_not_logged failed before ("call interrupted: program_ended, may_have_run: the program ended: asked for") and passes; 21 tests of interruptions, metrics and logs pass. No entry passes on a reason of a caller over HTTP today.

--- a/waxwingglade/process/logs.py
+++ b/waxwingglade/process/logs.py
@@ -79,10 +79,11 @@
 
 
 def log_interruption(failure: Failure) -> None:
-    """Log that a call was cancelled or raised an exception, with the answer to its caller."""
-    logger.info(
-        "call interrupted: {}, {}: {}", failure.code.value, failure.verdict.value, failure.message
-    )
+    """Log that a call was cancelled or raised an exception, with the answer to its caller.
+
+    The message is omitted, since it may quote the reason for which a caller ended the program.
+    """
+    logger.info("call interrupted: {}, {}", failure.code.value, failure.verdict.value)
 
 
 def json_line(record: Any) -> str:
--- a/waxwingglade/process/tests/test_interruption.py
+++ b/waxwingglade/process/tests/test_interruption.py
@@ -9,6 +9,8 @@
 from typing import Any
 from unittest.mock import patch
 
+from loguru import logger
+
 from waxwingglade.base import Epoch, ErrorCode, Failure, Verdict
 from waxwingglade.connection.peer_messages import EndProgram, EntryState, SubmitCall
 from waxwingglade.process import calls
@@ -214,6 +216,20 @@
         self.assertEqual(([], [], 0), (effects, view.calls, view.money_spent_microcents))
 
 
+class Logged(InterruptionCase):
+    async def test_the_reason_that_a_caller_gave_is_not_logged(self) -> None:
+        lines: list[str] = []
+        sink = logger.add(lambda message: lines.append(message.record["message"]))
+        self.addCleanup(logger.remove, sink)
+        async with one_entry() as running:
+            program = await running.create()
+            sent = await self.hang(running, program, ToolCall("c1", "booking", {}))
+            await self.end(running, program)
+            await sent
+        self.assertIn("call interrupted: program_ended, may_have_run", lines)
+        self.assertFalse([line for line in lines if REASON in line])
+
+
 class Answered(InterruptionCase):
     async def test_a_call_that_was_answered_keeps_its_answer(self) -> None:
         async with one_entry() as running:
