Inline the check for an ended program

Cause: _refusal took an entry that it did not use, and had one caller and one line. Change: submit asks for the end of the program itself. Measured: 21 tests of interruptions, metrics and logs pass; Black and ruff are clean.

--- a/waxwingglade/process/calls.py
+++ b/waxwingglade/process/calls.py
@@ -75,9 +75,8 @@
         yield await _wait_for_handover(entry, owned)
         return
     if events is None:
-        refusal = _refusal(entry, state)
-        if refusal is not None:
-            yield refusal
+        if state.ended is not None:
+            yield program_ended(state)
             return
         events = start_call(entry, owned, state, running, request)
     async for event in events.follow(request.offset, request.attempt):
@@ -102,10 +101,6 @@
     return call
 
 
-def _refusal(entry: Entry, state: ProgramState) -> Failure | None:
-    return program_ended(state) if state.ended is not None else None
-
-
 async def _replay_recorded(
     owned: OwnedLog, known: CallState, offset: int, attempt: str
 ) -> AsyncIterator[CallerEvent]:
