Take the time limit of the drain's tests from the builder of one entry

Cause: test_drain.py had a second WAIT_LIMIT_S beside that of one_entry.py, with the same value. Change: it imports that one; assertions and the limit are as they were.

--- a/waxwingglade/process/tests/test_drain.py
+++ b/waxwingglade/process/tests/test_drain.py
@@ -37,14 +37,13 @@
 from waxwingglade.process.members import Members
 from waxwingglade.process.reconfigure import change_copies
 from waxwingglade.process.tests.fakes import LOG, FakeStore, Network, Node, new_record
-from waxwingglade.process.tests.one_entry import TENANT, one_entry
+from waxwingglade.process.tests.one_entry import TENANT, WAIT_LIMIT_S, one_entry
 from waxwingglade.program import Done, ToolCall
 from waxwingglade.request import CallEvents
 from waxwingglade.settings import DurabilitySettings
 from waxwingglade.standins import ToolFaults
 
 SUSPECT_S = 0.05
-WAIT_LIMIT_S = 20.0
 
 
 def entry_ref(name: str) -> EntryRef:
