Log from which list a target is chosen, and when entries learn that it leaves

Cause: users saw requests reach targets after their leaving. An entry said neither when it learns that a target leaves, nor from whom, nor from which list and how old a view it chose, so the hypotheses could not be told apart. Change: processes that receive the view log "target leaving", "target gone" and others with the revision and source of the list; the lines of the processes that follow the store have the revision, too, and "target retained" says for how long a target that is no longer registered stays. The metric targets_revision is new. No logic is changed.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -12,7 +12,8 @@
 from waxwingglade.base import Clock, WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.messages import Follow, Followed
-from waxwingglade.follow.model import EMPTY_VIEW, Replica, View
+from waxwingglade.follow.model import EMPTY_VIEW, Replica, TargetList, View
+from waxwingglade.follow.target_log import log_target_changes
 from waxwingglade.transport.links import LinkFailed, Links
 
 FRESH_S = 1.0
@@ -74,11 +75,23 @@
         """Whether the view is current: its age is at most `FRESH_S`."""
         return self.age_s <= FRESH_S
 
-    def merge(self, view: View, confirmed_at: float, complete_until: float = float("-inf")) -> None:
-        """Replace the parts of the view for which another view has newer ones."""
+    def merge(
+        self,
+        view: View,
+        confirmed_at: float,
+        complete_until: float = float("-inf"),
+        source: str = "",
+    ) -> None:
+        """Replace the parts of the view for which another view has newer ones.
+
+        Changes of targets are logged with their source: the VM of the process that sent the view,
+        or empty if this process itself read them from the store and logged them.
+        """
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self.complete_until = max(self.complete_until, complete_until)
         merged = self.view.merged(view)
+        if source:
+            self._log_targets(view.targets, source)
         if merged is self.view:
             return
         before, self.view = self.view, merged
@@ -90,6 +103,17 @@
         for listener in self.listeners:
             listener(merged)
 
+    def _log_targets(self, targets: TargetList, source: str) -> None:
+        """Log what a received list of targets changes."""
+        known = self.view.targets
+        if targets.revision <= known.revision:
+            return
+        fields = {"revision": targets.revision, "source": source}
+        if known.revision:
+            log_target_changes(known.targets, targets.targets, **fields)
+            return
+        logger.bind(targets=len(targets.targets), **fields).info("targets received")
+
     def notify(self) -> None:
         """Wake all requests that wait for an update."""
         self.updated.set()
@@ -214,7 +238,9 @@
         # counts from the request.
         in_time = wait_s > 0 and now - asked_at <= wait_s + ANSWER_S
         confirmed_at = (now if in_time else asked_at) - answer.age_s
-        self.cached_view.merge(answer.view, confirmed_at, asked_at + answer.complete_s)
+        self.cached_view.merge(
+            answer.view, confirmed_at, asked_at + answer.complete_s, source=source.vm
+        )
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         # A source that has lost the majority reports it at once.  If another source still reaches
         # it, that source is asked next, and the loss lasts for one round trip.
--- a/waxwingglade/follow/targets.py
+++ b/waxwingglade/follow/targets.py
@@ -7,6 +7,7 @@
 from waxwingglade.base import Clock, FormatError
 from waxwingglade.follow.model import Revision, Target, TargetList
 from waxwingglade.follow.store import Item
+from waxwingglade.follow.target_log import log_target_changes
 
 REREGISTRATION_S = 2.2
 """Seconds after an outage of the store for which a missing target is retained.  Running targets
@@ -82,7 +83,7 @@
                 self.missing.pop(key)
                 self.targets.pop(key, None)
         partial, self.partial = self.partial, now < self.partial_until
-        self._log(before)
+        log_target_changes(before.values(), self.targets.values(), revision=revision)
         if self.targets != before or partial != self.partial or not self.published.revision:
             self.unpublished = True
         return self._list(revision) if self.unpublished else None
@@ -134,22 +135,10 @@
             return
         if not target.leaving and now - self.outage_until < REREGISTRATION_S:
             self.missing[key] = self.outage_until + REREGISTRATION_S
+            retained_s = round(self.missing[key] - now, 2)
+            logger.bind(target=target.target, retained_s=retained_s).info("target retained")
             return
         del self.targets[key]
 
-    def _log(self, before: dict[str, Target]) -> None:
-        for key in before.keys() - self.targets.keys():
-            logger.bind(target=before[key].target).info("target gone")
-        for key, target in self.targets.items():
-            old = before.get(key)
-            if old is None:
-                logger.bind(target=target.target, service=target.service).info("target added")
-            elif target.started_ms != old.started_ms:
-                logger.bind(target=target.target, started_ms=target.started_ms).info(
-                    "target started again"
-                )
-            elif target.leaving and not old.leaving:
-                logger.bind(target=target.target).info("target leaving")
-
 
 __all__ = ["REREGISTRATION_S", "RegisteredTargets"]
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -4,9 +4,11 @@
 import time
 import unittest
 from collections.abc import Callable
+from typing import Any
 from unittest import mock
 
 import msgspec
+from loguru import logger
 
 from waxwingglade.base import ConfigVersion, ZoneId
 from waxwingglade.follow.feed import CachedView, FeedFollower
@@ -24,6 +26,7 @@
 from waxwingglade.follow.watcher import Watcher
 
 WAIT_LIMIT_S = 5.0
+LEAVING_STATES = (b"ready", b"leaving")
 
 
 async def until(condition: Callable[[], bool]) -> None:
@@ -230,6 +233,37 @@
         await until(lambda: self.names(self.known.merged(watcher.view)) == {"b", "c"})
 
 
+class TargetLogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.lines: list[dict[str, Any]] = []
+        sink = logger.add(
+            lambda message: self.lines.append(
+                {"event": message.record["message"], **message.record["extra"]}
+            )
+        )
+        self.addCleanup(logger.remove, sink)
+        self.cached_view = CachedView(lambda: 0.0)
+
+    def receive(self, revision: int, *targets: Target) -> None:
+        """Receive a list of targets from the VM ``near``."""
+        self.lines.clear()
+        view = View(targets=TargetList(Revision(revision), targets))
+        self.cached_view.merge(view, 0.0, source="near")
+
+    def test_a_received_list_is_logged_with_its_revision_and_source(self) -> None:
+        fields = {"revision": 5, "source": "near"}
+        running, leaving = (KEYS.decode_target("targets/a", state) for state in LEAVING_STATES)
+        self.receive(5, running)
+        self.assertEqual(self.lines, [{"event": "targets received", "targets": 1, **fields}])
+        for revision, event, targets in ((6, "leaving", [leaving]), (7, "gone", [])):
+            with self.subTest(event):
+                self.receive(revision, *targets)
+                fields = {"target": "a", "revision": revision, "source": "near"}
+                self.assertEqual(self.lines, [{"event": f"target {event}", **fields}])
+        self.receive(6, running)
+        self.assertEqual(self.lines, [])
+
+
 class FeedTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.now = 1000.0
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -6,7 +6,14 @@
 import msgspec
 
 from waxwingglade.base import TargetId, Verdict
-from waxwingglade.follow.model import CallKind, IncarnationName, Route, Service, Target
+from waxwingglade.follow.model import (
+    CallKind,
+    IncarnationName,
+    Revision,
+    Route,
+    Service,
+    Target,
+)
 from waxwingglade.ingress.balance import Balancer, Choice, History
 from waxwingglade.ingress.dialect import AnswerFacts, Call, Dialect, Send
 from waxwingglade.transport import (
@@ -47,12 +54,24 @@
 
 
 class AttemptRecord(msgspec.Struct, omit_defaults=True):
-    """Log record of one attempt; `prefill_tokens` estimates what the target has to prefill."""
+    """Log record of one attempt.
+
+    Parameters
+    ----------
+    targets_revision : Revision
+        Revision of the list from which the target was chosen.
+    prefill_tokens : int
+        Estimate of the tokens that the target has to prefill.
+    connect_s : float
+        Seconds between the choice and the sending.
+    """
 
     target: TargetId
     load: float
     load_age_s: float
+    targets_revision: Revision = Revision(0)
     prefill_tokens: int = 0
+    connect_s: float = 0.0
     verdict: Verdict | None = None
     status: int = 0
     reason: str = ""
@@ -171,13 +190,17 @@
         self.last_target = target = choice.target
         self.tried.append(target.target)
         load, age_s = round(choice.load, 1), round(choice.load_age_s, 2)
-        record = AttemptRecord(target.target, load, age_s, choice.prefill_tokens)
+        record = AttemptRecord(
+            target.target, load, age_s, self.balancer.revision, choice.prefill_tokens
+        )
         self.records.append(record)
+        chosen_at = self.balancer.clock()
         connection = await self._connect(choice, record)
         send = Send(target.target, self.time_left(), priority, last_event)
         headers = self.dialect.target_headers(self.call, send)
         request = HttpRequest(self.call.method, self.call.path, headers, body)
         sent_at = self.balancer.clock()
+        record.connect_s = round(sent_at - chosen_at, 3)
         self.balancer.record_sent(target, self.call)
         self.balancer.ranks_of(self.service.name).record(self.route.rank)
         try:
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -16,6 +16,7 @@
 from waxwingglade.decisions.ranks import RankShares
 from waxwingglade.follow.model import (
     IncarnationName,
+    Revision,
     Service,
     ServiceName,
     Target,
@@ -84,7 +85,7 @@
         self.speeds: dict[ServiceName, EngineSpeed] = {}
         self.usual_external_load: dict[ServiceName, float] = {}
         self.ranks: dict[ServiceName, RankShares] = {}
-        self.revision = -1
+        self.revision = Revision(-1)
 
     def update(self, targets: TargetList) -> list[Target]:
         """Update the registered targets and return the removed incarnations.
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -51,6 +51,7 @@
             "settled": replica.replicas.settled,
             "quorum": node.membership.quorum,
             "view_age_seconds": min(node.cached_view.age_s, LONGEST_AGE_S),
+            "targets_revision": node.cached_view.view.targets.revision,
             "configuration_version": node.cached_view.view.version,
             "disk_bytes": sum(journal.segments.values()),
             "disk_flushes": journal.flushes,
