Reproduce requests to a target that left after the store refused one ledger process

Callers saw: requests reach a target up to 5.0 s (the end of the test) after its entry was removed, though every ledger process has dropped it by 2.6 s.

--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -106,9 +106,13 @@
             },
         )
 
+    def deregister(self) -> None:
+        """Remove this server's item from the store; it continues to serve."""
+        self.store.remove(f"servers/{self.name}")
+
     async def stop(self) -> None:
         """Deregister, and stop without finishing requests."""
-        self.store.remove(f"servers/{self.name}")
+        self.deregister()
         assert self.server is not None
         self.server.close()
         for writer in list(self.writers):
