Keep guesses about expired entries out of the lists of targets

Callers saw: requests reach a target more than two seconds, up to without end, after the store had acknowledged that it leaves. Cause: a process that had a failed call retained each target whose entry was removed within 2.2 s, as its entry might have expired in an outage, and published the list with it under the revision of the store. Lists of one revision so had different contents. When the process dropped the target, its list had no newer revision, and its followers kept the target until another one changed. Any refused call of one process counted as an outage. Class: a list that is partly the store's word and partly one process's guess, under the revision of the store. Change: a list holds what the store has at its revision, nothing else. What to retain each process decides for itself (follow/retention.py): after an outage in which an entry can have expired, by the interval of heartbeats and by when the store is known to have answered anybody, and until two seconds after its end by its own clock, without waiting for a watch. Followers get the time of the outage with each answer; a process that was answered all the time refutes it. A failed call that was delayed in the process itself is no sign of an outage. The list with an invented revision after a start in an outage is gone, too, as followers no longer need it. Tests: the two tests of the watcher that fixed the retention let entries expire in no time and waited for the next change; they now let three heartbeats pass, also ask that the target is still in use until then, and the second that it is dropped without a change of the store.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -13,6 +13,7 @@
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import EMPTY_VIEW, Replica, TargetList, View
+from waxwingglade.follow.retention import Retention
 from waxwingglade.follow.target_log import log_target_changes
 from waxwingglade.transport.links import LinkFailed, Links
 
@@ -31,6 +32,12 @@
 LONGEST_AGE_S = 1e6
 """Age in seconds that replaces an infinite one, which JSON can't represent."""
 
+HEARTBEAT_S = 1.0
+"""Usual interval in seconds at which targets renew their entries in the store."""
+
+STORE = "store"
+"""Source of a change that this process read from the store itself."""
+
 Ask = Callable[[str, Follow, float], Awaitable[Followed]]
 
 
@@ -41,6 +48,8 @@
     ----------
     clock : Clock
         Monotonic seconds.
+    heartbeat_s : float
+        Interval in seconds at which targets renew their entries in the store.
 
     Attributes
     ----------
@@ -50,10 +59,13 @@
     complete_until : float
         Time up to which the view certainly has every change that the store acknowledged.  This is
         when the store was asked, which may be long before its answer was received.
+    retention : Retention
+        Targets that are not registered but remain in use.
     """
 
-    def __init__(self, clock: Clock = monotonic) -> None:
+    def __init__(self, clock: Clock = monotonic, heartbeat_s: float = HEARTBEAT_S) -> None:
         self.clock = clock
+        self.retention = Retention(heartbeat_s, clock)
         self.view = EMPTY_VIEW
         self.confirmed_at = float("-inf")
         self.complete_until = float("-inf")
@@ -75,44 +87,75 @@
         """Whether the view is current: its age is at most `FRESH_S`."""
         return self.age_s <= FRESH_S
 
+    @property
+    def targets(self) -> TargetList:
+        """The targets in use: the registered ones, and those that are retained after an outage."""
+        registered = self.view.targets
+        return TargetList(
+            registered.revision, registered.targets + tuple(self.retention.targets.values())
+        )
+
     def merge(
         self,
         view: View,
         confirmed_at: float,
         complete_until: float = float("-inf"),
-        source: str = "",
+        recovered_at: float = float("-inf"),
+        source: str = STORE,
     ) -> None:
         """Replace the parts of the view for which another view has newer ones.
 
-        Changes of targets are logged with their source: the VM of the process that sent the view,
-        or empty if this process itself read them from the store and logged them.
+        Parameters
+        ----------
+        view : View
+            The other view.
+        confirmed_at, complete_until : float
+            When the store last confirmed it, and time up to which it is complete.
+        recovered_at : float
+            When the store last answered after an outage, as far as its owner knows.
+        source : str
+            VM of the process that sent it, for the log.
         """
+        known_until = self.confirmed_at
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self.complete_until = max(self.complete_until, complete_until)
+        targets_before = self.targets
+        dropped = self.retention.record_confirmation(known_until, confirmed_at, recovered_at)
         merged = self.view.merged(view)
-        if source:
-            self._log_targets(view.targets, source)
-        if merged is self.view:
+        if merged.targets is not self.view.targets:
+            self.retention.update(self.view.targets, merged.targets)
+        if merged is self.view and not dropped:
             return
         before, self.view = self.view, merged
+        self._log_targets(targets_before, source)
         if before.version != merged.version:
             logger.bind(
                 version=merged.version, before=before.version, age_s=round(self.age_s, 2)
             ).info("configuration in force")
         self.notify()
+        self._tell_listeners()
+
+    def drop_expired(self) -> None:
+        """Drop retained targets that did not register again, unless the store is away again."""
+        before = self.targets
+        if self.fresh and self.retention.expire():
+            self._log_targets(before, STORE)
+            self._tell_listeners()
+
+    def _tell_listeners(self) -> None:
         for listener in self.listeners:
-            listener(merged)
+            listener(self.view)
 
-    def _log_targets(self, targets: TargetList, source: str) -> None:
-        """Log what a received list of targets changes."""
-        known = self.view.targets
-        if targets.revision <= known.revision:
+    def _log_targets(self, before: TargetList, source: str) -> None:
+        """Log how the targets in use have changed."""
+        after = self.targets
+        if after == before:
             return
-        fields = {"revision": targets.revision, "source": source}
-        if known.revision:
-            log_target_changes(known.targets, targets.targets, **fields)
+        fields = {"revision": after.revision, "source": source}
+        if before.revision:
+            log_target_changes(before.targets, after.targets, **fields)
             return
-        logger.bind(targets=len(targets.targets), **fields).info("targets received")
+        logger.bind(targets=len(after.targets), **fields).info("targets received")
 
     def notify(self) -> None:
         """Wake all requests that wait for an update."""
@@ -131,7 +174,13 @@
                 pass
             updates = message.updates_in(self.view)
         complete_s = max(self.complete_until - arrived_at, -LONGEST_AGE_S)
-        return Followed(updates, max(0.0, min(self.age_s, LONGEST_AGE_S)), complete_s=complete_s)
+        recovered_s = self.clock() - self.retention.ended_at
+        return Followed(
+            updates,
+            max(0.0, min(self.age_s, LONGEST_AGE_S)),
+            complete_s=complete_s,
+            recovered_s=min(recovered_s, LONGEST_AGE_S),
+        )
 
 
 def _has_updates(view: View, message: Follow) -> bool:
@@ -239,7 +288,11 @@
         in_time = wait_s > 0 and now - asked_at <= wait_s + ANSWER_S
         confirmed_at = (now if in_time else asked_at) - answer.age_s
         self.cached_view.merge(
-            answer.view, confirmed_at, asked_at + answer.complete_s, source=source.vm
+            answer.view,
+            confirmed_at,
+            asked_at + answer.complete_s,
+            now - answer.recovered_s,
+            source.vm,
         )
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         # A source that has lost the majority reports it at once.  If another source still reaches
--- a/waxwingglade/follow/messages.py
+++ b/waxwingglade/follow/messages.py
@@ -44,12 +44,16 @@
     complete_s : float
         Time up to which the view has every change that the store acknowledged, in seconds after
         the arrival of the request; mostly negative.
+    recovered_s : float
+        Seconds since the store last recovered from an outage in which entries of targets may have
+        expired, as far as the process knows.
     """
 
     view: View
     age_s: float
     quorum: bool = True
     complete_s: float = float("-inf")
+    recovered_s: float = float("inf")
 
 
 __all__ = ["Follow", "Followed", "Message"]
--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -7,12 +7,17 @@
 from collections.abc import Iterator
 from unittest import mock
 
-from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId
+from waxwingglade.base import Clock, ConfigVersion, FormatError, TargetId, ZoneId
+from waxwingglade.follow.feed import CachedView
 from waxwingglade.follow.model import Configuration, Revision, ServiceName, Target
 from waxwingglade.follow.store import HistoryCompacted, Item, Listing, StoreUnavailable
-from waxwingglade.follow.watcher import Keys
+from waxwingglade.follow.watcher import Keys, Watcher
 
 SHORT_S = 0.01
+HEARTBEAT_S = 1.2
+EXPIRY_S = 3 * HEARTBEAT_S
+"""Seconds without a heartbeat after which the entry of a target expires."""
+
 UNRESPONSIVE_S = 0.2
 """Seconds after which an unresponsive watch fails."""
 
@@ -137,3 +142,27 @@
             return current
         self.put(key, value)
         return None
+
+
+class FollowingProcess:
+    """A process that follows the store, and uses the targets that it learns of."""
+
+    def __init__(self, store: MemoryStore, clock: Clock) -> None:
+        self.cached_view = CachedView(clock, HEARTBEAT_S)
+        self.watcher = Watcher(store, KEYS, self.take_watched, clock)
+
+    def take_watched(self) -> None:
+        """Update the view of the process from its watcher."""
+        self.receive_from(self.watcher, self.watcher.recovered_at)
+
+    def receive_from(self, watcher: Watcher, recovered_at: float) -> None:
+        """Update the view of the process from its own watcher or that of another process."""
+        self.cached_view.merge(
+            watcher.view, watcher.confirmed_at, watcher.complete_until, recovered_at
+        )
+
+    def names(self) -> set[str]:
+        """Return the names of the targets in use, after the periodic check."""
+        self.take_watched()
+        self.cached_view.drop_expired()
+        return {target.target for target in self.cached_view.targets.targets}
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -14,16 +14,17 @@
 from waxwingglade.follow.feed import CachedView, FeedFollower
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Configuration, Replica, Revision, Target, TargetList, View
+from waxwingglade.follow.retention import REREGISTRATION_S
 from waxwingglade.follow.store import Listing, StoreUnavailable
-from waxwingglade.follow.targets import REREGISTRATION_S
 from waxwingglade.follow.tests.builders import (
+    EXPIRY_S,
     KEYS,
     SHORT_S,
     UNRESPONSIVE_S,
+    FollowingProcess,
     MemoryStore,
     quick_pauses,
 )
-from waxwingglade.follow.watcher import Watcher
 
 WAIT_LIMIT_S = 5.0
 LEAVING_STATES = (b"ready", b"leaving")
@@ -44,7 +45,9 @@
         self.store.put("op/config", b'{"version": 4}')
         self.store.put("targets/a", b"ready")
         self.store.put("targets/b", b"ready")
-        self.watcher = Watcher(self.store, KEYS, clock=lambda: self.now)
+        self.process = FollowingProcess(self.store, lambda: self.now)
+        self.watcher = self.process.watcher
+        self.names = self.process.names
         self.watcher.start()
         self.addAsyncCleanup(self.watcher.stop)
         await until(lambda: self.names() == {"a", "b"} and self.watcher.view.version == 4)
@@ -53,9 +56,9 @@
         """Return the targets in the view."""
         return self.watcher.view.targets.targets
 
-    def names(self) -> set[str]:
-        """Return the names of these targets."""
-        return {target.target for target in self.targets()}
+    def retained(self) -> set[str]:
+        """Return the names of the targets that are in use, but not registered."""
+        return set(self.process.cached_view.retention.targets)
 
     async def test_changes_are_seen_and_versions_only_rise(self) -> None:
         self.store.put("op/config", b'{"version": 9}')
@@ -115,37 +118,99 @@
     async def test_a_target_that_expired_in_an_outage_may_register_again(self) -> None:
         self.store.unavailable = True
         await until(lambda: self.watcher.in_outage)
+        self.now += EXPIRY_S
         self.store.put("targets/a", None)
         self.store.put("targets/b", None)
         self.store.unavailable = False
-        await until(lambda: len(self.watcher.targets.missing) == 2)
+        await until(lambda: not self.targets())
         self.assertEqual(self.names(), {"a", "b"})
         self.store.put("targets/b", b"ready")
-        await until(lambda: len(self.watcher.targets.missing) == 1)
+        await until(lambda: self.retained() == {"a"})
+        self.assertEqual(self.names(), {"a", "b"})
         self.now += 3.0
-        self.store.put("targets/b", b"ready")
         await until(lambda: self.names() == {"b"})
 
-    async def test_a_target_that_remains_missing_is_dropped_with_the_next_change(self) -> None:
+    async def test_a_target_that_expires_soon_after_an_outage_may_register_again(self) -> None:
+        self.store.unavailable = True
+        await until(lambda: self.watcher.in_outage)
+        self.now += EXPIRY_S / 2
+        self.store.unavailable = False
+        await until(lambda: not self.watcher.in_outage)
+        self.now += 0.5
+        self.store.put("targets/a", None)
+        await until(lambda: len(self.targets()) == 1)
+        self.assertEqual(self.names(), {"a", "b"})
+        self.now += REREGISTRATION_S - 0.5
+        await until(lambda: self.names() == {"b"})
+
+    async def test_a_target_that_remains_missing_is_dropped_without_a_change_of_the_store(
+        self,
+    ) -> None:
         """Its retention may end at a revision at which other processes still list the target."""
         await self.watcher.stop()
         revision = Revision(self.store.revision)
-        self.watcher._record_outage("away")
+        self.watcher._record_outage("away", self.now)
+        self.now += EXPIRY_S
         self.store.put("targets/a", None)
         self.store.put("targets/c", b"ready")
         revision = await self.watcher._step(revision)
         self.assertEqual(self.names(), {"a", "b", "c"})
-        self.now += REREGISTRATION_S + 0.1
-        revision = await self.watcher._step(revision)
-        self.store.put("own/sign-of-life", b"")
+        self.now += REREGISTRATION_S - 0.1
         await self.watcher._step(revision)
+        self.assertEqual(self.names(), {"a", "b", "c"})
+        self.now += 0.2
         self.assertEqual(self.names(), {"b", "c"})
 
+    async def test_a_missing_target_stays_while_the_store_is_away_again(self) -> None:
+        self.store.unavailable = True
+        await until(lambda: self.watcher.in_outage)
+        self.now += EXPIRY_S
+        self.store.put("targets/a", None)
+        self.store.unavailable = False
+        await until(lambda: self.retained() == {"a"})
+        self.store.unavailable = True
+        await until(lambda: self.watcher.in_outage)
+        self.now += EXPIRY_S
+        self.assertEqual(self.names(), {"a", "b"})
+        self.store.unavailable = False
+        await until(lambda: not self.watcher.in_outage)
+        self.assertEqual(self.names(), {"a", "b"})
+        self.now += REREGISTRATION_S
+        await until(lambda: self.names() == {"b"})
+
+    async def test_a_target_that_leaves_after_a_short_refusal_is_dropped_at_once(self) -> None:
+        self.store.unavailable = True
+        await until(lambda: self.watcher.in_outage)
+        self.now += 0.3
+        self.store.unavailable = False
+        await until(lambda: not self.watcher.in_outage)
+        self.store.put("targets/a", None)
+        await until(lambda: len(self.targets()) == 1)
+        self.assertEqual(self.names(), {"b"})
+
+    async def test_a_target_that_leaves_while_this_process_was_stalled_is_dropped_at_once(
+        self,
+    ) -> None:
+        with self.subTest("the stall is between two calls"):
+            self.now += EXPIRY_S
+            self.store.put("targets/a", None)
+            await until(lambda: len(self.targets()) == 1)
+            self.assertEqual(self.names(), {"b"})
+        with self.subTest("a call timed out in the stall"):
+            await self.watcher.stop()
+            revision = Revision(self.store.revision)
+            asked_at = self.now
+            self.now += EXPIRY_S
+            self.watcher._record_outage("no answer", asked_at)
+            self.store.put("targets/b", None)
+            await self.watcher._step(revision)
+            self.assertEqual(self.names(), set())
+
     async def test_a_target_that_registered_again_is_published_again(self) -> None:
         """An entry that followed the store for a while may have dropped the target."""
         await self.watcher.stop()
         revision = Revision(self.store.revision)
-        self.watcher._record_outage("away")
+        self.watcher._record_outage("away", self.now)
         self.store.put("targets/a", None)
         revision = await self.watcher._step(revision)
         self.store.put("targets/a", b"ready")
@@ -176,8 +241,8 @@
     Guards against requests rejected for lack of a target after an outage of the store.  It happens
     when entries have no source left and start to follow the store themselves.  The entries of all
     targets expire in the outage, though the targets run.  Then the first listing after the outage
-    must not be accepted as complete, nor replace the better lists of other processes because of its
-    higher revision, until the targets have registered again.
+    must not be accepted as complete, neither by the process itself nor by its followers, until the
+    targets have had the time to register again.
     """
 
     async def asyncSetUp(self) -> None:
@@ -185,52 +250,51 @@
         self.now = 1000.0
         self.store = MemoryStore()
         self.store.put("op/config", b'{"version": 4}')
-        for number in range(20):
-            self.store.put("targets/a", b"ready" if number % 2 else b"cold")
+        self.store.put("targets/a", b"ready")
         self.store.put("targets/b", b"ready")
-        before = self.watch()
-        await until(lambda: len(before.view.targets.targets) == 2)
-        self.known = before.view
-        await before.stop()
+        before = FollowingProcess(self.store, lambda: self.now)
+        before.watcher.start()
+        await until(lambda: before.names() == {"a", "b"})
+        await before.watcher.stop()
+        self.process = FollowingProcess(self.store, lambda: self.now)
+        self.process.cached_view.merge(before.watcher.view, self.now)
         self.store.unavailable = True
+        self.now += EXPIRY_S
         self.store.put("targets/a", None)
         self.store.put("targets/b", None)
 
-    def watch(self, known: TargetList = TargetList()) -> Watcher:
-        """Start to follow the store."""
-        watcher = Watcher(self.store, KEYS, clock=lambda: self.now, known=known)
+    async def test_targets_of_the_earlier_view_may_register_again(self) -> None:
+        watcher = self.process.watcher
         watcher.start()
         self.addAsyncCleanup(watcher.stop)
-        return watcher
-
-    def names(self, view: View) -> set[str]:
-        """Return the targets of a view."""
-        return {target.target for target in view.targets.targets}
-
-    async def test_targets_of_the_earlier_view_may_register_again(self) -> None:
-        watcher = self.watch(self.known.targets)
         self.store.unavailable = False
         await until(lambda: watcher.view.version == 4)
-        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        self.assertEqual(self.process.names(), {"a", "b"})
         self.store.put("targets/b", b"ready")
-        await until(lambda: len(watcher.targets.missing) == 1)
+        await until(lambda: set(self.process.cached_view.retention.targets) == {"a"})
+        self.assertEqual(self.process.names(), {"a", "b"})
         self.now += 3.0
-        self.store.put("targets/b", b"ready")
-        await until(lambda: self.names(watcher.view) == {"b"})
-        self.assertEqual(self.names(self.known.merged(watcher.view)), {"b"})
+        await until(lambda: self.process.names() == {"b"})
 
-    async def test_a_first_listing_does_not_replace_the_lists_of_others(self) -> None:
-        watcher = self.watch()
-        await until(lambda: watcher.in_outage)
+    async def test_a_first_listing_does_not_drop_the_targets_of_followers(self) -> None:
+        source = FollowingProcess(self.store, lambda: self.now)
+        source.watcher.start()
+        self.addAsyncCleanup(source.watcher.stop)
+        await until(lambda: source.watcher.in_outage)
         self.store.put("targets/c", b"ready")
         self.store.unavailable = False
-        await until(lambda: self.names(watcher.view) == {"c"})
-        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        await until(lambda: source.names() == {"c"})
+        self.assertEqual(self.names_received_from(source), {"a", "b", "c"})
         self.store.put("targets/b", b"ready")
-        await until(lambda: self.names(watcher.view) == {"b", "c"})
-        self.assertEqual(self.names(self.known.merged(watcher.view)), {"a", "b"})
+        await until(lambda: source.names() == {"b", "c"})
+        self.assertEqual(self.names_received_from(source), {"a", "b", "c"})
         self.now += 3.0
-        await until(lambda: self.names(self.known.merged(watcher.view)) == {"b", "c"})
+        await until(lambda: self.names_received_from(source) == {"b", "c"})
+
+    def names_received_from(self, source: FollowingProcess) -> set[str]:
+        """Follow another process, and return the targets in use after that."""
+        self.process.receive_from(source.watcher, source.cached_view.retention.ended_at)
+        return self.process.names()
 
 
 class TargetLogTest(unittest.TestCase):
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -21,7 +21,6 @@
     ReplicaSet,
     Revision,
     Target,
-    TargetList,
     View,
 )
 from waxwingglade.follow.store import (
@@ -55,6 +54,9 @@
 """Pause in seconds after a failed call that took longer than its pause, so that no call is repeated
 at once."""
 
+OWN_DELAY_S = 0.25
+"""Seconds after its timeout from which on a failed call was delayed in this process."""
+
 
 class Keys(msgspec.Struct, frozen=True):
     """The layout of keys in the store, and the decoders of their values.
@@ -105,10 +107,6 @@
         Called after each change of the view.
     clock : Clock
         Monotonic seconds.
-    known : TargetList
-        Targets in the present view of the process.  A process starts to follow the store because
-        its view was not confirmed for a while, so the entries of missing targets may have expired
-        in an outage of the store.
     wait_s : callable
         Returns the seconds that the next watch waits without an event.  An event is returned at
         once, whatever the wait.  A longer wait needs fewer calls, but an unresponsive store is
@@ -122,6 +120,8 @@
         When the store last confirmed the view; -inf before.
     store_complete_until : float
         When the call began that last confirmed the view.  Up to then the view is complete.
+    recovered_at : float
+        When the store answered for the first time, or after failed calls; -inf before.
     undecodable : bool
         Whether the configuration in the store can't be decoded.  Then no call makes the view
         complete.
@@ -139,7 +139,6 @@
         keys: Keys,
         changed: Callable[[], None] = lambda: None,
         clock: Clock = monotonic,
-        known: TargetList = TargetList(),
         wait_s: Callable[[], float] = lambda: WAIT_S,
     ) -> None:
         self.store = store
@@ -155,8 +154,10 @@
         self.candidates: dict[str, Candidate] = {}
         self.replicas_revision = Revision(0)
         self.replicas_known = asyncio.Event()
-        self.targets = RegisteredTargets(keys.targets, keys.decode_target, clock, known)
-        self.in_outage = bool(known.targets)
+        self.targets = RegisteredTargets(keys.decode_target)
+        self.recovered_at = float("-inf")
+        self.in_outage = False
+        self.was_unavailable = True
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -197,7 +198,7 @@
                 revision = None
                 continue
             except StoreUnavailable as error:
-                self._record_outage(str(error))
+                self._record_outage(str(error), asked_at)
                 next_at = asked_at + pause_s * (0.5 + random.random())
                 await asyncio.sleep(max(SHORTEST_PAUSE_S, next_at - self.clock()))
                 pause_s = min(2 * pause_s, max(LONGEST_PAUSE_S, self.wait_s()))
@@ -209,18 +210,18 @@
         asked_at = self.clock()
         if revision is None:
             listing = await self.store.list(EVERYTHING)
+            self._record_answer(asked_at)
             self._apply(listing, True)
             self._record_complete(asked_at)
-            self.store_confirmed_at = asked_at
             return listing.revision
         wait_s = self.wait_s()
         events = await self.store.watch(EVERYTHING, revision, wait_s)
-        self._apply(events, False)
-        self._record_complete(asked_at)
         now = self.clock()
         # An answer after the timeout of the watch was delayed in this process, for example while
         # the VM was stalled, so it confirms the view only as of the request.
-        self.store_confirmed_at = now if now - asked_at < wait_s + WATCH_MARGIN_S else asked_at
+        self._record_answer(now if now - asked_at < wait_s + WATCH_MARGIN_S else asked_at)
+        self._apply(events, False)
+        self._record_complete(asked_at)
         return max(revision, events.revision)
 
     def _record_complete(self, asked_at: float) -> None:
@@ -229,7 +230,6 @@
 
     def _apply(self, listing: Listing, complete: bool) -> None:
         """Apply all items, or the changed ones."""
-        self._record_answer()
         parts: dict[str, list[Item]] = {
             prefix: [] for prefix in (self.keys.operators, self.keys.own, self.keys.targets)
         }
@@ -242,19 +242,26 @@
         targets = self.targets.apply(parts[self.keys.targets], listing.revision, complete)
         if targets is not None:
             self._replace(self.view.merged(View(targets=targets)))
-            self.targets.record_published(self.view.targets)
 
-    def _record_outage(self, reason: str) -> None:
+    def _record_outage(self, reason: str, asked_at: float) -> None:
         if not self.in_outage:
             logger.bind(reason=reason).warning("store lost")
         self.in_outage = True
-
-    def _record_answer(self) -> None:
-        if not self.in_outage:
-            return
-        self.in_outage = False
-        self.targets.record_store_recovery()
-        logger.info("store regained")
+        # A call that failed long after its timeout was delayed in this process, and says nothing
+        # about the store.
+        timeout_s = self.wait_s() + WATCH_MARGIN_S
+        if self.clock() - asked_at < timeout_s + OWN_DELAY_S:
+            self.was_unavailable = True
+
+    def _record_answer(self, confirmed_at: float) -> None:
+        """Record when the store confirmed the view, before the view itself is updated."""
+        self.store_confirmed_at = max(self.store_confirmed_at, confirmed_at)
+        if self.was_unavailable:
+            self.was_unavailable = False
+            self.recovered_at = confirmed_at
+        if self.in_outage:
+            self.in_outage = False
+            logger.info("store regained")
 
     # Items written by operators
 
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -85,17 +85,17 @@
         self.speeds: dict[ServiceName, EngineSpeed] = {}
         self.usual_external_load: dict[ServiceName, float] = {}
         self.ranks: dict[ServiceName, RankShares] = {}
-        self.revision = Revision(-1)
+        self.targets: TargetList | None = None
 
     def update(self, targets: TargetList) -> list[Target]:
-        """Update the registered targets and return the removed incarnations.
+        """Update the targets in use and return the removed incarnations.
 
         The state of a target that restarted under the same name is discarded: its cache is empty,
         and its former load and failures no longer apply.
         """
-        if targets.revision == self.revision:
+        if targets == self.targets:
             return []
-        self.revision = targets.revision
+        self.targets = targets
         present = {target.target: target for target in targets.targets}
         removed = [
             state.target
@@ -113,6 +113,11 @@
             self.by_service.setdefault(target.service, []).append(state)
         return removed
 
+    @property
+    def revision(self) -> Revision:
+        """Revision of the list of targets, 0 while there is none."""
+        return self.targets.revision if self.targets else Revision(0)
+
     def speed_of(self, service: ServiceName) -> EngineSpeed:
         """Return the observed speed of the engines of a service."""
         return self.speeds.setdefault(service, EngineSpeed())
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -104,7 +104,7 @@
         self.codec = Codec(LedgerMessage)
         self.context = zmq.Context()
         self.links = Links(self.context, self.codec)
-        self.cached_view = CachedView()
+        self.cached_view = CachedView(heartbeat_s=settings.target_heartbeat_s)
         self.cached_view.listeners.append(self._view_changed)
         self.balancer = Balancer(settings.zone)
         self.pool = ConnectionPool(settings.connect_timeout_s)
@@ -224,7 +224,7 @@
         ):
             self.table = RouteTable(view.configuration)
             self._use_limits(view.configuration.limits)
-        for target in self.balancer.update(view.targets):
+        for target in self.balancer.update(self.cached_view.targets):
             self.pool.close_idle(target.address)
 
     def _limits(self) -> ClientLimits:
@@ -257,6 +257,7 @@
         while True:
             await self.loop_delay.sleep(CHECK_INTERVAL_S)
             self._check_quorum()
+            self.cached_view.drop_expired()
             self.pool.close_expired()
             self.close_idle()
             self.links.close_idle_except(
@@ -293,15 +294,16 @@
             logger.bind(age_s=round(min(self.cached_view.age_s, LONGEST_AGE_S), 2)).warning(
                 "no source, following the store"
             )
-            known = self.cached_view.view.targets
-            self.watcher = Watcher(self.store, self.keys, self._watcher_changed, known=known)
+            self.watcher = Watcher(self.store, self.keys, self._watcher_changed)
             self.watcher.start()
         self._watcher_changed()
 
     def _watcher_changed(self) -> None:
         if self.watcher is not None:
             watcher = self.watcher
-            self.cached_view.merge(watcher.view, watcher.confirmed_at, watcher.complete_until)
+            self.cached_view.merge(
+                watcher.view, watcher.confirmed_at, watcher.complete_until, watcher.recovered_at
+            )
 
     async def _stop_watcher(self) -> None:
         if self.watcher is not None:
--- a/waxwingglade/ingress/settings.py
+++ b/waxwingglade/ingress/settings.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from waxwingglade.base import ZoneId
+from waxwingglade.follow.feed import HEARTBEAT_S
 from waxwingglade.ingress.accounts import KeyAgeLimits
 
 
@@ -36,6 +37,8 @@
         Time after which a caller that was not served may retry.
     keys : KeyAgeLimits
         Limits on the age of the view by which the keys of callers are checked.
+    target_heartbeat_s : float
+        Interval at which targets renew their entries in the store.
     """
 
     vm: str
@@ -49,6 +52,7 @@
     drain_timeout_s: float = 7.4
     retry_after_s: float = 0.1
     keys: KeyAgeLimits = KeyAgeLimits()
+    target_heartbeat_s: float = HEARTBEAT_S
 
 
 __all__ = ["IngressSettings"]
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -17,7 +17,14 @@
 from waxwingglade.base.loop_delay import LoopDelay
 from waxwingglade.base.tasks import start_task
 from waxwingglade.decisions.quota import QuotaRules
-from waxwingglade.follow.feed import FRESH_S, CachedView, FeedFollower, ask_over, nearest_first
+from waxwingglade.follow.feed import (
+    FRESH_S,
+    HEARTBEAT_S,
+    CachedView,
+    FeedFollower,
+    ask_over,
+    nearest_first,
+)
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet, View
@@ -103,6 +110,8 @@
         Rules for the limits of client accounts.
     bootstrap : bool
         Whether the whole system starts for the first time.
+    target_heartbeat_s : float
+        Interval in seconds at which targets renew their entries in the store.
     """
 
     vm: str
@@ -115,6 +124,7 @@
     metrics: str = ""
     quota: QuotaRules = QuotaRules(1.0)
     bootstrap: bool = False
+    target_heartbeat_s: float = HEARTBEAT_S
 
 
 class LedgerNode:
@@ -137,7 +147,7 @@
         self.context = zmq.Context()
         self.server = LinkServer(self.context, self.codec, self.answer)
         self.links = Links(self.context, self.codec)
-        self.cached_view = CachedView()
+        self.cached_view = CachedView(heartbeat_s=settings.target_heartbeat_s)
         self.watcher = Watcher(store, keys, self._store_changed, wait_s=self._watch_s)
         self.replica = Replica(settings.folder)
         self.own = Member(self.replica.disk, settings.vm, settings.endpoint, settings.zone)
@@ -239,7 +249,9 @@
 
     def _take_watched(self) -> None:
         watcher = self.watcher
-        self.cached_view.merge(watcher.view, watcher.confirmed_at, watcher.complete_until)
+        self.cached_view.merge(
+            watcher.view, watcher.confirmed_at, watcher.complete_until, watcher.recovered_at
+        )
 
     def observe_replicas(self, replicas: ReplicaSet) -> None:
         """Record a set of members that another replica reported."""
@@ -258,6 +270,7 @@
             await self.loop_delay.sleep(UPDATE_INTERVAL_S)
             self.membership.discount_stall(self.loop_delay.delays[-1])
             self._take_watched()
+            self.cached_view.drop_expired()
             self._adopt_members(self.cached_view.view.replicas)
             self.quotas.update_from_view()
             if self.membership.quorum != reported:
@@ -269,9 +282,13 @@
         return STANDBY_WATCH_S if self.membership.stands_by else WAIT_S
 
     def _needs_source(self) -> bool:
-        """Return whether the view is older than the store's confirmations usually let it become."""
+        """Return whether another process may know more than the store told this one.
+
+        That is so if the view is older than the store's confirmations usually let it become, and
+        after an outage, which other processes may not have seen.
+        """
         age_s = STANDBY_FRESH_S if self.membership.stands_by else FRESH_S
-        return self.cached_view.age_s > age_s
+        return self.cached_view.age_s > age_s or self.cached_view.retention.active
 
     def _sources(self) -> list[Member]:
         members = self.replica.replicas.members
