List the store as of one revision, whatever changes between its pages

A change that was made between two pages could be in the list, at a revision at which the lists of other processes lack it; the event of that change then changed nothing, so no list with a newer revision followed, and a follower that came from another process kept the older content, for example a leaving target as ready. Found by reading, not seen in a run; it takes a store with more items than fit on a page. Change: if the revision moved while the pages were read, the events since the first page are applied, and the listing has their revision. That is one more call, only in this case. Measured: the new test failed before (revision 120 with changes of 121 and 122) and passes; 9 tests of the store's client.

--- a/waxwingglade/follow/store.py
+++ b/waxwingglade/follow/store.py
@@ -68,9 +68,12 @@
         """Return an item by a linearizable read, or None if the key does not exist."""
 
     async def list(self, prefix: str) -> Listing:
-        """Return all items below a prefix.
+        """Return all items below a prefix as of one revision.
 
-        The revision is that of the first page, so that a watch from it misses nothing.
+        Raises
+        ------
+        HistoryCompacted
+            If the store dropped changes that were made while the items were read.
         """
 
     async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -117,21 +117,29 @@
         return _item(_decoded(response, _WireItem))
 
     async def list(self, prefix: str) -> Listing:
-        """Return all items below a prefix, and the revision of the first page."""
+        """Return all items below a prefix as of one revision.
+
+        Raises
+        ------
+        HistoryCompacted
+            If the store dropped changes that were made while the pages were read.
+        """
         items: list[Item] = []
-        revision: Revision | None = None
+        revisions: list[Revision] = []
         path = f"/v1/kv-range?path_prefix={quote(prefix, safe='')}"
         after = ""
         for _ in range(PAGE_LIMIT):
             response = await self._call("list", "GET", path + after)
             page = _decoded(response, _Page)
             items += [_item(item) for item in page.items]
-            if revision is None:
-                revision = Revision(page.current_rev)
+            revisions.append(Revision(page.current_rev))
             if not page.has_more or not page.items:
                 break
             after = f"&after={quote(page.items[-1].key, safe='')}"
-        return Listing(tuple(items), revision or Revision(0))
+        if revisions[-1] == revisions[0]:
+            return Listing(tuple(items), revisions[0])
+        # Later pages may have changes that the earlier ones lack.
+        return _updated(items, await self.watch(prefix, revisions[0], 0.0))
 
     async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
         """Return the events after a revision; raise `HistoryCompacted` if they were dropped."""
@@ -222,6 +230,17 @@
         raise StoreUnavailable(f"invalid answer: {error}", may_have_run=False) from error
 
 
+def _updated(items: list[Item], changes: Listing) -> Listing:
+    """Return items after some changes, as of the revision of the changes."""
+    current = {item.key: item for item in items}
+    for change in changes.items:
+        if change.value is None:
+            current.pop(change.key, None)
+        else:
+            current[change.key] = change
+    return Listing(tuple(current.values()), changes.revision)
+
+
 def _item(wire: _WireItem) -> Item:
     try:
         value = None if wire.deleted or wire.value is None else base64.b64decode(wire.value)
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -1,6 +1,7 @@
 """Tests of the store's client with a stand-in: conditions, lost answers, compaction, pages."""
 
 import unittest
+from typing import Any
 from unittest import mock
 
 from waxwingglade.follow.store import HistoryCompacted, StoreUnavailable
@@ -61,6 +62,27 @@
             [("servers/007", False), ("servers/008", True)],
         )
 
+    async def test_a_listing_has_what_changed_between_its_pages_at_one_revision(self) -> None:
+        for number in range(120):
+            self.standin.put(f"servers/{number:03d}", {"n": number})
+        call = self.store._call
+        changes = [
+            lambda: self.standin.remove("servers/007"),
+            lambda: self.standin.put("servers/115", {"n": 0}),
+        ]
+
+        async def change_and_call(*arguments: Any) -> HttpResponse:
+            answer = await call(*arguments)
+            if changes:
+                changes.pop(0)()
+            return answer
+
+        with mock.patch.object(self.store, "_call", change_and_call):
+            listing = await self.store.list("servers/")
+        self.assertEqual(listing.revision, self.standin.revision)
+        values = {item.key: item.value for item in listing.items}
+        self.assertEqual(values, {key: self.standin.value(key) for key in self.standin.items})
+
     async def test_a_watch_after_a_compaction(self) -> None:
         self.standin.put("servers/a", {})
         self.standin.compact()
