Send nothing to a target that left while its connection was opened

Callers could see: a request reaches a target up to 0.35 s, the time for opening a connection, later than the entry knew that the target leaves. Cause: a target was chosen before the connection was opened, and not looked at again before the request was sent. Change: an attempt checks after it has a connection that the target still accepts work; if not, nothing was sent, the connection goes back to the pool, and another target is tried.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -196,6 +196,11 @@
         self.records.append(record)
         chosen_at = self.balancer.clock()
         connection = await self._connect(choice, record)
+        if not self.balancer.accepts(target):
+            self.pool.release(target.address, connection)
+            record.verdict = Verdict.NOT_RUN
+            record.reason = "left while the connection was opened"
+            raise NotRun(record.reason)
         send = Send(target.target, self.time_left(), priority, last_event)
         headers = self.dialect.target_headers(self.call, send)
         request = HttpRequest(self.call.method, self.call.path, headers, body)
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -256,6 +256,11 @@
             choices.append((round(cost, 1), weight(key, state.target.target), state, 0))
         return choices
 
+    def accepts(self, target: Target) -> bool:
+        """Return whether an incarnation of a target still accepts new work."""
+        state = self._state(target)
+        return state is not None and not state.target.leaving
+
     # Outcomes
 
     def _state(self, target: Target) -> TargetState | None:
