Let the test of a connection being opened fail by its own words

Cause: its double of the pool lacked a method that the code before the check calls after sending, so that the test failed there by an AttributeError. Change: the double has the method, and its connection breaks. Assertions are as they were. Measured: fails with MayHaveRun on the code before the check, passes now.

--- a/waxwingglade/ingress/tests/test_leaving_target.py
+++ b/waxwingglade/ingress/tests/test_leaving_target.py
@@ -8,6 +8,7 @@
 from waxwingglade.ingress.attempt import Attempts, NoTarget, NotRun
 from waxwingglade.ingress.balance import Balancer
 from waxwingglade.ingress.tests.builders import NOTES, call, route, target, targets
+from waxwingglade.transport import ConnectionBroken
 
 
 class SlowPool:
@@ -15,7 +16,8 @@
 
     def __init__(self, meanwhile: Any) -> None:
         self.meanwhile = meanwhile
-        self.connection = mock.Mock()
+        broken = ConnectionBroken("ends the test", sent=True)
+        self.connection = mock.Mock(read_head=mock.AsyncMock(side_effect=broken))
         self.released: list[str] = []
 
     async def acquire(self, _address: str) -> Any:
@@ -23,6 +25,9 @@
         self.meanwhile()
         return self.connection
 
+    def watch(self, *_: Any) -> None:
+        """Accept the limits of a connection."""
+
     def release(self, address: str, _connection: Any) -> None:
         """Record a returned connection."""
         self.released.append(address)
