Let the soak find requests that reach a server after it has left

It looked 3.5 s after the leaving, not the 2.0 s that the platform states; every server of it reported that it was leaving; any fault of the store, its links or pauses anywhere from 1 s before to 4 s after excused everything; and no fault refused only some processes while the store served the others. Change: the bound is 2.0 s from the store's acknowledgement (tests/soak/leaving_targets.py). A fault excuses a request only as before and if it also affects the store as a whole, the ledger or the entry that sent the request, and is within 1 s before the leaving or 3 s, the platform's contact_ms, before the request. A refusal by the store excuses nothing, but for an entry that was refused at a moment at which every ledger process was refused: it had nobody left to ask. New faults: servers that leave in a series without reporting it and serve on for 3 to 8 s before they exit; a store that refuses some processes with 429 or 503 in series. Servers renew their entries every 1.2 s, and entries expire after three missed renewals while the store is away. The check of drained servers is replaced by this one, which is stricter in the bound and in what excuses. A test of daemons lets all entries expire in an outage: callers are served throughout, and a target that does not register again gets nothing more than two seconds after the two in which it could have.

--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -23,6 +23,9 @@
 HOST = "shop.example"
 WAIT_TIMEOUT_S = 30.0
 GRACE_S = 8
+HEARTBEAT_S = 1.2
+"""Interval in seconds at which servers renew their entries in the store."""
+
 METRICS_PORT = 9464
 NETWORKS = range(1, 250)
 """Second octets of loopback addresses; each cluster uses one of them."""
@@ -162,6 +165,7 @@
             "listen": {"front": f"{self.ip}:{front_port}", "ready": f"{self.ip}:{ready_port}"},
             "port_range": [first_port, first_port],
             "bootstrap": True,
+            "heartbeat_ms": 1000 * HEARTBEAT_S,
             "data_dir": str(data) if purpose == "storage" else None,
             "bounds": {"grace_s": GRACE_S, **cluster.bounds},
             "fault_tolerance": {"machines": 1, "zones": 1},
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 import msgspec
 import typer
 
-from tests.soak.kinds import FIRST_KINDS, LEDGER_KINDS, FaultKind
+from tests.soak.kinds import EARLIER_KINDS, FIRST_KINDS, LEAVING_KINDS, LEDGER_KINDS, FaultKind
 from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
 from tests.soak.run import FAULT_FREE_SIZE, Size, soak
 
@@ -35,6 +35,9 @@
         bool,
         typer.Option(help="many sub-agents on slow disks, no faults; all other sizes are set"),
     ] = False,
+    leaving: Annotated[
+        bool, typer.Option(help="only servers that leave, and a store that refuses some processes")
+    ] = False,
     accounts: Annotated[
         bool, typer.Option(help="callers need keys, which are replaced; some have a limit")
     ] = False,
@@ -56,16 +59,28 @@
         size = msgspec.structs.replace(size, flush_s=0.0)
     if accounts:
         size = msgspec.structs.replace(size, accounts=True, kinds=tuple(FaultKind))
+    if leaving:
+        size = msgspec.structs.replace(size, kinds=LEAVING_KINDS)
     if ledger:
         size = LEDGER_SIZE
     if quiet:
         size = msgspec.structs.replace(FAULT_FREE_SIZE, flush_s=flush_ms / 1000)
     runs = [(seed, size) for seed in range(first, first + count)]
     if regressions:
-        # These seeds failed on the machine's disk and without sub-agents.
-        later_size = Size(seconds, entries, programs, sub_agents=0, flush_s=0.0)
+        # These seeds failed on the machine's disk, without sub-agents and heartbeats of servers.
+        later_size = Size(
+            seconds,
+            entries,
+            programs,
+            kinds=EARLIER_KINDS,
+            sub_agents=0,
+            flush_s=0.0,
+            heartbeat_s=0.0,
+        )
         first_size = msgspec.structs.replace(later_size, spares=0, kinds=FIRST_KINDS)
-        ledger_size = msgspec.structs.replace(LEDGER_SIZE, sub_agents=0, flush_s=0.0)
+        ledger_size = msgspec.structs.replace(
+            LEDGER_SIZE, sub_agents=0, flush_s=0.0, heartbeat_s=0.0
+        )
         runs = [(seed, first_size) for seed in REGRESSIONS]
         runs += [(seed, later_size) for seed in LATER_REGRESSIONS]
         runs += [(seed, ledger_size) for seed in LEDGER_REGRESSIONS]
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,9 +12,6 @@
 UNDECIDED = (NO_ANSWER, 500, 502, 504)
 """Statuses after which a turn may have run."""
 
-DRAIN_DETECTION_S = 3.5
-"""Seconds after which a draining server gets no more work while the store is available."""
-
 
 def check(attempts: list[Attempt], runs: list[Run]) -> list[str]:
     """Return the violations of guarantees, one line each."""
@@ -120,13 +117,3 @@
     if runs_by_request.get(turn.request) or turn.status in UNDECIDED:
         return True
     return turn.ended_at >= denied.sent_at
-
-
-def check_drained(
-    server: str, drained_at: float, store_available: bool, runs: list[Run]
-) -> list[str]:
-    """Return what a server ran long after it began to drain, if the store was available."""
-    if not store_available:
-        return []
-    late = [run for run in runs if run.began_at > drained_at + DRAIN_DETECTION_S]
-    return [f"{run.request} ran at {server}, which had drained" for run in late]
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -11,7 +11,7 @@
 from tests.prove.relay import ADDRESS, STORE, Relays
 from tests.soak.accounts import BOUNDS, FREE, Accounts
 from waxwingglade.platform.registry import REPLICAS_KEY
-from waxwingglade.standins.metadata_store import MetadataStore
+from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
 from waxwingglade.standins.registered_server import RegisteredServer
 
 CALLERS = 200
@@ -23,17 +23,68 @@
 MEMBERS = 3
 """Members of the ledger; further ledger processes are spares."""
 
+EXPIRY_HEARTBEATS = 3
+"""Heartbeats that a server misses before the store removes its entry."""
+
+HEARTBEAT_POLL_S = 0.05
+STORE_AWAY = (StoreFault.BUSY, StoreFault.UNRESPONSIVE)
+
 SLOW_DISK = Path(__file__).with_name("slow_disk.py")
 
 
 class SoakServer(RegisteredServer):
-    """A server that also records which requests it completed, and when."""
+    """A server that also records which requests it completed, and writes heartbeats.
+
+    Attributes
+    ----------
+    left_at : float or None
+        When the store accepted that it leaves, in monotonic seconds.
+    """
 
     def __init__(
         self, store: MetadataStore, service: str, events: int = 0, event_s: float = 0.005
     ) -> None:
         super().__init__(store, service, events, event_s)
         self.completed_at: dict[str, float] = {}
+        self.left_at: float | None = None
+        self.heartbeats: asyncio.Task | None = None
+
+    def send_heartbeats(self, heartbeat_s: float) -> None:
+        """Begin to renew the entry in the store."""
+        self.heartbeats = asyncio.create_task(self._send_heartbeats(heartbeat_s))
+
+    async def _send_heartbeats(self, heartbeat_s: float) -> None:
+        """Renew the entry; while the store is away it may expire, and be written again later."""
+        next_at = renewed_at = time.monotonic()
+        while True:
+            await asyncio.sleep(HEARTBEAT_POLL_S)
+            now = time.monotonic()
+            if now >= next_at:
+                next_at += heartbeat_s
+                if self.store.fault not in STORE_AWAY:
+                    renewed_at = now
+                    self.register("ready")
+            elif now > renewed_at + EXPIRY_HEARTBEATS * heartbeat_s:
+                self.deregister()
+
+    def leave(self, reports: bool) -> None:
+        """Leave: report that it is draining, or remove the entry; it continues to serve."""
+        self.stop_heartbeats()
+        if reports:
+            self.register("draining")
+        else:
+            self.deregister()
+        self.left_at = time.monotonic()
+
+    def stop_heartbeats(self) -> None:
+        """Stop to renew the entry."""
+        if self.heartbeats is not None:
+            self.heartbeats.cancel()
+
+    async def stop(self) -> None:
+        """Deregister, and stop without finishing requests."""
+        self.stop_heartbeats()
+        await super().stop()
 
     async def _run(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
         completed = await super()._run(writer, request, body)
@@ -68,11 +119,13 @@
         Duration in seconds of a flush of a ledger process; 0 to use the machine's disk.
     accounts : Accounts or None
         Client accounts, whose keys callers need; None if callers need no keys.
+    heartbeat_s : float
+        Interval in seconds at which servers renew their entries; 0 if they never do.
 
     Attributes
     ----------
-    drained_servers : list of SoakServer
-        Servers that were drained, with their runs.
+    left_servers : list of SoakServer
+        Servers that have left, with their runs.
     """
 
     server_type = SoakServer
@@ -83,8 +136,11 @@
         spares: int = 0,
         flush_s: float = 0.0,
         accounts: Accounts | None = None,
+        heartbeat_s: float = 0.0,
     ) -> None:
         self.accounts = accounts
+        self.heartbeat_s = heartbeat_s
+        self.exits: set[asyncio.Task] = set()
         if accounts is not None:
             self.bounds = BOUNDS
             self.tenants = accounts.tenants()
@@ -95,7 +151,7 @@
         self.ledger_count = MEMBERS + spares
         self.flush_s = flush_s
         self.server_numbers: dict[str, int] = {}
-        self.drained_servers: list[SoakServer] = []
+        self.left_servers: list[SoakServer] = []
 
     async def open(self) -> None:
         """Start everything, beginning with the relays, whose ports the settings contain."""
@@ -129,9 +185,11 @@
         for node in self.nodes():
             if node.process is not None and node.process.poll() is None:
                 node.signal(signal.SIGCONT)
+        for task in self.exits.copy():
+            task.cancel()
         await self.relays.close()
         await self.stop()
-        for server in self.drained_servers:
+        for server in self.left_servers:
             await server.stop()
 
     def nodes(self) -> list[Node]:
@@ -163,18 +221,30 @@
         relay = await self.relays.add(number, port, source=CALLERS)
         server.advertised = f"{ADDRESS}:{relay}"
         server.register("ready")
+        if self.heartbeat_s and isinstance(server, SoakServer):
+            server.send_heartbeats(self.heartbeat_s)
 
-    async def replace_server(self, rng: random.Random) -> SoakServer:
-        """Replace a random server by a new one; return the old server, which drains."""
+    async def replace_server(self, rng: random.Random, reports: bool = True) -> SoakServer:
+        """Replace a random server by a new one; return the old server, which leaves."""
         servers = rng.choice([self.engines, self.notes])
         leaving = servers.pop(rng.randrange(len(servers)))
         added = SoakServer(self.store, leaving.service, leaving.events, leaving.event_s)
         await self.add_server(added)
         servers.append(added)
-        leaving.register("draining")
-        self.drained_servers.append(leaving)
+        leaving.leave(reports)
+        self.left_servers.append(leaving)
         return leaving
 
+    def exit_later(self, server: SoakServer, serves_s: float) -> None:
+        """Let a server that has left exit after it has served on for some seconds."""
+        task = asyncio.create_task(self._exit(server, serves_s))
+        self.exits.add(task)
+        task.add_done_callback(self.exits.discard)
+
+    async def _exit(self, server: SoakServer, serves_s: float) -> None:
+        await asyncio.sleep(serves_s)
+        await server.stop()
+
     def all_servers(self) -> list[SoakServer]:
-        """Return all servers, including drained ones."""
-        return [*self.engines, *self.notes, *self.drained_servers]
+        """Return all servers, including those that have left."""
+        return [*self.engines, *self.notes, *self.left_servers]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,11 @@
 START_POLL_S = 0.1
 """Seconds between checks whether a process has started."""
 
+SERVES_ON_S = (3.0, 8.0)
+"""Seconds for which a server that has left serves on, the shortest and the longest."""
+
+REFUSAL_STATUSES = (429, 503)
+
 MAX_STALL_S = 0.06
 """Longest time in seconds of a stall, or between stalls: about ten rounds of messages."""
 
@@ -39,8 +44,6 @@
         Violations of guarantees that were seen during the faults.
     versions : dict
         Version of each route that was added, by its path.
-    drained_at : dict
-        When each server began to drain.
     """
 
     def __init__(
@@ -53,7 +56,6 @@
         self.violations: list[str] = []
         self.version = 3
         self.routes: list[dict] = []
-        self.drained_at: dict[str, float] = {}
         self.ledger_lock = asyncio.Lock()
         self.node_locks: dict[str, asyncio.Lock] = {}
         self.start_tasks: set[asyncio.Task] = set()
@@ -87,6 +89,8 @@
             FaultKind.EMPTY_LEDGER: self._retire_ledger,
             FaultKind.FALTER_LEDGERS: self._stall_ledgers,
             FaultKind.REVOKE: self._revoke,
+            FaultKind.SERVER_DEREGISTERS: self._servers_deregister,
+            FaultKind.STORE_REFUSES: self._store_refuses,
         }
 
     async def run(self, seconds: float) -> None:
@@ -291,6 +295,21 @@
         self.cluster.store.fault = StoreFault.NONE
         self._end(occurrence)
 
+    async def _store_refuses(self, lasts_s: float) -> None:
+        """Refuse some processes for moments, while the store serves the others and the servers."""
+        count = self.rng.randint(1, len(self.cluster.nodes()) // 2)
+        nodes = self.rng.sample(self.cluster.nodes(), count)
+        for _ in range(self.rng.randint(1, 3)):
+            occurrence = self._begin(FaultKind.STORE_REFUSES, *(node.name for node in nodes))
+            refusal = self.cluster.store.refuse(
+                {self.cluster.store_address(node.name) for node in nodes},
+                self.rng.choice(REFUSAL_STATUSES),
+            )
+            await asyncio.sleep(self.rng.random() * lasts_s / 2)
+            self.cluster.store.refusals.remove(refusal)
+            self._end(occurrence)
+            await asyncio.sleep(self.rng.random() * lasts_s / 2)
+
     async def _compact(self, _lasts_s: float) -> None:
         self._end(self._begin(FaultKind.STORE_COMPACT, "store"))
         self.cluster.store.compact()
@@ -356,8 +375,16 @@
 
     async def _server_leaves(self, _lasts_s: float) -> None:
         self._end(self._begin(FaultKind.SERVER_LEAVES, "store"))
-        leaving = await self.cluster.replace_server(self.rng)
-        self.drained_at[leaving.name] = time.monotonic()
+        await self.cluster.replace_server(self.rng)
+
+    async def _servers_deregister(self, lasts_s: float) -> None:
+        """Let servers leave in a series without reporting it, and serve on for seconds."""
+        occurrence = self._begin(FaultKind.SERVER_DEREGISTERS, "store")
+        for _ in range(self.rng.randint(1, 3)):
+            leaving = await self.cluster.replace_server(self.rng, reports=False)
+            self.cluster.exit_later(leaving, self.rng.uniform(*SERVES_ON_S))
+            await asyncio.sleep(self.rng.random() * lasts_s / 3)
+        self._end(occurrence)
 
     async def _configure(self, _lasts_s: float) -> None:
         self._end(self._begin(FaultKind.CONFIGURE, "store"))
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -33,6 +33,8 @@
     EMPTY_LEDGER = "a ledger process is emptied while another stands by"
     FALTER_LEDGERS = "ledger processes stand still for moments, each at its own times"
     REVOKE = "an account's key is replaced by another"
+    SERVER_DEREGISTERS = "servers leave without reporting it, serve on, and others come"
+    STORE_REFUSES = "the store refuses some processes, again and again"
 
 
 EVERYWHERE = "everywhere"
@@ -40,7 +42,17 @@
 FIRST_KINDS = tuple(FaultKind)[:20]
 """Kinds that existed when the first seeds failed; other kinds change the run of a seed."""
 
-USUAL_KINDS = tuple(kind for kind in FaultKind if kind is not FaultKind.REVOKE)
+EARLIER_KINDS = tuple(FaultKind)[:24]
+"""Kinds that existed when later seeds failed, all of them possible if callers need no keys."""
+
+LEAVING_KINDS = (
+    FaultKind.SERVER_LEAVES,
+    FaultKind.SERVER_DEREGISTERS,
+    FaultKind.STORE_REFUSES,
+)
+"""Servers that leave while the store refuses some processes."""
+
+USUAL_KINDS = (*EARLIER_KINDS, FaultKind.SERVER_DEREGISTERS, FaultKind.STORE_REFUSES)
 """All kinds that are possible if callers need no keys."""
 
 LEDGER_KINDS = (
@@ -85,4 +97,13 @@
         return self.where == EVERYWHERE or name in self.where.split()
 
 
-__all__ = ["EVERYWHERE", "FIRST_KINDS", "LEDGER_KINDS", "FaultKind", "FaultOccurrence"]
+__all__ = [
+    "EARLIER_KINDS",
+    "EVERYWHERE",
+    "FIRST_KINDS",
+    "LEAVING_KINDS",
+    "LEDGER_KINDS",
+    "USUAL_KINDS",
+    "FaultKind",
+    "FaultOccurrence",
+]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,14 +8,15 @@
 
 import msgspec
 
-from tests.platform_cluster import ORDER, STREAM, Node
+from tests.platform_cluster import HEARTBEAT_S, ORDER, STREAM, Node
 from tests.soak.account_checks import check_accounts
 from tests.soak.accounts import RULES, Accounts
-from tests.soak.checks import check, check_drained
+from tests.soak.checks import check
 from tests.soak.cluster import SoakCluster
 from tests.soak.faults import Faults
 from tests.soak.interrupted_turns import Completion, check_completed_turns, check_ledger_refusals
-from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind, FaultOccurrence
+from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind
+from tests.soak.leaving_targets import check_left
 from tests.soak.sub_agents import SubAgents
 from tests.soak.supervisor import Supervisor
 from tests.soak.workload import NO_ANSWER, Attempt, Callers
@@ -27,17 +28,6 @@
 LATE_RUNS_S = 1.0
 """Seconds after the last request during which servers record runs that come too late."""
 
-STORE_FAULTS = {
-    FaultKind.STORE_BUSY,
-    FaultKind.STORE_SILENT,
-    FaultKind.STORE_LINK,
-    FaultKind.KILL_ALL,
-    FaultKind.PAUSE_ENTRY,
-    FaultKind.PAUSE_LEDGER,
-    FaultKind.SILENT_LINKS,
-}
-"""Faults during which an entry may need longer to learn of a change in the store."""
-
 CALLER_FAULTS = {
     FaultKind.KILL_ENTRY,
     FaultKind.KILL_ALL,
@@ -62,6 +52,8 @@
         Duration in seconds of a flush of a ledger process; 0 to use the machine's disk.
     accounts : bool
         Whether callers need the keys of client accounts.
+    heartbeat_s : float
+        Interval in seconds at which servers renew their entries; 0 if they never do.
     restarts : bool
         Whether processes that ended by themselves are restarted; if not, the errors that callers
         see after such an end are reported, too.
@@ -76,6 +68,7 @@
     sub_agents: int = 2
     flush_s: float = 0.001
     accounts: bool = False
+    heartbeat_s: float = HEARTBEAT_S
     restarts: bool = True
 
 
@@ -108,7 +101,7 @@
         Folder for the artifacts of a failing run.
     """
     accounts = Accounts(random.Random(seed + 3_000_000)) if size.accounts else None
-    cluster = SoakCluster(size.entries, size.spares, size.flush_s, accounts)
+    cluster = SoakCluster(size.entries, size.spares, size.flush_s, accounts, size.heartbeat_s)
     try:
         await cluster.open()
         callers = Callers(cluster, random.Random(seed))
@@ -196,19 +189,19 @@
     violations = check(callers.attempts, runs)
     if cluster.accounts is not None:
         violations += check_accounts(callers.attempts, runs, cluster.accounts.keys)
-    for server in cluster.drained_servers:
-        drained_at = faults.drained_at[server.name]
-        store_available = not _overlaps_any(
-            faults.occurrences, STORE_FAULTS, drained_at - 1.0, drained_at + 4.0
+    entries = {attempt.request: attempt.entry for attempt in callers.attempts}
+    ledgers = [node.name for node in cluster.ledgers]
+    for server in cluster.left_servers:
+        assert server.left_at is not None
+        violations += check_left(
+            server.name, server.left_at, server.runs, entries, faults.occurrences, ledgers
         )
-        violations += check_drained(server.name, drained_at, store_available, server.runs)
     violations += _check_graceful_stops(callers, faults, {run.request for run in runs})
     completions = {
         request: Completion(server.name, at)
         for server in cluster.all_servers()
         for request, at in server.completed_at.items()
     }
-    ledgers = [node.name for node in cluster.ledgers]
     violations += check_completed_turns(callers.attempts, completions, faults.occurrences, ledgers)
     violations += check_ledger_refusals(callers.attempts, faults.occurrences)
     for node in cluster.nodes():
@@ -216,12 +209,6 @@
     return violations
 
 
-def _overlaps_any(
-    occurrences: list[FaultOccurrence], kinds: set[FaultKind], begin: float, end: float
-) -> bool:
-    return any(each.kind in kinds and each.overlaps(begin, end) for each in occurrences)
-
-
 def _check_graceful_stops(callers: Callers, faults: Faults, ran: set[str]) -> list[str]:
     """Return the calls that a stopping entry forwarded and left without an answer."""
     stops = [each for each in faults.occurrences if each.kind is FaultKind.STOP_ENTRY]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,7 +5,6 @@
 import subprocess
 import sys
 import tempfile
-import time
 import unittest
 from pathlib import Path
 from typing import ClassVar
@@ -16,7 +15,7 @@
 from tests.prove.relay import ADDRESS, Relays
 from tests.soak.account_checks import check_accounts
 from tests.soak.accounts import FREE, LIMITED, LIMITS, REVOKE_S, RULES, Key
-from tests.soak.checks import UNDECIDED, answer_to_turn, check, check_drained
+from tests.soak.checks import UNDECIDED, answer_to_turn, check
 from tests.soak.cluster import SLOW_DISK, SoakServer
 from tests.soak.interrupted_turns import (
     EXCUSED_AFTER_S,
@@ -24,20 +23,37 @@
     check_completed_turns,
     check_ledger_refusals,
 )
-from tests.soak.kinds import EVERYWHERE, LEDGER_KINDS, FaultKind, FaultOccurrence
+from tests.soak.kinds import (
+    EARLIER_KINDS,
+    EVERYWHERE,
+    LEAVING_KINDS,
+    LEDGER_KINDS,
+    FaultKind,
+    FaultOccurrence,
+)
+from tests.soak.leaving_targets import DRAIN_DETECTION_S, check_left
 from tests.soak.run import FAULT_FREE_SIZE, Size, soak
 from tests.soak.workload import MAX_TURN_TOKENS, Attempt
 from waxwingglade.standins.metadata_store import MetadataStore
 from waxwingglade.standins.registered_server import Run, ServerFault, answer_to
 
 ARTIFACTS = Path("runs/soak")
-SHORT = Size(seconds=6.0, entries=2, programs=4, plain=2)
+SHORT = Size(seconds=6.0, entries=2, programs=4, plain=2, kinds=EARLIER_KINDS)
+SHORT_LEAVING = Size(seconds=8.0, entries=4, programs=6, plain=6, kinds=LEAVING_KINDS)
 SHORT_LEDGER = Size(
-    seconds=6.0, entries=3, programs=16, plain=2, kinds=LEDGER_KINDS, sub_agents=0, flush_s=0.0
+    seconds=6.0,
+    entries=3,
+    programs=16,
+    plain=2,
+    kinds=LEDGER_KINDS,
+    sub_agents=0,
+    flush_s=0.0,
+    heartbeat_s=0.0,
 )
-"""Without sub-agents, since its seed failed without them."""
+"""Without sub-agents and heartbeats, since its seed failed without them."""
 
 SEED = 7
+LEAVING_SEED = 1
 LEDGER_SEED = 1001
 FAULT_FREE_SEED = 2
 ACCOUNTS_SEED = 3
@@ -55,6 +71,7 @@
 LEDGERS = ("storage-0", "storage-1", "storage-2", "storage-3")
 HISTORIES = 2000
 SENT_AT, INTERRUPTED_AT = 100.0, 102.0
+LEFT_AT = 100.0
 PROMPT = b"asks"
 FLUSH_SCRIPT = """
 import os, sys, time
@@ -121,6 +138,9 @@
     async def test_faults_violate_no_guarantee(self) -> None:
         await self.check(SEED, SHORT)
 
+    async def test_no_guarantee_is_violated_by_servers_that_leave(self) -> None:
+        await self.check(LEAVING_SEED, SHORT_LEAVING)
+
     async def test_no_guarantee_is_violated_if_the_ledger_does_not_answer_in_time(self) -> None:
         await self.check(LEDGER_SEED, SHORT_LEDGER)
 
@@ -250,12 +270,56 @@
         )
         return check([used, refused, spent], [run_of("a")])
 
-    def test_runs_at_a_drained_server_are_found(self) -> None:
-        now = time.monotonic()
-        late = [run_of("a", began_at=now + 4.0)]
-        self.assertEqual(len(check_drained("i-1", now, True, late)), 1)
-        self.assertEqual(check_drained("i-1", now, False, late), [])
-        self.assertEqual(check_drained("i-1", now, True, [run_of("a", began_at=now + 1.0)]), [])
+
+class LeavingServers(unittest.TestCase):
+    def test_a_run_too_long_after_the_leaving_is_found(self) -> None:
+        self.assertEqual(len(self.check(DRAIN_DETECTION_S + 0.1)), 1)
+        self.assertEqual(self.check(DRAIN_DETECTION_S - 0.1), [])
+
+    def test_a_fault_of_the_store_the_ledger_or_the_entry_excuses(self) -> None:
+        for kind, where in (
+            (FaultKind.STORE_SILENT, "store"),
+            (FaultKind.KILL_ALL, EVERYWHERE),
+            (FaultKind.PAUSE_LEDGER, "storage-1"),
+            (FaultKind.STORE_LINK, "storage-0 front-1"),
+            (FaultKind.PAUSE_ENTRY, "front-0"),
+        ):
+            for began_at in (LEFT_AT - 1.5, LEFT_AT + 1.0):
+                with self.subTest(kind=kind, began_at=began_at):
+                    fault = FaultOccurrence(kind, where, began_at, began_at + 0.7)
+                    self.assertEqual(self.check(DRAIN_DETECTION_S + 0.1, fault), [])
+
+    def test_other_faults_excuse_nothing(self) -> None:
+        for kind, where in (
+            (FaultKind.STORE_REFUSES, "store"),
+            (FaultKind.PAUSE_ENTRY, "front-1"),
+            (FaultKind.STORE_LINK, "front-1 front-2"),
+            (FaultKind.SERVER_DEREGISTERS, "store"),
+        ):
+            with self.subTest(kind=kind):
+                fault = FaultOccurrence(kind, where, LEFT_AT, LEFT_AT + 1.0)
+                self.assertEqual(len(self.check(DRAIN_DETECTION_S + 0.1, fault)), 1)
+
+    def test_an_excuse_ends_some_time_after_its_fault(self) -> None:
+        fault = FaultOccurrence(FaultKind.STORE_SILENT, "store", LEFT_AT + 0.5, LEFT_AT + 1.0)
+        self.assertEqual(self.check(3.9, fault), [])
+        self.assertEqual(len(self.check(4.1, fault)), 1)
+
+    def test_a_refusal_excuses_only_if_nobody_was_left_to_ask(self) -> None:
+        refused = FaultOccurrence(
+            FaultKind.STORE_REFUSES, "front-0 storage-0 storage-1", LEFT_AT, LEFT_AT + 2.0
+        )
+        others = [FaultOccurrence(refused.kind, " ".join(LEDGERS), LEFT_AT + 1.0, LEFT_AT + 1.5)]
+        self.assertEqual(self.check(DRAIN_DETECTION_S + 0.1, refused, *others), [])
+        self.assertEqual(len(self.check(DRAIN_DETECTION_S + 0.1, refused)), 1)
+        self.assertEqual(len(self.check(DRAIN_DETECTION_S + 0.1, *others)), 1)
+        later = FaultOccurrence(refused.kind, " ".join(LEDGERS), LEFT_AT + 2.05, LEFT_AT + 2.1)
+        self.assertEqual(len(self.check(DRAIN_DETECTION_S + 0.2, refused, later)), 1)
+
+    def check(self, late_s: float, *faults: FaultOccurrence) -> list[str]:
+        """Check a run that began some seconds after its server had left."""
+        run = run_of("a", began_at=LEFT_AT + late_s)
+        return check_left("i-1", LEFT_AT, [run], {"a": "front-0"}, faults, LEDGERS)
 
 
 class InterruptedTurns(unittest.TestCase):
--- a/tests/test_leaving_target.py
+++ b/tests/test_leaving_target.py
@@ -1,22 +1,23 @@
-"""Targets that leave while a ledger process has trouble with the store."""
+"""Targets that leave, and targets whose entries expire, while the store is not available to all."""
 
 import asyncio
 import contextlib
 import time
 import unittest
 
-from tests.platform_cluster import CALL, Node
+from tests.platform_cluster import CALL, HEARTBEAT_S, Node
 from tests.prove.relay import STORE, LinkFault
-from tests.soak.cluster import SoakCluster
+from tests.soak.cluster import EXPIRY_HEARTBEATS, SoakCluster, SoakServer
+from tests.soak.leaving_targets import DRAIN_DETECTION_S
 from waxwingglade.base import WaxwinggladeError
+from waxwingglade.follow.retention import REREGISTRATION_S
 from waxwingglade.follow.watcher import WATCH_INTERVAL_S
+from waxwingglade.standins.metadata_store import StoreFault
 
-DRAIN_S = 2.0
-"""Seconds after the store's acknowledgement within which a leaving target gets its last request."""
-
-WATCHED_S = 2 * DRAIN_S + 1.0
+WATCHED_S = 2 * DRAIN_DETECTION_S + 1.0
 CALL_PAUSE_S = 0.02
 WATCH_BEGUN_S = 0.05
+OUTAGE_S = (EXPIRY_HEARTBEATS + 1) * HEARTBEAT_S
 
 
 class LeavingTarget(unittest.IsolatedAsyncioTestCase):
@@ -33,16 +34,10 @@
                 await self.cluster.add_server(added)
                 self.cluster.notes.append(added)
                 leaving = self.cluster.notes.pop(0)
-                self.cluster.drained_servers.append(leaving)
-                leaving.deregister()
-                left_at = time.monotonic()
-                await asyncio.gather(*(self._call(entry) for entry in self.cluster.entries))
-                late = [
-                    round(run.began_at - left_at, 2)
-                    for run in leaving.runs
-                    if run.began_at > left_at + DRAIN_S
-                ]
-                self.assertEqual(late, [])
+                self.cluster.left_servers.append(leaving)
+                leaving.leave(reports=False)
+                await call_entries(self.cluster, WATCHED_S)
+                self.assertEqual(late_runs(leaving, leaving.left_at + DRAIN_DETECTION_S), [])
 
     async def _refuse(self, node: Node) -> None:
         """Reset the connections of a ledger process to the store until it notices.
@@ -54,19 +49,52 @@
         known = len(node.logs())
         number = self.cluster.number_of(node)
         self.cluster.relays.disrupt(number, STORE, LinkFault.RESET)
-        await self.cluster.until(lambda: _has_logged(node, "store lost", known))
+        await self.cluster.until(lambda: has_logged(node, "store lost", known))
         self.cluster.relays.heal(number)
-        await self.cluster.until(lambda: _has_logged(node, "store regained", known))
+        await self.cluster.until(lambda: has_logged(node, "store regained", known))
 
-    async def _call(self, entry: Node) -> None:
-        """Call an entry again and again."""
-        end_at = time.monotonic() + WATCHED_S
-        while time.monotonic() < end_at:
-            with contextlib.suppress(WaxwinggladeError, TimeoutError):
-                await self.cluster.call(entry, "POST", CALL)
-            await asyncio.sleep(CALL_PAUSE_S)
+
+class ExpiredEntries(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.cluster = SoakCluster(entries=3, heartbeat_s=HEARTBEAT_S)
+        self.addAsyncCleanup(self.cluster.shut)
+        await self.cluster.open()
+
+    async def test_targets_stay_in_use_until_they_had_time_to_register_again(self) -> None:
+        """One that does not register again is gone, as if it had left at the end of that time."""
+        missing = self.cluster.notes[0]
+        calls = asyncio.create_task(call_entries(self.cluster, OUTAGE_S + WATCHED_S))
+        self.cluster.store.fault = StoreFault.BUSY
+        await asyncio.sleep(OUTAGE_S)
+        missing.stop_heartbeats()
+        registered = [key for key in self.cluster.store.items if key.startswith("servers/")]
+        self.assertEqual(registered, [])
+        self.cluster.store.fault = StoreFault.NONE
+        gone_at = time.monotonic() + REREGISTRATION_S
+        self.assertEqual(set(await calls), {200})
+        self.assertEqual(late_runs(missing, gone_at + DRAIN_DETECTION_S), [])
 
 
-def _has_logged(node: Node, event: str, known: int) -> bool:
+def has_logged(node: Node, event: str, known: int) -> bool:
     """Return whether a process logged an event after its first lines."""
     return any(line["event"] == event for line in node.logs()[known:])
+
+
+def late_runs(server: SoakServer, until: float) -> list[float]:
+    """Return how many seconds too late a server ran requests."""
+    return [round(run.began_at - until, 2) for run in server.runs if run.began_at > until]
+
+
+async def call_entries(cluster: SoakCluster, seconds: float) -> list[int]:
+    """Call all entries for some seconds, and return the statuses of the answers."""
+    end_at = time.monotonic() + seconds
+    statuses = []
+
+    async def call(entry: Node) -> None:
+        while time.monotonic() < end_at:
+            with contextlib.suppress(WaxwinggladeError, TimeoutError):
+                statuses.append((await cluster.call(entry, "POST", CALL)).status)
+            await asyncio.sleep(CALL_PAUSE_S)
+
+    await asyncio.gather(*(call(entry) for entry in cluster.entries))
+    return statuses
--- a/waxwingglade/standins/metadata_store.py
+++ b/waxwingglade/standins/metadata_store.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import Any
 
+import msgspec
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
@@ -20,6 +21,13 @@
     LOST_ANSWERS = "lost answers"
 
 
+class Refusal(msgspec.Struct, eq=False):
+    """Addresses of the store at which it refuses all calls, and the status of the refusals."""
+
+    addresses: set[str]
+    status: int
+
+
 class MetadataStore:
     """Items in memory, with an HTTP server.
 
@@ -29,6 +37,8 @@
         Number of calls received.
     fault : StoreFault
         Current fault.
+    refusals : list of Refusal
+        Callers whose calls are refused at present.
     """
 
     def __init__(self) -> None:
@@ -38,6 +48,7 @@
         self.compacted_revision = 0
         self.changed = asyncio.Event()
         self.fault = StoreFault.NONE
+        self.refusals: list[Refusal] = []
         self.calls = 0
         self.server: HTTPServer | None = None
         self.address = ""
@@ -84,6 +95,18 @@
         self._record(item)
         return self.revision
 
+    def refuse(self, addresses: set[str], status: int) -> Refusal:
+        """Refuse all calls to some addresses of the store, including watches that wait."""
+        refusal = Refusal(addresses, status)
+        self.refusals.append(refusal)
+        self._wake_watches()
+        return refusal
+
+    def refusal_of(self, address: str) -> int | None:
+        """Return the status with which calls to an address are refused; None if they are served."""
+        statuses = (each.status for each in self.refusals if address in each.addresses)
+        return next(statuses, None)
+
     def remove(self, key: str) -> None:
         """Remove an item."""
         if self.items.pop(key, None) is None:
@@ -111,6 +134,9 @@
 
     def _record(self, event: dict[str, Any]) -> None:
         self.history.append(event)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -121,12 +147,21 @@
 
     async def prepare(self) -> None:
         self.store.calls += 1
+        if self.refuse():
+            return
         if self.store.fault is StoreFault.BUSY:
             self.set_status(503)
             self.finish()
         if self.store.fault is StoreFault.UNRESPONSIVE:
             await asyncio.sleep(3600)
 
+    def refuse(self) -> bool:
+        """Refuse the call if its caller is refused at present; return whether that is so."""
+        status = self.store.refusal_of(self.request.headers.get("Host", ""))
+        if status is not None:
+            self.answer(status, {})
+        return status is not None
+
     def answer(self, status: int, body: Any) -> None:
         self.set_status(status)
         self.finish(body)
@@ -162,6 +197,8 @@
             if after < self.store.compacted_revision:
                 self.answer(410, {})
                 return
+            if self.refuse():
+                return
             events = self.store.events(prefix, after)
             remaining_s = end_at - asyncio.get_running_loop().time()
             if events or remaining_s <= 0:
