Ask the store soon enough while the ledger is refused by it

Cause: an entry without a usable replica began to follow the store 0.5 to 0.7 s after it had found out, which is 1.7 to 2.4 s after the store was last heard of. By then the two seconds were over, and an entry may have expired, so that the target was retained for two more. Change: an entry whose view is older than 1.3 s and that has no usable replica follows the store at the next check. An entry that has just been started waits 0.5 s, as before.

--- a/tests/test_leaving_target.py
+++ b/tests/test_leaving_target.py
@@ -39,6 +39,21 @@
                 await call_entries(self.cluster, WATCHED_S)
                 self.assertEqual(late_runs(leaving, leaving.left_at + DRAIN_DETECTION_S), [])
 
+    async def test_entries_learn_of_a_leaving_target_while_the_store_refuses_the_ledger(
+        self,
+    ) -> None:
+        addresses = {self.cluster.store_address(node.name) for node in self.cluster.ledgers}
+        self.cluster.engines[0].register("ready")
+        await asyncio.sleep(WATCH_BEGUN_S)
+        refusal = self.cluster.store.refuse(addresses, 503)
+        leaving = self.cluster.notes.pop(0)
+        self.cluster.left_servers.append(leaving)
+        leaving.leave(reports=False)
+        statuses = await call_entries(self.cluster, WATCHED_S)
+        self.cluster.store.refusals.remove(refusal)
+        self.assertEqual(late_runs(leaving, leaving.left_at + DRAIN_DETECTION_S), [])
+        self.assertEqual(set(statuses), {200})
+
     async def _refuse(self, node: Node) -> None:
         """Reset the connections of a ledger process to the store until it notices.
 
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -1,6 +1,7 @@
 """The lifecycle of an entry on a platform: start, serve, drain and stop."""
 
 import asyncio
+import math
 import random
 import time
 from typing import Any
@@ -57,6 +58,10 @@
 STORE_FALLBACK_DELAY_S = 0.5
 """Seconds without a usable replica before the entry follows the store directly."""
 
+STORE_FALLBACK_AGE_S = 1.3
+"""Age of the view in seconds from which on an entry without a usable replica does so at once.  It
+then learns within two seconds which targets leave."""
+
 MEMBERS_RETRY_S = 0.3
 """Mean seconds between reads of the store while no replica is known."""
 
@@ -266,11 +271,18 @@
             if not self.follower.exhausted:
                 lost_at = None
                 await self._stop_watcher()
-            elif lost_at is None:
-                lost_at = time.monotonic()
-            elif time.monotonic() - lost_at > STORE_FALLBACK_DELAY_S:
+                continue
+            lost_at = lost_at or time.monotonic()
+            lost_s = time.monotonic() - lost_at
+            if lost_s > STORE_FALLBACK_DELAY_S or self._is_outdated or self.watcher is not None:
                 self._use_watcher()
 
+    @property
+    def _is_outdated(self) -> bool:
+        """Whether the store confirmed the view once, but not recently."""
+        age_s = self.cached_view.age_s
+        return math.isfinite(age_s) and age_s > STORE_FALLBACK_AGE_S
+
     def close_idle(self) -> None:
         """Close connections that have been idle for longer than the current limit.
 
