--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -88,8 +88,8 @@
         return self.age_s <= FRESH_S
 
     @property
-    def targets(self) -> TargetList:
-        """The targets in use: the registered ones, and those that are retained after an outage."""
+    def targets_in_use(self) -> TargetList:
+        """The registered targets, and those that are retained after an outage of the store."""
         registered = self.view.targets
         return TargetList(
             registered.revision, registered.targets + tuple(self.retention.targets.values())
@@ -119,7 +119,7 @@
         known_until = self.confirmed_at
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
         self.complete_until = max(self.complete_until, complete_until)
-        targets_before = self.targets
+        targets_before = self.targets_in_use
         dropped = self.retention.record_confirmation(known_until, confirmed_at, recovered_at)
         merged = self.view.merged(view)
         if merged.targets is not self.view.targets:
@@ -133,22 +133,22 @@
                 version=merged.version, before=before.version, age_s=round(self.age_s, 2)
             ).info("configuration in force")
         self.notify()
-        self._tell_listeners()
+        self._call_listeners()
 
     def drop_expired(self) -> None:
         """Drop retained targets that did not register again, unless the store is away again."""
-        before = self.targets
+        before = self.targets_in_use
         if self.fresh and self.retention.expire():
             self._log_targets(before, STORE)
-            self._tell_listeners()
+            self._call_listeners()
 
-    def _tell_listeners(self) -> None:
+    def _call_listeners(self) -> None:
         for listener in self.listeners:
             listener(self.view)
 
     def _log_targets(self, before: TargetList, source: str) -> None:
         """Log how the targets in use have changed."""
-        after = self.targets
+        after = self.targets_in_use
         if after == before:
             return
         fields = {"revision": after.revision, "source": source}
--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -165,4 +165,4 @@
         """Return the names of the targets in use, after the periodic check."""
         self.take_watched()
         self.cached_view.drop_expired()
-        return {target.target for target in self.cached_view.targets.targets}
+        return {target.target for target in self.cached_view.targets_in_use.targets}
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -122,6 +122,8 @@
         When the call began that last confirmed the view.  Up to then the view is complete.
     recovered_at : float
         When the store answered for the first time, or after failed calls; -inf before.
+    was_unavailable : bool
+        Whether calls have failed since the last answer, or there was none yet.
     undecodable : bool
         Whether the configuration in the store can't be decoded.  Then no call makes the view
         complete.
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -229,7 +229,7 @@
         ):
             self.table = RouteTable(view.configuration)
             self._use_limits(view.configuration.limits)
-        for target in self.balancer.update(self.cached_view.targets):
+        for target in self.balancer.update(self.cached_view.targets_in_use):
             self.pool.close_idle(target.address)
 
     def _limits(self) -> ClientLimits:
