--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -4,7 +4,7 @@
 import contextlib
 import json
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from unittest import mock
 
 from waxwingglade.base import Clock, ConfigVersion, FormatError, TargetId, ZoneId
@@ -18,6 +18,7 @@
 EXPIRY_S = 3 * HEARTBEAT_S
 """Seconds without a heartbeat after which the entry of a target expires."""
 
+WAIT_LIMIT_S = 5.0
 UNRESPONSIVE_S = 0.2
 """Seconds after which an unresponsive watch fails."""
 
@@ -69,6 +70,13 @@
         yield
 
 
+async def until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds."""
+    async with asyncio.timeout(WAIT_LIMIT_S):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
 class MemoryStore:
     """A store that can become unavailable and compact its history.
 
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -3,12 +3,9 @@
 import asyncio
 import time
 import unittest
-from collections.abc import Callable
-from typing import Any
 from unittest import mock
 
 import msgspec
-from loguru import logger
 
 from waxwingglade.base import ConfigVersion, ZoneId
 from waxwingglade.follow.feed import CachedView, FeedFollower
@@ -18,24 +15,14 @@
 from waxwingglade.follow.store import Listing, StoreUnavailable
 from waxwingglade.follow.tests.builders import (
     EXPIRY_S,
-    KEYS,
     SHORT_S,
     UNRESPONSIVE_S,
     FollowingProcess,
     MemoryStore,
     quick_pauses,
+    until,
 )
 
-WAIT_LIMIT_S = 5.0
-LEAVING_STATES = (b"ready", b"leaving")
-
-
-async def until(condition: Callable[[], bool]) -> None:
-    """Wait until a condition holds."""
-    async with asyncio.timeout(WAIT_LIMIT_S):
-        while not condition():
-            await asyncio.sleep(0.005)
-
 
 class WatcherTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -235,99 +222,6 @@
         self.assertEqual(self.watcher.confirmed_at, asked_at)
 
 
-class StartInAnOutage(unittest.IsolatedAsyncioTestCase):
-    """A process starts to follow the store in an outage, in which the targets' entries expire.
-
-    Guards against requests rejected for lack of a target after an outage of the store.  It happens
-    when entries have no source left and start to follow the store themselves.  The entries of all
-    targets expire in the outage, though the targets run.  Then the first listing after the outage
-    must not be accepted as complete, neither by the process itself nor by its followers, until the
-    targets have had the time to register again.
-    """
-
-    async def asyncSetUp(self) -> None:
-        self.enterContext(quick_pauses())
-        self.now = 1000.0
-        self.store = MemoryStore()
-        self.store.put("op/config", b'{"version": 4}')
-        self.store.put("targets/a", b"ready")
-        self.store.put("targets/b", b"ready")
-        before = FollowingProcess(self.store, lambda: self.now)
-        before.watcher.start()
-        await until(lambda: before.names() == {"a", "b"})
-        await before.watcher.stop()
-        self.process = FollowingProcess(self.store, lambda: self.now)
-        self.process.cached_view.merge(before.watcher.view, self.now)
-        self.store.unavailable = True
-        self.now += EXPIRY_S
-        self.store.put("targets/a", None)
-        self.store.put("targets/b", None)
-
-    async def test_targets_of_the_earlier_view_may_register_again(self) -> None:
-        watcher = self.process.watcher
-        watcher.start()
-        self.addAsyncCleanup(watcher.stop)
-        self.store.unavailable = False
-        await until(lambda: watcher.view.version == 4)
-        self.assertEqual(self.process.names(), {"a", "b"})
-        self.store.put("targets/b", b"ready")
-        await until(lambda: set(self.process.cached_view.retention.targets) == {"a"})
-        self.assertEqual(self.process.names(), {"a", "b"})
-        self.now += 3.0
-        await until(lambda: self.process.names() == {"b"})
-
-    async def test_a_first_listing_does_not_drop_the_targets_of_followers(self) -> None:
-        source = FollowingProcess(self.store, lambda: self.now)
-        source.watcher.start()
-        self.addAsyncCleanup(source.watcher.stop)
-        await until(lambda: source.watcher.in_outage)
-        self.store.put("targets/c", b"ready")
-        self.store.unavailable = False
-        await until(lambda: source.names() == {"c"})
-        self.assertEqual(self.names_received_from(source), {"a", "b", "c"})
-        self.store.put("targets/b", b"ready")
-        await until(lambda: source.names() == {"b", "c"})
-        self.assertEqual(self.names_received_from(source), {"a", "b", "c"})
-        self.now += 3.0
-        await until(lambda: self.names_received_from(source) == {"b", "c"})
-
-    def names_received_from(self, source: FollowingProcess) -> set[str]:
-        """Follow another process, and return the targets in use after that."""
-        self.process.receive_from(source.watcher, source.cached_view.retention.ended_at)
-        return self.process.names()
-
-
-class TargetLogTest(unittest.TestCase):
-    def setUp(self) -> None:
-        self.lines: list[dict[str, Any]] = []
-        sink = logger.add(
-            lambda message: self.lines.append(
-                {"event": message.record["message"], **message.record["extra"]}
-            )
-        )
-        self.addCleanup(logger.remove, sink)
-        self.cached_view = CachedView(lambda: 0.0)
-
-    def receive(self, revision: int, *targets: Target) -> None:
-        """Receive a list of targets from the VM ``near``."""
-        self.lines.clear()
-        view = View(targets=TargetList(Revision(revision), targets))
-        self.cached_view.merge(view, 0.0, source="near")
-
-    def test_a_received_list_is_logged_with_its_revision_and_source(self) -> None:
-        fields = {"revision": 5, "source": "near"}
-        running, leaving = (KEYS.decode_target("targets/a", state) for state in LEAVING_STATES)
-        self.receive(5, running)
-        self.assertEqual(self.lines, [{"event": "targets received", "targets": 1, **fields}])
-        for revision, event, targets in ((6, "leaving", [leaving]), (7, "gone", [])):
-            with self.subTest(event):
-                self.receive(revision, *targets)
-                fields = {"target": "a", "revision": revision, "source": "near"}
-                self.assertEqual(self.lines, [{"event": f"target {event}", **fields}])
-        self.receive(6, running)
-        self.assertEqual(self.lines, [])
-
-
 class FeedTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.now = 1000.0
