Publish the list of targets of a store that has only just been written to

Cause: since lists hold only what the store has, an empty first list at revision 0 counted as published, so a ledger process of an empty store without targets had none until the first target was registered. The fuzz test of entries also still built the list with the arguments of before. Change: a list is published until one has a revision, as before; the test builds the list as it is built now, its assertions are as they were.

--- a/tests/fuzz/test_registry.py
+++ b/tests/fuzz/test_registry.py
@@ -8,10 +8,10 @@
 
 from tests.fuzz.builders import FIXED, damaged, json_values
 from waxwingglade.base import FormatError
-from waxwingglade.follow.model import Revision, Target, TargetList
+from waxwingglade.follow.model import Revision, Target
 from waxwingglade.follow.store import Item
 from waxwingglade.follow.targets import RegisteredTargets
-from waxwingglade.platform.registry import TARGETS_PREFIX, decode_target
+from waxwingglade.platform.registry import decode_target
 
 VALID_FIELDS = {
     "service": "engines",
@@ -58,7 +58,7 @@
     @FIXED
     @given(entries)
     def test_an_entry_that_names_none_takes_its_target_and_no_other(self, value):
-        registered = RegisteredTargets(TARGETS_PREFIX, decode_target, lambda: 0.0, TargetList())
+        registered = RegisteredTargets(decode_target)
         sound = [Item(f"servers/{name}", ENTRY, Revision(1)) for name in ("a", "b")]
         registered.apply(sound, Revision(1), complete=True)
         registered.apply([Item("servers/b", value, Revision(2))], Revision(2), complete=False)
--- a/waxwingglade/follow/targets.py
+++ b/waxwingglade/follow/targets.py
@@ -26,13 +26,15 @@
         Targets by key.
     undecodable : set of str
         Keys whose entries can't be decoded.
+    revision : Revision
+        Revision of the last list; 0 before the first one of a store that was written to.
     """
 
     def __init__(self, decode: Callable[[str, bytes], Target]) -> None:
         self.decode = decode
         self.targets: dict[str, Target] = {}
         self.undecodable: set[str] = set()
-        self.published = False
+        self.revision = Revision(0)
 
     def apply(self, items: Iterable[Item], revision: Revision, complete: bool) -> TargetList | None:
         """Apply all entries, or the changed ones; return the list if it has changed."""
@@ -46,9 +48,9 @@
                 self.targets.pop(item.key, None)
             else:
                 self._add(item.key, item.value)
-        if self.targets == before and self.published:
+        if self.targets == before and self.revision:
             return None
-        self.published = True
+        self.revision = revision
         return TargetList(revision, tuple(self.targets.values()))
 
     def _add(self, key: str, value: bytes) -> None:
