--- a/tests/soak/leaving_targets.py
+++ b/tests/soak/leaving_targets.py
@@ -1,6 +1,6 @@
 """Check that servers get no more requests once they have left for some time."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from tests.soak.kinds import EVERYWHERE, FaultKind, FaultOccurrence
 from waxwingglade.standins.registered_server import Run
@@ -36,7 +36,7 @@
     left_at: float,
     runs: Iterable[Run],
     entries: Mapping[str, str],
-    faults: Iterable[FaultOccurrence],
+    faults: Sequence[FaultOccurrence],
     ledgers: Iterable[str] = (),
 ) -> list[str]:
     """Return what a server ran too long after it had left, unless a fault excuses it.
@@ -51,7 +51,7 @@
         Requests that it ran.
     entries : mapping
         Entry to which each request was sent.
-    faults : iterable of FaultOccurrence
+    faults : sequence of FaultOccurrence
         Faults of the run.
     ledgers : iterable of str
         Names of the ledger processes.
