Tell repeats of a request, and targets that ended, apart in logs and metrics

Cause: the line of a request did not say which work it is, and may_have_run said the same of a target that ended and of a broken connection; target gone said the same of a target that left and of one that vanished. Change: fingerprint in lines of failed requests, ending and the fate of the other connections in each broken attempt, was_leaving in target gone, the counter broken_attempts_total by ending; explain lists the repeats of a request.

--- a/waxwingglade/base/ids.py
+++ b/waxwingglade/base/ids.py
@@ -32,6 +32,8 @@
 Epoch = NewType("Epoch", int)
 Sequence = NewType("Sequence", int)
 ConfigVersion = NewType("ConfigVersion", int)
+Fingerprint = NewType("Fingerprint", str)
+"""Digest of what a caller asks for; the same in each repeat of a request, under any request id."""
 
 NAME_PATTERN = re.compile(r"^[a-z0-9][a-z0-9-]{0,39}$")
 CALL_ID_PATTERN = re.compile(r"^[A-Za-z0-9][A-Za-z0-9_-]{0,79}$")
--- a/waxwingglade/cli/explain.py
+++ b/waxwingglade/cli/explain.py
@@ -35,6 +35,9 @@
     "verdict",
     "status",
     "seconds",
+    "ending",
+    "siblings_lost",
+    "siblings_open",
     "reason",
 )
 
@@ -80,6 +83,7 @@
     for line in story.turn:
         _print_replica_requests(line)
     _print_delayed_changes(story.account)
+    _print_lines("repeats of it under other ids", story.repeats)
     _print_lines("other failed requests of its program", story.program)
     _print_lines("failures and changes around it", story.around)
 
--- a/waxwingglade/explain/story.py
+++ b/waxwingglade/explain/story.py
@@ -65,6 +65,8 @@
         Failures and changes of state shortly before and during the request.
     account : list of LogLine
         Changes of its program's account that were delayed during the request.
+    repeats : list of LogLine
+        Ends of other requests with the same fingerprint: the same work under another id.
     """
 
     own: list[LogLine]
@@ -72,6 +74,7 @@
     program: list[LogLine]
     around: list[LogLine]
     account: list[LogLine]
+    repeats: list[LogLine]
 
 
 def tell(request: str, lines: Lines) -> Story:
@@ -94,6 +97,8 @@
     during = [(line.began_at, line.time) for line in own]
     spans = [(began_at - BEFORE_S, ended_at) for began_at, ended_at in during]
     programs = {line.fields.get("program") for line in own} - {None}
+    fingerprints = {line.fields.get("fingerprint") for line in own} - {None}
+    repeats: list[LogLine] = []
     program: list[LogLine] = []
     around: list[LogLine] = []
     account: list[LogLine] = []
@@ -106,9 +111,14 @@
             and _is_within(line, during)
         ):
             account.append(line)
-        if _belongs_to(line, programs) and _failed(line) and line not in own:
+        if not _failed(line) or line in own:
+            continue
+        if line.fields.get("fingerprint") in fingerprints:
+            repeats.append(line)
+        elif _belongs_to(line, programs):
             program.append(line)
-    return Story(*(sorted(each, key=_time) for each in (own, turn, program, around, account)))
+    lists = (own, turn, program, around, account, repeats)
+    return Story(*(sorted(each, key=_time) for each in lists))
 
 
 def _is_within(line: LogLine, spans: list[tuple[float, float]]) -> bool:
--- a/waxwingglade/explain/tests/test_explain.py
+++ b/waxwingglade/explain/tests/test_explain.py
@@ -55,6 +55,21 @@
         self.assertEqual(["r0"], [each.fields["request"] for each in story.program])
         self.assertEqual([99.8], [each.time for each in story.around])
 
+    def test_repeats_are_those_with_the_same_fingerprint_at_any_entry(self) -> None:
+        broken = "the target broke off: reset"
+        logs = [
+            write_log(
+                self.folder,
+                f"entry-{number}.log",
+                request_line(100.0 + number, f"s{number}", 502, broken, fingerprint="f", program=p),
+                request_line(100.0, f"t{number}", 502, broken, fingerprint="g", program=p),
+            )
+            for number, p in enumerate(("p1", "p1", "p1"))
+        ]
+        story = tell("s1", lambda: read_files(logs))
+        self.assertEqual(["s0", "s2"], [each.fields["request"] for each in story.repeats])
+        self.assertEqual(3, len(story.program))
+
     def test_a_missing_file_is_a_format_error(self) -> None:
         with self.assertRaisesRegex(FormatError, "missing.log: No such file"):
             list(read_files([Path(self.folder) / "missing.log"]))
--- a/waxwingglade/follow/target_log.py
+++ b/waxwingglade/follow/target_log.py
@@ -21,7 +21,8 @@
     old_targets = {target.target: target for target in before}
     new_targets = {target.target: target for target in after}
     for name in old_targets.keys() - new_targets.keys():
-        logger.bind(target=name, **fields).info("target gone")
+        leaving = old_targets[name].leaving
+        logger.bind(target=name, was_leaving=leaving, **fields).info("target gone")
     for name, target in new_targets.items():
         old = old_targets.get(name)
         if old is None:
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 
 import msgspec
 
@@ -23,6 +24,7 @@
     HttpRequest,
     HttpResponse,
     NotConnected,
+    Siblings,
     Unresponsive,
     WaitLimits,
 )
@@ -53,6 +55,19 @@
 """Statuses that promise the caller that the request did not run."""
 
 
+class Ending(Enum):
+    """How the connection of an attempt ended before its answer was complete."""
+
+    LOST = "lost"
+    """The target, or the network, ended it."""
+
+    UNRESPONSIVE = "unresponsive"
+    """This process closed it, as nothing arrived on it any more."""
+
+    INVALID = "invalid"
+    """The target sent bytes that are no answer."""
+
+
 class AttemptRecord(msgspec.Struct, omit_defaults=True):
     """Log record of one attempt.
 
@@ -64,6 +79,11 @@
         Estimate of the tokens that the target has to prefill.
     connect_s : float
         Seconds between the choice and the sending.
+    ending : Ending or None
+        How its connection ended before the answer was complete.
+    siblings : Siblings or None
+        The other connections to the target at that moment.  If the target ended, all of them are
+        lost together.
     """
 
     target: TargetId
@@ -76,6 +96,8 @@
     status: int = 0
     reason: str = ""
     seconds: float = 0.0
+    ending: Ending | None = None
+    siblings: Siblings | None = None
 
 
 class Head(msgspec.Struct):
@@ -214,8 +236,8 @@
             self.pool.watch(connection, self._wait_limits(choice))
             response = await connection.read_head(self._answers_this_call)
         except ConnectionBroken as error:
+            self._record_break(choice, connection, record, error)
             self.close(choice, connection)
-            self._broken(choice, record, error)
             raise MayHaveRun(str(error)) from error
         except asyncio.CancelledError:
             self.close(choice, connection)
@@ -284,13 +306,18 @@
             self.close(head.choice, head.connection)
         raise NotRun(f"status {head.response.status}")
 
-    def _broken(self, choice: Choice, record: AttemptRecord, error: ConnectionBroken) -> None:
+    def _record_break(
+        self,
+        choice: Choice,
+        connection: Http1Connection,
+        record: AttemptRecord,
+        error: Exception,
+    ) -> None:
+        """Record that an answer is incomplete; a failure unless only the connection may be bad."""
         record.verdict = Verdict.MAY_HAVE_RUN
         record.reason = str(error)
-        self._record_failure(choice, error)
-
-    def _record_failure(self, choice: Choice, error: Exception) -> None:
-        """Record that a target failed a call, unless only the connection may have failed."""
+        record.ending = _ending_of(connection, error)
+        record.siblings = self.pool.siblings_of(connection)
         if isinstance(error, Unresponsive):
             self.saw_unresponsive = True
         else:
@@ -313,9 +340,7 @@
 
     def record_break(self, head: Head, error: Exception) -> None:
         """Record that an answer was truncated."""
-        head.record.verdict = Verdict.MAY_HAVE_RUN
-        head.record.reason = str(error)
-        self._record_failure(head.choice, error)
+        self._record_break(head.choice, head.connection, head.record, error)
 
     def close(self, choice: Choice, connection: Http1Connection) -> None:
         """Return a connection to the pool, and record the end of the request at its target."""
@@ -323,6 +348,12 @@
         self.balancer.record_end(choice.target)
 
 
+def _ending_of(connection: Http1Connection, error: Exception) -> Ending:
+    if isinstance(error, Unresponsive):
+        return Ending.UNRESPONSIVE
+    return Ending.INVALID if connection.lost_at is None else Ending.LOST
+
+
 def promises_not_run(status: int) -> bool:
     """Return whether a status promises the caller that its request did not run."""
     return status in _NOT_RUN_STATUSES
@@ -331,6 +362,7 @@
 __all__ = [
     "AttemptRecord",
     "Attempts",
+    "Ending",
     "Head",
     "MayHaveRun",
     "NoTarget",
--- /dev/null
+++ b/waxwingglade/ingress/fingerprint.py
@@ -0,0 +1,36 @@
+"""Identify repeats of a request, which callers send under new request ids."""
+
+import hashlib
+
+from waxwingglade.base import Fingerprint
+from waxwingglade.ingress.dialect import Call
+
+DIGEST_BYTES = 16
+
+
+def fingerprint_of(call: Call) -> Fingerprint | None:
+    """Return the fingerprint of what a call asks for, or None if it does not identify a caller.
+
+    Without a program, a session, an affinity key and a body, many callers may send the same.
+    """
+    if not (call.program or call.session or call.affinity or call.body):
+        return None
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    fields = (
+        call.account,
+        call.program,
+        call.session,
+        call.affinity,
+        call.previous_turn,
+        call.method,
+        call.host,
+        call.path,
+    )
+    for field in fields:
+        content = (field or "").encode()
+        digest.update(b"%d:%b" % (len(content), content))
+    digest.update(call.body)
+    return Fingerprint(digest.hexdigest())
+
+
+__all__ = ["fingerprint_of"]
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -40,6 +40,9 @@
             "refusals_total", "Answers of this system by reason.", "route", "status"
         )
         self.attempts = self._count("attempts_total", "Sendings to targets by verdict.", "verdict")
+        self.breaks = self._count(
+            "broken_attempts_total", "Attempts with an incomplete answer by ending.", "ending"
+        )
         self.seconds = self._time(
             "request_seconds", "From a request's head to its answer's end.", "route"
         )
@@ -53,6 +56,7 @@
             self.by_account,
             self.refusals,
             self.attempts,
+            self.breaks,
             self.seconds,
             self.first_event,
             self.reserve,
@@ -86,6 +90,8 @@
             self.refusals.add(route, status)
         for record in trace.attempts.records if trace.attempts else []:
             self.attempts.add(record.verdict.value if record.verdict else "open")
+            if record.ending is not None:
+                self.breaks.add(record.ending.value)
 
     def text(self, ingress: "Ingress") -> str:
         """Return all metrics in Prometheus's text format."""
--- a/waxwingglade/ingress/request_log.py
+++ b/waxwingglade/ingress/request_log.py
@@ -8,6 +8,7 @@
 from waxwingglade.follow.feed import LONGEST_AGE_S, CachedView
 from waxwingglade.ingress.attempt import AttemptRecord
 from waxwingglade.ingress.exchange import Exchange
+from waxwingglade.ingress.fingerprint import fingerprint_of
 from waxwingglade.ingress.serving import Trace
 
 SUCCESSES_LOGGED_PER_S = 20.0
@@ -41,10 +42,12 @@
             return
         call = trace.call
         records = trace.attempts.records if trace.attempts else []
+        failed = not good or any(record.ending for record in records)
         fields = {
             "request": call.request if call else "",
             "program": call.program if call else None,
             "previous": call.previous_turn if call else None,
+            "fingerprint": fingerprint_of(call) if call and failed else None,
             "route": trace.route,
             "account": trace.account,
             "version": trace.version,
@@ -78,6 +81,9 @@
             "status": record.status,
             "reason": record.reason,
             "seconds": record.seconds,
+            "ending": record.ending.value if record.ending else None,
+            "siblings_lost": record.siblings.lost if record.siblings else 0,
+            "siblings_open": record.siblings.open if record.siblings else 0,
         }
     )
 
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -54,6 +54,8 @@
     EVENTS = "answers with a whole stream"
     EVENT_AND_END = "answers with one event, and ends the stream when it may proceed"
     ERROR = "answers 500"
+    CUT = "closes the connection without an answer"
+    END = "ends, with its socket and all connections"
     REFUSE = "promises not to run it, and is slow to finish saying so"
 
 
@@ -76,6 +78,8 @@
         Seconds before an answer.
     advertised : str
         Address under which it is registered; its own if empty.
+    ended_at : float or None
+        Monotonic time in seconds at which it ended under a request.
     """
 
     def __init__(self, behaviour: Behaviour = Behaviour.ANSWER) -> None:
@@ -89,6 +93,8 @@
         self.address = ""
         self.delay_s = 0.0
         self.advertised = ""
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.ended_at: float | None = None
 
     async def start(self) -> None:
         """Start to accept connections."""
@@ -103,6 +109,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.open += 1
         self.opened += 1
+        self.writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -114,10 +121,18 @@
             pass  # The entry closed the connection, which tests wait for, or the test ended.
         finally:
             self.open -= 1
+            self.writers.discard(writer)
             writer.close()
 
     async def _answer(self, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.delay_s)
+        if self.behaviour is Behaviour.CUT:
+            writer.transport.abort()
+        if self.behaviour is Behaviour.END:
+            self.ended_at = self.ended_at or time.monotonic()
+            self.stop()
+            for each in self.writers:
+                each.transport.abort()
         if self.behaviour is Behaviour.ANSWER:
             writer.write(f"HTTP/1.1 200 OK\r\n{SEALED}Content-Length: 2\r\n\r\nok".encode())
         if self.behaviour is Behaviour.ERROR:
--- a/waxwingglade/transport/__init__.py
+++ b/waxwingglade/transport/__init__.py
@@ -9,7 +9,7 @@
 )
 from waxwingglade.transport.liveness import WaitLimits
 from waxwingglade.transport.messages import HttpRequest, HttpResponse
-from waxwingglade.transport.pool import ConnectionPool
+from waxwingglade.transport.pool import ConnectionPool, Siblings
 
 __all__ = [
     "ConnectionBroken",
@@ -18,6 +18,7 @@
     "HttpRequest",
     "HttpResponse",
     "NotConnected",
+    "Siblings",
     "Unresponsive",
     "WaitLimits",
     "open_connection",
--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -56,6 +56,11 @@
 class Http1Connection(asyncio.Protocol):
     """One connection, which serves one request at a time.
 
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT`` of the peer.
+
     Attributes
     ----------
     sent : bool
@@ -69,9 +74,13 @@
         When it was opened, when bytes last arrived on it, and when its current request was sent,
         in monotonic seconds.  The clock of an event loop may stay the same for a whole iteration,
         and then does not show which event came first.
+    lost_at : float or None
+        When the peer or the network ended it, in monotonic seconds; None while it is open, and if
+        this side closed it.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, address: str = "") -> None:
+        self.address = address
         self.loop = asyncio.get_running_loop()
         self.parser = ResponseParser()
         self.transport: asyncio.Transport | None = None
@@ -88,6 +97,7 @@
         self.opened_at = 0.0
         self.last_received_at = 0.0
         self.sent_at = 0.0
+        self.lost_at: float | None = None
         self.request: HttpRequest | None = None
         self.close_after_response = False
 
@@ -120,7 +130,7 @@
 
     def eof_received(self) -> bool:
         """Record that the peer closed its side in order; the transport closes itself."""
-        self.ended = True
+        self._record_loss()
         self._wake_reader()
         return False
 
@@ -128,9 +138,14 @@
         """Record the end of the connection; an exception means that it was reset."""
         if not self.ended and exc is not None:
             self.error = exc
-        self.ended = True
+        self._record_loss()
         self._wake_reader()
 
+    def _record_loss(self) -> None:
+        if not self.ended:
+            self.lost_at = monotonic()
+        self.ended = True
+
     def _wake_reader(self) -> None:
         if self.read_waiter is not None and not self.read_waiter.done():
             self.read_waiter.set_result(None)
@@ -307,7 +322,9 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout(timeout_s):
-            _, connection = await loop.create_connection(Http1Connection, host, int(port))
+            _, connection = await loop.create_connection(
+                lambda: Http1Connection(address), host, int(port)
+            )
     except (OSError, TimeoutError, ValueError) as error:
         raise NotConnected(f"{address}: {error or 'no answer'}") from error
     return connection
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -3,6 +3,7 @@
 import weakref
 from collections import defaultdict
 
+import msgspec
 from loguru import logger
 
 from waxwingglade.base import monotonic
@@ -13,11 +14,30 @@
 DEFAULT_IDLE_S = 2.0
 """Seconds for which an idle connection is reused if the target does not state its timeout."""
 
+SAME_MOMENT_S = 0.1
+"""Greatest difference in seconds between the ends of the connections of a process that ended.  All
+of them are received within a round trip; the event loop may be busy meanwhile."""
+
 IDLE_MARGIN_S = 0.5
 """Seconds before the stated timeout at which a connection is no longer used, so that the target
 does not close it while a request is in transit."""
 
 
+class Siblings(msgspec.Struct, frozen=True):
+    """The other connections to a peer at the moment at which one of them broke.
+
+    Parameters
+    ----------
+    open : int
+        Number of connections that are open.  The peer runs if one of them is in use again later.
+    lost : int
+        Number of connections that the peer or the network ended at the same moment.
+    """
+
+    open: int
+    lost: int
+
+
 class ConnectionPool:
     """Idle connections of one process; the most recently used is reused first.
 
@@ -92,6 +112,20 @@
             connection, lambda: self.connections, limits, self._drop_unresponsive
         )
 
+    def siblings_of(self, connection: Http1Connection) -> Siblings:
+        """Return how the other connections to the peer of a broken connection fare."""
+        others = [
+            other
+            for other in self.connections
+            if other.address == connection.address and other is not connection
+        ]
+        broke_at = connection.lost_at or monotonic()
+        lost = [other.lost_at for other in others if other.lost_at is not None]
+        return Siblings(
+            open=sum(not other.ended for other in others),
+            lost=sum(abs(lost_at - broke_at) <= SAME_MOMENT_S for lost_at in lost),
+        )
+
     def _drop_unresponsive(self, moment: float) -> None:
         """Close the idle connections that were open at `moment` and have received nothing since."""
         dropped = 0
@@ -137,4 +171,4 @@
             self.close_idle(address)
 
 
-__all__ = ["ConnectionPool"]
+__all__ = ["ConnectionPool", "Siblings"]
