--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -8,6 +8,7 @@
 import hashlib
 import secrets
 import time
+from collections.abc import Callable
 from enum import Enum
 
 import msgspec
@@ -61,6 +62,12 @@
         Requests that it ran.
     fault : ServerFault
         Current fault.
+    fatal : bytes
+        Requests whose bodies contain these bytes end the process of the server; empty for none.
+    crashed : callable
+        Called when the process has ended so.
+    crashed_at : float or None
+        When it ended, in monotonic seconds.
     """
 
     def __init__(
@@ -78,6 +85,9 @@
         self.advertised = ""
         self.active = 0
         self.writers: set[asyncio.StreamWriter] = set()
+        self.fatal = b""
+        self.crashed: Callable[[], None] = lambda: None
+        self.crashed_at: float | None = None
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Start to serve, and register."""
@@ -118,6 +128,17 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
+    def crash(self) -> None:
+        """End like a killed process: its port refuses, and its item stays in the store."""
+        if self.crashed_at is not None:
+            return
+        self.crashed_at = time.monotonic()
+        assert self.server is not None
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.crashed()
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -147,6 +168,9 @@
             writer.write(self._plain(503, request, b"broken\n", not_run=False))
             return True
         self.runs.append(Run(request, method, path, headers, body, time.monotonic()))
+        if self.fatal and self.fatal in body:
+            self.crash()
+            return False
         self.active += 1
         try:
             return await self._run(writer, request, body)
