Let operators see and release requests that are held back

Cause: a request that is held back for ten minutes by mistake, or whose cause is mended by a release, could not be let go. Change: waxwingglade held list and release, at any member of the ledger; tests over real processes of restarts of all, copies in flight, release, and work that meets two ends by chance.

--- a/tests/fatal_requests.py
+++ b/tests/fatal_requests.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import random
+import sys
 from collections.abc import Callable
 
 import msgspec
 
-from tests.platform_cluster import HEARTBEAT_S, HOST, STREAM, Node, PlatformCluster, configuration
+from tests.platform_cluster import HEARTBEAT_S, HOST, Node, PlatformCluster, configuration
 from waxwingglade.base import WaxwinggladeError
 from waxwingglade.standins.registered_server import RegisteredServer, Run
 
@@ -55,6 +56,7 @@
         ]
         self.store.put("op/config", configuration(4, extra))
         self.ended: list[RegisteredServer] = []
+        self.ends_left = sys.maxsize
         self.tasks: set[asyncio.Task] = set()
         for servers in (self.engines, self.notes):
             while len(servers) < SERVERS:
@@ -66,11 +68,15 @@
         return RegisteredServer(self.store, service, events)
 
     def _prepare(self, server: RegisteredServer) -> None:
-        server.fatal = MARK
+        server.fatal = MARK if self.ends_left else b""
         server.crashed = lambda: self._replace(server)
 
     def _replace(self, server: RegisteredServer) -> None:
         self.ended.append(server)
+        self.ends_left -= 1
+        if not self.ends_left:
+            for other in [*self.engines, *self.notes]:
+                other.fatal = b""
         for work in (self._restart(server), self._expire(server)):
             task = asyncio.create_task(work)
             self.tasks.add(task)
@@ -88,6 +94,12 @@
         await asyncio.sleep(EXPIRY_S)
         server.deregister()
 
+    def end_at_most(self, ends: int) -> None:
+        """Let marked requests end servers again, but only so many."""
+        self.ends_left = ends
+        for server in [*self.engines, *self.notes]:
+            server.fatal = MARK
+
     async def stop(self) -> None:
         """Stop everything."""
         for task in self.tasks:
@@ -148,4 +160,4 @@
     }
 
 
-__all__ = ["EAGER", "MARK", "MAX_ENDED", "RESUMED", "STREAM", "FatalRequests", "program"]
+__all__ = ["EAGER", "MARK", "MAX_ENDED", "OK", "RESUMED", "FatalRequests", "program"]
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -153,6 +153,7 @@
         front_port, ready_port, first_port = (cluster.ports.reserve() for _ in range(3))
         self.port, self.ready_port = front_port, ready_port
         self.caller_port = front_port
+        self.first_port = first_port
         self.settings = self.folder / "boot.yaml"
         data = self.folder / "data"
         data.mkdir()
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -1,9 +1,15 @@
 """Requests that end each server that runs them, through real entries and the real ledger."""
 
+import asyncio
 import unittest
 
-from tests.fatal_requests import EAGER, MARK, MAX_ENDED, RESUMED, FatalRequests, program
+from tests.fatal_requests import EAGER, MARK, MAX_ENDED, OK, RESUMED, FatalRequests, program
 from tests.platform_cluster import CALL, STREAM
+from waxwingglade.cli.exits import ExitStatus
+from waxwingglade.cli.tests.cli_builders import CommandResult, run_process
+from waxwingglade.standins.registered_server import RegisteredServer
+
+HELD = 503
 
 
 class SentAfterThreeEnds(unittest.IsolatedAsyncioTestCase):
@@ -27,6 +33,92 @@
                 sent = self.cluster.fatal_runs(body)
                 self.assertLessEqual(len(sent), MAX_ENDED, [each.status for each in answers])
 
+    async def test_restarts_between_the_attempts_forget_no_end(self) -> None:
+        def kill(number: int) -> None:
+            nodes = [*self.cluster.entries, *(self.cluster.ledgers if number == 2 else [])]
+            for node in nodes:
+                node.kill()
+            for node in nodes:
+                node.start()
+
+        for path in (STREAM, EAGER):
+            with self.subTest(path):
+                await self.cluster.until(lambda: self.cluster.recovered)
+                body = MARK + path.encode()
+                headers = program(f"p{path}") if path == STREAM else {"affinity_key": "object"}
+                answers = []
+                for number in range(6):
+                    if number in (1, 2, 4):
+                        kill(number)
+                        for entry in self.cluster.entries:
+                            await self.cluster.until_ready(entry)
+                    answers += await self.cluster.repeat(path, body, 1, **headers)
+                sent = self.cluster.fatal_runs(body)
+                statuses = [each.status for each in answers]
+                self.assertLessEqual(len(sent), MAX_ENDED, statuses)
+                self.assertEqual(statuses[-1], HELD)
+
+    async def test_of_copies_at_once_only_one_is_sent_after_two_ends(self) -> None:
+        body, headers = MARK + b"copies", {"affinity_key": "copies"}
+        answers = await self.cluster.repeat(CALL, body, 1, **headers)
+        copies = (
+            self.cluster.attempt(entry, CALL, body, **headers) for entry in self.cluster.entries * 4
+        )
+        answers += await asyncio.gather(*copies)
+        ended = [server for server in self.cluster.ended if _ran(server, body)]
+        self.assertEqual(len(ended), MAX_ENDED, [each.status for each in answers])
+
+    async def test_an_operator_sees_and_releases_a_held_request(self) -> None:
+        body, headers = MARK, {"affinity_key": "object"}
+        answers = await self.cluster.repeat(EAGER, body, 4, **headers)
+        self.assertEqual(answers[-1].status, HELD)
+        first, *others = (f"{node.ip}:{node.first_port}" for node in self.cluster.ledgers)
+        (listed,) = (await self.command("list", first, "--json")).json()
+        self.assertEqual((listed["route"], listed["held"]), ("eager", True))
+        self.assertEqual(len(listed["failed"]), MAX_ENDED)
+        self.assertIn(listed["fingerprint"], answers[-1].text)
+        done = await self.command("release", first, listed["fingerprint"])
+        self.assertEqual(ExitStatus.OK, done.status, done.errors)
+        for address in others:
+            async with asyncio.timeout(5.0):
+                while (await self.command("list", address, "--json")).json():
+                    await asyncio.sleep(0.2)
+        await self.cluster.until(lambda: self.cluster.recovered)
+        for server in self.cluster.notes:
+            server.fatal = b""
+        (answer,) = await self.cluster.repeat(EAGER, body, 1, **headers)
+        self.assertEqual(answer.status, OK)
+        again = await self.command("release", first, listed["fingerprint"])
+        self.assertEqual(ExitStatus.NOT_FOUND, again.status)
+
+    async def command(self, *arguments: str) -> CommandResult:
+        """Run ``waxwingglade held``."""
+        return await asyncio.to_thread(run_process, "held", *arguments)
+
+
+class ChanceVictims(unittest.IsolatedAsyncioTestCase):
+    async def test_work_that_meets_two_ends_by_chance_is_served(self) -> None:
+        cluster = FatalRequests()
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start()
+        for path, headers in (
+            (STREAM, program("p1")),
+            (RESUMED, program("p2")),
+            (CALL, program("p3")),
+            (EAGER, {"affinity_key": "object"}),
+        ):
+            with self.subTest(path):
+                await cluster.until(lambda: cluster.recovered)
+                body = MARK + path.encode()
+                cluster.end_at_most(2)
+                answers = await cluster.repeat(path, body, 6, **headers)
+                self.assertEqual(answers[-1].status, OK, answers)
+                self.assertEqual(len(cluster.fatal_runs(body)), MAX_ENDED)
+
+
+def _ran(server: RegisteredServer, body: bytes) -> bool:
+    return any(body in run.body for run in server.runs)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/waxwingglade/cli/app.py
+++ b/waxwingglade/cli/app.py
@@ -10,6 +10,7 @@
 from waxwingglade.cli import bench, demo, entry, explain, serve, settings
 from waxwingglade.cli.config import config_app
 from waxwingglade.cli.exits import ExitStatus
+from waxwingglade.cli.held import held_app
 from waxwingglade.cli.programs import program_app
 from waxwingglade.cli.targets import target_app
 
@@ -35,6 +36,7 @@
 app.add_typer(program_app, name="program")
 app.add_typer(config_app, name="config")
 app.add_typer(target_app, name="target")
+app.add_typer(held_app, name="held")
 app.command("status")(entry.status)
 app.command("drain")(entry.drain)
 app.command("explain")(explain.explain)
