Let copies of the test overlap, so that it fails without trials

Cause: without trials the test of copies in flight passed: all copies chose one target, which ended at once. Change: servers end 0.3 s after a marked request has arrived, copies are sent 20 ms apart.

--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -61,9 +61,12 @@
     async def test_of_copies_at_once_only_one_is_sent_after_two_ends(self) -> None:
         body, headers = MARK + b"copies", {"affinity_key": "copies"}
         answers = await self.cluster.repeat(CALL, body, 1, **headers)
-        copies = (
-            self.cluster.attempt(entry, CALL, body, **headers) for entry in self.cluster.entries * 4
-        )
+        for server in self.cluster.notes:
+            server.fatal_after_s = 0.3
+        copies = []
+        for entry in self.cluster.entries * 4:
+            copies.append(asyncio.create_task(self.cluster.attempt(entry, CALL, body, **headers)))
+            await asyncio.sleep(0.02)
         answers += await asyncio.gather(*copies)
         ended = [server for server in self.cluster.ended if _ran(server, body)]
         self.assertEqual(len(ended), MAX_ENDED, [each.status for each in answers])
--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -64,6 +64,8 @@
         Current fault.
     fatal : bytes
         Requests whose bodies contain these bytes end the process of the server; empty for none.
+    fatal_after_s : float
+        Seconds after which such a request ends it.
     crashed : callable
         Called when the process has ended so.
     crashed_at : float or None
@@ -86,6 +88,7 @@
         self.active = 0
         self.writers: set[asyncio.StreamWriter] = set()
         self.fatal = b""
+        self.fatal_after_s = 0.0
         self.crashed: Callable[[], None] = lambda: None
         self.crashed_at: float | None = None
 
@@ -168,11 +171,12 @@
             writer.write(self._plain(503, request, b"broken\n", not_run=False))
             return True
         self.runs.append(Run(request, method, path, headers, body, time.monotonic()))
-        if self.fatal and self.fatal in body:
-            self.crash()
-            return False
         self.active += 1
         try:
+            if self.fatal and self.fatal in body:
+                await asyncio.sleep(self.fatal_after_s)
+                self.crash()
+                return False
             return await self._run(writer, request, body)
         finally:
             self.active -= 1
