Let the soak find requests that are sent on after three servers have ended

Cause: no server of the soak ended under a request, its callers sent a failed turn once, and no check counted the same work over ids.

--- a/tests/prove/relay.py
+++ b/tests/prove/relay.py
@@ -85,6 +85,12 @@
         self.servers.append(server)
         return server.sockets[0].getsockname()[1]
 
+    def close_port(self, port: int) -> None:
+        """Stop listening on a relay's port, like a host on which nobody listens any more."""
+        for server in self.servers:
+            if any(each.getsockname()[1] == port for each in server.sockets):
+                server.close()
+
     def disrupt(self, source: int, target: int, fault: LinkFault) -> None:
         """Disturb what `source` sends to `target`; RESET affects both directions."""
         self.link_faults[source, target] = fault
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,7 +13,7 @@
 from tests.soak.run import FAULT_FREE_SIZE, Size, soak
 
 ARTIFACTS = Path("runs/soak")
-LEDGER_SIZE = Size(entries=4, programs=24, kinds=LEDGER_KINDS)
+LEDGER_SIZE = Size(entries=4, programs=24, kinds=LEDGER_KINDS, fatal=0)
 """Many programs, so that many turns are in progress while the ledger does not answer."""
 
 
@@ -35,6 +35,9 @@
         bool,
         typer.Option(help="many sub-agents on slow disks, no faults; all other sizes are set"),
     ] = False,
+    fatal: Annotated[
+        int, typer.Option(help="callers at a time whose requests end the servers that run them")
+    ] = 2,
     leaving: Annotated[
         bool, typer.Option(help="only servers that leave, and a store that refuses some processes")
     ] = False,
@@ -54,7 +57,7 @@
     The seeds of earlier failures run twice each, with and without restarts of processes that end by
     themselves.
     """
-    size = Size(seconds, entries, programs, sub_agents=swarms)
+    size = Size(seconds, entries, programs, sub_agents=swarms, fatal=fatal)
     if machine_disk:
         size = msgspec.structs.replace(size, flush_s=0.0)
     if accounts:
@@ -76,10 +79,11 @@
             sub_agents=0,
             flush_s=0.0,
             heartbeat_s=0.0,
+            fatal=0,
         )
         first_size = msgspec.structs.replace(later_size, spares=0, kinds=FIRST_KINDS)
         ledger_size = msgspec.structs.replace(
-            LEDGER_SIZE, sub_agents=0, flush_s=0.0, heartbeat_s=0.0
+            LEDGER_SIZE, sub_agents=0, flush_s=0.0, heartbeat_s=0.0, fatal=0
         )
         runs = [(seed, first_size) for seed in REGRESSIONS]
         runs += [(seed, later_size) for seed in LATER_REGRESSIONS]
@@ -92,7 +96,8 @@
         suffix = "" if run_size.restarts else " without restarts"
         print(
             f"seed {seed}{suffix}: {outcome.requests} requests, {outcome.served} served, "
-            f"{outcome.faults} faults, {len(outcome.violations)} broken",
+            f"{outcome.faults} faults, {outcome.ended} servers ended, "
+            f"{len(outcome.violations)} broken",
             flush=True,
         )
         for line in outcome.violations[:10]:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -5,7 +5,9 @@
 import random
 import signal
 import time
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 from tests.platform_cluster import Node, PlatformCluster
 from tests.prove.relay import ADDRESS, STORE, Relays
@@ -26,6 +28,12 @@
 EXPIRY_HEARTBEATS = 3
 """Heartbeats that a server misses before the store removes its entry."""
 
+RESTART_S = 1.0
+"""Seconds after which a server that ended under a request comes back as a new one."""
+
+SPARE_SERVERS = 4
+"""Further servers of each service in a run in which requests end servers."""
+
 HEARTBEAT_POLL_S = 0.05
 STORE_AWAY = (StoreFault.BUSY, StoreFault.UNRESPONSIVE)
 
@@ -81,6 +89,11 @@
         if self.heartbeats is not None:
             self.heartbeats.cancel()
 
+    def crash(self, request: str) -> None:
+        """End like a killed process; its entry expires later."""
+        self.stop_heartbeats()
+        super().crash(request)
+
     async def stop(self) -> None:
         """Deregister, and stop without finishing requests."""
         self.stop_heartbeats()
@@ -121,11 +134,15 @@
         Client accounts, whose keys callers need; None if callers need no keys.
     heartbeat_s : float
         Interval in seconds at which servers renew their entries; 0 if they never do.
+    fatal : bytes
+        Requests whose bodies contain these bytes end the servers that run them; empty for none.
 
     Attributes
     ----------
     left_servers : list of SoakServer
         Servers that have left, with their runs.
+    crashed_servers : list of SoakServer
+        Servers that ended under a request, with their runs.
     """
 
     server_type = SoakServer
@@ -137,8 +154,10 @@
         flush_s: float = 0.0,
         accounts: Accounts | None = None,
         heartbeat_s: float = 0.0,
+        fatal: bytes = b"",
     ) -> None:
         self.accounts = accounts
+        self.fatal = fatal
         self.heartbeat_s = heartbeat_s
         self.exits: set[asyncio.Task] = set()
         if accounts is not None:
@@ -152,6 +171,7 @@
         self.flush_s = flush_s
         self.server_numbers: dict[str, int] = {}
         self.left_servers: list[SoakServer] = []
+        self.crashed_servers: list[SoakServer] = []
 
     async def open(self) -> None:
         """Start everything, beginning with the relays, whose ports the settings contain."""
@@ -165,6 +185,9 @@
         self.ledgers = [
             LedgerProcess(self, "storage", number) for number in range(self.ledger_count)
         ]
+        if self.fatal:
+            for servers in (self.engines, self.notes):
+                servers += [_like(servers[0]) for _ in range(SPARE_SERVERS)]
         for server in [*self.engines, *self.notes]:
             await self.add_server(server)
         for node in self.ledgers:
@@ -220,6 +243,8 @@
         port = int(server.address.rpartition(":")[2])
         relay = await self.relays.add(number, port, source=CALLERS)
         server.advertised = f"{ADDRESS}:{relay}"
+        server.fatal = self.fatal
+        server.crashed = lambda: self._replace_crashed(server, relay)
         server.register("ready")
         if self.heartbeat_s and isinstance(server, SoakServer):
             server.send_heartbeats(self.heartbeat_s)
@@ -228,23 +253,51 @@
         """Replace a random server by a new one; return the old server, which leaves."""
         servers = rng.choice([self.engines, self.notes])
         leaving = servers.pop(rng.randrange(len(servers)))
-        added = SoakServer(self.store, leaving.service, leaving.events, leaving.event_s)
+        added = _like(leaving)
         await self.add_server(added)
         servers.append(added)
         leaving.leave(reports)
         self.left_servers.append(leaving)
         return leaving
 
-    def exit_later(self, server: SoakServer, serves_s: float) -> None:
-        """Let a server that has left exit after it has served on for some seconds."""
-        task = asyncio.create_task(self._exit(server, serves_s))
+    def _replace_crashed(self, server: SoakServer, relay: int) -> None:
+        """Let a server that has ended come back as a new one, and its entry expire."""
+        self.relays.close_port(relay)
+        servers = self.engines if server.service == "engines" else self.notes
+        if server in servers:
+            servers.remove(server)
+            self.crashed_servers.append(server)
+            self._start(self._restart(server, servers))
+        self._start(self._expire(server))
+
+    async def _restart(self, server: SoakServer, servers: list[SoakServer]) -> None:
+        await asyncio.sleep(RESTART_S)
+        added = _like(server)
+        await self.add_server(added)
+        servers.append(added)
+
+    async def _expire(self, server: SoakServer) -> None:
+        await asyncio.sleep(EXPIRY_HEARTBEATS * self.heartbeat_s)
+        server.deregister()
+
+    def _start(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
         self.exits.add(task)
         task.add_done_callback(self.exits.discard)
 
+    def exit_later(self, server: SoakServer, serves_s: float) -> None:
+        """Let a server that has left exit after it has served on for some seconds."""
+        self._start(self._exit(server, serves_s))
+
     async def _exit(self, server: SoakServer, serves_s: float) -> None:
         await asyncio.sleep(serves_s)
         await server.stop()
 
     def all_servers(self) -> list[SoakServer]:
-        """Return all servers, including those that have left."""
-        return [*self.engines, *self.notes, *self.left_servers]
+        """Return all servers, including those that have left or ended."""
+        return [*self.engines, *self.notes, *self.left_servers, *self.crashed_servers]
+
+
+def _like(server: RegisteredServer) -> SoakServer:
+    """Return a new server of the same kind."""
+    return SoakServer(server.store, server.service, server.events, server.event_s)
--- a/tests/soak/interrupted_turns.py
+++ b/tests/soak/interrupted_turns.py
@@ -79,12 +79,13 @@
     if any(each.affects(attempt.entry) or each.affects(server) for each in overlapping):
         return True
     moments = [max(begin, each.began_at) for each in overlapping]
-    return any(_is_majority_lost(overlapping, moment, ledgers) for moment in moments)
+    return any(is_majority_lost(overlapping, moment, ledgers) for moment in moments)
 
 
-def _is_majority_lost(
+def is_majority_lost(
     overlapping: Sequence[FaultOccurrence], moment: float, ledgers: Sequence[str]
 ) -> bool:
+    """Return whether too few members of the ledger were unaffected at a moment."""
     concurrent = [each for each in overlapping if each.is_active(moment, moment)]
     affected = [name for name in ledgers if any(each.affects(name) for each in concurrent)]
     return MEMBERS - len(affected) < MEMBERS // 2 + 1
@@ -104,4 +105,4 @@
     ]
 
 
-__all__ = ["Completion", "check_completed_turns", "check_ledger_refusals"]
+__all__ = ["Completion", "check_completed_turns", "check_ledger_refusals", "is_majority_lost"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,13 @@
 from tests.soak.accounts import RULES, Accounts
 from tests.soak.checks import check
 from tests.soak.cluster import SoakCluster
+from tests.soak.fatal_requests import (
+    MARK,
+    FatalCallers,
+    FatalWork,
+    check_fatal_requests,
+    ends_of,
+)
 from tests.soak.faults import Faults
 from tests.soak.interrupted_turns import Completion, check_completed_turns, check_ledger_refusals
 from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind
@@ -50,6 +57,8 @@
         Number of concurrent programs with sub-agents; it changes the run of a seed.
     flush_s : float
         Duration in seconds of a flush of a ledger process; 0 to use the machine's disk.
+    fatal : int
+        Number of concurrent callers whose requests end servers; it changes the run of a seed.
     accounts : bool
         Whether callers need the keys of client accounts.
     heartbeat_s : float
@@ -67,25 +76,35 @@
     kinds: tuple[FaultKind, ...] = USUAL_KINDS
     sub_agents: int = 2
     flush_s: float = 0.001
+    fatal: int = 2
     accounts: bool = False
     heartbeat_s: float = HEARTBEAT_S
     restarts: bool = True
 
 
 FAULT_FREE_SIZE = Size(
-    seconds=15.0, entries=6, programs=2, plain=1, spares=0, kinds=(), sub_agents=4, flush_s=0.012
+    seconds=15.0,
+    entries=6,
+    programs=2,
+    plain=1,
+    spares=0,
+    kinds=(),
+    sub_agents=4,
+    flush_s=0.012,
+    fatal=0,
 )
 """Many sub-agents through two entries of each zone, on slow disks, without faults."""
 
 
 class Outcome(msgspec.Struct):
-    """Result of a run."""
+    """Result of a run; `ended` is the number of servers that ended under requests."""
 
     seed: int
     violations: list[str]
     requests: int
     served: int
     faults: int
+    ended: int = 0
 
 
 async def soak(seed: int, size: Size, artifacts: Path | None = None) -> Outcome:
@@ -101,16 +120,20 @@
         Folder for the artifacts of a failing run.
     """
     accounts = Accounts(random.Random(seed + 3_000_000)) if size.accounts else None
-    cluster = SoakCluster(size.entries, size.spares, size.flush_s, accounts, size.heartbeat_s)
+    mark = MARK if size.fatal else b""
+    cluster = SoakCluster(size.entries, size.spares, size.flush_s, accounts, size.heartbeat_s, mark)
     try:
         await cluster.open()
         callers = Callers(cluster, random.Random(seed))
         sub_agents = SubAgents(callers, random.Random(seed + 2_000_000))
+        fatal = FatalCallers(callers, random.Random(seed + 4_000_000))
         faults = Faults(cluster, random.Random(seed + 1_000_000), size.kinds)
         supervisor = Supervisor(cluster, size.restarts)
         supervisor.start()
         workload_task = asyncio.gather(
-            callers.run(size.programs, size.plain), sub_agents.run(size.sub_agents)
+            callers.run(size.programs, size.plain),
+            sub_agents.run(size.sub_agents),
+            fatal.run(size.fatal),
         )
         await faults.run(size.seconds)
         if accounts is not None:
@@ -123,14 +146,15 @@
         await asyncio.sleep(LATE_RUNS_S)
         await supervisor.stop()
         faults.stop()
-        violations += _check_histories(cluster, callers, faults)
+        violations += _check_histories(cluster, callers, faults, fatal.works)
         violations += supervisor.violations
         if violations and artifacts is not None:
             _save_artifacts(artifacts / str(seed), cluster, callers, faults, violations)
     finally:
         await cluster.shut()
     served = sum(attempt.status == 200 and attempt.whole for attempt in callers.attempts)
-    return Outcome(seed, violations, len(callers.attempts), served, len(faults.occurrences))
+    ended = len(ends_of(cluster.all_servers()))
+    return Outcome(seed, violations, len(callers.attempts), served, len(faults.occurrences), ended)
 
 
 async def _check_recovery(cluster: SoakCluster, callers: Callers, faults: Faults) -> list[str]:
@@ -179,13 +203,16 @@
     return violations
 
 
-def _check_histories(cluster: SoakCluster, callers: Callers, faults: Faults) -> list[str]:
-    runs = [
-        run
+def _check_histories(
+    cluster: SoakCluster, callers: Callers, faults: Faults, works: list[FatalWork]
+) -> list[str]:
+    placed = [
+        (server.name, run)
         for server in cluster.all_servers()
         for run in server.runs
         if not run.request.startswith("request-")
     ]
+    runs = [run for _, run in placed]
     violations = check(callers.attempts, runs)
     if cluster.accounts is not None:
         violations += check_accounts(callers.attempts, runs, cluster.accounts.keys)
@@ -204,6 +231,10 @@
     }
     violations += check_completed_turns(callers.attempts, completions, faults.occurrences, ledgers)
     violations += check_ledger_refusals(callers.attempts, faults.occurrences)
+    ends = ends_of(cluster.all_servers())
+    violations += check_fatal_requests(
+        works, callers.attempts, placed, ends, faults.occurrences, ledgers
+    )
     for node in cluster.nodes():
         violations += _check_process(node)
     return violations
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -37,8 +37,8 @@
 from waxwingglade.standins.registered_server import Run, ServerFault, answer_to
 
 ARTIFACTS = Path("runs/soak")
-SHORT = Size(seconds=6.0, entries=2, programs=4, plain=2, kinds=EARLIER_KINDS)
-SHORT_LEAVING = Size(seconds=8.0, entries=4, programs=6, plain=6, kinds=LEAVING_KINDS)
+SHORT = Size(seconds=6.0, entries=2, programs=4, plain=2, kinds=EARLIER_KINDS, fatal=0)
+SHORT_LEAVING = Size(seconds=8.0, entries=4, programs=6, plain=6, kinds=LEAVING_KINDS, fatal=0)
 SHORT_LEDGER = Size(
     seconds=6.0,
     entries=3,
@@ -48,6 +48,7 @@
     sub_agents=0,
     flush_s=0.0,
     heartbeat_s=0.0,
+    fatal=0,
 )
 """Without sub-agents and heartbeats, since its seed failed without them."""
 
@@ -65,7 +66,14 @@
     FaultKind.KILL_ALL,
 )
 SHORT_ACCOUNTS = Size(
-    seconds=6.0, entries=3, programs=6, plain=4, kinds=ACCOUNT_KINDS, sub_agents=0, accounts=True
+    seconds=6.0,
+    entries=3,
+    programs=6,
+    plain=4,
+    kinds=ACCOUNT_KINDS,
+    sub_agents=0,
+    accounts=True,
+    fatal=0,
 )
 LEDGERS = ("storage-0", "storage-1", "storage-2", "storage-3")
 HISTORIES = 2000
--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -70,6 +70,8 @@
         Called when the process has ended so.
     crashed_at : float or None
         When it ended, in monotonic seconds.
+    crashed_by : str
+        Id of the request that ended it.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         self.fatal_after_s = 0.0
         self.crashed: Callable[[], None] = lambda: None
         self.crashed_at: float | None = None
+        self.crashed_by = ""
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Start to serve, and register."""
@@ -131,10 +134,11 @@
         for writer in list(self.writers):
             writer.transport.abort()
 
-    def crash(self) -> None:
+    def crash(self, request: str) -> None:
         """End like a killed process: its port refuses, and its item stays in the store."""
         if self.crashed_at is not None:
             return
+        self.crashed_by = request
         self.crashed_at = time.monotonic()
         assert self.server is not None
         self.server.close()
@@ -175,7 +179,7 @@
         try:
             if self.fatal and self.fatal in body:
                 await asyncio.sleep(self.fatal_after_s)
-                self.crash()
+                self.crash(request)
                 return False
             return await self._run(writer, request, body)
         finally:
