Send a model call of the base product to three broken-off engines at most

Callers saw one failure of a call under which four engines had broken off. Change: an execution counts the targets that may have run the call and did not complete it, and ends at three; the limit has a module of its own, which the ledger's records use, too. A call that the same two engines cut again and again still continues on them.

--- a/waxwingglade/ingress/quarantine.py
+++ b/waxwingglade/ingress/quarantine.py
@@ -14,6 +14,7 @@
 
 from waxwingglade.base import Clock, Fingerprint, monotonic, wall
 from waxwingglade.base.tasks import run_detached
+from waxwingglade.decisions.failed_targets import MAX_FAILED_TARGETS
 from waxwingglade.follow.model import Target
 from waxwingglade.follow.suspects import Suspects
 from waxwingglade.ingress.dialect import Call
@@ -21,7 +22,6 @@
 from waxwingglade.ingress.refusal import UNAVAILABLE, Refusal
 from waxwingglade.ledger.failure_client import FailureClient
 from waxwingglade.ledger.target_failures import (
-    MAX_FAILED_TARGETS,
     NO_FAILURES,
     RETENTION_S,
     TargetFailures,
--- a/waxwingglade/ledger/target_failures.py
+++ b/waxwingglade/ledger/target_failures.py
@@ -11,12 +11,9 @@
 import xxhash
 
 from waxwingglade.base import Clock, Fingerprint, wall
+from waxwingglade.decisions.failed_targets import MAX_FAILED_TARGETS
 from waxwingglade.follow.model import IncarnationName
 
-MAX_FAILED_TARGETS = 3
-"""Failed targets from which on a request is held back.  The platform allows a request to end three
-targets; one or two may fail by chance."""
-
 SUSPECT_TARGETS = 2
 """Targets with failed or pending trials from which on all entries know of a request.  A single
 target often fails by chance."""
@@ -204,7 +201,6 @@
 
 
 __all__ = [
-    "MAX_FAILED_TARGETS",
     "NO_FAILURES",
     "RETENTION_S",
     "FailureTable",
--- a/waxwingglade/request/call_execution.py
+++ b/waxwingglade/request/call_execution.py
@@ -9,8 +9,19 @@
 
 import msgspec
 
-from waxwingglade.base import ConfigVersion, Err, ErrorCode, Failure, Ok, Outcome, Verdict, not_run
+from waxwingglade.base import (
+    ConfigVersion,
+    Err,
+    ErrorCode,
+    Failure,
+    Ok,
+    Outcome,
+    TargetId,
+    Verdict,
+    not_run,
+)
 from waxwingglade.decisions import Grant, Pool, Work
+from waxwingglade.decisions.failed_targets import MAX_FAILED_TARGETS
 from waxwingglade.program import Amount, Call, CallEnded, CallMoved, CallStarted, Done, ProgramState
 from waxwingglade.program.budget import check_amount, check_time, check_turns
 from waxwingglade.settings import ProgramPolicy
@@ -59,6 +70,8 @@
     reported_failure : Failure or None
         Failure to report if no attempt succeeds: the first one whose verdict is not NOT_RUN, else
         the last one.
+    failed_targets : set of TargetId
+        Targets that may have run the call and did not complete it.
     """
 
     entry: "Entry"
@@ -74,6 +87,12 @@
     reserved: Amount = ZERO_AMOUNT
     possibly_spent: Amount = ZERO_AMOUNT
     reported_failure: Failure | None = None
+    failed_targets: set[TargetId] = set()
+
+    @property
+    def may_try_again(self) -> bool:
+        """Whether another target may fail under the call."""
+        return len(self.failed_targets) < MAX_FAILED_TARGETS
 
 
 def new_execution(
@@ -226,6 +245,8 @@
 def record_failed_attempt(execution: CallExecution, failure: Failure, amount: Amount) -> None:
     """Record the failure of an attempt for which `amount` was reserved."""
     if execution.grant is not None:
+        if failure.verdict is not Verdict.NOT_RUN:
+            execution.failed_targets.add(execution.grant.target)
         execution.grant.failed(failure)
         execution.grant = None
     execution.is_sent = False
--- a/waxwingglade/request/model_call.py
+++ b/waxwingglade/request/model_call.py
@@ -148,6 +148,8 @@
         record_failed_attempt(execution, ended.failure, amount)
         if generation.tokens_left() == 0:
             return await finish(execution, _complete_answer(generation), ZERO_AMOUNT)
+        if not execution.may_try_again:
+            break
     return await finish_failed(execution)
 
 
--- a/waxwingglade/request/tests/test_call_execution.py
+++ b/waxwingglade/request/tests/test_call_execution.py
@@ -16,18 +16,19 @@
 """A prompt to which the stand-in's answer is longer than `TOKENS`."""
 
 
-async def add_second_engine(running):
-    """Add a second engine and return it; the first engine gets work before it."""
-    second = EngineStandin()
-    await second.start()
+async def add_engine(running, number=2):
+    """Add an engine and return it; the first engine gets work before it."""
+    added = EngineStandin()
+    await added.start()
     entry = running.entry
     settings = entry.targets["engine-1"]
+    name = f"engine-{number}"
     other = type(settings)(
-        target="engine-2", kind=settings.kind, zone="zone-1", url=second.url, models=["base"]
+        target=name, kind=settings.kind, zone="zone-1", url=added.url, models=["base"]
     )
-    entry.targets["engine-2"] = other
+    entry.targets[name] = other
     entry.table.add(other)
-    return second
+    return added
 
 
 class ModelAttempts(unittest.IsolatedAsyncioTestCase):
@@ -40,7 +41,7 @@
         """Truncate every stream after some tokens; compare with an answer in one stream."""
         policy = ProgramPolicy(max_output_tokens=TOKENS)
         async with one_entry(policy) as running:
-            second = await add_second_engine(running)
+            second = await add_engine(running)
             for engine in (running.engine, second):
                 engine.faults = EngineFaults(cut_after_tokens=cut_after)
             program = await running.create()
@@ -58,6 +59,21 @@
         self.assertEqual(uninterrupted.text, continued.text)
         self.assertGreater(view.tokens_spent, uninterrupted.usage.prompt_tokens + TOKENS)
 
+    async def test_a_call_that_breaks_off_at_each_engine_is_sent_to_three_at_most(self):
+        async with one_entry(ProgramPolicy(max_output_tokens=TOKENS)) as running:
+            engines = [running.engine]
+            engines += [await add_engine(running, number) for number in range(2, 7)]
+            for engine in engines:
+                engine.faults = EngineFaults(cut_after_tokens=1)
+            outcome = await running.model_call(
+                await running.create(), "m1", LONG_ANSWER_PROMPT, max_tokens=TOKENS
+            )
+            reached = [engine for engine in engines if engine.records]
+            for engine in engines[1:]:
+                await engine.stop()
+        self.assertIs(Verdict.MAY_HAVE_RUN, outcome.verdict)
+        self.assertEqual(3, len(reached))
+
     async def test_each_attempt_that_may_have_run_is_charged_in_full(self):
         policy = ProgramPolicy(max_output_tokens=TOKENS, budget=Budget(tokens=120))
         async with one_entry(policy) as running:
