Let entries learn of suspect requests from a second member of the ledger

Callers of a zone could have a plain call sent to a fourth server while the ledger process that the zone's entries follow stood still: its followers turn to another one only after 0.5 to 0.8 s. Cause: the list of suspect requests came from one process only.

--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -5,11 +5,19 @@
 
 from tests.fatal_requests import EAGER, MARK, MAX_ENDED, OK, RESUMED, FatalRequests, program
 from tests.platform_cluster import CALL, STREAM
+from tests.prove.relay import LinkFault
+from tests.relayed_cluster import ANY_CLIENT, RelayedCluster
+from waxwingglade.base import Fingerprint
 from waxwingglade.cli.exits import ExitStatus
 from waxwingglade.cli.tests.cli_builders import CommandResult, run_process
+from waxwingglade.follow.model import IncarnationName
+from waxwingglade.ledger.messages import MergeFailures
+from waxwingglade.ledger.target_failures import TargetFailures, Trial
 from waxwingglade.standins.registered_server import RegisteredServer
 
 HELD = 503
+SETTLE_S = 0.5
+"""Seconds after which an entry has asked a second member."""
 
 
 class SentAfterThreeEnds(unittest.IsolatedAsyncioTestCase):
@@ -99,6 +107,29 @@
         return await asyncio.to_thread(run_process, "held", *arguments)
 
 
+class StalledMember(unittest.IsolatedAsyncioTestCase):
+    async def test_an_entry_learns_of_suspect_requests_while_the_member_it_follows_is_stalled(
+        self,
+    ) -> None:
+        cluster = RelayedCluster()
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start()
+        followed = cluster.entry.follower.source
+        number = next(n for n, node in enumerate(cluster.nodes) if node.own.address == followed)
+        await asyncio.sleep(SETTLE_S)
+        cluster.relays.disrupt(ANY_CLIENT, number, LinkFault.STALL)
+        cluster.relays.disrupt(number, ANY_CLIENT, LinkFault.STALL)
+        trials = tuple(Trial(IncarnationName(name), "r") for name in ("a", "b"))
+        report = MergeFailures(Fingerprint("f"), TargetFailures(trials))
+        for node in cluster.nodes[:number] + cluster.nodes[number + 1 :]:
+            await node.replica.merge_failures(report)
+        suspects = cluster.entry.cached_view.suspects
+        waited_s = await cluster.until(lambda: bool(suspects.failed))
+        self.assertEqual(suspects.failed, {"f": 2})
+        # The entry turns to another member only after 0.8 s.
+        self.assertLess(waited_s, 0.3)
+
+
 class ChanceVictims(unittest.IsolatedAsyncioTestCase):
     async def test_work_that_meets_two_ends_by_chance_is_served(self) -> None:
         cluster = FatalRequests()
--- a/waxwingglade/explain/cause.py
+++ b/waxwingglade/explain/cause.py
@@ -60,7 +60,7 @@
     Cause("not run: no route for a turn that goes on", "the entry's configuration was outdated"),
     Cause(
         "not run: held back",
-        "targets had ended or broken off under this request, also under other ids: see its repeats; "
+        "targets had ended or broken off under this request or its repeats under other ids; "
         "'waxwingglade held' lists such requests and releases them",
     ),
     Cause("not run: refused", "each target that was asked refused it as full"),
--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -5,13 +5,15 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from loguru import logger
 
 from waxwingglade.base import Clock, Fingerprint, WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.tasks import start_task
-from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.messages import Follow, Followed, FollowSuspects, SuspectList
 from waxwingglade.follow.model import EMPTY_VIEW, Replica, TargetList, View
 from waxwingglade.follow.retention import Retention
 from waxwingglade.follow.suspects import Suspects
@@ -75,6 +77,7 @@
         self.complete_until = float("-inf")
         self.listeners: list[Callable[[View], None]] = []
         self.updated = asyncio.Event()
+        self.suspects_updated = asyncio.Event()
 
     @property
     def age_s(self) -> float:
@@ -143,6 +146,7 @@
         """Replace the list of suspect requests, and notify followers of a change."""
         if self.suspects.replace(failed):
             self.notify()
+            self.notify_suspects()
 
     def drop_expired(self) -> None:
         """Drop retained targets that did not register again, unless the store is away again."""
@@ -171,6 +175,11 @@
         self.updated.set()
         self.updated = asyncio.Event()
 
+    def notify_suspects(self) -> None:
+        """Wake all requests that wait for a change of the suspect requests."""
+        self.suspects_updated.set()
+        self.suspects_updated = asyncio.Event()
+
     async def answer(self, message: Follow) -> Followed:
         """Answer a follower with the updates it lacks, waiting for one up to `message.wait_s`."""
         arrived_at = self.clock()
@@ -201,7 +210,16 @@
         )
 
     def _has_other_suspects(self, message: Follow) -> bool:
-        return message.suspects not in (None, self.suspects.checksum)
+        return message.suspects not in (None, self.suspects.checksum())
+
+    async def answer_suspects(self, message: FollowSuspects) -> SuspectList:
+        """Answer with the list of suspect requests, waiting for a change up to a time."""
+        if message.checksum == self.suspects.checksum():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(message.wait_s):
+                    await self.suspects_updated.wait()
+        changed = message.checksum != self.suspects.checksum()
+        return SuspectList(self.suspects.failed if changed else None)
 
 
 class FeedFollower:
@@ -290,7 +308,7 @@
             view.replicas.epoch,
             wait_s,
             view.configuration_revision,
-            self.cached_view.suspects.checksum if self.wants_suspects else None,
+            self.cached_view.suspects.checksum() if self.wants_suspects else None,
         )
         asked_at = self.cached_view.clock()
         try:
@@ -321,12 +339,14 @@
         return answer.age_s <= FRESH_S and answer.quorum
 
 
-def ask_over(links: Links) -> Ask:
-    """Return a function that requests updates from processes over links."""
+def ask_over(
+    links: Links, expected: type = Followed
+) -> Callable[[str, Any, float], Awaitable[Any]]:
+    """Return a function that requests updates, of the expected type, from processes over links."""
 
-    async def ask(address: str, message: Follow, timeout_s: float) -> Followed:
+    async def ask(address: str, message: Any, timeout_s: float) -> Any:
         answer = await links.to(address).request(message, timeout_s)
-        if not isinstance(answer, Followed):
+        if not isinstance(answer, expected):
             raise LinkFailed(f"{address} answered with {type(answer).__name__}", sent=True)
         return answer
 
--- a/waxwingglade/follow/messages.py
+++ b/waxwingglade/follow/messages.py
@@ -66,4 +66,29 @@
     suspects: dict[Fingerprint, int] | None = None
 
 
-__all__ = ["Follow", "Followed", "Message"]
+class FollowSuspects(Message):
+    """Request the list of suspect requests, waiting for a change up to `wait_s` seconds.
+
+    Parameters
+    ----------
+    checksum : int
+        Checksum of the list that the sender has.
+    """
+
+    checksum: int
+    wait_s: float
+
+
+class SuspectList(Message):
+    """The list of suspect requests: the number of targets that failed each.
+
+    Parameters
+    ----------
+    failed : dict or None
+        The list; None if the sender has it.
+    """
+
+    failed: dict[Fingerprint, int] | None = None
+
+
+__all__ = ["Follow", "FollowSuspects", "Followed", "Message", "SuspectList"]
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -22,8 +22,10 @@
     ask_over,
     nearest_first,
 )
+from waxwingglade.follow.messages import SuspectList
 from waxwingglade.follow.model import ClientAccount, ClientLimits, Replica, View
 from waxwingglade.follow.store import Store, StoreUnavailable
+from waxwingglade.follow.suspects import SuspectFollower
 from waxwingglade.follow.watcher import Keys, Watcher
 from waxwingglade.ingress.accounts import AccountTable, identify
 from waxwingglade.ingress.attempt import Attempts
@@ -121,6 +123,11 @@
         self.follower = FeedFollower(
             self.cached_view, self.replicas, ask_over(self.links), wants_suspects=True
         )
+        self.suspect_follower = SuspectFollower(
+            self.cached_view.suspects,
+            self._second_sources,
+            ask_over(self.links, SuspectList),
+        )
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
         self.draining = False
@@ -144,6 +151,7 @@
         self.pages = [serve_page(self.settings.ready, ".*", lambda: (self.ready_status, ""))]
         self.pages += serve_metrics(self.settings.metrics, lambda: self.metrics.text(self))
         self.follower.start()
+        self.suspect_follower.start()
         self.tasks = [start_task(self._find_replicas()), start_task(self._check_forever())]
         logger.bind(vm=self.settings.vm, callers=self.settings.callers).info("started")
 
@@ -188,6 +196,7 @@
         await asyncio.gather(*self.tasks, *self.running, return_exceptions=True)
         await self.ledger.finish(0.0)
         await self.follower.stop()
+        await self.suspect_follower.stop()
         if self.watcher is not None:
             await self.watcher.stop()
         self.links.close()
@@ -227,6 +236,10 @@
         members = self.cached_view.view.replicas.members
         return nearest_first(members, self.settings.zone, self.settings.vm)
 
+    def _second_sources(self) -> list[Replica]:
+        """Return the members that this entry does not follow, the nearest first."""
+        return [each for each in self.replicas() if each.address != self.follower.source]
+
     def _view_changed(self, view: View) -> None:
         if view.configuration is not None and (
             self.table is None or view.configuration.supersedes(self.table.configuration)
--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from waxwingglade.base import Fingerprint, ProgramId
-from waxwingglade.follow.messages import Follow, Followed, Message
+from waxwingglade.follow.messages import Follow, Followed, FollowSuspects, Message, SuspectList
 from waxwingglade.follow.model import ClientAccountId, IncarnationName, ReplicaSet
 from waxwingglade.ledger.target_failures import NO_FAILURES, TargetFailures
 
@@ -559,6 +559,8 @@
     | Busy
     | Follow
     | Followed
+    | FollowSuspects
+    | SuspectList
     | Prepare
     | Promised
     | Accept
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -25,7 +25,7 @@
     ask_over,
     nearest_first,
 )
-from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.messages import Follow, Followed, FollowSuspects
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet, View
 from waxwingglade.follow.store import Store
@@ -194,6 +194,7 @@
             MergeFailures: self.replica.merge_failures,
             ListFailures: self.replica.list_failures,
             Follow: self.follow,
+            FollowSuspects: self.cached_view.answer_suspects,
             Ping: self.ping,
             ToReplica: self.to_replica,
         }
@@ -234,6 +235,7 @@
         self.stopping = True
         # Followers wait longer for an update than a stop takes.
         self.cached_view.notify()
+        self.cached_view.notify_suspects()
         await self.server.finish(FINISH_TIMEOUT_S)
         for task in self.tasks:
             task.cancel()
@@ -356,7 +358,7 @@
             ).warning("too much to do")
 
     def _record(self, message: Any, answer: Any, asked_at: float) -> Any:
-        if not isinstance(message, Follow):
+        if not isinstance(message, Follow | FollowSuspects):
             kinds = type(message).__name__, type(answer).__name__
             self.metrics.record(*kinds, monotonic() - asked_at)
         return answer
