--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -1,6 +1,7 @@
 """Requests that end each server that runs them, through real entries and the real ledger."""
 
 import asyncio
+import time
 import unittest
 
 from tests.fatal_requests import EAGER, MARK, MAX_ENDED, OK, RESUMED, FatalRequests, program
@@ -11,6 +12,8 @@
 from waxwingglade.cli.exits import ExitStatus
 from waxwingglade.cli.tests.cli_builders import CommandResult, run_process
 from waxwingglade.follow.model import IncarnationName
+from waxwingglade.ingress.refusal import Refusal
+from waxwingglade.ingress.tests.builders import call, target
 from waxwingglade.ledger.messages import MergeFailures
 from waxwingglade.ledger.target_failures import TargetFailures, Trial
 from waxwingglade.standins.registered_server import RegisteredServer
@@ -130,6 +133,31 @@
         self.assertLess(waited_s, 0.3)
 
 
+class CutOffEntry(unittest.IsolatedAsyncioTestCase):
+    async def test_an_entry_in_a_minority_holds_back_and_the_others_learn_of_it_later(self) -> None:
+        cluster = RelayedCluster()
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start()
+        for number in (1, 2):
+            cluster.relays.disrupt(ANY_CLIENT, number, LinkFault.STALL)
+            cluster.relays.disrupt(number, ANY_CLIENT, LinkFault.STALL)
+        quarantine = cluster.entry.quarantine
+        for number in range(MAX_ENDED):
+            copy = call(f"r{number}", program="p")
+            await quarantine.check(copy)
+            began_at = time.monotonic()
+            await quarantine.record_break(copy, target(f"i-{number}"), "route")
+            self.assertLess(time.monotonic() - began_at, 0.3)
+        with self.assertRaises(Refusal):
+            await quarantine.check(call("last", program="p"))
+        for number in (1, 2):
+            cluster.relays.heal(number)
+        waited_s = await cluster.until(
+            lambda: all(any(node.cached_view.suspects.failed.values()) for node in cluster.nodes)
+        )
+        self.assertLess(waited_s, 5.0)
+
+
 class ChanceVictims(unittest.IsolatedAsyncioTestCase):
     async def test_work_that_meets_two_ends_by_chance_is_served(self) -> None:
         cluster = FatalRequests()
