Count held and suspect requests of an entry, and name their sources as they are now

Cause: an entry's metrics page did not show what it holds back; the module still spoke of one source. Change: the state gauges suspect_requests and held_back; wording.

--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -107,6 +107,8 @@
             "caller_connections": float(len(ingress.open_exchanges)),
             "target_connections_opened": float(ingress.pool.opened),
             "targets": float(len(ingress.balancer.states)),
+            "suspect_requests": float(len(ingress.cached_view.suspects.failed)),
+            "held_back": float(ingress.quarantine.held),
             "loop_delay_seconds": ingress.loop_delay.longest_s,
         }
         for name, value in facts.items():
--- a/waxwingglade/ingress/quarantine.py
+++ b/waxwingglade/ingress/quarantine.py
@@ -1,9 +1,9 @@
 """Hold back requests under which several targets have ended or broken off.
 
-A request that ends each target that runs it must not be sent on by every repeat of its caller,
+A request that ends each target that runs it must not be sent on for every repeat of its caller,
 which has a new id and may reach any entry.  So the members of the ledger record by fingerprint
-which targets failed a request, and all entries follow the list of the requests that failed at two.
-A request that is not on the list, or has not failed here, needs no message.
+which targets failed a request, and all entries follow the list of the requests that failed at two
+targets.  A request that is not on the list and has not failed at this entry needs no message.
 """
 
 import asyncio
@@ -66,7 +66,7 @@
     client : FailureClient
         Records failed targets at the members of the ledger.
     suspects : Suspects
-        Requests that failed at several targets, as the followed member knows them.
+        Requests that failed at several targets, as members of the ledger know them.
     clock : Clock
         Monotonic seconds.
 
@@ -227,9 +227,9 @@
         """Record targets that are no longer registered; those that did not report it have ended."""
         self._forget_unanswered()
         ended = {target.incarnation for target in targets if not target.leaving}
-        for each in self.unanswered:
+        for each in self.unanswered if ended else ():
             if each.trial.target in ended:
-                # Its first trial may have been withdrawn.
+                # The trial of the send itself was withdrawn when it was given up.
                 trial = Trial(each.trial.target, f"{each.trial.request} unanswered")
                 run_detached(self._report(each.fingerprint, each.route, failed=trial))
 
