Hold back a request that several callers may send for 30 s only

Callers whose requests share a body and name no program, session or affinity key would all be refused for ten minutes after three targets had ended under copies of it by chance, for instance in a crash of many. Cause: the body alone was taken for one caller's request. Change: such fingerprints are marked and their records expire after 30 s.

--- a/waxwingglade/cli/held.py
+++ b/waxwingglade/cli/held.py
@@ -19,7 +19,7 @@
     ListFailures,
     MergeFailures,
 )
-from waxwingglade.ledger.target_failures import RETENTION_S, TargetFailures
+from waxwingglade.ledger.target_failures import TargetFailures, expires_at
 from waxwingglade.transport.links import Codec, Link, LinkFailed, Links
 
 TIMEOUT_S = 5.0
@@ -101,7 +101,7 @@
         sorted({trial.target for trial in record.failed}),
         sorted({trial.target for trial in record.pending}),
         record.changed_at,
-        record.changed_at + RETENTION_S,
+        expires_at(fingerprint, record),
     )
 
 
--- a/waxwingglade/ingress/fingerprint.py
+++ b/waxwingglade/ingress/fingerprint.py
@@ -5,20 +5,26 @@
 
 from waxwingglade.base import Fingerprint
 from waxwingglade.ingress.dialect import Call
+from waxwingglade.ledger.target_failures import SHARED_PREFIX
 
 
 def fingerprint_of(call: Call) -> Fingerprint | None:
     """Return the fingerprint of what a call asks for, or None if it does not identify a caller.
 
-    Without a program, a session, an affinity key and a body, many callers may send the same.
+    Without a program, a session, an affinity key and a body, many callers may send the same.  With
+    a body only, several callers still may, so the fingerprint is marked as a shared one.
     """
-    if not (call.program or call.session or call.affinity or call.body):
+    if not (_has_identity(call) or call.body):
         return None
     if call.fingerprint is None:
         call.fingerprint = _digest(call)
     return call.fingerprint
 
 
+def _has_identity(call: Call) -> bool:
+    return bool(call.program or call.session or call.affinity)
+
+
 def _digest(call: Call) -> Fingerprint:
     fields = (
         call.account,
@@ -32,7 +38,8 @@
     )
     digest = xxhash.xxh3_128(msgspec.msgpack.encode(fields))
     digest.update(call.body)
-    return Fingerprint(digest.hexdigest())
+    prefix = "" if _has_identity(call) else SHARED_PREFIX
+    return Fingerprint(prefix + digest.hexdigest())
 
 
 __all__ = ["fingerprint_of"]
--- a/waxwingglade/ingress/quarantine.py
+++ b/waxwingglade/ingress/quarantine.py
@@ -23,9 +23,9 @@
 from waxwingglade.ledger.failure_client import FailureClient
 from waxwingglade.ledger.target_failures import (
     NO_FAILURES,
-    RETENTION_S,
     TargetFailures,
     Trial,
+    expires_at,
 )
 
 KNOWN_RETENTION_S = 30.0
@@ -138,8 +138,10 @@
         if count < MAX_FAILED_TARGETS:
             return Refusal(UNAVAILABLE, f"{reason}, and others still run it ({fingerprint})")
         now = wall()
-        changed_at = self._known_failures(fingerprint).changed_at or now
-        held_s = changed_at + RETENTION_S - now
+        known = self._known_failures(fingerprint)
+        if not known.changed_at:
+            known = TargetFailures(changed_at=now)
+        held_s = expires_at(fingerprint, known) - now
         return Refusal(UNAVAILABLE, f"{reason} ({fingerprint})", max(1.0, held_s))
 
     # Outcomes
--- a/waxwingglade/ingress/tests/test_broken_attempts.py
+++ b/waxwingglade/ingress/tests/test_broken_attempts.py
@@ -9,6 +9,7 @@
 from waxwingglade.ingress.fingerprint import fingerprint_of
 from waxwingglade.ingress.tests.builders import call
 from waxwingglade.ingress.tests.entry_builders import PLAIN, Behaviour, EntryUnderTest, FakeTarget
+from waxwingglade.ledger.target_failures import SHARED_PREFIX
 
 
 class BrokenAttempts(unittest.IsolatedAsyncioTestCase):
@@ -70,6 +71,13 @@
         changed.body = b"other"
         self.assertNotEqual(fingerprint_of(first), fingerprint_of(changed))
 
+    def test_a_request_that_only_its_body_identifies_is_marked_as_shared(self) -> None:
+        shared, own = call("r1"), call("r1")
+        shared.body = own.body = b"body"
+        own.affinity = "object"
+        self.assertTrue(str(fingerprint_of(shared)).startswith(SHARED_PREFIX))
+        self.assertFalse(str(fingerprint_of(own)).startswith(SHARED_PREFIX))
+
     def test_a_request_that_many_callers_may_send_has_none(self) -> None:
         anonymous = call("r1")
         anonymous.account = "account"
--- a/waxwingglade/ledger/target_failures.py
+++ b/waxwingglade/ledger/target_failures.py
@@ -21,6 +21,13 @@
 RETENTION_S = 600.0
 """Seconds for which the members retain a record after its last change."""
 
+SHARED_RETENTION_S = 30.0
+"""The same for a request that several callers may send, which must not be kept from all of them
+after targets have failed by chance.  The repeats of one caller come within seconds."""
+
+SHARED_PREFIX = "shared-"
+"""Beginning of the fingerprints of such requests."""
+
 MAX_RECORDS = 2_000
 MAX_TRIALS = 16
 """Most trials of one outcome in a record.  There are more only if as many copies of a request are
@@ -126,8 +133,6 @@
     ----------
     wall_clock : Clock
         Calendar time in seconds.
-    retention_s : float
-        Seconds for which a record is retained after its last change.
 
     Attributes
     ----------
@@ -137,9 +142,8 @@
         Checksum of all records; equal at processes with the same records.
     """
 
-    def __init__(self, wall_clock: Clock = wall, retention_s: float = RETENTION_S) -> None:
+    def __init__(self, wall_clock: Clock = wall) -> None:
         self.wall_clock = wall_clock
-        self.retention_s = retention_s
         self.records: dict[Fingerprint, TargetFailures] = {}
         self.checksum = 0
 
@@ -153,7 +157,7 @@
         An expired record adds nothing.
         """
         now = self.wall_clock()
-        if failures.changed_at + self.retention_s < now:
+        if expires_at(fingerprint, failures) < now:
             return False
         known = self.get(fingerprint)
         merged = known.merged(failures)
@@ -180,9 +184,9 @@
             self.checksum ^= _checksum(fingerprint, record)
 
     def remove_expired(self) -> bool:
-        """Remove the records that have not changed for `retention_s`; return whether any has."""
-        oldest = self.wall_clock() - self.retention_s
-        expired = [name for name, record in self.records.items() if record.changed_at < oldest]
+        """Remove the records whose retention is over; return whether there were any."""
+        now = self.wall_clock()
+        expired = [name for name, record in self.records.items() if expires_at(name, record) < now]
         for fingerprint in expired:
             self.remove(fingerprint)
         return bool(expired)
@@ -196,14 +200,21 @@
         }
 
 
+def expires_at(fingerprint: Fingerprint, record: TargetFailures) -> float:
+    """Return the calendar time in seconds until which the members retain a record."""
+    shared = fingerprint.startswith(SHARED_PREFIX)
+    return record.changed_at + (SHARED_RETENTION_S if shared else RETENTION_S)
+
+
 def _checksum(fingerprint: Fingerprint, record: TargetFailures) -> int:
     return xxhash.xxh64_intdigest(msgspec.msgpack.encode((fingerprint, record.trials)))
 
 
 __all__ = [
     "NO_FAILURES",
-    "RETENTION_S",
+    "SHARED_PREFIX",
     "FailureTable",
     "TargetFailures",
     "Trial",
+    "expires_at",
 ]
