Read the list of suspect requests before a request that waited through a stall of its entry is sent

Cause: the entry stood still from 3321.45 to 3323.00 s; the call reached it at 3322.74 on an open connection, 10 ms after the third end. When it woke, it served the call before it had received the list, whose changes waited on its links, and one of whose requests had timed out. Change: a list counts as current if it was answered in the last 0.6 s and asked for after the last stall of the event loop (0.1 s or more). If it is not, one read of the list from the two nearest other members is shared by all requests that wait, for 0.1 s at most, and not again for 0.5 s if nobody answers. A test over real processes passed on the code before, too, in four forms, so unit tests of the reading guard it.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -16,7 +16,7 @@
 from waxwingglade.follow.messages import Follow, Followed, FollowSuspects, SuspectList
 from waxwingglade.follow.model import EMPTY_VIEW, Replica, TargetList, View
 from waxwingglade.follow.retention import Retention
-from waxwingglade.follow.suspects import Suspects
+from waxwingglade.follow.suspects import Exchanged, Suspects
 from waxwingglade.follow.target_log import log_target_changes
 from waxwingglade.transport.links import LinkFailed, Links
 
@@ -257,6 +257,7 @@
         self.source_current = False
         self.quorum_at = float("-inf")
         self.confirmed_at = float("-inf")
+        self.last_exchange = Exchanged()
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -330,6 +331,7 @@
             now - answer.recovered_s,
             source.vm,
         )
+        self.last_exchange = Exchanged(asked_at, now)
         if answer.suspects is not None:
             self.cached_view.update_suspects(answer.suspects)
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
--- a/waxwingglade/follow/tests/test_suspects.py
+++ b/waxwingglade/follow/tests/test_suspects.py
@@ -7,7 +7,7 @@
 from waxwingglade.follow.feed import CachedView
 from waxwingglade.follow.messages import Follow, FollowSuspects, SuspectList
 from waxwingglade.follow.model import Replica, Revision
-from waxwingglade.follow.suspects import SuspectFollower, Suspects
+from waxwingglade.follow.suspects import Exchanged, SuspectFollower, Suspects
 
 A, B = Fingerprint("a"), Fingerprint("b")
 WAIT_S = 5.0
@@ -83,7 +83,7 @@
 
         seen: list[dict[Fingerprint, int]] = []
         members = [Replica(name, name, name, ZoneId("z")) for name in ("near", "far")]
-        follower = SuspectFollower(suspects, lambda: members, ask)
+        follower = SuspectFollower(suspects, lambda: members, ask, Exchanged, lambda: 0.0)
         follower.start()
         self.addAsyncCleanup(follower.stop)
         async with asyncio.timeout(WAIT_S):
@@ -92,5 +92,66 @@
         self.assertEqual(seen, [{}, {A: 3}, {A: 3}, {}])
 
 
+class Refreshing(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.now = 100.0
+        self.stalled_until = 0.0
+        self.first_exchange = Exchanged(self.now - 0.5, self.now)
+        self.answers = True
+        self.asked = 0
+        self.suspects = Suspects()
+        members = [Replica(name, name, name, ZoneId("z")) for name in ("b", "c", "d")]
+        self.follower = SuspectFollower(
+            self.suspects,
+            lambda: members,
+            self.ask,
+            lambda: self.first_exchange,
+            lambda: self.stalled_until,
+            lambda: self.now,
+        )
+        self.addAsyncCleanup(self.follower.stop)
+
+    async def ask(self, _address: str, _message: FollowSuspects, _timeout_s: float) -> SuspectList:
+        """Answer with one held request."""
+        self.asked += 1
+        if not self.answers:
+            raise WaxwinggladeError("no answer")
+        return SuspectList({A: 3})
+
+    async def test_a_current_list_is_not_read(self) -> None:
+        await self.follower.ensure_current()
+        self.assertEqual((self.asked, self.suspects.failed), (0, {}))
+
+    async def test_a_list_from_before_a_stall_is_read_once_for_all_waiting_requests(self) -> None:
+        self.now += 0.3
+        self.stalled_until = self.now
+        await asyncio.gather(*(self.follower.ensure_current() for _ in range(5)))
+        self.assertEqual((self.asked, self.suspects.failed), (2, {A: 3}))
+        await self.follower.ensure_current()
+        self.assertEqual(self.asked, 2)
+
+    async def test_an_answer_to_a_request_from_before_a_stall_may_be_old(self) -> None:
+        self.now += 0.3
+        self.stalled_until = self.now
+        self.first_exchange = Exchanged(self.now - 0.4, self.now)
+        await self.follower.ensure_current()
+        self.assertEqual(self.suspects.failed, {A: 3})
+
+    async def test_a_list_that_was_not_confirmed_recently_is_read(self) -> None:
+        self.now += 0.7
+        await self.follower.ensure_current()
+        self.assertEqual(self.suspects.failed, {A: 3})
+
+    async def test_requests_do_not_wait_again_soon_after_no_source_has_answered(self) -> None:
+        self.now += 0.7
+        self.answers = False
+        await self.follower.ensure_current()
+        await self.follower.ensure_current()
+        self.assertEqual(self.asked, 2)
+        self.now += 0.6
+        await self.follower.ensure_current()
+        self.assertEqual(self.asked, 4)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -127,6 +127,8 @@
             self.cached_view.suspects,
             self._second_sources,
             ask_over(self.links, SuspectList),
+            lambda: self.follower.last_exchange,
+            lambda: self.loop_delay.stalled_until,
         )
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
@@ -401,6 +403,7 @@
         serving.trace.attempts = attempts
         try:
             async with asyncio.timeout(left_s):
+                await self.suspect_follower.ensure_current()
                 await self.quarantine.check(serving.call)
                 if is_stream(serving.route):
                     self._check_quorum()
