Let a soak run go on while all servers of a service have ended

Change: an ended server stays on the list until its successor comes, and is not chosen to leave. Where all run, the draw is the same.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -249,10 +249,16 @@
         if self.heartbeat_s and isinstance(server, SoakServer):
             server.send_heartbeats(self.heartbeat_s)
 
-    async def replace_server(self, rng: random.Random, reports: bool = True) -> SoakServer:
-        """Replace a random server by a new one; return the old server, which leaves."""
+    async def replace_server(self, rng: random.Random, reports: bool = True) -> SoakServer | None:
+        """Replace a random server by a new one; return the old server, which leaves.
+
+        Returns None if all servers of the chosen service have just ended.
+        """
         servers = rng.choice([self.engines, self.notes])
-        leaving = servers.pop(rng.randrange(len(servers)))
+        running = [server for server in servers if server.crashed_at is None]
+        if not running:
+            return None
+        leaving = servers.pop(servers.index(rng.choice(running)))
         added = _like(leaving)
         await self.add_server(added)
         servers.append(added)
@@ -265,8 +271,6 @@
         self.relays.close_port(relay)
         servers = self.engines if server.service == "engines" else self.notes
         if server in servers:
-            servers.remove(server)
-            self.crashed_servers.append(server)
             self._start(self._restart(server, servers))
         self._start(self._expire(server))
 
@@ -274,7 +278,8 @@
         await asyncio.sleep(RESTART_S)
         added = _like(server)
         await self.add_server(added)
-        servers.append(added)
+        servers[servers.index(server)] = added
+        self.crashed_servers.append(server)
 
     async def _expire(self, server: SoakServer) -> None:
         await asyncio.sleep(EXPIRY_HEARTBEATS * self.heartbeat_s)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -382,7 +382,8 @@
         occurrence = self._begin(FaultKind.SERVER_DEREGISTERS, "store")
         for _ in range(self.rng.randint(1, 3)):
             leaving = await self.cluster.replace_server(self.rng, reports=False)
-            self.cluster.exit_later(leaving, self.rng.uniform(*SERVES_ON_S))
+            if leaving is not None:
+                self.cluster.exit_later(leaving, self.rng.uniform(*SERVES_ON_S))
             await asyncio.sleep(self.rng.random() * lasts_s / 3)
         self._end(occurrence)
 
