Compute the checksum of suspect requests when the list changes

Cause: a ledger process sorted and hashed the whole list up to twice for each request of each follower, an entry once for each request. Change: the checksum is computed with the list; the same values. Nothing else behaves otherwise.

--- a/waxwingglade/follow/suspects.py
+++ b/waxwingglade/follow/suspects.py
@@ -56,19 +56,18 @@
     def __init__(self) -> None:
         self.failed: dict[Fingerprint, int] = {}
         self.lists: dict[str, dict[Fingerprint, int]] = {}
+        self.checksums: dict[str, int] = {}
 
     def checksum(self, source: str = "") -> int:
         """Return the checksum of the list of a source; 0 if it is empty."""
-        failed = self.lists.get(source)
-        if not failed:
-            return 0
-        return xxhash.xxh64_intdigest(msgspec.msgpack.encode(sorted(failed.items())))
+        return self.checksums.get(source, 0)
 
     def replace(self, failed: dict[Fingerprint, int], source: str = "") -> bool:
         """Replace the list of a source; return whether it has changed."""
         if failed == self.lists.get(source, {}):
             return False
         self.lists[source] = failed
+        self.checksums[source] = _checksum(failed)
         merged: dict[Fingerprint, int] = {}
         for each in self.lists.values():
             for fingerprint, count in each.items():
@@ -77,6 +76,12 @@
         return True
 
 
+def _checksum(failed: dict[Fingerprint, int]) -> int:
+    if not failed:
+        return 0
+    return xxhash.xxh64_intdigest(msgspec.msgpack.encode(sorted(failed.items())))
+
+
 class SuspectFollower:
     """Follows the list of suspect requests of a second process.
 
