Drop what nothing reads from the checks of requests that end servers

Cause: the soak's check was given the server of each arrival and never read it; a callback of the test cluster had no caller, the headers of its answers no reader; the soak repeated three constants of that cluster. Change: these are gone; the soak takes the constants from tests.fatal_requests. Checks, bounds and assertions are the same.

--- a/tests/fatal_requests.py
+++ b/tests/fatal_requests.py
@@ -3,7 +3,6 @@
 import asyncio
 import random
 import sys
-from collections.abc import Callable
 
 import msgspec
 
@@ -38,7 +37,6 @@
     """Answer to one attempt of a caller; status 0 if there was none."""
 
     status: int
-    headers: dict[str, str] = {}
     text: str = ""
 
 
@@ -117,25 +115,13 @@
         return sorted((run for run in runs if body in run.body), key=lambda run: run.began_at)
 
     async def repeat(
-        self,
-        path: str,
-        body: bytes,
-        times: int,
-        between: Callable[[int], None] = lambda _: None,
-        **headers: str | int,
+        self, path: str, body: bytes, times: int, **headers: str | int
     ) -> list[Answer]:
-        """Send a request as callers repeat it: with new ids, through any entry, after a pause.
-
-        Parameters
-        ----------
-        between : callable
-            Called with the number of attempts so far before each further attempt.
-        """
+        """Send a request as callers repeat it: with new ids, through any entry, after a pause."""
         answers: list[Answer] = []
         for number in range(times):
             if number:
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
-                between(number)
             answers.append(await self.attempt(self.rng.choice(self.entries), path, body, **headers))
             if answers[-1].status == OK:
                 break
@@ -147,7 +133,7 @@
             response = await self.call(entry, "POST", path, body, **headers)
         except (WaxwinggladeError, TimeoutError):
             return Answer(0)
-        return Answer(response.status, dict(response.headers), response.body.decode())
+        return Answer(response.status, response.body.decode())
 
 
 def program(name: str) -> dict[str, str | int]:
@@ -160,4 +146,4 @@
     }
 
 
-__all__ = ["EAGER", "MARK", "MAX_ENDED", "OK", "RESUMED", "FatalRequests", "program"]
+__all__ = ["EAGER", "MARK", "MAX_ENDED", "OK", "PAUSE_S", "RESUMED", "FatalRequests", "program"]
--- a/tests/soak/fatal_requests.py
+++ b/tests/soak/fatal_requests.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from tests.fatal_requests import MARK, MAX_ENDED, PAUSE_S
 from tests.platform_cluster import CALL, STREAM, Node
 from tests.soak.cluster import SoakServer
 from tests.soak.interrupted_turns import is_majority_lost
@@ -15,10 +16,6 @@
 from tests.soak.workload import Attempt, Callers
 from waxwingglade.standins.registered_server import Run
 
-MARK = b"ends its server"
-MAX_ENDED = 3
-"""Servers that a request may end; it must not be sent to any server after that."""
-
 HELD = b"ended or broke off under this request"
 """Part of the answer to a request that is held back."""
 
@@ -31,9 +28,6 @@
 ROUNDS = {STREAM: 3, CALL: 1}
 """Times that a caller sends a request with its retries, the first time included."""
 
-PAUSE_S = (0.1, 0.4)
-"""Shortest and longest pause of a caller between two rounds."""
-
 WORK_PAUSE_S = (0.5, 3.0)
 """Shortest and longest pause between two requests that end servers."""
 
@@ -142,7 +136,7 @@
 def check_fatal_requests(
     works: Sequence[FatalWork],
     attempts: Sequence[Attempt],
-    runs: Sequence[tuple[str, Run]],
+    runs: Sequence[Run],
     ends: Sequence[End],
     occurrences: Sequence[FaultOccurrence],
     ledgers: Sequence[str],
@@ -154,17 +148,17 @@
 
     Parameters
     ----------
-    runs : sequence of (str, Run)
-        Arrivals of requests at servers, with the server's name.
+    runs : sequence of Run
+        Arrivals of requests at servers.
     occurrences : sequence of FaultOccurrence
         All faults of the run.
     ledgers : sequence of str
         Names of the ledger processes.
     """
     by_id = {attempt.request: attempt for attempt in attempts}
-    runs_by_id: defaultdict[str, list[tuple[str, Run]]] = defaultdict(list)
-    for server, run in runs:
-        runs_by_id[run.request].append((server, run))
+    runs_by_id: defaultdict[str, list[Run]] = defaultdict(list)
+    for run in runs:
+        runs_by_id[run.request].append(run)
     violations = []
     for work in works:
         counted = [
@@ -176,10 +170,10 @@
         if len(counted) < MAX_ENDED:
             continue
         third_at = counted[MAX_ENDED - 1].at
-        sent = [each for request in work.requests for each in runs_by_id[request]]
+        sent = [run for request in work.requests for run in runs_by_id[request]]
         late = [
             run
-            for _, run in sent
+            for run in sent
             if _is_late(run, by_id[run.request], third_at, work.copies)
             and not _lacks_ledger(by_id[run.request].sent_at, run.began_at, occurrences, ledgers)
         ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -207,13 +207,12 @@
 def _check_histories(
     cluster: SoakCluster, callers: Callers, faults: Faults, works: list[FatalWork]
 ) -> list[str]:
-    placed = [
-        (server.name, run)
+    runs = [
+        run
         for server in cluster.all_servers()
         for run in server.runs
         if not run.request.startswith("request-")
     ]
-    runs = [run for _, run in placed]
     violations = check(callers.attempts, runs)
     if cluster.accounts is not None:
         violations += check_accounts(callers.attempts, runs, cluster.accounts.keys)
@@ -234,7 +233,7 @@
     violations += check_ledger_refusals(callers.attempts, faults.occurrences)
     ends = ends_of(cluster.all_servers())
     violations += check_fatal_requests(
-        works, callers.attempts, placed, ends, faults.occurrences, ledgers
+        works, callers.attempts, runs, ends, faults.occurrences, ledgers
     )
     for node in cluster.nodes():
         violations += _check_process(node)
--- a/tests/soak/test_fatal_requests.py
+++ b/tests/soak/test_fatal_requests.py
@@ -44,7 +44,7 @@
         for number in range(sends):
             name, at = f"r{number}", SENT_AT + number * interval_s
             attempts.append(Attempt(name, STREAM, "front-0", at, MARK, status=502))
-            runs.append((f"i-{number}", Run(name, "POST", STREAM, {}, MARK, at)))
+            runs.append(Run(name, "POST", STREAM, {}, MARK, at))
             ends.append(End(f"i-{number}", at + 0.01, name))
         work = FatalWork(MARK, copies, {attempt.request for attempt in attempts})
         return check_fatal_requests([work], attempts, runs, ends, faults, LEDGERS)
