Log and count who granted a request of a client account, by which limit and share

Cause: members logged what they refused and not what they granted, and no line or metric joined grants with sendings, so that the hypotheses of the incident could not be told apart. Change: an answer that grants a request names the member, the version of the limit, the epoch, the share and its use; the entry's request line and explain show it. The gauge grants_quota says whether a member grants anything yet.

--- /dev/null
+++ b/tests/limited_accounts.py
@@ -0,0 +1,140 @@
+"""A cluster of the daemons with a client account that is always over its limit."""
+
+import asyncio
+import itertools
+import random
+import time
+from collections.abc import Iterable, Sequence
+from typing import ClassVar
+
+import msgspec
+
+from tests.platform_cluster import CALL, HOST, Node, PlatformCluster, configuration
+from waxwingglade.base import WaxwinggladeError
+from waxwingglade.decisions.quota import QuotaRules
+from waxwingglade.standins.metadata_store import MetadataStore
+from waxwingglade.standins.registered_server import RegisteredServer, Run, ServerFault
+
+RESUMED = "/resumed/"
+KEY = "key-of-the-shop"
+RULES = QuotaRules(window_s=2.0, excess=0.1, slack=6.0)
+RATE_PER_S, BURST = 6.0, 3.0
+MOST = RULES.most(RATE_PER_S, BURST)
+SERVERS = 5
+"""Servers of each service."""
+
+PAUSE_S = 0.05
+"""Seconds between two requests of a caller."""
+
+
+class LossyServer(RegisteredServer):
+    """A server that runs its requests, and loses the answers to a share of them."""
+
+    share = 0.0
+
+    def __init__(self, store: MetadataStore, service: str, events: int, rng: random.Random) -> None:
+        super().__init__(store, service, events)
+        self.rng = rng
+
+    async def _run(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
+        lost = ServerFault.TRUNCATED if self.events else ServerFault.CUT
+        self.fault = lost if self.rng.random() < self.share else ServerFault.NONE
+        return await super()._run(writer, request, body)
+
+
+class Span(msgspec.Struct, frozen=True):
+    """When the caller of a request sent it, and when a server began to run it, in seconds."""
+
+    sent_at: float
+    began_at: float
+
+
+def highest_in_window(spans: Sequence[Span], window_s: float) -> int:
+    """Return the highest number of runs that were both sent and begun in one window."""
+    highest = 0
+    for first in spans:
+        end_at = first.sent_at + window_s
+        inside = [each for each in spans if each.sent_at >= first.sent_at]
+        highest = max(highest, sum(each.began_at <= end_at for each in inside))
+    return highest
+
+
+class LimitedAccounts(PlatformCluster):
+    """Entries and ledger processes, an account with a limit, and servers that lose answers.
+
+    Parameters
+    ----------
+    entries : int
+        Number of entries.
+    """
+
+    bounds: ClassVar[dict[str, float]] = {
+        "quota_window_s": RULES.window_s,
+        "quota_excess": RULES.excess,
+        "quota_slack": RULES.slack,
+    }
+    tenants: ClassVar[list[dict]] = [
+        {"name": "shop", "api_keys": [KEY], "rate_per_s": RATE_PER_S, "burst": BURST}
+    ]
+    key = KEY
+
+    def __init__(self, entries: int = 3) -> None:
+        super().__init__(entries=entries)
+        resumed = {
+            "name": "resumed",
+            "host": HOST,
+            "path_prefix": RESUMED,
+            "kind": "streaming",
+            "service": "engines",
+            "max_attempts": 2,
+            "resumable": True,
+            "timeout_ms": 5000,
+        }
+        self.store.put("op/config", configuration(4, [resumed], self.tenants))
+        rng = random.Random(1)
+        self.engines = [LossyServer(self.store, "engines", 4, rng) for _ in range(SERVERS)]
+        self.notes = [LossyServer(self.store, "notes", 0, rng) for _ in range(SERVERS)]
+        self.sent_at: dict[str, float] = {}
+        self.statuses: list[int] = []
+
+    def lose_answers(self, share: float) -> None:
+        """Let all servers lose the answers to a share of their requests from now on."""
+        for server in [*self.engines, *self.notes]:
+            server.share = share
+
+    async def press(self, path: str, seconds: float, callers: int = 6) -> None:
+        """Send far more requests through all entries than the account may send."""
+        end_at = time.monotonic() + seconds
+        numbers = itertools.count()
+        await asyncio.gather(
+            *(self._press(path, end_at, number, numbers) for number in range(callers))
+        )
+
+    async def _press(self, path: str, end_at: float, caller: int, numbers: Iterable[int]) -> None:
+        entries = itertools.cycle(self.entries[caller % len(self.entries) :] + self.entries)
+        for number, entry in zip(numbers, entries, strict=False):
+            if time.monotonic() > end_at:
+                return
+            await self._send(entry, path, f"{path}{number}")
+            await asyncio.sleep(PAUSE_S)
+
+    async def _send(self, entry: Node, path: str, request: str) -> None:
+        self.sent_at[request] = time.monotonic()
+        try:
+            response = await self.call(entry, "POST", path, request.encode(), request_id=request)
+        except (WaxwinggladeError, TimeoutError):
+            return
+        self.statuses.append(response.status)
+
+    def runs(self) -> list[Run]:
+        """Return all runs of the requests of `press`."""
+        runs = [run for server in [*self.engines, *self.notes] for run in server.runs]
+        return [run for run in runs if run.request in self.sent_at]
+
+    def highest(self) -> int:
+        """Return the highest number of runs in one window of the limit."""
+        spans = [Span(self.sent_at[run.request], run.began_at) for run in self.runs()]
+        return highest_in_window(spans, RULES.window_s)
+
+
+__all__ = ["BURST", "CALL", "MOST", "RATE_PER_S", "RESUMED", "RULES", "LimitedAccounts"]
--- a/waxwingglade/base/buffered_metrics.py
+++ b/waxwingglade/base/buffered_metrics.py
@@ -17,6 +17,8 @@
 
 Labels = tuple[str, ...]
 
+OTHER = "other"
+
 
 class BufferedCounter:
     """A counter with labels.
@@ -36,9 +38,9 @@
         self.labels = labels
         self.counts: Counter[Labels] = Counter()
 
-    def add(self, *values: str) -> None:
-        """Increment the counter for these label values."""
-        self.counts[values] += 1
+    def add(self, *values: str, count: int = 1) -> None:
+        """Increase the counter for these label values."""
+        self.counts[values] += count
 
     def publish(self) -> None:
         """Copy the current values to the collector of the metrics library."""
@@ -46,6 +48,29 @@
             self.collector.set(dict(zip(self.labels, values, strict=True)), count)
 
 
+class LabelValues:
+    """The label values that have their own series; all other values share the series `OTHER`.
+
+    Parameters
+    ----------
+    most : int
+        Maximum number of values that have their own series.
+    """
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.known: set[str] = set()
+
+    def label(self, name: str) -> str:
+        """Return the label value of a name: the name itself for the first ones, else `OTHER`."""
+        if name in self.known:
+            return name
+        if len(self.known) >= self.most:
+            return OTHER
+        self.known.add(name)
+        return name
+
+
 class BucketCounts(msgspec.Struct):
     """Observations with the same labels: the count of each bucket, not cumulative, and the sum."""
 
@@ -99,4 +124,4 @@
             self.collector.set_value(dict(zip(self.labels, values, strict=True)), histogram)
 
 
-__all__ = ["BufferedCounter", "BufferedHistogram"]
+__all__ = ["OTHER", "BufferedCounter", "BufferedHistogram", "LabelValues"]
--- a/waxwingglade/cli/explain.py
+++ b/waxwingglade/cli/explain.py
@@ -41,6 +41,8 @@
     "reason",
 )
 
+GRANT_FIELDS = ("replica", "after_s", "version", "epoch", "share", "used")
+
 REPLICA_REQUEST_FIELDS = ("replica", "after_s", "seconds", "answer")
 
 DELAYED_CHANGE_FIELDS = ("seconds", "waited_s", "overtaken")
@@ -58,7 +60,7 @@
 )
 """Fields that a table shows first, because long cells are truncated."""
 
-HIDDEN_FIELDS = ("asked", "attempts", "program", "route")
+HIDDEN_FIELDS = ("asked", "attempts", "grants", "program", "route")
 """Fields that are not shown in tables, because they are long or the same in all lines."""
 
 
@@ -98,6 +100,9 @@
         print_table(
             ATTEMPT_FIELDS, [[attempt.get(name) for name in ATTEMPT_FIELDS] for attempt in attempts]
         )
+    if grants := line.fields.get("grants"):
+        typer.echo("granted within the limit of its client account by")
+        print_table(GRANT_FIELDS, [[grant.get(name) for name in GRANT_FIELDS] for grant in grants])
 
 
 def _print_causes(causes: list[LedgerCause]) -> None:
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -148,6 +148,8 @@
         Where the previous turns of the program ran, if that is known.
     last_target : Target or None
         Target of the last attempt.
+    sent, refused : int
+        Number of sendings, and of those that targets promised not to run.
     saw_unresponsive : bool
         Whether an attempt was ended because its connection was unresponsive.
     trial : Trial or None
@@ -178,6 +180,7 @@
         self.records: list[AttemptRecord] = []
         self.tried: list[TargetId] = []
         self.sent = 0
+        self.refused = 0
         self.unreachable = 0
         self.saw_unresponsive = False
         self.trial: Trial | None = None
@@ -351,6 +354,7 @@
 
     async def _refused(self, head: Head) -> None:
         """Finish an attempt whose target promises not to run the call."""
+        self.refused += 1
         head.record.verdict = Verdict.NOT_RUN
         head.record.reason = "refused"
         try:
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -5,7 +5,7 @@
 from aioprometheus import Gauge, Registry
 from aioprometheus.renderer import render
 
-from waxwingglade.base.buffered_metrics import BufferedCounter, BufferedHistogram
+from waxwingglade.base.buffered_metrics import BufferedCounter, BufferedHistogram, LabelValues
 from waxwingglade.follow.feed import LONGEST_AGE_S
 
 if TYPE_CHECKING:
@@ -18,7 +18,6 @@
 """Maximum number of routes, and of client accounts, that have their own series.  A configuration
 may have hundreds; the others share one series."""
 
-OTHER = "other"
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.41, 1.0, 2.0, 3.0, 5.0, float("inf"))
 """Upper bounds of buckets in seconds, with the objectives for the first event, 0.2 and 0.41 s."""
 
@@ -28,14 +27,22 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self.routes: set[str] = set()
-        self.accounts: set[str] = set()
+        self.routes = LabelValues(MAX_LABEL_VALUES)
+        self.accounts = LabelValues(MAX_LABEL_VALUES)
         self.requests = self._count(
             "requests_total", "Answers by route and status.", "route", "status"
         )
         self.by_account = self._count(
             "account_requests_total", "Answers by client account and status.", "account", "status"
         )
+        self.grants = self._count(
+            "account_grants_total", "Grants within the limits of client accounts.", "account"
+        )
+        self.sends = self._count(
+            "account_sends_total",
+            "Sendings of requests that targets may have run, by client account.",
+            "account",
+        )
         self.refusals = self._count(
             "refusals_total", "Answers of this system by reason.", "route", "status"
         )
@@ -54,6 +61,8 @@
         self.buffered_metrics = (
             self.requests,
             self.by_account,
+            self.grants,
+            self.sends,
             self.refusals,
             self.attempts,
             self.breaks,
@@ -74,12 +83,16 @@
 
     def record(self, exchange: "Exchange", trace: "Trace", seconds: float) -> None:
         """Record one request."""
-        route = _label(self.routes, trace.route)
+        route = self.routes.label(trace.route)
         status = str(exchange.status)
         self.requests.add(route, status)
         self.seconds.observe(seconds, route)
         if trace.account:
-            self.by_account.add(_label(self.accounts, trace.account), status)
+            account = self.accounts.label(trace.account)
+            self.by_account.add(account, status)
+            self.grants.add(account, count=len(trace.grants))
+            if trace.attempts is not None:
+                self.sends.add(account, count=trace.attempts.sent - trace.attempts.refused)
         if trace.first_event_s is not None:
             self.first_event.observe(trace.first_event_s, route)
         if trace.reserved_s is not None:
@@ -119,14 +132,4 @@
         return content.decode()
 
 
-def _label(known: set[str], name: str) -> str:
-    """Return the label value of a name: the name itself for the first ones, else `OTHER`."""
-    if name in known:
-        return name
-    if len(known) >= MAX_LABEL_VALUES:
-        return OTHER
-    known.add(name)
-    return name
-
-
 __all__ = ["IngressMetrics"]
--- a/waxwingglade/ingress/quota.py
+++ b/waxwingglade/ingress/quota.py
@@ -35,6 +35,7 @@
         lambda: ledger.quotas.take(account.name, serving.time_left())
     )
     if isinstance(answer, QuotaTaken):
+        serving.record_grant(answer.grant)
         return
     if isinstance(answer, QuotaSpent):
         raise over_limit(serving, ledger, answer)
--- a/waxwingglade/ingress/request_log.py
+++ b/waxwingglade/ingress/request_log.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import msgspec
 from loguru import logger
 
 from waxwingglade.base.logs import Sampler
@@ -9,7 +10,7 @@
 from waxwingglade.ingress.attempt import AttemptRecord
 from waxwingglade.ingress.exchange import Exchange
 from waxwingglade.ingress.fingerprint import fingerprint_of
-from waxwingglade.ingress.serving import Trace
+from waxwingglade.ingress.serving import Trace, TracedGrant
 
 SUCCESSES_LOGGED_PER_S = 20.0
 """Maximum lines per second for successful requests; failures have a separate limit."""
@@ -62,12 +63,17 @@
             "confirmed_s": trace.confirmed_s,
             "kept_s": trace.kept_s,
             "events": trace.events,
+            "grants": [_grant(each) for each in trace.grants],
             "attempts": [_attempt(record) for record in records],
             "left_out": sampler.take_left_out(),
         }
         logger.bind(**_without_empty(fields)).info("request")
 
 
+def _grant(traced: TracedGrant) -> dict[str, Any]:
+    return {"after_s": traced.after_s, **msgspec.structs.asdict(traced.grant)}
+
+
 def _attempt(record: AttemptRecord) -> dict[str, Any]:
     return _without_empty(
         {
--- a/waxwingglade/ingress/serving.py
+++ b/waxwingglade/ingress/serving.py
@@ -30,7 +30,7 @@
     Refusal,
 )
 from waxwingglade.ingress.routes import RouteTable
-from waxwingglade.ledger.messages import TurnId
+from waxwingglade.ledger.messages import Grant, TurnId
 from waxwingglade.transport import ConnectionBroken
 
 AUTHORIZATION = "Authorization"
@@ -38,6 +38,19 @@
 """Minimum remaining seconds for which a call is still sent."""
 
 
+class TracedGrant(msgspec.Struct, frozen=True):
+    """A grant of a call within the limit of its client account.
+
+    Parameters
+    ----------
+    after_s : float
+        Seconds from the arrival of the call's head to the grant.
+    """
+
+    after_s: float
+    grant: Grant
+
+
 class Trace(msgspec.Struct):
     """Facts about one call for its log line and metrics.
 
@@ -54,6 +67,8 @@
     reserved_s, confirmed_s, kept_s : float or None
         Seconds that the caller waited for the ledger: to begin the turn, to confirm its reservation
         after the first event arrived, and to store the turn.
+    grants : list of TracedGrant
+        Grants within the limit of its client account, in order.
     """
 
     call: Call | None = None
@@ -67,6 +82,7 @@
     reserved_s: float | None = None
     confirmed_s: float | None = None
     kept_s: float | None = None
+    grants: list[TracedGrant] = msgspec.field(default_factory=list)
 
 
 Identify = Callable[[AccountTable, Call], ClientAccount | None]
@@ -88,6 +104,13 @@
         """Return the seconds that are left for a target to answer."""
         return self.end_at - time.monotonic()
 
+    def record_grant(self, grant: Grant | None) -> None:
+        """Record for the log how a member granted the call, if the member has counted it."""
+        if grant is None:
+            return
+        after_s = round(time.monotonic() - self.exchange.arrived_at, 4)
+        self.trace.grants.append(TracedGrant(after_s, grant))
+
     @property
     def turn(self) -> TurnId:
         """Id of the turn that the call requests."""
@@ -247,6 +270,7 @@
     "Priority",
     "Serving",
     "Trace",
+    "TracedGrant",
     "check_status",
     "is_stream",
     "open_answer",
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -212,6 +212,7 @@
         raise
     serving.trace.reserved_s = round(time.monotonic() - requested_at, 4)
     if isinstance(answer, TurnBegun):
+        serving.record_grant(answer.grant)
         attempts.history = _history(serving, answer)
         return answer
     if isinstance(answer, BudgetSpent):
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -29,6 +29,7 @@
     BeginTurn,
     ConfirmTurn,
     EndTurn,
+    Grant,
     QuotaSpent,
     QuotaTaken,
     Turn,
@@ -45,6 +46,9 @@
 SEALED = "X-Waxwingglade-Server-Seal: seal\r\n"
 
 
+GRANT = Grant("vm-1", version=1, epoch=2, share=3, used=1)
+
+
 class Behaviour(Enum):
     """Behaviour of a fake target on a request."""
 
@@ -225,7 +229,7 @@
     async def take(self, client: ClientAccountId, timeout_s: float) -> QuotaTaken | QuotaSpent:
         """Grant a request."""
         self.taken.append(client)
-        return self.spent or QuotaTaken()
+        return self.spent or QuotaTaken(GRANT)
 
     async def begin_program(self, client: ClientAccountId) -> QuotaSpent | None:
         """Allow a program to begin, unless `no_program` is set."""
@@ -243,7 +247,8 @@
             return Unavailable("no majority")
         self.begun.append(message)
         await self.may_begin.wait()
-        return TurnBegun(self.chain, failed_at=self.failed_at, granter=self.granter)
+        grant = GRANT if message.client is not None else None
+        return TurnBegun(self.chain, failed_at=self.failed_at, granter=self.granter, grant=grant)
 
     async def confirm(self, message: ConfirmTurn, timeout_s: float) -> bool:
         """Confirm a reservation."""
--- a/waxwingglade/ingress/tests/test_accounts.py
+++ b/waxwingglade/ingress/tests/test_accounts.py
@@ -22,6 +22,7 @@
     until,
 )
 from waxwingglade.ledger.messages import QuotaSpent
+from waxwingglade.ledger.tests.log_capture import logged_lines
 from waxwingglade.platform.headers import ACCOUNT, AUTHORIZATION
 
 KEY, OTHER_KEY = "k" * 20, "o" * 20
@@ -166,6 +167,15 @@
         begun = self.entry.ledger.begun[0]
         self.assertEqual(("shop", True, False), (begun.client, begun.is_first, begun.is_counted))
 
+    async def test_the_line_of_a_request_names_its_grants(self) -> None:
+        await self.serve((account("shop", KEY, rate_per_s=9.0),), Behaviour.EVENTS)
+        for path in (PLAIN, TURNS):
+            with logged_lines("request") as lines:
+                await self.status((AUTHORIZATION, BEARER), path=path)
+                self.assertTrue(await until(lambda seen=lines: bool(seen), 1.0))
+            (grant,) = lines[0]["grants"]
+            self.assertEqual(("vm-1", 2, 3), (grant["replica"], grant["epoch"], grant["share"]))
+
     async def test_over_the_limit_nothing_is_sent_and_the_caller_gets_retry_after(self) -> None:
         await self.serve((account("shop", KEY, rate_per_s=9.0),))
         self.entry.ledger.spent = QuotaSpent(0.75)
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -156,7 +156,10 @@
                 answer = await self.quotas.take_from(others, message.client, answer, end_at)
                 if isinstance(answer, QuotaTaken):
                     counted = msgspec.structs.replace(message, is_counted=True)
+                    grant = answer.grant
                     answer = await self._ask_in_order(counted, end_at, lambda _: True, asked)
+                    if isinstance(answer, TurnBegun):
+                        answer = msgspec.structs.replace(answer, grant=grant)
             if isinstance(answer, QuotaSpent | Busy) and any(map(_may_have_acted, asked)):
                 answer = Unavailable(f"a replica gave no answer, another {_describe(answer)}")
         if isinstance(
--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -140,6 +140,30 @@
     confirms: bool = False
 
 
+class Grant(msgspec.Struct, frozen=True, array_like=True):
+    """How a member granted a request of a client account with a limit.
+
+    Parameters
+    ----------
+    replica : str
+        VM of the member.
+    version : int
+        Version of the configuration with the limit.
+    epoch : int
+        Set of members by which the member's quota share was computed.
+    share : int
+        Number of requests that the member may grant in a window.
+    used : int
+        Number of requests that it has granted in the window, including this one.
+    """
+
+    replica: str
+    version: int
+    epoch: int
+    share: int
+    used: int
+
+
 class TurnBegun(Message):
     """The tokens are reserved.
 
@@ -154,12 +178,15 @@
     granter : str
         Disk of the replica whose process may confirm the reservation; until then, the tokens may be
         reserved for another turn.  Empty if the reservation needs no confirmation.
+    grant : Grant or None
+        The turn's grant; None if its client account has no limit or another member granted it.
     """
 
     chain: tuple[Turn, ...] = ()
     target: IncarnationName | None = None
     failed_at: IncarnationName | None = None
     granter: str = ""
+    grant: Grant | None = None
 
 
 class ConfirmTurn(Message):
@@ -216,7 +243,15 @@
 
 
 class QuotaTaken(Message):
-    """The request may be sent to a target, or the program may begin; it is counted."""
+    """The request may be sent to a target, or the program may begin; it is counted.
+
+    Parameters
+    ----------
+    grant : Grant or None
+        The request's grant; None for a program, or if the client account has no limit.
+    """
+
+    grant: Grant | None = None
 
 
 class QuotaSpent(Message):
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -30,6 +30,12 @@
         self.seconds = BufferedHistogram(
             self.registry, PREFIX + "seconds", "Time of an answer.", SECONDS, ("request",)
         )
+        self.quota_answers = BufferedCounter(
+            self.registry,
+            PREFIX + "quota_answers_total",
+            "Requests of client accounts with a limit, by account and answer.",
+            ("account", "answer"),
+        )
         self.state = Gauge(
             PREFIX + "state", "What the process holds and believes.", registry=self.registry
         )
@@ -43,6 +49,7 @@
         """Return all metrics in Prometheus's text format."""
         replica, journal = node.replica, node.replica.journal
         values = {
+            "grants_quota": node.quotas.grants,
             "turns": len(replica.turns),
             "accounts": len(replica.slots),
             "unsettled_ends": len(replica.unresolved_ends),
@@ -65,6 +72,8 @@
             self.state.set({"name": name}, float(value))
         for purpose, calls in node.store.calls.items():
             self.state.set({"name": f"store_calls_{purpose}"}, float(calls))
+        self.quota_answers.counts = node.quotas.usage.answers
+        self.quota_answers.publish()
         self.answers.publish()
         self.seconds.publish()
         content, _ = render(self.registry, ["text/plain"])
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -183,6 +183,7 @@
             self.cached_view,
             self.replica,
             settings.bootstrap,
+            vm=settings.vm,
         )
         self.handlers: dict[type, Callable[[Any], Any]] = {
             BeginTurn: self.begin,
@@ -374,9 +375,10 @@
         answer = await self.coordinator.begin(message)
         if not isinstance(answer, TurnBegun):
             self.quotas.give_back(client, granted)
-        elif granted.durable is not None:
+            return answer
+        if granted.durable is not None:
             await granted.durable
-        return answer
+        return msgspec.structs.replace(answer, grant=granted.grant)
 
     async def follow(self, message: Follow) -> Followed:
         """Answer a follower with the view and the quorum, once there is an update."""
--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -15,11 +15,13 @@
 from waxwingglade.follow.model import ClientAccount, ClientAccountId, View
 from waxwingglade.ledger.messages import (
     BeginProgram,
+    Grant,
     QuotaSpent,
     QuotaTaken,
     TakeQuota,
     Unavailable,
 )
+from waxwingglade.ledger.quota_log import QuotaLog
 from waxwingglade.ledger.replica import Replica
 
 MAX_VIEW_AGE_S = 5.0
@@ -38,10 +40,13 @@
         Time of the grant in monotonic seconds.
     durable : asyncio.Future or None
         Done once the grant is durable; None if the request is not counted.
+    grant : Grant or None
+        How it was granted, for the logs; None if the request is not counted.
     """
 
     at: float = 0.0
     durable: asyncio.Future[Any] | None = None
+    grant: Grant | None = None
 
 
 class Quotas:
@@ -61,6 +66,8 @@
         Whether the whole system starts for the first time, so that no member has granted anything.
     clock : Clock
         Monotonic seconds.
+    vm : str
+        Name of the VM, for the logs.
     """
 
     def __init__(
@@ -71,6 +78,7 @@
         replica: Replica,
         bootstrap: bool = False,
         clock: Clock = monotonic,
+        vm: str = "",
     ) -> None:
         self.rules = rules
         self.quota_share_rules = QuotaShareRules(MAX_VIEW_AGE_S, rules.window_s, usual_members)
@@ -78,12 +86,14 @@
         self.replica = replica
         self.bootstrap = bootstrap
         self.clock = clock
+        self.vm = vm
         self.quota_share = QuotaShare(self.quota_share_rules, replica.disk)
         self.view: View | None = None
         self.accounts: dict[ClientAccountId, ClientAccount] = {}
         self.program_length = ProgramLength()
         self.starts: dict[ClientAccountId, ProgramStarts] = {}
         self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
+        self.usage = QuotaLog(rules.window_s, clock)
 
     def open(self) -> None:
         """Restore the state from the disk."""
@@ -99,7 +109,7 @@
             return outcome
         if outcome.durable is not None:
             await outcome.durable
-        return QuotaTaken()
+        return QuotaTaken(outcome.grant)
 
     async def begin_program(self, message: BeginProgram) -> QuotaTaken | QuotaSpent | Unavailable:
         """Count a program that begins, if the account's limit probably suffices until its end.
@@ -140,22 +150,32 @@
         grants = self.replica.grants.setdefault(client, Grants())
         verdict = decide(grants, share, self.rules, now)
         if not verdict.granted:
+            self.usage.record_refused(client)
             self._log(account, share, grants)
             return QuotaSpent(verdict.retry_s)
         grants.record(now)
+        self.usage.record_granted(client, len(grants.times))
         if not grants.recently_refused(now):
             # Programs that were refused end early, and would bias the average length.
             self.program_length.record(is_first)
-        return Granted(now, self.replica.record_grant(client, now))
+        grant = Grant(self.vm, self.view.version, self.quota_share.epoch, share, len(grants.times))
+        return Granted(now, self.replica.record_grant(client, now), grant)
+
+    @property
+    def grants(self) -> bool:
+        """Whether this process has been a member for long enough to grant requests."""
+        return self.quota_share.settled(self.clock())
 
     def give_back(self, client: ClientAccountId, granted: Granted) -> None:
         """Return the grant of a request that reaches no target."""
         if granted.durable is not None:
             self.replica.grants[client].give_back(granted.at)
+            self.usage.record_returned(client)
 
     def update_from_view(self) -> None:
         """Update members and accounts from the view, and store what must survive a restart."""
         self._update_view()
+        self.usage.write_if_due()
         if self.cached_view.view.replicas.epoch:
             self._store_counting(self.clock())
 
@@ -180,6 +200,9 @@
             logger.bind(
                 account=account.name,
                 rate_per_s=account.rate_per_s,
+                burst=account.burst,
+                version=self.view.version,
+                epoch=self.quota_share.epoch,
                 part=share,
                 granted=len(grants.times),
                 left_out=self.refusals.take_left_out(),
--- a/waxwingglade/ledger/tests/test_quotas.py
+++ b/waxwingglade/ledger/tests/test_quotas.py
@@ -22,6 +22,7 @@
 from waxwingglade.ledger.messages import (
     BeginProgram,
     BeginTurn,
+    Grant,
     QuotaSpent,
     QuotaTaken,
     TakeQuota,
@@ -62,7 +63,7 @@
         self.replica = Replica(self.folder, clock=lambda: self.test.now)
         self.replica.open()
         self.quotas = Quotas(
-            RULES, 3, self.cached_view, self.replica, bootstrap, lambda: self.test.now
+            RULES, 3, self.cached_view, self.replica, bootstrap, lambda: self.test.now, self.vm
         )
         self.quotas.open()
 
@@ -117,6 +118,14 @@
         self.update_views(*self.counters)
         self.assertEqual(MOST, sum([await self.take_all(counter) for counter in self.counters]))
 
+    async def test_a_grant_names_the_limit_and_the_share_by_which_it_was_made(self) -> None:
+        first = self.counters[0]
+        for used in (1, 2):
+            taken = await first.quotas.take(TAKE)
+            assert isinstance(taken, QuotaTaken)
+            share = first.quotas.quota_share.share_of(MOST, SHOP, self.now)
+            self.assertEqual(Grant("vm-0", 1, 1, share, used), taken.grant)
+
     async def test_grants_survive_a_restart(self) -> None:
         for counter in self.counters:
             await self.take_all(counter)
