Let the soak change limits, lose answers and count each run of accounts at their limits

Cause: the soak counted each request id once, its limits never changed, and the account with a limit was hardly ever at it while a request was sent again, so it could not see runs beyond a limit. Change: callers that keep the account at its limit, series of changed limits (also none at all), servers that lose a share of their answers, a check of all runs by the limits that may be in force, and a short seeded run in the tests.

--- a/tests/limited_accounts.py
+++ b/tests/limited_accounts.py
@@ -4,12 +4,11 @@
 import itertools
 import random
 import time
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import ClassVar
 
-import msgspec
-
 from tests.platform_cluster import CALL, HOST, WAIT_TIMEOUT_S, Node, PlatformCluster, configuration
+from tests.windows import Span, windows
 from waxwingglade.base import WaxwinggladeError
 from waxwingglade.decisions.quota import QuotaRules
 from waxwingglade.standins.metadata_store import MetadataStore
@@ -56,23 +55,6 @@
         return await super()._run(writer, request, body)
 
 
-class Span(msgspec.Struct, frozen=True):
-    """When the caller of a request sent it, and when a server began to run it, in seconds."""
-
-    sent_at: float
-    began_at: float
-
-
-def highest_in_window(spans: Sequence[Span], window_s: float) -> int:
-    """Return the highest number of runs that were both sent and begun in one window."""
-    highest = 0
-    for first in spans:
-        end_at = first.sent_at + window_s
-        inside = [each for each in spans if each.sent_at >= first.sent_at]
-        highest = max(highest, sum(each.began_at <= end_at for each in inside))
-    return highest
-
-
 class LimitedAccounts(PlatformCluster):
     """Entries and ledger processes, an account with a limit, and servers that lose answers.
 
@@ -161,7 +143,7 @@
     def highest(self, path: str) -> int:
         """Return the highest number of runs of a path in one window of the limit."""
         spans = [Span(self.sent_at[run.request], run.began_at) for run in self.runs(path)]
-        return highest_in_window(spans, RULES.window_s)
+        return max((window.runs for window in windows(spans, RULES.window_s)), default=0)
 
 
 __all__ = ["BURST", "CALL", "MOST", "RATE_PER_S", "RESUMED", "RULES", "LimitedAccounts"]
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -44,6 +44,9 @@
     accounts: Annotated[
         bool, typer.Option(help="callers need keys, which are replaced; some have a limit")
     ] = False,
+    pressing: Annotated[
+        int, typer.Option(help="callers at a time that keep the account with a limit at it")
+    ] = 8,
     flush_ms: Annotated[
         float, typer.Option(help="milliseconds that a flush takes in a quiet run")
     ] = 1000
@@ -61,7 +64,9 @@
     if machine_disk:
         size = msgspec.structs.replace(size, flush_s=0.0)
     if accounts:
-        size = msgspec.structs.replace(size, accounts=True, kinds=tuple(FaultKind))
+        size = msgspec.structs.replace(
+            size, accounts=True, pressing=pressing, kinds=tuple(FaultKind)
+        )
     if leaving:
         size = msgspec.structs.replace(size, kinds=LEAVING_KINDS)
     if ledger:
--- a/tests/soak/account_checks.py
+++ b/tests/soak/account_checks.py
@@ -1,9 +1,8 @@
 """Checks of client accounts on the requests that callers sent and servers ran."""
 
-from bisect import bisect_right
-
-from tests.soak.accounts import LIMITS, REVOKE_S, RULES, Key
+from tests.soak.accounts import REVOKE_S, RULES, Accounts, Key, Limit
 from tests.soak.workload import Attempt
+from tests.windows import Span, Window, windows
 from waxwingglade.platform.headers import ACCOUNT
 from waxwingglade.standins.registered_server import Run
 
@@ -11,8 +10,13 @@
 """Seconds after which entries that reach the store accept a new key."""
 
 
-def check_accounts(attempts: list[Attempt], runs: list[Run], keys: dict[str, Key]) -> list[str]:
+OLD_LIMIT_S = 5.0
+"""Seconds for which a limit that was replaced may still be in force somewhere."""
+
+
+def check_accounts(attempts: list[Attempt], runs: list[Run], accounts: Accounts) -> list[str]:
     """Return the violations of guarantees about client accounts, one line each."""
+    keys = accounts.keys
     attempts_by_request = {attempt.request: attempt for attempt in attempts}
     violations = []
     for run in runs:
@@ -23,7 +27,7 @@
         key = keys.get(attempt.key)
         if attempt.status == 401 and key is not None and _is_valid(key, attempt):
             violations.append(f"{attempt.request}: 401 for a key of {key.account}")
-    return violations + _check_limits(attempts_by_request, runs)
+    return violations + _check_limits(attempts_by_request, runs, accounts.limits)
 
 
 def _is_valid(key: Key, attempt: Attempt) -> bool:
@@ -46,30 +50,35 @@
     return violations
 
 
-def _check_limits(attempts_by_request: dict[str, Attempt], runs: list[Run]) -> list[str]:
-    """Return the accounts that sent and ran more requests in one window than allowed."""
+def _check_limits(
+    attempts_by_request: dict[str, Attempt], runs: list[Run], limits: dict[str, list[Limit]]
+) -> list[str]:
+    """Return the accounts of whose requests more ran in a window than allowed, one line each."""
+    spans: dict[str, list[Span]] = {account: [] for account in limits}
+    for run in runs:
+        attempt = attempts_by_request.get(run.request)
+        if attempt is not None and attempt.account in spans:
+            spans[attempt.account].append(Span(attempt.sent_at, run.began_at))
     violations = []
-    for account, (rate_per_s, burst) in LIMITS.items():
-        spans_by_request: dict[str, tuple[float, float]] = {}
-        for run in runs:
-            attempt = attempts_by_request.get(run.request)
-            if attempt is not None and attempt.account == account:
-                spans_by_request.setdefault(run.request, (attempt.sent_at, run.began_at))
-        allowed = RULES.most(rate_per_s, burst)
-        if rate_per_s and (highest := _max_in_window(list(spans_by_request.values()))) > allowed:
-            violations.append(
-                f"{account}: {highest} requests in {RULES.window_s} s, {allowed} allowed"
-            )
+    for account, runs_of_account in spans.items():
+        for window in windows(runs_of_account, RULES.window_s):
+            allowed = _allowed(limits[account], window)
+            if window.runs > allowed:
+                violations.append(
+                    f"{account}: {window.runs} runs in {RULES.window_s} s, {allowed} allowed"
+                )
+                break
     return violations
 
 
-def _max_in_window(spans: list[tuple[float, float]]) -> int:
-    """Return the highest number of requests that were both sent and received in one window."""
-    highest = 0
-    for start, _ in spans:
-        ends = sorted(end for begin, end in spans if begin >= start)
-        highest = max(highest, bisect_right(ends, start + RULES.window_s))
-    return highest
+def _allowed(limits: list[Limit], window: Window) -> float:
+    """Return the highest number of runs that a limit allows which may be in force in a window."""
+    in_force = [
+        limit.most
+        for limit in limits
+        if limit.from_at <= window.end_at and limit.until_at + OLD_LIMIT_S >= window.begin_at
+    ]
+    return max(in_force)
 
 
 __all__ = ["check_accounts"]
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -5,7 +5,7 @@
 import random
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -47,6 +47,8 @@
     ----------
     left_at : float or None
         When the store accepted that it leaves, in monotonic seconds.
+    loses_answer : callable
+        Returns whether the answer to the request that it runs now is lost.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         super().__init__(store, service, events, event_s)
         self.completed_at: dict[str, float] = {}
         self.left_at: float | None = None
+        self.loses_answer: Callable[[], bool] = lambda: False
         self.heartbeats: asyncio.Task | None = None
 
     def send_heartbeats(self, heartbeat_s: float) -> None:
@@ -100,6 +103,8 @@
         await super().stop()
 
     async def _run(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
+        if self.loses_answer():
+            return False
         completed = await super()._run(writer, request, body)
         if completed:
             self.completed_at[request] = time.monotonic()
@@ -139,6 +144,8 @@
 
     Attributes
     ----------
+    lost_share : float
+        Share of their answers that all servers lose.
     left_servers : list of SoakServer
         Servers that have left, with their runs.
     crashed_servers : list of SoakServer
@@ -159,6 +166,8 @@
         self.accounts = accounts
         self.fatal = fatal
         self.heartbeat_s = heartbeat_s
+        self.rng = random.Random(0)
+        self.lost_share = 0.0
         self.exits: set[asyncio.Task] = set()
         if accounts is not None:
             self.bounds = BOUNDS
@@ -246,8 +255,10 @@
         server.fatal = self.fatal
         server.crashed = lambda: self._replace_crashed(server, relay)
         server.register("ready")
-        if self.heartbeat_s and isinstance(server, SoakServer):
-            server.send_heartbeats(self.heartbeat_s)
+        if isinstance(server, SoakServer):
+            server.loses_answer = lambda: self.rng.random() < self.lost_share
+            if self.heartbeat_s:
+                server.send_heartbeats(self.heartbeat_s)
 
     async def replace_server(self, rng: random.Random, reports: bool = True) -> SoakServer | None:
         """Replace a random server by a new one; return the old server, which leaves.
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,9 @@
 
 REFUSAL_STATUSES = (429, 503)
 
+LOST_SHARE = (0.1, 0.6)
+"""Share of the answers that servers lose, the smallest and the largest."""
+
 MAX_STALL_S = 0.06
 """Longest time in seconds of a stall, or between stalls: about ten rounds of messages."""
 
@@ -91,6 +94,8 @@
             FaultKind.REVOKE: self._revoke,
             FaultKind.SERVER_DEREGISTERS: self._servers_deregister,
             FaultKind.STORE_REFUSES: self._store_refuses,
+            FaultKind.CHANGE_LIMIT: self._change_limits,
+            FaultKind.ANSWERS_LOST: self._lose_answers,
         }
 
     async def run(self, seconds: float) -> None:
@@ -403,6 +408,27 @@
         accounts.replace_key()
         self._write_configuration()
 
+    async def _change_limits(self, lasts_s: float) -> None:
+        """Change the limit of the limited account in a series."""
+        accounts = self.cluster.accounts
+        assert accounts is not None
+        occurrence = self._begin(FaultKind.CHANGE_LIMIT, "store")
+        for _ in range(self.rng.randint(1, 3)):
+            self.version += self.rng.randint(1, 5)
+            replaced = accounts.change_limit()
+            self._write_configuration()
+            replaced.until_at = time.monotonic()
+            await asyncio.sleep(self.rng.random() * lasts_s)
+        self._end(occurrence)
+
+    async def _lose_answers(self, lasts_s: float) -> None:
+        """Let all servers lose a share of their answers."""
+        occurrence = self._begin(FaultKind.ANSWERS_LOST, "servers")
+        self.cluster.lost_share = self.rng.uniform(*LOST_SHARE)
+        await asyncio.sleep(2 * lasts_s)
+        self.cluster.lost_share = 0.0
+        self._end(occurrence)
+
     def _write_configuration(self) -> None:
         accounts = self.cluster.accounts
         tenants = None if accounts is None else accounts.tenants()
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -35,6 +35,8 @@
     REVOKE = "an account's key is replaced by another"
     SERVER_DEREGISTERS = "servers leave without reporting it, serve on, and others come"
     STORE_REFUSES = "the store refuses some processes, again and again"
+    CHANGE_LIMIT = "an account's limit changes"
+    ANSWERS_LOST = "servers run requests and lose some of their answers"
 
 
 EVERYWHERE = "everywhere"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -61,6 +61,9 @@
         Number of concurrent callers whose requests end servers; it changes the run of a seed.
     accounts : bool
         Whether callers need the keys of client accounts.
+    pressing : int
+        Number of concurrent callers that keep the limited account at its limit; it changes the run
+        of a seed.
     heartbeat_s : float
         Interval in seconds at which servers renew their entries; 0 if they never do.
     restarts : bool
@@ -78,6 +81,7 @@
     flush_s: float = 0.001
     fatal: int = 2
     accounts: bool = False
+    pressing: int = 0
     heartbeat_s: float = HEARTBEAT_S
     restarts: bool = True
 
@@ -131,7 +135,7 @@
         supervisor = Supervisor(cluster, size.restarts)
         supervisor.start()
         workload_task = asyncio.gather(
-            callers.run(size.programs, size.plain),
+            callers.run(size.programs, size.plain, size.pressing),
             sub_agents.run(size.sub_agents),
             fatal.run(size.fatal),
         )
@@ -215,7 +219,7 @@
     ]
     violations = check(callers.attempts, runs)
     if cluster.accounts is not None:
-        violations += check_accounts(callers.attempts, runs, cluster.accounts.keys)
+        violations += check_accounts(callers.attempts, runs, cluster.accounts)
     entries = {attempt.request: attempt.entry for attempt in callers.attempts}
     ledgers = [node.name for node in cluster.ledgers]
     for server in cluster.left_servers:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,8 +13,8 @@
 
 from tests.platform_cluster import ORDER, ROUTE_S, STREAM
 from tests.prove.relay import ADDRESS, Relays
-from tests.soak.account_checks import check_accounts
-from tests.soak.accounts import FREE, LIMITED, LIMITS, REVOKE_S, RULES, Key
+from tests.soak.account_checks import OLD_LIMIT_S, check_accounts
+from tests.soak.accounts import FIRST_LIMIT, FREE, LIMITED, REVOKE_S, Accounts, Key, Limit
 from tests.soak.checks import UNDECIDED, answer_to_turn, check
 from tests.soak.cluster import SLOW_DISK, SoakServer
 from tests.soak.interrupted_turns import (
@@ -57,6 +57,7 @@
 LEDGER_SEED = 1001
 FAULT_FREE_SEED = 2
 ACCOUNTS_SEED = 3
+LIMITS_SEED = 1
 ACCOUNT_KINDS = (
     FaultKind.REVOKE,
     FaultKind.STORE_LINK,
@@ -65,6 +66,15 @@
     FaultKind.KILL_LEDGER,
     FaultKind.KILL_ALL,
 )
+LIMIT_KINDS = (
+    FaultKind.CHANGE_LIMIT,
+    FaultKind.ANSWERS_LOST,
+    FaultKind.KILL_LEDGER,
+    FaultKind.WIPE_LEDGER,
+    FaultKind.STOP_ENTRY,
+    FaultKind.STORE_LINK,
+    FaultKind.HUP,
+)
 SHORT_ACCOUNTS = Size(
     seconds=6.0,
     entries=3,
@@ -75,6 +85,7 @@
     accounts=True,
     fatal=0,
 )
+SHORT_LIMITS = msgspec.structs.replace(SHORT_ACCOUNTS, seconds=12.0, kinds=LIMIT_KINDS, pressing=8)
 LEDGERS = ("storage-0", "storage-1", "storage-2", "storage-3")
 HISTORIES = 2000
 SENT_AT, INTERRUPTED_AT = 100.0, 102.0
@@ -155,6 +166,11 @@
     ) -> None:
         await self.check(ACCOUNTS_SEED, SHORT_ACCOUNTS)
 
+    async def test_no_account_exceeds_its_limit_while_it_changes_and_answers_are_lost(
+        self,
+    ) -> None:
+        await self.check(LIMITS_SEED, SHORT_LIMITS)
+
     async def test_no_turn_is_interrupted_by_many_concurrent_sub_agents(self) -> None:
         outcome = await soak(FAULT_FREE_SEED, FAULT_FREE_SIZE, ARTIFACTS)
         self.assertEqual(outcome.violations, [])
@@ -389,10 +405,14 @@
         "new": Key(LIMITED, "new", 40.0),
     }
 
+    def setUp(self) -> None:
+        self.accounts = Accounts(random.Random(1))
+        self.accounts.keys = self.KEYS
+
     def violations(self, attempt: Attempt, **headers: str) -> list[str]:
         all_headers = {"x-waxwingglade-tenant": LIMITED, **headers}
         run = Run(attempt.request, "POST", attempt.path, all_headers, PROMPT, attempt.sent_at)
-        return check_accounts([attempt], [run], self.KEYS)
+        return check_accounts([attempt], [run], self.accounts)
 
     def test_a_correct_history_passes(self) -> None:
         attempt = order(key="old", account=LIMITED, sent_at=50.0 + REVOKE_S)
@@ -416,20 +436,39 @@
 
     def test_a_valid_key_is_not_denied(self) -> None:
         denied = order(key="new", account=LIMITED, sent_at=60.0, ended_at=60.1, status=401)
-        self.assertIn("401", check_accounts([denied], [], self.KEYS)[0])
+        self.assertIn("401", check_accounts([denied], [], self.accounts)[0])
         early = msgspec.structs.replace(denied, sent_at=41.0)
-        self.assertEqual([], check_accounts([early], [], self.KEYS))
+        self.assertEqual([], check_accounts([early], [], self.accounts))
 
     def test_no_window_exceeds_the_limit_wherever_it_begins(self) -> None:
-        allowed = RULES.most(*LIMITS[LIMITED])
+        allowed = int(FIRST_LIMIT.most)
         attempts = [
             order(request=f"r{number}", key="new", account=LIMITED, sent_at=60.0 + number * 1e-3)
             for number in range(allowed + 1)
         ]
         headers = {"x-waxwingglade-tenant": LIMITED}
         runs = [Run(each.request, "", "", headers, b"", each.sent_at) for each in attempts]
-        self.assertEqual([], check_accounts(attempts, runs[:allowed], self.KEYS))
-        self.assertIn("allowed", check_accounts(attempts, runs, self.KEYS)[0])
+        self.assertEqual([], check_accounts(attempts, runs[:allowed], self.accounts))
+        self.assertIn("allowed", check_accounts(attempts, runs, self.accounts)[0])
+
+    def test_each_run_of_a_request_counts(self) -> None:
+        attempt = order(key="new", account=LIMITED, sent_at=60.0)
+        headers = {"x-waxwingglade-tenant": LIMITED}
+        run = Run(attempt.request, "", "", headers, b"", 60.1)
+        allowed = int(FIRST_LIMIT.most)
+        self.assertEqual([], check_accounts([attempt], [run] * allowed, self.accounts))
+        self.assertIn("allowed", check_accounts([attempt], [run] * (allowed + 1), self.accounts)[0])
+
+    def test_the_highest_limit_that_may_be_in_force_is_allowed(self) -> None:
+        higher, lower = Limit(12.0, 6.0, until_at=100.0), Limit(6.0, 3.0, from_at=99.0)
+        self.accounts.limits[LIMITED] = [higher, lower]
+        for sent_at, allowed in ((100.0, higher.most), (100.1 + OLD_LIMIT_S, lower.most)):
+            attempt = order(key="new", account=LIMITED, sent_at=sent_at)
+            headers = {"x-waxwingglade-tenant": LIMITED}
+            runs = [Run(attempt.request, "", "", headers, b"", sent_at)] * (int(allowed) + 1)
+            with self.subTest(sent_at):
+                self.assertEqual([], check_accounts([attempt], runs[:-1], self.accounts))
+                self.assertIn("allowed", check_accounts([attempt], runs, self.accounts)[0])
 
 
 if __name__ == "__main__":
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -23,6 +23,7 @@
 """Timeout of a request in seconds; longer than the routes' timeout of 5 s."""
 
 MAX_PAUSE_S = 0.15
+MAX_PRESS_PAUSE_S = 0.03
 NO_ANSWER = 0
 
 
@@ -75,13 +76,18 @@
         self.rng = rng
         self.attempts: list[Attempt] = []
         self.numbers = itertools.count(1)
+        self.press_numbers = itertools.count(1)
         self.idle_connections: dict[str, list[Http1Connection]] = {}
         self.stopping = False
 
-    async def run(self, programs: int, plain: int) -> None:
-        """Run callers concurrently until `stopping` is set."""
+    async def run(self, programs: int, plain: int, pressing: int = 0) -> None:
+        """Run callers concurrently until `stopping` is set.
+
+        The `pressing` ones keep the limited account at its limit.
+        """
         tasks = [self._programs(index) for index in range(programs)]
         tasks += [self._plain_calls() for _ in range(plain)]
+        tasks += [self._press() for _ in range(pressing)]
         await asyncio.gather(*tasks)
 
     async def _programs(self, index: int) -> None:
@@ -114,6 +120,14 @@
             await self.send(path, body, account=self.draw_account())
             await asyncio.sleep(self.rng.random() * MAX_PAUSE_S)
 
+    async def _press(self) -> None:
+        """Send requests of the limited account, as many as it is granted and more."""
+        while not self.stopping:
+            path = self.rng.choice([CALL, CALL, STREAM])
+            number = next(self.press_numbers)
+            await self.send(path, f"press {number}".encode(), account=LIMITED)
+            await asyncio.sleep(self.rng.random() * MAX_PRESS_PAUSE_S)
+
     def draw_account(self) -> str:
         """Return a random account for a program or call, or empty if callers need no keys."""
         accounts = self.cluster.accounts
