Let quota shares see each set of members that a process knows

Callers could see: an account with more than its limit after several changes of members in a row. Cause: the shares were computed from the view at the next request or 0.1 s later, so a set that was replaced by then was never seen: a member that left and joined in between went on to grant, and a restarted member did not allow for sets that it had missed. Change: each new view updates the shares, and a process begins with the set on its disk.

--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -284,7 +284,7 @@
             self._take_watched()
             self.cached_view.drop_expired()
             self._adopt_members(self.cached_view.view.replicas)
-            self.quotas.update_from_view()
+            self.quotas.record_state()
             if self.membership.quorum != reported:
                 reported = self.membership.quorum
                 self.cached_view.notify()
--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -12,7 +12,7 @@
 from waxwingglade.decisions.quota import Grants, QuotaRules, decide
 from waxwingglade.decisions.quota_share import QuotaShare, QuotaShareRules
 from waxwingglade.follow.feed import CachedView
-from waxwingglade.follow.model import ClientAccount, ClientAccountId, View
+from waxwingglade.follow.model import ClientAccount, ClientAccountId, ReplicaSet, View
 from waxwingglade.ledger.messages import (
     BeginProgram,
     Grant,
@@ -88,12 +88,13 @@
         self.clock = clock
         self.vm = vm
         self.quota_share = QuotaShare(self.quota_share_rules, replica.disk)
-        self.view: View | None = None
         self.accounts: dict[ClientAccountId, ClientAccount] = {}
         self.program_length = ProgramLength()
         self.starts: dict[ClientAccountId, ProgramStarts] = {}
         self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
         self.usage = QuotaLog(rules.window_s, clock)
+        # Each set counts, also one that is replaced before the next request.
+        cached_view.listeners.append(self._apply_view)
 
     def open(self) -> None:
         """Restore the state from the disk."""
@@ -101,6 +102,8 @@
         self.quota_share = QuotaShare(
             self.quota_share_rules, self.replica.disk, joined_before, self.replica.largest_set
         )
+        self._update_members(self.replica.replicas)
+        self._apply_view(self.cached_view.view)
 
     async def take(self, message: TakeQuota) -> QuotaTaken | QuotaSpent | Unavailable:
         """Count a request that is not the begin of a turn; return once the grant is durable."""
@@ -130,7 +133,6 @@
 
     def _account(self, client: ClientAccountId) -> ClientAccount | Unavailable:
         """Return a client account, or the reason why it is unavailable."""
-        self._update_view()
         if self.cached_view.incomplete_s > MAX_VIEW_AGE_S:
             return Unavailable("limits were confirmed too long ago")
         return self.accounts.get(client) or Unavailable("the client account is not known")
@@ -158,7 +160,8 @@
         if not grants.recently_refused(now):
             # Programs that were refused end early, and would bias the average length.
             self.program_length.record(is_first)
-        grant = Grant(self.vm, self.view.version, self.quota_share.epoch, share, len(grants.times))
+        version = self.cached_view.view.version
+        grant = Grant(self.vm, version, self.quota_share.epoch, share, len(grants.times))
         return Granted(now, self.replica.record_grant(client, now), grant)
 
     @property
@@ -172,20 +175,20 @@
             self.replica.grants[client].give_back(granted.at)
             self.usage.record_returned(client)
 
-    def update_from_view(self) -> None:
-        """Update members and accounts from the view, and store what must survive a restart."""
-        self._update_view()
+    def record_state(self) -> None:
+        """Store what must survive a restart, and log the usage of limits."""
         self.usage.write_if_due()
         if self.cached_view.view.replicas.epoch:
             self._store_counting(self.clock())
 
-    def _update_view(self) -> None:
-        view = self.cached_view.view
-        if view is self.view:
-            return
-        self.view = view
-        members = [member.disk for member in view.replicas.members]
-        self.quota_share.update_members(view.replicas.epoch, members, self.clock())
+    def _update_members(self, replicas: ReplicaSet) -> None:
+        members = [member.disk for member in replicas.members]
+        if replicas.epoch:
+            self.quota_share.update_members(replicas.epoch, members, self.clock())
+
+    def _apply_view(self, view: View) -> None:
+        """Update members and accounts from a new view."""
+        self._update_members(view.replicas)
         accounts = (view.configuration.accounts if view.configuration else None) or ()
         self.accounts = {account.name: account for account in reversed(accounts)}
 
@@ -201,7 +204,7 @@
                 account=account.name,
                 rate_per_s=account.rate_per_s,
                 burst=account.burst,
-                version=self.view.version,
+                version=self.cached_view.view.version,
                 epoch=self.quota_share.epoch,
                 part=share,
                 granted=len(grants.times),
--- a/waxwingglade/ledger/tests/test_quotas.py
+++ b/waxwingglade/ledger/tests/test_quotas.py
@@ -97,7 +97,7 @@
         """Give members the current view."""
         for counter in counters:
             counter.cached_view.merge(self.view, self.now, self.now)
-            counter.quotas.update_from_view()
+            counter.quotas.record_state()
 
     async def take_all(self, counter: Counter) -> int:
         """Take grants of a member until it refuses; return their number."""
@@ -169,6 +169,26 @@
         self.update_views(*self.counters)
         self.assertGreater(await self.take_all(wiped), 0)
 
+    async def test_a_member_that_left_and_joined_between_two_requests_grants_nothing(self) -> None:
+        first, *others = self.counters
+        self.assertGreater(await self.take_all(first), 0)
+        self.now += RULES.window_s
+        remaining = tuple(counter.member for counter in others)
+        for epoch, members in ((2, remaining), (3, (first.member, *remaining))):
+            self.view = View(configured(), replicas=ReplicaSet(epoch, members, True))
+            first.cached_view.merge(self.view, self.now, self.now)
+        self.assertEqual(0, await self.take_all(first))
+
+    async def test_a_restarted_member_allows_for_a_larger_set_while_it_was_down(self) -> None:
+        first = self.counters[0]
+        await first.replica.adopt_members(self.view.replicas)
+        await first.replica.stop()
+        first.cached_view = CachedView(lambda: self.now)
+        first.start()
+        self.view = View(configured(), replicas=ReplicaSet(3, self.view.replicas.members, True))
+        first.cached_view.merge(self.view, self.now, self.now)
+        self.assertEqual(MOST // 4, await self.take_all(first))
+
     async def test_a_lower_limit_holds_at_once_and_a_removed_limit_grants_all(self) -> None:
         self.now += 2 * MAX_VIEW_AGE_S
         self.update_views(*self.counters)
