Let a member that restarts during the first start of the system wait like any other

Callers could see: an account with more than its limit in the first seconds of a system. Cause: settings that still say that the system starts for the first time made a restarted process grant at once, though it had joined only seconds before and a member with an older set might still grant the same share. Change: the settings count only while the disk knows no set of members. Measured: the new test failed before (18 requests granted instead of none) and passes.

--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -98,7 +98,9 @@
 
     def open(self) -> None:
         """Restore the state from the disk."""
-        joined_before = self.bootstrap or self.replica.counts
+        # The settings may still say so when a process restarts that has joined meanwhile.
+        is_first_start = self.bootstrap and not self.replica.replicas.epoch
+        joined_before = is_first_start or self.replica.counts
         self.quota_share = QuotaShare(
             self.quota_share_rules, self.replica.disk, joined_before, self.replica.largest_set
         )
--- a/waxwingglade/ledger/tests/test_quotas.py
+++ b/waxwingglade/ledger/tests/test_quotas.py
@@ -189,6 +189,18 @@
         first.cached_view.merge(self.view, self.now, self.now)
         self.assertEqual(MOST // 4, await self.take_all(first))
 
+    async def test_a_restart_during_the_first_start_does_not_shorten_the_wait(self) -> None:
+        joined = Counter(self, "vm-3", bootstrap=True)
+        self.counters.append(joined)
+        members = (*self.view.replicas.members, joined.member)
+        for epoch, present in ((2, members[:3]), (3, members)):
+            self.view = View(configured(), replicas=ReplicaSet(epoch, present, True))
+            self.update_views(*self.counters)
+        await joined.replica.adopt_members(self.view.replicas)
+        await joined.replica.stop()
+        joined.start(bootstrap=True)
+        self.assertEqual(0, await self.take_all(joined))
+
     async def test_a_lower_limit_holds_at_once_and_a_removed_limit_grants_all(self) -> None:
         self.now += 2 * MAX_VIEW_AGE_S
         self.update_views(*self.counters)
