Let limit runs of the soak stay at their limits, and report how near they came

Cause: with all kinds of faults at their usual rate the account with a limit reached 6 of 10 and 16 of 22 runs in its fullest window, so such runs say nothing of its limit.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,11 +8,23 @@
 import msgspec
 import typer
 
-from tests.soak.kinds import EARLIER_KINDS, FIRST_KINDS, LEAVING_KINDS, LEDGER_KINDS, FaultKind
+from tests.soak.kinds import (
+    EARLIER_KINDS,
+    FIRST_KINDS,
+    LEAVING_KINDS,
+    LEDGER_KINDS,
+    LIMIT_KINDS,
+    FaultKind,
+)
 from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
 from tests.soak.run import FAULT_FREE_SIZE, Size, soak
 
 ARTIFACTS = Path("runs/soak")
+LOST_SHARE = 0.2
+"""Share of their answers that servers lose in runs with accounts."""
+
+LIMIT_FAULTS_PER_S = 0.4
+
 LEDGER_SIZE = Size(entries=4, programs=24, kinds=LEDGER_KINDS, fatal=0)
 """Many programs, so that many turns are in progress while the ledger does not answer."""
 
@@ -44,6 +56,12 @@
     accounts: Annotated[
         bool, typer.Option(help="callers need keys, which are replaced; some have a limit")
     ] = False,
+    limits: Annotated[
+        bool,
+        typer.Option(
+            help="accounts at their limits, and only faults between which they stay there"
+        ),
+    ] = False,
     pressing: Annotated[
         int, typer.Option(help="callers at a time that keep the account with a limit at it")
     ] = 8,
@@ -63,10 +81,16 @@
     size = Size(seconds, entries, programs, sub_agents=swarms, fatal=fatal)
     if machine_disk:
         size = msgspec.structs.replace(size, flush_s=0.0)
-    if accounts:
+    if accounts or limits:
         size = msgspec.structs.replace(
-            size, accounts=True, pressing=pressing, kinds=tuple(FaultKind)
+            size,
+            accounts=True,
+            pressing=pressing,
+            lost_share=LOST_SHARE,
+            kinds=tuple(FaultKind),
         )
+    if limits:
+        size = msgspec.structs.replace(size, kinds=LIMIT_KINDS, faults_per_s=LIMIT_FAULTS_PER_S)
     if leaving:
         size = msgspec.structs.replace(size, kinds=LEAVING_KINDS)
     if ledger:
@@ -99,9 +123,11 @@
         outcome = asyncio.run(soak(seed, run_size, ARTIFACTS))
         failed += bool(outcome.violations)
         suffix = "" if run_size.restarts else " without restarts"
+        usage = outcome.usage
+        at_limit = f"{usage.runs} of {usage.allowed:.0f} runs in a window, " if usage else ""
         print(
             f"seed {seed}{suffix}: {outcome.requests} requests, {outcome.served} served, "
-            f"{outcome.faults} faults, {outcome.ended} servers ended, "
+            f"{outcome.faults} faults, {outcome.ended} servers ended, {at_limit}"
             f"{len(outcome.violations)} broken",
             flush=True,
         )
--- a/tests/soak/account_checks.py
+++ b/tests/soak/account_checks.py
@@ -1,6 +1,8 @@
 """Checks of client accounts on the requests that callers sent and servers ran."""
 
-from tests.soak.accounts import REVOKE_S, RULES, Accounts, Key, Limit
+import msgspec
+
+from tests.soak.accounts import LIMITED, REVOKE_S, RULES, Accounts, Key, Limit
 from tests.soak.workload import Attempt
 from tests.windows import Span, Window, windows
 from waxwingglade.platform.headers import ACCOUNT
@@ -14,6 +16,13 @@
 """Seconds for which a limit that was replaced may still be in force somewhere."""
 
 
+class Usage(msgspec.Struct, frozen=True):
+    """Number of runs in one window, and the number that is allowed."""
+
+    runs: int
+    allowed: float
+
+
 def check_accounts(attempts: list[Attempt], runs: list[Run], accounts: Accounts) -> list[str]:
     """Return the violations of guarantees about client accounts, one line each."""
     keys = accounts.keys
@@ -54,23 +63,36 @@
     attempts_by_request: dict[str, Attempt], runs: list[Run], limits: dict[str, list[Limit]]
 ) -> list[str]:
     """Return the accounts of whose requests more ran in a window than allowed, one line each."""
-    spans: dict[str, list[Span]] = {account: [] for account in limits}
-    for run in runs:
-        attempt = attempts_by_request.get(run.request)
-        if attempt is not None and attempt.account in spans:
-            spans[attempt.account].append(Span(attempt.sent_at, run.began_at))
     violations = []
-    for account, runs_of_account in spans.items():
-        for window in windows(runs_of_account, RULES.window_s):
-            allowed = _allowed(limits[account], window)
-            if window.runs > allowed:
-                violations.append(
-                    f"{account}: {window.runs} runs in {RULES.window_s} s, {allowed} allowed"
-                )
-                break
+    for account, account_limits in limits.items():
+        usage = _highest_usage(account, account_limits, attempts_by_request, runs)
+        if usage.runs > usage.allowed:
+            violations.append(
+                f"{account}: {usage.runs} runs in {RULES.window_s} s, {usage.allowed} allowed"
+            )
     return violations
 
 
+def limited_usage(attempts: list[Attempt], runs: list[Run], accounts: Accounts) -> Usage:
+    """Return the window in which the limited account came nearest to its limit."""
+    attempts_by_request = {attempt.request: attempt for attempt in attempts}
+    return _highest_usage(LIMITED, accounts.limits[LIMITED], attempts_by_request, runs)
+
+
+def _highest_usage(
+    account: str, limits: list[Limit], attempts_by_request: dict[str, Attempt], runs: list[Run]
+) -> Usage:
+    spans = []
+    for run in runs:
+        attempt = attempts_by_request.get(run.request)
+        if attempt is not None and attempt.account == account:
+            spans.append(Span(attempt.sent_at, run.began_at))
+    usages = [
+        Usage(window.runs, _allowed(limits, window)) for window in windows(spans, RULES.window_s)
+    ]
+    return max(usages, key=lambda usage: usage.runs / usage.allowed, default=Usage(0, 1.0))
+
+
 def _allowed(limits: list[Limit], window: Window) -> float:
     """Return the highest number of runs that a limit allows which may be in force in a window."""
     in_force = [
@@ -81,4 +103,4 @@
     return max(in_force)
 
 
-__all__ = ["check_accounts"]
+__all__ = ["OLD_LIMIT_S", "Usage", "check_accounts", "limited_usage"]
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -144,8 +144,8 @@
 
     Attributes
     ----------
-    lost_share : float
-        Share of their answers that all servers lose.
+    lost_shares : list of float
+        Shares of their answers that all servers lose at present; the largest one counts.
     left_servers : list of SoakServer
         Servers that have left, with their runs.
     crashed_servers : list of SoakServer
@@ -167,7 +167,7 @@
         self.fatal = fatal
         self.heartbeat_s = heartbeat_s
         self.rng = random.Random(0)
-        self.lost_share = 0.0
+        self.lost_shares: list[float] = []
         self.exits: set[asyncio.Task] = set()
         if accounts is not None:
             self.bounds = BOUNDS
@@ -256,7 +256,7 @@
         server.crashed = lambda: self._replace_crashed(server, relay)
         server.register("ready")
         if isinstance(server, SoakServer):
-            server.loses_answer = lambda: self.rng.random() < self.lost_share
+            server.loses_answer = lambda: self.rng.random() < max(self.lost_shares, default=0.0)
             if self.heartbeat_s:
                 server.send_heartbeats(self.heartbeat_s)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,7 @@
 
 REFUSAL_STATUSES = (429, 503)
 
+USUAL_PER_S = 1.2
 LOST_SHARE = (0.1, 0.6)
 """Share of the answers that servers lose, the smallest and the largest."""
 
@@ -98,8 +99,8 @@
             FaultKind.ANSWERS_LOST: self._lose_answers,
         }
 
-    async def run(self, seconds: float) -> None:
-        """Begin faults for some seconds, then wait until all have ended.
+    async def run(self, seconds: float, per_s: float = USUAL_PER_S) -> None:
+        """Begin `per_s` faults per second for some seconds, then wait until all have ended.
 
         Without any kinds of faults, only wait for these seconds.
         """
@@ -111,7 +112,7 @@
         while time.monotonic() < end_at:
             action = self.actions[self.rng.choice(self.kinds)]
             tasks.append(asyncio.create_task(action(self.rng.uniform(0.3, 3.0))))
-            await asyncio.sleep(self.rng.expovariate(1.2))
+            await asyncio.sleep(self.rng.expovariate(per_s))
         await asyncio.gather(*tasks)
 
     def stop(self) -> None:
@@ -424,9 +425,10 @@
     async def _lose_answers(self, lasts_s: float) -> None:
         """Let all servers lose a share of their answers."""
         occurrence = self._begin(FaultKind.ANSWERS_LOST, "servers")
-        self.cluster.lost_share = self.rng.uniform(*LOST_SHARE)
+        share = self.rng.uniform(*LOST_SHARE)
+        self.cluster.lost_shares.append(share)
         await asyncio.sleep(2 * lasts_s)
-        self.cluster.lost_share = 0.0
+        self.cluster.lost_shares.remove(share)
         self._end(occurrence)
 
     def _write_configuration(self) -> None:
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -66,6 +66,18 @@
 )
 """Faults that keep the ledger from answering in time."""
 
+LIMIT_KINDS = (
+    *(FaultKind.CHANGE_LIMIT, FaultKind.ANSWERS_LOST) * 2,
+    FaultKind.KILL_LEDGER,
+    FaultKind.KILL_ALL,
+    FaultKind.WIPE_LEDGER,
+    FaultKind.STOP_ENTRY,
+    FaultKind.STORE_LINK,
+    FaultKind.STORE_REFUSES,
+    FaultKind.HUP,
+)
+"""Faults between which an account still reaches its limit, if there are few of them."""
+
 
 class FaultOccurrence(msgspec.Struct):
     """One occurrence of a fault.
@@ -105,6 +117,7 @@
     "FIRST_KINDS",
     "LEAVING_KINDS",
     "LEDGER_KINDS",
+    "LIMIT_KINDS",
     "USUAL_KINDS",
     "FaultKind",
     "FaultOccurrence",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from tests.platform_cluster import HEARTBEAT_S, ORDER, STREAM, Node
-from tests.soak.account_checks import check_accounts
+from tests.soak.account_checks import Usage, check_accounts, limited_usage
 from tests.soak.accounts import RULES, Accounts
 from tests.soak.checks import check
 from tests.soak.cluster import SoakCluster
@@ -20,13 +20,14 @@
     check_fatal_requests,
     ends_of,
 )
-from tests.soak.faults import Faults
+from tests.soak.faults import USUAL_PER_S, Faults
 from tests.soak.interrupted_turns import Completion, check_completed_turns, check_ledger_refusals
 from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind
 from tests.soak.leaving_targets import check_left
 from tests.soak.sub_agents import SubAgents
 from tests.soak.supervisor import Supervisor
 from tests.soak.workload import NO_ANSWER, Attempt, Callers
+from waxwingglade.standins.registered_server import Run
 
 RECOVERY_S = 15.0
 """Seconds after the last fault within which every entry has to serve turns again."""
@@ -64,6 +65,10 @@
     pressing : int
         Number of concurrent callers that keep the limited account at its limit; it changes the run
         of a seed.
+    faults_per_s : float
+        Mean number of faults that begin in a second; it changes the run of a seed.
+    lost_share : float
+        Share of their answers that servers lose throughout; it changes the run of a seed.
     heartbeat_s : float
         Interval in seconds at which servers renew their entries; 0 if they never do.
     restarts : bool
@@ -82,6 +87,8 @@
     fatal: int = 2
     accounts: bool = False
     pressing: int = 0
+    lost_share: float = 0.0
+    faults_per_s: float = USUAL_PER_S
     heartbeat_s: float = HEARTBEAT_S
     restarts: bool = True
 
@@ -101,7 +108,15 @@
 
 
 class Outcome(msgspec.Struct):
-    """Result of a run; `ended` is the number of servers that ended under requests."""
+    """Result of a run.
+
+    Parameters
+    ----------
+    ended : int
+        Number of servers that ended under requests.
+    usage : Usage or None
+        The window in which the limited account came nearest to its limit; None without accounts.
+    """
 
     seed: int
     violations: list[str]
@@ -109,6 +124,7 @@
     served: int
     faults: int
     ended: int = 0
+    usage: Usage | None = None
 
 
 async def soak(seed: int, size: Size, artifacts: Path | None = None) -> Outcome:
@@ -128,6 +144,7 @@
     cluster = SoakCluster(size.entries, size.spares, size.flush_s, accounts, size.heartbeat_s, mark)
     try:
         await cluster.open()
+        cluster.lost_shares.append(size.lost_share)
         callers = Callers(cluster, random.Random(seed))
         sub_agents = SubAgents(callers, random.Random(seed + 2_000_000))
         fatal = FatalCallers(callers, random.Random(seed + 4_000_000))
@@ -139,7 +156,8 @@
             sub_agents.run(size.sub_agents),
             fatal.run(size.fatal),
         )
-        await faults.run(size.seconds)
+        await faults.run(size.seconds, size.faults_per_s)
+        cluster.lost_shares.remove(size.lost_share)
         if accounts is not None:
             accounts.only_current = True
         violations = faults.violations
@@ -158,7 +176,9 @@
         await cluster.shut()
     served = sum(attempt.status == 200 and attempt.whole for attempt in callers.attempts)
     ended = len(ends_of(cluster.all_servers()))
-    return Outcome(seed, violations, len(callers.attempts), served, len(faults.occurrences), ended)
+    requests, occurred = len(callers.attempts), len(faults.occurrences)
+    usage = limited_usage(callers.attempts, _runs(cluster), accounts) if accounts else None
+    return Outcome(seed, violations, requests, served, occurred, ended, usage)
 
 
 async def _check_recovery(cluster: SoakCluster, callers: Callers, faults: Faults) -> list[str]:
@@ -208,15 +228,20 @@
     return violations
 
 
-def _check_histories(
-    cluster: SoakCluster, callers: Callers, faults: Faults, works: list[FatalWork]
-) -> list[str]:
-    runs = [
+def _runs(cluster: SoakCluster) -> list[Run]:
+    """Return the runs of the callers' requests at all servers."""
+    return [
         run
         for server in cluster.all_servers()
         for run in server.runs
         if not run.request.startswith("request-")
     ]
+
+
+def _check_histories(
+    cluster: SoakCluster, callers: Callers, faults: Faults, works: list[FatalWork]
+) -> list[str]:
+    runs = _runs(cluster)
     violations = check(callers.attempts, runs)
     if cluster.accounts is not None:
         violations += check_accounts(callers.attempts, runs, cluster.accounts)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -28,6 +28,7 @@
     EVERYWHERE,
     LEAVING_KINDS,
     LEDGER_KINDS,
+    LIMIT_KINDS,
     FaultKind,
     FaultOccurrence,
 )
@@ -66,15 +67,6 @@
     FaultKind.KILL_LEDGER,
     FaultKind.KILL_ALL,
 )
-LIMIT_KINDS = (
-    FaultKind.CHANGE_LIMIT,
-    FaultKind.ANSWERS_LOST,
-    FaultKind.KILL_LEDGER,
-    FaultKind.WIPE_LEDGER,
-    FaultKind.STOP_ENTRY,
-    FaultKind.STORE_LINK,
-    FaultKind.HUP,
-)
 SHORT_ACCOUNTS = Size(
     seconds=6.0,
     entries=3,
@@ -85,7 +77,14 @@
     accounts=True,
     fatal=0,
 )
-SHORT_LIMITS = msgspec.structs.replace(SHORT_ACCOUNTS, seconds=12.0, kinds=LIMIT_KINDS, pressing=8)
+SHORT_LIMITS = msgspec.structs.replace(
+    SHORT_ACCOUNTS,
+    seconds=15.0,
+    kinds=LIMIT_KINDS,
+    pressing=8,
+    lost_share=0.3,
+    faults_per_s=0.4,
+)
 LEDGERS = ("storage-0", "storage-1", "storage-2", "storage-3")
 HISTORIES = 2000
 SENT_AT, INTERRUPTED_AT = 100.0, 102.0
