Let the limit of an account travel with each request, so that a member with an old view cannot exceed it

Cause: members granted by the limits of a view that may be 5 s old, while entries have a changed limit within 2 to 3 s; an account that had had no limit was not counted at all for that long. Evidence: real entries and ledger processes, the store refuses the ledger processes only, the limit is lowered, two seconds later the account is pressed: 39 runs in a window where 10 are allowed, and 522 and 602 for an account that had no limit before, by request ids. Change: entries send the limit that they know, and its version, with each request; the newest one that a member has heard of holds. No request is refused for it, and a new account is granted at a member that does not know it yet.

--- a/tests/limited_accounts.py
+++ b/tests/limited_accounts.py
@@ -11,7 +11,7 @@
 from tests.windows import Span, windows
 from waxwingglade.base import WaxwinggladeError
 from waxwingglade.decisions.quota import QuotaRules
-from waxwingglade.standins.metadata_store import MetadataStore
+from waxwingglade.standins.metadata_store import MetadataStore, Refusal
 from waxwingglade.standins.registered_server import RegisteredServer, Run, ServerFault
 
 RESUMED = "/resumed/"
@@ -76,6 +76,25 @@
 
     def __init__(self, entries: int = 3) -> None:
         super().__init__(entries=entries)
+        self.version = 3
+        self.configure(RATE_PER_S, BURST)
+        rng = random.Random(1)
+        self.engines = [LossyServer(self.store, "engines", 4, rng) for _ in range(SERVERS)]
+        self.notes = [LossyServer(self.store, "notes", 0, rng) for _ in range(SERVERS)]
+        self.sent_at: dict[str, float] = {}
+        self.statuses: list[int] = []
+
+    def store_address(self, node: str) -> str:
+        """Return the address of the store, which differs for entries and ledger processes."""
+        host = "localhost" if node.startswith("storage") else "127.0.0.1"
+        return f"{host}:{self.store.address.rpartition(':')[2]}"
+
+    def refuse_ledgers(self) -> Refusal:
+        """Let the store refuse all ledger processes from now on, and serve the entries."""
+        return self.store.refuse({self.store_address(node.name) for node in self.ledgers}, 503)
+
+    def configure(self, rate_per_s: float, burst: float) -> None:
+        """Write a configuration with another limit of the account to the store."""
         resumed = {
             "name": "resumed",
             "host": HOST,
@@ -86,12 +105,9 @@
             "resumable": True,
             "timeout_ms": 5000,
         }
-        self.store.put("op/config", configuration(4, [resumed], self.tenants))
-        rng = random.Random(1)
-        self.engines = [LossyServer(self.store, "engines", 4, rng) for _ in range(SERVERS)]
-        self.notes = [LossyServer(self.store, "notes", 0, rng) for _ in range(SERVERS)]
-        self.sent_at: dict[str, float] = {}
-        self.statuses: list[int] = []
+        self.version += 1
+        tenants = [{**self.tenants[0], "rate_per_s": rate_per_s, "burst": burst}]
+        self.store.put("op/config", configuration(self.version, [resumed], tenants))
 
     async def start(self) -> None:
         """Start everything, and wait until all members grant their shares of the limit."""
--- a/waxwingglade/ingress/quota.py
+++ b/waxwingglade/ingress/quota.py
@@ -9,7 +9,7 @@
 from waxwingglade.ingress.send_grants import SendGrants
 from waxwingglade.ingress.serving import Serving
 from waxwingglade.ledger.client import LedgerClient
-from waxwingglade.ledger.messages import QuotaSpent, QuotaTaken, Unavailable
+from waxwingglade.ledger.messages import QuotaSpent, QuotaTaken, TakeQuota, Unavailable
 
 MAX_QUOTA_WAIT_S = 0.5
 """Maximum time in seconds for which a request of a running program waits for quota.  The caller of
@@ -23,12 +23,13 @@
 
 def send_grants(serving: Serving, ledger: LedgerClient) -> SendGrants:
     """Return the grants of a call, none of them taken yet."""
-    account = serving.account
-    if account is None or account.rate_per_s <= 0:
+    account, limit = serving.account, serving.limit
+    if account is None or limit is None or limit.rate_per_s <= 0:
         return SendGrants(None)
+    message = TakeQuota(account.name, limit)
 
     async def take() -> QuotaTaken | QuotaSpent | Unavailable:
-        answer = await ledger.quotas.take(account.name, serving.time_left())
+        answer = await ledger.quotas.take(message, serving.time_left())
         if isinstance(answer, QuotaTaken):
             serving.record_grant(answer.grant)
         return answer
--- a/waxwingglade/ingress/serving.py
+++ b/waxwingglade/ingress/serving.py
@@ -31,7 +31,7 @@
 )
 from waxwingglade.ingress.routes import RouteTable
 from waxwingglade.ingress.send_grants import NoGrant
-from waxwingglade.ledger.messages import Grant, TurnId
+from waxwingglade.ledger.messages import AccountLimit, Grant, TurnId
 from waxwingglade.transport import ConnectionBroken
 
 AUTHORIZATION = "Authorization"
@@ -91,7 +91,7 @@
 
 
 class Serving(msgspec.Struct):
-    """One call, with its route, service, account and deadline."""
+    """One call, with its route, service, deadline, account and the limit of the account."""
 
     exchange: Exchange
     call: Call
@@ -100,6 +100,7 @@
     trace: Trace
     end_at: float
     account: ClientAccount | None = None
+    limit: AccountLimit | None = None
 
     def time_left(self) -> float:
         """Return the seconds that are left for a target to answer."""
@@ -144,7 +145,7 @@
     if route is None:
         raise Refusal(NOT_FOUND, "no route")
     trace.route = route.name
-    account = None
+    account, limit = None, None
     if table.accounts is None:
         # Without accounts the header is passed on to the target.
         call.headers += [(AUTHORIZATION, value) for value in call.credentials]
@@ -152,6 +153,7 @@
         account = identify(table.accounts, call)
     if account is not None:
         trace.account = call.account = account.name
+        limit = AccountLimit.of(account, table.configuration)
         if account.rank is not None:
             route = msgspec.structs.replace(route, rank=account.rank)
     key = call.program or call.affinity or call.request
@@ -161,7 +163,7 @@
     if call.deadline_s is not None:
         seconds = min(seconds, call.deadline_s)
     end_at = exchange.arrived_at + seconds
-    return Serving(exchange, call, route, service, trace, end_at, account)
+    return Serving(exchange, call, route, service, trace, end_at, account, limit)
 
 
 Priority = Callable[[Serving], int | None]
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -196,6 +196,7 @@
         call.account,
         _is_first_stored_turn(serving),
         confirms=True,
+        limit=serving.limit,
     )
     requested_at = time.monotonic()
     try:
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -32,6 +32,7 @@
     Grant,
     QuotaSpent,
     QuotaTaken,
+    TakeQuota,
     Turn,
     TurnBegun,
     Unavailable,
@@ -226,9 +227,9 @@
         """The limits of client accounts."""
         return self
 
-    async def take(self, client: ClientAccountId, timeout_s: float) -> QuotaTaken | QuotaSpent:
+    async def take(self, message: TakeQuota, timeout_s: float) -> QuotaTaken | QuotaSpent:
         """Grant a request."""
-        self.taken.append(client)
+        self.taken.append(message.client)
         return self.spent or QuotaTaken(GRANT)
 
     async def begin_program(self, client: ClientAccountId) -> QuotaSpent | None:
--- a/waxwingglade/ledger/client.py
+++ b/waxwingglade/ledger/client.py
@@ -25,6 +25,7 @@
     NoteEnd,
     QuotaSpent,
     QuotaTaken,
+    TakeQuota,
     TurnBegun,
     TurnConfirmed,
     TurnEnded,
@@ -153,7 +154,9 @@
                 # This member's quota share is used up; another member may still grant the turn.
                 assert message.client is not None
                 others = [each for each in self._in_order(message) if each.vm != asked[-1].replica]
-                answer = await self.quotas.take_from(others, message.client, answer, end_at)
+                answer = await self.quotas.take_from(
+                    others, TakeQuota(message.client, message.limit), answer, end_at
+                )
                 if isinstance(answer, QuotaTaken):
                     counted = msgspec.structs.replace(message, is_counted=True)
                     grant = answer.grant
--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -6,7 +6,13 @@
 
 from waxwingglade.base import Fingerprint, ProgramId
 from waxwingglade.follow.messages import Follow, Followed, FollowSuspects, Message, SuspectList
-from waxwingglade.follow.model import ClientAccountId, IncarnationName, ReplicaSet
+from waxwingglade.follow.model import (
+    ClientAccount,
+    ClientAccountId,
+    Configuration,
+    IncarnationName,
+    ReplicaSet,
+)
 from waxwingglade.ledger.target_failures import NO_FAILURES, TargetFailures
 
 TurnId = NewType("TurnId", str)
@@ -106,6 +112,34 @@
 # From entries
 
 
+class AccountLimit(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """Limit of a client account in one configuration; a newer configuration compares greater.
+
+    Parameters
+    ----------
+    version : int
+        Version of the configuration.
+    revision : int
+        Revision of the store that wrote the configuration.
+    rate_per_s : float
+        Requests per second over all entries; 0 for no limit.
+    burst : float
+        Requests on top of the rate in any window.
+    """
+
+    version: int
+    revision: int
+    rate_per_s: float
+    burst: float
+
+    @staticmethod
+    def of(account: ClientAccount, configuration: Configuration) -> "AccountLimit":
+        """Return the limit of an account in a configuration."""
+        return AccountLimit(
+            configuration.version, configuration.revision, account.rate_per_s, account.burst
+        )
+
+
 class BeginTurn(Message):
     """Reserve a turn's tokens, and return the chain that the turn continues.
 
@@ -127,6 +161,8 @@
         Whether the turn was already granted within the client account's limit.
     confirms : bool
         Whether the entry confirms the reservation before its caller receives any token.
+    limit : AccountLimit or None
+        The account's limit as known to the entry, for a member with an older configuration.
     """
 
     turn: TurnId
@@ -138,6 +174,7 @@
     is_first: bool = False
     is_counted: bool = False
     confirms: bool = False
+    limit: AccountLimit | None = None
 
 
 class Grant(msgspec.Struct, frozen=True, array_like=True):
@@ -223,9 +260,16 @@
 
 
 class TakeQuota(Message):
-    """Ask whether a client account may send one more request."""
+    """Ask whether a client account may send one more request.
+
+    Parameters
+    ----------
+    limit : AccountLimit or None
+        The account's limit as known to the entry, for a member with an older configuration.
+    """
 
     client: ClientAccountId
+    limit: AccountLimit | None = None
 
 
 class BeginProgram(Message):
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -369,7 +369,7 @@
         client = message.client
         if client is None or message.is_counted:
             return await self.coordinator.begin(message)
-        granted = self.quotas.count(client, message.is_first)
+        granted = self.quotas.count(client, message.limit, message.is_first)
         if not isinstance(granted, Granted):
             return granted
         answer = await self.coordinator.begin(message)
--- a/waxwingglade/ledger/quota_client.py
+++ b/waxwingglade/ledger/quota_client.py
@@ -69,13 +69,13 @@
         self.refused: Counter[ClientAccountId] = Counter()
 
     async def take(
-        self, client: ClientAccountId, timeout_s: float
+        self, message: TakeQuota, timeout_s: float
     ) -> QuotaTaken | QuotaSpent | Unavailable:
         """Obtain a grant for a request within the limit of its client account."""
-        if (spent := self.cached_refusal(client)) is not None:
+        if (spent := self.cached_refusal(message.client)) is not None:
             return spent
         end_at = self.clock() + min(timeout_s, TAKE_TIMEOUT_S)
-        return await self.take_from(self.in_order(random.random().hex()), client, None, end_at)
+        return await self.take_from(self.in_order(random.random().hex()), message, None, end_at)
 
     def cached_refusal(self, client: ClientAccountId) -> QuotaSpent | None:
         """Return the cached refusal of an account whose quota was recently used up everywhere."""
@@ -85,7 +85,7 @@
     async def take_from(
         self,
         members: list[Replica],
-        client: ClientAccountId,
+        message: TakeQuota,
         spent: QuotaSpent | None,
         end_at: float,
     ) -> QuotaTaken | QuotaSpent | Unavailable:
@@ -105,14 +105,14 @@
             left_s = end_at - self.clock()
             if left_s <= 0:
                 break
-            answer = await self._ask(member, TakeQuota(client), min(MEMBER_TIMEOUT_S, left_s))
+            answer = await self._ask(member, message, min(MEMBER_TIMEOUT_S, left_s))
             if isinstance(answer, QuotaTaken):
                 return answer
             if isinstance(answer, QuotaSpent) and (spent is None or answer.retry_s < spent.retry_s):
                 spent = answer
         if spent is None:
             return Unavailable("no member granted or refused the request")
-        self.spent[client] = self.clock() + min(MAX_REFUSAL_CACHE_S, spent.retry_s)
+        self.spent[message.client] = self.clock() + min(MAX_REFUSAL_CACHE_S, spent.retry_s)
         return spent
 
     async def begin_program(self, client: ClientAccountId) -> QuotaSpent | None:
--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -12,8 +12,9 @@
 from waxwingglade.decisions.quota import Grants, QuotaRules, decide
 from waxwingglade.decisions.quota_share import QuotaShare, QuotaShareRules
 from waxwingglade.follow.feed import CachedView
-from waxwingglade.follow.model import ClientAccount, ClientAccountId, ReplicaSet, View
+from waxwingglade.follow.model import ClientAccountId, Configuration, ReplicaSet, View
 from waxwingglade.ledger.messages import (
+    AccountLimit,
     BeginProgram,
     Grant,
     QuotaSpent,
@@ -88,7 +89,8 @@
         self.clock = clock
         self.vm = vm
         self.quota_share = QuotaShare(self.quota_share_rules, replica.disk)
-        self.accounts: dict[ClientAccountId, ClientAccount] = {}
+        self.configuration: Configuration | None = None
+        self.limits: dict[ClientAccountId, AccountLimit] = {}
         self.program_length = ProgramLength()
         self.starts: dict[ClientAccountId, ProgramStarts] = {}
         self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
@@ -109,7 +111,7 @@
 
     async def take(self, message: TakeQuota) -> QuotaTaken | QuotaSpent | Unavailable:
         """Count a request that is not the begin of a turn; return once the grant is durable."""
-        outcome = self.count(message.client)
+        outcome = self.count(message.client, message.limit)
         if not isinstance(outcome, Granted):
             return outcome
         if outcome.durable is not None:
@@ -121,49 +123,67 @@
 
         This only avoids requests that would be refused later; `count` enforces the limit.
         """
-        account = self._account(message.client)
-        if isinstance(account, Unavailable):
-            return account
+        limit = self._limit(message.client)
+        if isinstance(limit, Unavailable):
+            return limit
         now = self.clock()
-        starts = self.starts.setdefault(account.name, ProgramStarts())
+        starts = self.starts.setdefault(message.client, ProgramStarts())
         starts.record_refused(message.refused, now)
-        most = self.rules.most(account.rate_per_s, account.burst)
+        most = self.rules.most(limit.rate_per_s, limit.burst)
         verdict = may_begin(starts, most, self.rules, now, self.program_length.mean_requests)
-        if account.rate_per_s <= 0 or verdict.granted:
+        if limit.rate_per_s <= 0 or verdict.granted:
             return QuotaTaken()
         return QuotaSpent(verdict.retry_s)
 
-    def _account(self, client: ClientAccountId) -> ClientAccount | Unavailable:
-        """Return a client account, or the reason why it is unavailable."""
+    def _limit(
+        self, client: ClientAccountId, reported: AccountLimit | None = None
+    ) -> AccountLimit | Unavailable:
+        """Return the newest known limit of an account, or the reason why it is unavailable.
+
+        An entry may report a newer limit than the store has told this process.
+        """
         if self.cached_view.incomplete_s > MAX_VIEW_AGE_S:
             return Unavailable("limits were confirmed too long ago")
-        return self.accounts.get(client) or Unavailable("the client account is not known")
+        limit = self.limits.get(client)
+        if reported is not None and (limit is None or reported > limit):
+            limit = self.limits[client] = reported
+        return limit or Unavailable("the client account is not known")
 
     def count(
-        self, client: ClientAccountId, is_first: bool = False
+        self,
+        client: ClientAccountId,
+        reported: AccountLimit | None = None,
+        is_first: bool = False,
     ) -> Granted | QuotaSpent | Unavailable:
-        """Count a request if the account's quota share here is not used up."""
-        account = self._account(client)
-        if isinstance(account, Unavailable):
-            return account
-        if account.rate_per_s <= 0:
+        """Count a request if the account's quota share here is not used up.
+
+        Parameters
+        ----------
+        reported : AccountLimit or None
+            The account's limit as known to the entry that asks.
+        is_first : bool
+            Whether the request is the first one of its program.
+        """
+        limit = self._limit(client, reported)
+        if isinstance(limit, Unavailable):
+            return limit
+        if limit.rate_per_s <= 0:
             return Granted()
         now = self.clock()
-        most = self.rules.most(account.rate_per_s, account.burst)
+        most = self.rules.most(limit.rate_per_s, limit.burst)
         share = self.quota_share.share_of(most, client, now)
         grants = self.replica.grants.setdefault(client, Grants())
         verdict = decide(grants, share, self.rules, now)
         if not verdict.granted:
             self.usage.record_refused(client)
-            self._log(account, share, grants)
+            self._log(client, limit, share, grants)
             return QuotaSpent(verdict.retry_s)
         grants.record(now)
         self.usage.record_granted(client, len(grants.times))
         if not grants.recently_refused(now):
             # Programs that were refused end early, and would bias the average length.
             self.program_length.record(is_first)
-        version = self.cached_view.view.version
-        grant = Grant(self.vm, version, self.quota_share.epoch, share, len(grants.times))
+        grant = Grant(self.vm, limit.version, self.quota_share.epoch, share, len(grants.times))
         return Granted(now, self.replica.record_grant(client, now), grant)
 
     @property
@@ -189,10 +209,19 @@
             self.quota_share.update_members(replicas.epoch, members, self.clock())
 
     def _apply_view(self, view: View) -> None:
-        """Update members and accounts from a new view."""
+        """Update members and limits from a new view."""
         self._update_members(view.replicas)
-        accounts = (view.configuration.accounts if view.configuration else None) or ()
-        self.accounts = {account.name: account for account in reversed(accounts)}
+        configuration = view.configuration
+        if configuration is None or configuration is self.configuration:
+            return
+        self.configuration = configuration
+        newer = {
+            client: limit
+            for client, limit in self.limits.items()
+            if (limit.version, limit.revision) > (configuration.version, configuration.revision)
+        }
+        accounts = reversed(configuration.accounts or ())
+        self.limits = {each.name: AccountLimit.of(each, configuration) for each in accounts} | newer
 
     def _store_counting(self, now: float) -> None:
         """Store whether this process has been a member for long enough to grant its share."""
@@ -200,13 +229,15 @@
         if settled != self.replica.counts:
             self.replica.record_counting(settled)
 
-    def _log(self, account: ClientAccount, share: int, grants: Grants) -> None:
+    def _log(
+        self, client: ClientAccountId, limit: AccountLimit, share: int, grants: Grants
+    ) -> None:
         if self.refusals.allows():
             logger.bind(
-                account=account.name,
-                rate_per_s=account.rate_per_s,
-                burst=account.burst,
-                version=self.cached_view.view.version,
+                account=client,
+                rate_per_s=limit.rate_per_s,
+                burst=limit.burst,
+                version=limit.version,
                 epoch=self.quota_share.epoch,
                 part=share,
                 granted=len(grants.times),
--- a/waxwingglade/ledger/tests/test_quotas.py
+++ b/waxwingglade/ledger/tests/test_quotas.py
@@ -20,6 +20,7 @@
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.ledger.client import LedgerClient
 from waxwingglade.ledger.messages import (
+    AccountLimit,
     BeginProgram,
     BeginTurn,
     Grant,
@@ -216,6 +217,30 @@
         for _ in range(2 * MOST):
             self.assertIsInstance(await first.quotas.take(TAKE), QuotaTaken)
 
+    async def test_a_newer_limit_that_an_entry_reports_holds_at_a_member(self) -> None:
+        first = self.counters[0]
+        lower = TakeQuota(SHOP, AccountLimit(2, 7, 1.0, BURST))
+        outdated = TakeQuota(SHOP, AccountLimit(1, 0, 0.0, 0.0))
+        share = RULES.most(1.0, BURST) // 3
+        for _ in range(share):
+            self.assertIsInstance(await first.quotas.take(lower), QuotaTaken)
+        for message in (lower, outdated, TAKE):
+            self.assertIsInstance(await first.quotas.take(message), QuotaSpent)
+
+    async def test_an_account_that_no_view_has_yet_is_granted_by_the_limit_of_an_entry(
+        self,
+    ) -> None:
+        message = TakeQuota(ClientAccountId("new"), AccountLimit(2, 7, 1.0, BURST))
+        self.assertIsInstance(await self.counters[0].quotas.take(message), QuotaTaken)
+
+    async def test_a_view_replaces_older_limits_that_entries_reported(self) -> None:
+        first = self.counters[0]
+        await first.quotas.take(TakeQuota(SHOP, AccountLimit(2, 7, 1.0, BURST)))
+        self.view = View(configured(3), replicas=self.view.replicas)
+        self.update_views(first)
+        share = first.quotas.quota_share.share_of(MOST, SHOP, self.now)
+        self.assertEqual(share - 1, await self.take_all(first))
+
     async def test_an_unknown_account_is_neither_granted_nor_refused(self) -> None:
         taken = await self.counters[0].quotas.take(TakeQuota(ClientAccountId("new")))
         self.assertIsInstance(taken, Unavailable)
@@ -306,23 +331,23 @@
     async def test_any_member_with_free_quota_grants(self) -> None:
         client = self.client({"a-1"}, partitioned={"a-2"})
         for _ in range(20):
-            self.assertEqual(QuotaTaken(), await client.quotas.take(SHOP, 1.0))
+            self.assertEqual(QuotaTaken(), await client.quotas.take(TAKE, 1.0))
 
     async def test_a_refusal_of_all_members_is_cached(self) -> None:
         client = self.client(set())
-        self.assertEqual(QuotaSpent(0.7), await client.quotas.take(SHOP, 1.0))
+        self.assertEqual(QuotaSpent(0.7), await client.quotas.take(TAKE, 1.0))
         asked = len(self.links.asked)
-        refused = await client.quotas.take(SHOP, 1.0)
+        refused = await client.quotas.take(TAKE, 1.0)
         assert isinstance(refused, QuotaSpent)
         self.assertGreater(refused.retry_s, 0.0)
         self.assertEqual(asked, len(self.links.asked))
         self.now += 1.0
         self.links.granting = {"a-0"}
-        self.assertEqual(QuotaTaken(), await client.quotas.take(SHOP, 1.0))
+        self.assertEqual(QuotaTaken(), await client.quotas.take(TAKE, 1.0))
 
     async def test_if_no_member_answers_the_account_is_not_over_its_limit(self) -> None:
         client = self.client(set(), partitioned={"a-0", "a-1", "a-2"})
-        self.assertIsInstance(await client.quotas.take(SHOP, 1.0), Unavailable)
+        self.assertIsInstance(await client.quotas.take(TAKE, 1.0), Unavailable)
 
     async def test_one_member_is_asked_for_all_programs_of_an_account(self) -> None:
         client = self.client({"a-0", "a-1", "a-2"})
