Count stored grants by differences within one process, as a clock may start anew at any value

Callers saw: an account got more than its limit after ledger machines had lost power (QUOTA on the users' site). Cause: grants are stored with the time of the monotonic clock. After a restart an increase of that clock since the last grant was taken for time that had passed. The clock of a machine starts anew when the machine does, and where it was ahead of the earlier one all grants of the last window were forgotten, so the member granted its whole share again. Differences count within one process only; the time between two processes is taken as none.

--- a/tests/limited_accounts.py
+++ b/tests/limited_accounts.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 import time
-from collections.abc import Iterable
+from pathlib import Path
 from typing import ClassVar
 
 from tests.platform_cluster import CALL, HOST, WAIT_TIMEOUT_S, Node, PlatformCluster, configuration
@@ -22,6 +22,8 @@
 SERVERS = 5
 """Servers of each service."""
 
+MEMBERS = 3
+SHIFTED_CLOCK = Path(__file__).with_name("shifted_clock.py")
 GRANTS_QUOTA = 'waxwingglade_ledger_state{name="grants_quota"} 1'
 """Line of the metrics page of a member that grants requests."""
 
@@ -55,6 +57,23 @@
         return await super()._run(writer, request, body)
 
 
+class ShiftedLedger(Node):
+    """A ledger process on a machine whose steady clock is shifted by `shift_s` seconds."""
+
+    shift_s = 0.0
+
+    def command(self) -> list[str]:
+        """Return the command that starts the process."""
+        interpreter, option, *command = super().command()
+        return [interpreter, option, str(SHIFTED_CLOCK), str(self.shift_s), *command]
+
+    def restart_machine(self, shift_s: float) -> None:
+        """Kill the process, and start it on a machine whose clock has started anew."""
+        self.kill()
+        self.shift_s = shift_s
+        self.start()
+
+
 class LimitedAccounts(PlatformCluster):
     """Entries and ledger processes, an account with a limit, and servers that lose answers.
 
@@ -62,25 +81,30 @@
     ----------
     entries : int
         Number of entries.
+    rules : QuotaRules
+        Rules for the limit.
     """
 
-    bounds: ClassVar[dict[str, float]] = {
-        "quota_window_s": RULES.window_s,
-        "quota_excess": RULES.excess,
-        "quota_slack": RULES.slack,
-    }
     tenants: ClassVar[list[dict]] = [
         {"name": "shop", "api_keys": [KEY], "rate_per_s": RATE_PER_S, "burst": BURST}
     ]
     key = KEY
 
-    def __init__(self, entries: int = 3) -> None:
-        super().__init__(entries=entries)
+    def __init__(self, entries: int = 3, rules: QuotaRules = RULES) -> None:
+        self.rules = rules
+        self.bounds = {
+            "quota_window_s": rules.window_s,
+            "quota_excess": rules.excess,
+            "quota_slack": rules.slack,
+        }
+        super().__init__(entries=entries, ledgers=0)
+        self.ledgers = [ShiftedLedger(self, "storage", number) for number in range(MEMBERS)]
         self.version = 3
         self.configure(RATE_PER_S, BURST)
         rng = random.Random(1)
         self.engines = [LossyServer(self.store, "engines", 4, rng) for _ in range(SERVERS)]
         self.notes = [LossyServer(self.store, "notes", 0, rng) for _ in range(SERVERS)]
+        self.request_numbers = itertools.count()
         self.sent_at: dict[str, float] = {}
         self.statuses: list[int] = []
 
@@ -125,17 +149,12 @@
     async def press(self, path: str, seconds: float, callers: int = 24) -> None:
         """Send far more requests through all entries than the account may send."""
         end_at = time.monotonic() + seconds
-        numbers = itertools.count()
-        await asyncio.gather(
-            *(self._press(path, end_at, number, numbers) for number in range(callers))
-        )
+        await asyncio.gather(*(self._press(path, end_at, number) for number in range(callers)))
 
-    async def _press(self, path: str, end_at: float, caller: int, numbers: Iterable[int]) -> None:
+    async def _press(self, path: str, end_at: float, caller: int) -> None:
         entries = itertools.cycle(self.entries[caller % len(self.entries) :] + self.entries)
-        for number, entry in zip(numbers, entries, strict=False):
-            if time.monotonic() > end_at:
-                return
-            await self._send(entry, path, f"{path}{number}")
+        while time.monotonic() < end_at:
+            await self._send(next(entries), path, f"{path}{next(self.request_numbers)}")
             await asyncio.sleep(PAUSE_S)
 
     async def _send(self, entry: Node, path: str, request: str) -> None:
@@ -159,7 +178,7 @@
     def highest(self, path: str) -> int:
         """Return the highest number of runs of a path in one window of the limit."""
         spans = [Span(self.sent_at[run.request], run.began_at) for run in self.runs(path)]
-        return max((window.runs for window in windows(spans, RULES.window_s)), default=0)
+        return max((window.runs for window in windows(spans, self.rules.window_s)), default=0)
 
 
 __all__ = ["BURST", "CALL", "MOST", "RATE_PER_S", "RESUMED", "RULES", "LimitedAccounts"]
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -3,10 +3,20 @@
 import asyncio
 import unittest
 
-from tests.limited_accounts import CALL, MOST, RESUMED, RULES, LimitedAccounts
+from tests.limited_accounts import (
+    BURST,
+    CALL,
+    MOST,
+    RATE_PER_S,
+    RESUMED,
+    RULES,
+    LimitedAccounts,
+)
+from waxwingglade.decisions.quota import QuotaRules
 
 OVER_LIMIT = 429
 PRESS_S = 3 * RULES.window_s
+LONG_WINDOW = QuotaRules(window_s=6.0, excess=0.1, slack=6.0)
 LOWER = (2.0, 0.0)
 """Requests per second, and burst."""
 
@@ -46,5 +56,20 @@
                 self.assertLessEqual(highest, RULES.most(*LOWER))
 
 
+class RestartedMachines(unittest.IsolatedAsyncioTestCase):
+    async def test_grants_are_not_forgotten_when_the_clocks_of_all_members_start_anew(self) -> None:
+        cluster = LimitedAccounts(rules=LONG_WINDOW)
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start()
+        for shift_s in (50_000.0, -50_000.0):
+            with self.subTest(shift_s=shift_s):
+                await cluster.press(CALL, 1.0)
+                for node in cluster.ledgers:
+                    node.restart_machine(shift_s)
+                await cluster.press(CALL, LONG_WINDOW.window_s)
+                self.assertIn(OVER_LIMIT, cluster.statuses, "the account is not at its limit")
+                self.assertLessEqual(cluster.highest(CALL), LONG_WINDOW.most(RATE_PER_S, BURST))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/waxwingglade/decisions/quota.py
+++ b/waxwingglade/decisions/quota.py
@@ -89,27 +89,30 @@
         return now - self.refused_at < RECENT_S
 
 
-def restore_times(times: Sequence[float], now: float) -> list[float]:
-    """Convert stored grant times to the latest possible times on the current clock.
+def restore_times(by_process: Sequence[Sequence[float]], now: float) -> list[list[float]]:
+    """Convert stored times to the latest possible times on the current clock.
 
-    The monotonic clock restarts with the machine, so a stored time may be greater than a later one
-    or than the present time.  The downtime of the machine is not known and is assumed to be zero.
+    The monotonic clock of a machine may start anew at any value, so only differences between times
+    of one process are known.  The time between two processes is assumed to be zero.
 
     Parameters
     ----------
-    times : sequence of float
-        When requests were granted, in order, according to the clock at that time.
+    by_process : sequence of sequence of float
+        Times in seconds that each process stored, in order, according to the clock at that time.
     now : float
-        The present time.
+        The present time in seconds.
     """
-    moments: list[float] = []
-    later = moment = now
-    for at in reversed(times):
-        # A time that is greater than a later one was read before a restart of the clock.
-        moment -= max(0.0, later - at)
-        later = at
-        moments.append(moment)
-    return moments[::-1]
+    moment = now
+    restored: list[list[float]] = []
+    for times in reversed(by_process):
+        moments: list[float] = []
+        later = times[-1] if times else 0.0
+        for at in reversed(times):
+            moment -= max(0.0, later - at)
+            later = at
+            moments.append(moment)
+        restored.append(moments[::-1])
+    return restored[::-1]
 
 
 def decide(grants: Grants, most: int, rules: QuotaRules, now: float) -> QuotaDecision:
--- a/waxwingglade/decisions/tests/test_quota.py
+++ b/waxwingglade/decisions/tests/test_quota.py
@@ -1,6 +1,7 @@
 """Limits of client accounts in any time window."""
 
 import unittest
+from itertools import chain
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -19,27 +20,43 @@
 
 
 class RestoredTest(unittest.TestCase):
-    """Grant times of a clock that continues, or restarts with the machine."""
-
-    def test_a_continued_clock_does_not_change_times(self) -> None:
-        self.assertEqual([1.0, 3.0, 4.0], restore_times([1.0, 3.0, 4.0], 9.0))
+    """Stored times of processes whose clocks may have started anew at any value."""
+
+    def test_the_last_time_of_a_process_is_that_of_the_next_process_and_differences_remain(
+        self,
+    ) -> None:
+        self.assertEqual([[6.0, 8.0, 9.0]], restore_times([[1.0, 3.0, 4.0]], 9.0))
+        self.assertEqual([[-1.0, 1.0, 2.0]], restore_times([[70.0, 72.0, 73.0]], 2.0))
+        self.assertEqual(
+            [[-1.0, 1.0], [], [1.0, 2.0]], restore_times([[7.0, 9.0], [], [400.0, 401.0]], 2.0)
+        )
         self.assertEqual([], restore_times([], 9.0))
 
-    def test_after_a_clock_restart_the_last_time_is_now_and_the_others_precede_it(self) -> None:
-        self.assertEqual([-1.0, 1.0, 2.0], restore_times([70.0, 72.0, 73.0], 2.0))
-
-    def test_two_clock_restarts(self) -> None:
-        self.assertEqual([-1.0, 1.0, 1.0, 2.0], restore_times([70.0, 72.0, 4.0, 5.0], 2.0))
-
-    @given(st.lists(st.tuples(st.floats(0.0, 9.0), st.booleans()), min_size=1, max_size=30))
-    def test_no_time_is_assumed_older_than_it_is(self, steps: list[tuple[float, bool]]) -> None:
-        true, clock, times, moments = 0.0, 100.0, [], []
-        for pause_s, restarts in steps:
+    @given(
+        st.lists(
+            st.tuples(st.floats(0.0, 9.0), st.one_of(st.none(), st.floats(-1e5, 1e5))),
+            min_size=1,
+            max_size=30,
+        )
+    )
+    def test_no_time_is_assumed_older_than_it_is(
+        self, steps: list[tuple[float, float | None]]
+    ) -> None:
+        """A clock that starts anew ahead of the earlier one must not make grants look old."""
+        true, clock = 0.0, 100.0
+        times: list[list[float]] = [[]]
+        moments: list[list[float]] = [[]]
+        for pause_s, restarted_at in steps:
             true += pause_s
-            clock = 0.0 if restarts else clock + pause_s
-            times.append(clock)
-            moments.append(true)
-        for moment, read in zip(moments, restore_times(times, clock), strict=True):
+            clock += pause_s
+            if restarted_at is not None:
+                clock = restarted_at
+                times.append([])
+                moments.append([])
+            times[-1].append(clock)
+            moments[-1].append(true)
+        restored = restore_times(times, clock)
+        for moment, read in zip(chain(*moments), chain(*restored), strict=True):
             self.assertGreaterEqual(true - moment + 1e-6, clock - read)
 
 
--- a/waxwingglade/ledger/records.py
+++ b/waxwingglade/ledger/records.py
@@ -56,6 +56,19 @@
     at: float
 
 
+class ClockRecord(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    """A reading of the monotonic clock in seconds, from which the age of grants is known.
+
+    Parameters
+    ----------
+    is_first : bool
+        Whether it is the first record of its process; the clock of earlier ones may differ.
+    """
+
+    at: float
+    is_first: bool = False
+
+
 class CountingRecord(msgspec.Struct, frozen=True, array_like=True, tag="c"):
     """Whether this process has been a member for long enough to grant its share of the limits."""
 
@@ -77,6 +90,7 @@
     | ConfirmRecord
     | MembersRecord
     | GrantRecord
+    | ClockRecord
     | CountingRecord
     | FailuresRecord
 )
@@ -85,6 +99,7 @@
 
 __all__ = [
     "AcceptRecord",
+    "ClockRecord",
     "ConfirmRecord",
     "CountingRecord",
     "EndRecord",
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, Fingerprint, ProgramId, monotonic, wall
-from waxwingglade.decisions.quota import Grants, restore_times
+from waxwingglade.decisions.quota import Grants
 from waxwingglade.follow.model import ClientAccountId, ReplicaSet
 from waxwingglade.ledger.confirmations import Confirmations
 from waxwingglade.ledger.journal import Journal, Place
@@ -51,6 +51,7 @@
 )
 from waxwingglade.ledger.records import (
     AcceptRecord,
+    ClockRecord,
     ConfirmRecord,
     CountingRecord,
     EndRecord,
@@ -62,6 +63,7 @@
     decode,
     encode,
 )
+from waxwingglade.ledger.stored_grants import StoredGrants
 from waxwingglade.ledger.target_failures import FailureTable, TargetFailures
 from waxwingglade.ledger.unresolved_ends import UnresolvedEnds
 
@@ -152,7 +154,7 @@
         self.failures = FailureTable(wall_clock)
         self.failures_changed: Callable[[], None] = lambda: None
         self.grants: dict[ClientAccountId, Grants] = {}
-        self.replayed_grants: list[GrantRecord] = []
+        self.stored_grants = StoredGrants()
         self.last_granted_at: dict[int, float] = {}
         self.counts = False
         self.largest_set = 0
@@ -182,12 +184,14 @@
             self._replay(place, content)
         self._restore_grants()
         self.journal.start()
+        self._write(ClockRecord(self.clock(), is_first=True))
         logger.bind(
             disk=self.disk,
             turns=len(self.turns),
             accounts=len(self.slots),
             unsettled=len(self.unresolved_ends),
             epoch=self.replicas.epoch,
+            grants=sum(len(grants.times) for grants in self.grants.values()),
         ).info("disk read")
 
     def _replay(self, place: Place, content: bytes) -> None:
@@ -197,8 +201,8 @@
         elif isinstance(record, MembersRecord):
             self.replicas = record.replicas
             self.largest_set = max(self.largest_set, len(record.replicas.members))
-        elif isinstance(record, GrantRecord):
-            self.replayed_grants.append(record)
+        elif isinstance(record, GrantRecord | ClockRecord):
+            self.stored_grants.add(record, place.segment)
         elif isinstance(record, CountingRecord):
             self.counts = record.counts
         elif isinstance(record, FailuresRecord):
@@ -216,11 +220,10 @@
     def _restore_grants(self) -> None:
         """Count grants from before the start that may still be recent."""
         now = self.clock()
-        records, self.replayed_grants = self.replayed_grants, []
-        moments = restore_times([record.at for record in records], now)
-        for record, at in zip(records, moments, strict=True):
-            if at > now - GRANT_RETENTION_S:
-                self.grants.setdefault(record.client, Grants()).record(at)
+        for stored, at in self.stored_grants.restore(now):
+            if stored.client is not None and at > now - GRANT_RETENTION_S:
+                self.grants.setdefault(stored.client, Grants()).record(at)
+        self.stored_grants = StoredGrants()
 
     async def stop(self) -> None:
         """Close the disk."""
@@ -495,6 +498,7 @@
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
             self.forget_expired()
+            self.record_clock()
             await self._drop_segments()
 
     def forget_expired(self) -> None:
@@ -514,6 +518,12 @@
         if self.failures.remove_expired():
             self.failures_changed()
 
+    def record_clock(self) -> None:
+        """Record the time while grants may count, so that a restart knows their age."""
+        since = self.clock() - GRANT_RETENTION_S
+        if any(grants.times and grants.times[-1] > since for grants in self.grants.values()):
+            self._write(ClockRecord(self.clock()))
+
     def _segments_with_grants(self) -> list[int]:
         """Return the segments with grants that may still count."""
         since = self.clock() - GRANT_RETENTION_S
--- a/waxwingglade/ledger/tests/test_quotas.py
+++ b/waxwingglade/ledger/tests/test_quotas.py
@@ -152,6 +152,26 @@
         self.update_views(first)
         self.assertEqual(share - 3, await self.take_all(first), "and older grants are old")
 
+    async def test_after_a_clock_starts_anew_ahead_stored_grants_count_as_recent(self) -> None:
+        first = self.counters[0]
+        await self.take_all(first)
+        self.now += 1e6
+        await first.restart()
+        self.update_views(first)
+        self.assertEqual(0, await self.take_all(first))
+
+    async def test_a_later_reading_of_the_clock_shows_that_stored_grants_are_old(self) -> None:
+        first = self.counters[0]
+        share = await self.take_all(first)
+        self.now += 2 * RULES.window_s
+        first.replica.record_clock()
+        await first.replica.flush()
+        self.now = 1.0
+        first.cached_view.complete_until = float("-inf")
+        await first.restart()
+        self.update_views(first)
+        self.assertEqual(share, await self.take_all(first))
+
     async def test_a_member_with_an_outdated_view_grants_nothing(self) -> None:
         self.now += MAX_VIEW_AGE_S
         self.assertIsInstance(await self.counters[0].quotas.take(TAKE), QuotaTaken)
