--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -223,6 +223,7 @@
         for stored, at in self.stored_grants.restore(now):
             if stored.client is not None and at > now - GRANT_RETENTION_S:
                 self.grants.setdefault(stored.client, Grants()).record(at)
+                self.last_granted_at[stored.segment] = at
         self.stored_grants = StoredGrants()
 
     async def stop(self) -> None:
--- a/waxwingglade/ledger/tests/test_quotas.py
+++ b/waxwingglade/ledger/tests/test_quotas.py
@@ -172,6 +172,18 @@
         self.update_views(first)
         self.assertEqual(share, await self.take_all(first))
 
+    async def test_segments_with_grants_of_before_a_restart_are_kept(self) -> None:
+        first = self.counters[0]
+        share = await self.take_all(first)
+        await first.restart()
+        replica = first.replica
+        replica.journal._open_segment(replica.journal.active + 1)
+        await replica._drop_segments()
+        await first.restart()
+        self.update_views(first)
+        self.assertGreater(share, 0)
+        self.assertEqual(0, await self.take_all(first))
+
     async def test_a_member_with_an_outdated_view_grants_nothing(self) -> None:
         self.now += MAX_VIEW_AGE_S
         self.assertIsInstance(await self.counters[0].quotas.take(TAKE), QuotaTaken)
