Let the soak restart the machines of all ledger processes with other steady clocks

Cause: no test or soak changed the clock of a process over a restart, so grants that were forgotten for it could not be seen. Change: a fault that restarts all ledger processes under shifted clocks, in runs with accounts.

--- a/tests/limited_accounts.py
+++ b/tests/limited_accounts.py
@@ -4,10 +4,17 @@
 import itertools
 import random
 import time
-from pathlib import Path
 from typing import ClassVar
 
-from tests.platform_cluster import CALL, HOST, WAIT_TIMEOUT_S, Node, PlatformCluster, configuration
+from tests.platform_cluster import (
+    CALL,
+    HOST,
+    SHIFTED_CLOCK,
+    WAIT_TIMEOUT_S,
+    Node,
+    PlatformCluster,
+    configuration,
+)
 from tests.windows import Span, windows
 from waxwingglade.base import WaxwinggladeError
 from waxwingglade.decisions.quota import QuotaRules
@@ -23,7 +30,6 @@
 """Servers of each service."""
 
 MEMBERS = 3
-SHIFTED_CLOCK = Path(__file__).with_name("shifted_clock.py")
 GRANTS_QUOTA = 'waxwingglade_ledger_state{name="grants_quota"} 1'
 """Line of the metrics page of a member that grants requests."""
 
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -35,6 +35,9 @@
 STARTER = Path(sys.executable).with_name("waxwingglade-start")
 """Program that ``deploy/build_starter.py`` builds for this interpreter."""
 
+SHIFTED_CLOCK = Path(__file__).with_name("shifted_clock.py")
+"""Script that runs another one with a shifted steady clock; importing it changes the process."""
+
 STREAM, CALL, ORDER = "/turns/", "/notes/", "/orders/"
 TOKENS_PER_EVENT = 10
 ROUTE_S = 5.0
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,7 @@
 REFUSAL_STATUSES = (429, 503)
 
 USUAL_PER_S = 1.2
+MAX_SHIFT_S = 50_000.0
 LOST_SHARE = (0.1, 0.6)
 """Share of the answers that servers lose, the smallest and the largest."""
 
@@ -97,6 +98,7 @@
             FaultKind.STORE_REFUSES: self._store_refuses,
             FaultKind.CHANGE_LIMIT: self._change_limits,
             FaultKind.ANSWERS_LOST: self._lose_answers,
+            FaultKind.RESTART_MACHINES: self._restart_machines,
         }
 
     async def run(self, seconds: float, per_s: float = USUAL_PER_S) -> None:
@@ -280,6 +282,25 @@
             await self._until_all_members()
             self._end(occurrence)
 
+    async def _restart_machines(self, lasts_s: float) -> None:
+        """Restart all ledger processes as after a loss of power, with other steady clocks."""
+        async with self.ledger_lock:
+            nodes = self.cluster.ledgers
+            locks = [self._lock(node) for node in nodes]
+            for lock in locks:
+                await lock.acquire()
+            names = [node.name for node in nodes]
+            occurrence = self._begin(FaultKind.RESTART_MACHINES, *names)
+            for node in nodes:
+                node.kill()
+                node.shift_s = self.rng.uniform(-MAX_SHIFT_S, MAX_SHIFT_S)
+            await asyncio.sleep(lasts_s / 3)
+            self._start(occurrence, *nodes)
+            for lock in locks:
+                lock.release()
+            await self._until_all_members()
+            self._end(occurrence)
+
     async def _until_all_members(self) -> None:
         """Wait until the ledger has its three members with their current disks."""
         await self._until(self.cluster.has_all_members)
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -37,6 +37,7 @@
     STORE_REFUSES = "the store refuses some processes, again and again"
     CHANGE_LIMIT = "an account's limit changes"
     ANSWERS_LOST = "servers run requests and lose some of their answers"
+    RESTART_MACHINES = "the machines of all ledger processes restart, with other steady clocks"
 
 
 EVERYWHERE = "everywhere"
@@ -70,6 +71,7 @@
     *(FaultKind.CHANGE_LIMIT, FaultKind.ANSWERS_LOST) * 2,
     FaultKind.KILL_LEDGER,
     FaultKind.KILL_ALL,
+    FaultKind.RESTART_MACHINES,
     FaultKind.WIPE_LEDGER,
     FaultKind.STOP_ENTRY,
     FaultKind.STORE_LINK,
