Test that no request within a limit is refused because answers are lost

A further sending takes a grant of its own; this guards against refusing it while the limit leaves room.

--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -17,8 +17,9 @@
 OVER_LIMIT = 429
 PRESS_S = 3 * RULES.window_s
 LONG_WINDOW = QuotaRules(window_s=6.0, excess=0.1, slack=6.0)
+AMPLE = (200.0, 200.0)
 LOWER = (2.0, 0.0)
-"""Requests per second, and burst."""
+"""Requests per second, and burst, of limits."""
 
 APPLY_S = 2.0
 """Seconds within which an accepted configuration is in force at all entries that receive it."""
@@ -38,6 +39,19 @@
                 self.assertGreater(cluster.lost - lost_before, MOST, "few answers were lost")
                 self.assertLessEqual(cluster.highest(path), MOST)
 
+    async def test_within_the_limit_no_request_is_refused_though_answers_are_lost(self) -> None:
+        cluster = LimitedAccounts()
+        self.addAsyncCleanup(cluster.stop)
+        cluster.configure(*AMPLE)
+        await cluster.start()
+        cluster.lose_answers(0.3)
+        await cluster.press(CALL, PRESS_S, callers=6)
+        self.assertNotIn(OVER_LIMIT, cluster.statuses)
+        lines = [line for entry in cluster.entries for line in entry.logs()]
+        self.assertEqual([], [line for line in lines if "not sent again" in line.get("reason", "")])
+        runs = cluster.runs(CALL)
+        self.assertGreater(len(runs), len({run.request for run in runs}), "none was sent again")
+
 
 class LimitsThatChange(unittest.IsolatedAsyncioTestCase):
     async def test_a_lower_limit_holds_though_no_member_has_heard_of_it(self) -> None:
