Name things of account limits for readers, and kill soak processes together in one place

Reading the change as a newcomer: a property of the same name as the grants themselves, a comment without its subject, and the same steps twice. No change of behaviour.

--- a/tests/limited_accounts.py
+++ b/tests/limited_accounts.py
@@ -1,4 +1,4 @@
-"""A cluster of the daemons with a client account that is always over its limit."""
+"""A cluster of the daemons with a client account that has a limit, and its callers."""
 
 import asyncio
 import itertools
@@ -81,7 +81,7 @@
 
 
 class LimitedAccounts(PlatformCluster):
-    """Entries and ledger processes, an account with a limit, and servers that lose answers.
+    """Entries and ledger processes, an account with a limit, and servers that can lose answers.
 
     Parameters
     ----------
@@ -153,7 +153,7 @@
             server.share = share
 
     async def press(self, path: str, seconds: float, callers: int = 24) -> None:
-        """Send far more requests through all entries than the account may send."""
+        """Send requests through all entries; the usual callers send far more than the limit."""
         end_at = time.monotonic() + seconds
         await asyncio.gather(*(self._press(path, end_at, number) for number in range(callers)))
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -267,33 +267,27 @@
             self._end(occurrence)
 
     async def _kill_all(self, lasts_s: float) -> None:
-        async with self.ledger_lock:
-            nodes = self.cluster.nodes()
-            locks = [self._lock(node) for node in nodes]
-            for lock in locks:
-                await lock.acquire()
-            occurrence = self._begin(FaultKind.KILL_ALL, EVERYWHERE)
-            for node in nodes:
-                node.kill()
-            await asyncio.sleep(lasts_s / 3)
-            self._start(occurrence, *nodes)
-            for lock in locks:
-                lock.release()
-            await self._until_all_members()
-            self._end(occurrence)
+        await self._kill_together(FaultKind.KILL_ALL, self.cluster.nodes(), EVERYWHERE, lasts_s)
 
     async def _restart_machines(self, lasts_s: float) -> None:
         """Restart all ledger processes as after a loss of power, with other steady clocks."""
+        nodes = self.cluster.ledgers
+        for node in nodes:
+            node.shift_s = self.rng.uniform(-MAX_SHIFT_S, MAX_SHIFT_S)
+        names = " ".join(node.name for node in nodes)
+        await self._kill_together(FaultKind.RESTART_MACHINES, nodes, names, lasts_s)
+
+    async def _kill_together(
+        self, kind: FaultKind, nodes: Sequence[Node], where: str, lasts_s: float
+    ) -> None:
+        """Kill processes at the same moment, and restart them."""
         async with self.ledger_lock:
-            nodes = self.cluster.ledgers
             locks = [self._lock(node) for node in nodes]
             for lock in locks:
                 await lock.acquire()
-            names = [node.name for node in nodes]
-            occurrence = self._begin(FaultKind.RESTART_MACHINES, *names)
+            occurrence = self._begin(kind, where)
             for node in nodes:
                 node.kill()
-                node.shift_s = self.rng.uniform(-MAX_SHIFT_S, MAX_SHIFT_S)
             await asyncio.sleep(lasts_s / 3)
             self._start(occurrence, *nodes)
             for lock in locks:
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -49,7 +49,7 @@
         """Return all metrics in Prometheus's text format."""
         replica, journal = node.replica, node.replica.journal
         values = {
-            "grants_quota": node.quotas.grants,
+            "grants_quota": node.quotas.may_grant,
             "turns": len(replica.turns),
             "accounts": len(replica.slots),
             "unsettled_ends": len(replica.unresolved_ends),
--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -95,12 +95,12 @@
         self.starts: dict[ClientAccountId, ProgramStarts] = {}
         self.refusals = Sampler(REFUSALS_LOGGED_PER_S)
         self.usage = QuotaLog(rules.window_s, clock)
-        # Each set counts, also one that is replaced before the next request.
+        # The shares depend on each set of members, also on one that is replaced at once.
         cached_view.listeners.append(self._apply_view)
 
     def open(self) -> None:
         """Restore the state from the disk."""
-        # The settings may still say so when a process restarts that has joined meanwhile.
+        # The settings may still say `bootstrap` when a member restarts soon after it joined.
         is_first_start = self.bootstrap and not self.replica.replicas.epoch
         joined_before = is_first_start or self.replica.counts
         self.quota_share = QuotaShare(
@@ -187,7 +187,7 @@
         return Granted(now, self.replica.record_grant(client, now), grant)
 
     @property
-    def grants(self) -> bool:
+    def may_grant(self) -> bool:
         """Whether this process has been a member for long enough to grant requests."""
         return self.quota_share.settled(self.clock())
 
