Derive whether a sending has a grant from counts, and bound label values in one place

Cause: whether a grant was left for the next sending was a flag beside the counts of sendings and refusals that say the same, and the limit of fifty series was written twice. Change: a call counts its grants, and takes one if there are fewer than sendings that a target may have run and this one; the limit of series belongs to the class that keeps it. No change of behaviour.

--- a/waxwingglade/base/buffered_metrics.py
+++ b/waxwingglade/base/buffered_metrics.py
@@ -18,6 +18,9 @@
 Labels = tuple[str, ...]
 
 OTHER = "other"
+MAX_LABEL_VALUES = 50
+"""Maximum number of values of a label that have their own series, such as routes or client
+accounts.  A configuration may have hundreds; the others share the series `OTHER`."""
 
 
 class BufferedCounter:
@@ -49,23 +52,16 @@
 
 
 class LabelValues:
-    """The label values that have their own series; all other values share the series `OTHER`.
+    """The values of a label that have their own series; all others share the series `OTHER`."""
 
-    Parameters
-    ----------
-    most : int
-        Maximum number of values that have their own series.
-    """
-
-    def __init__(self, most: int) -> None:
-        self.most = most
+    def __init__(self) -> None:
         self.known: set[str] = set()
 
     def label(self, name: str) -> str:
         """Return the label value of a name: the name itself for the first ones, else `OTHER`."""
         if name in self.known:
             return name
-        if len(self.known) >= self.most:
+        if len(self.known) >= MAX_LABEL_VALUES:
             return OTHER
         self.known.add(name)
         return name
@@ -124,4 +120,10 @@
             self.collector.set_value(dict(zip(self.labels, values, strict=True)), histogram)
 
 
-__all__ = ["OTHER", "BufferedCounter", "BufferedHistogram", "LabelValues"]
+__all__ = [
+    "MAX_LABEL_VALUES",
+    "OTHER",
+    "BufferedCounter",
+    "BufferedHistogram",
+    "LabelValues",
+]
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -190,6 +190,11 @@
         self.saw_unresponsive = False
         self.trial: Trial | None = None
 
+    @property
+    def possible_runs(self) -> int:
+        """Number of sendings that a target may have run."""
+        return self.sent - self.refused
+
     @property
     def may_have_run(self) -> bool:
         """Whether some target may have run the call."""
@@ -234,7 +239,7 @@
         MayHaveRun
             If the connection broke after bytes were sent.
         """
-        await self.grants.ensure()
+        await self.grants.ensure(self.possible_runs + 1)
         choice, record = self._choose()
         target = choice.target
         chosen_at = self.balancer.clock()
@@ -248,7 +253,6 @@
         self.balancer.ranks_of(self.service.name).record(self.route.rank)
         try:
             self.sent += 1
-            self.grants.record_sent()
             connection.send(request)
             self.pool.watch(connection, self._wait_limits(choice))
             response = await connection.read_head(self._answers_this_call)
@@ -364,7 +368,6 @@
     async def _refused(self, head: Head) -> None:
         """Finish an attempt whose target promises not to run the call."""
         self.refused += 1
-        self.grants.record_not_run()
         head.record.verdict = Verdict.NOT_RUN
         head.record.reason = "refused"
         try:
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -14,10 +14,6 @@
     from waxwingglade.ingress.serving import Trace
 
 PREFIX = "waxwingglade_ingress_"
-MAX_LABEL_VALUES = 50
-"""Maximum number of routes, and of client accounts, that have their own series.  A configuration
-may have hundreds; the others share one series."""
-
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.41, 1.0, 2.0, 3.0, 5.0, float("inf"))
 """Upper bounds of buckets in seconds, with the objectives for the first event, 0.2 and 0.41 s."""
 
@@ -27,8 +23,8 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self.routes = LabelValues(MAX_LABEL_VALUES)
-        self.accounts = LabelValues(MAX_LABEL_VALUES)
+        self.routes = LabelValues()
+        self.accounts = LabelValues()
         self.requests = self._count(
             "requests_total", "Answers by route and status.", "route", "status"
         )
@@ -92,7 +88,7 @@
             self.by_account.add(account, status)
             self.grants.add(account, count=len(trace.grants))
             if trace.attempts is not None:
-                self.sends.add(account, count=trace.attempts.sent - trace.attempts.refused)
+                self.sends.add(account, count=trace.attempts.possible_runs)
         if trace.first_event_s is not None:
             self.first_event.observe(trace.first_event_s, route)
         if trace.reserved_s is not None:
--- a/waxwingglade/ingress/send_grants.py
+++ b/waxwingglade/ingress/send_grants.py
@@ -35,36 +35,28 @@
 
     Attributes
     ----------
-    available : bool
-        Whether there is a grant for the next sending.
+    taken : int
+        Number of grants that were taken.
     """
 
     def __init__(self, take: Take | None) -> None:
         self.take = take
-        self.available = False
+        self.taken = 0
 
     def add(self) -> None:
-        """Add a grant that was taken elsewhere."""
-        self.available = True
+        """Count a grant that was taken elsewhere."""
+        self.taken += 1
 
-    async def ensure(self) -> None:
-        """Take a grant for the next sending if there is none; raise `NoGrant` if it is refused."""
-        if self.available or self.take is None:
+    async def ensure(self, sendings: int) -> None:
+        """Take a grant if there are fewer than `sendings`; raise `NoGrant` if it is refused."""
+        if self.take is None or self.taken >= sendings:
             return
         answer = await self.take()
         if isinstance(answer, QuotaSpent):
             raise NoGrant("the client account is over its limit")
         if isinstance(answer, Unavailable):
             raise NoGrant(answer.reason)
-        self.available = True
-
-    def record_sent(self) -> None:
-        """Use the grant for a sending."""
-        self.available = False
-
-    def record_not_run(self) -> None:
-        """Keep the grant of a sending that was certainly not run."""
-        self.available = True
+        self.add()
 
 
 __all__ = ["NoGrant", "SendGrants", "Take"]
--- a/waxwingglade/ledger/quota_log.py
+++ b/waxwingglade/ledger/quota_log.py
@@ -12,9 +12,6 @@
 MAX_LOGGED_ACCOUNTS = 10
 """Accounts in the lines of one interval, those with most requests first."""
 
-MAX_LABEL_VALUES = 50
-"""Maximum number of client accounts that have their own series in the metrics."""
-
 
 class QuotaUsage(msgspec.Struct):
     """Requests of one account at one member since its last log line.
@@ -49,7 +46,7 @@
     def __init__(self, interval_s: float, clock: Clock) -> None:
         self.interval_s = interval_s
         self.clock = clock
-        self.labels = LabelValues(MAX_LABEL_VALUES)
+        self.labels = LabelValues()
         self.answers: Counter[tuple[str, str]] = Counter()
         self.usage: dict[ClientAccountId, QuotaUsage] = {}
         self.began_at = clock()
--- a/waxwingglade/ledger/tests/test_quota_log.py
+++ b/waxwingglade/ledger/tests/test_quota_log.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from waxwingglade.base.buffered_metrics import OTHER
+from waxwingglade.base.buffered_metrics import MAX_LABEL_VALUES, OTHER
 from waxwingglade.follow.model import ClientAccountId
-from waxwingglade.ledger.quota_log import MAX_LABEL_VALUES, MAX_LOGGED_ACCOUNTS, QuotaLog
+from waxwingglade.ledger.quota_log import MAX_LOGGED_ACCOUNTS, QuotaLog
 from waxwingglade.ledger.tests.log_capture import logged_lines
 
 
