Separate restored grants from stored times

Cause: one type stood for grants and for readings of the clock, so each reader of restored grants had to leave out the readings again. Change: restoring yields grants only, as a type of their own. No change of behaviour.

--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -220,10 +220,10 @@
     def _restore_grants(self) -> None:
         """Count grants from before the start that may still be recent."""
         now = self.clock()
-        for stored, at in self.stored_grants.restore(now):
-            if stored.client is not None and at > now - GRANT_RETENTION_S:
-                self.grants.setdefault(stored.client, Grants()).record(at)
-                self.last_granted_at[stored.segment] = at
+        for grant in self.stored_grants.restore(now):
+            if grant.at > now - GRANT_RETENTION_S:
+                self.grants.setdefault(grant.client, Grants()).record(grant.at)
+                self.last_granted_at[grant.segment] = grant.at
         self.stored_grants = StoredGrants()
 
     async def stop(self) -> None:
