Shift the clock of a test process in one place, and count windows by bisection

Change: any process of a test cluster may have a shifted clock; a window looks only at the requests that were sent in it. Assertions are as before.

--- a/tests/limited_accounts.py
+++ b/tests/limited_accounts.py
@@ -9,7 +9,6 @@
 from tests.platform_cluster import (
     CALL,
     HOST,
-    SHIFTED_CLOCK,
     WAIT_TIMEOUT_S,
     Node,
     PlatformCluster,
@@ -29,7 +28,6 @@
 SERVERS = 5
 """Servers of each service."""
 
-MEMBERS = 3
 GRANTS_QUOTA = 'waxwingglade_ledger_state{name="grants_quota"} 1'
 """Line of the metrics page of a member that grants requests."""
 
@@ -63,23 +61,6 @@
         return await super()._run(writer, request, body)
 
 
-class ShiftedLedger(Node):
-    """A ledger process on a machine whose steady clock is shifted by `shift_s` seconds."""
-
-    shift_s = 0.0
-
-    def command(self) -> list[str]:
-        """Return the command that starts the process."""
-        interpreter, option, *command = super().command()
-        return [interpreter, option, str(SHIFTED_CLOCK), str(self.shift_s), *command]
-
-    def restart_machine(self, shift_s: float) -> None:
-        """Kill the process, and start it on a machine whose clock has started anew."""
-        self.kill()
-        self.shift_s = shift_s
-        self.start()
-
-
 class LimitedAccounts(PlatformCluster):
     """Entries and ledger processes, an account with a limit, and servers that can lose answers.
 
@@ -103,8 +84,7 @@
             "quota_excess": rules.excess,
             "quota_slack": rules.slack,
         }
-        super().__init__(entries=entries, ledgers=0)
-        self.ledgers = [ShiftedLedger(self, "storage", number) for number in range(MEMBERS)]
+        super().__init__(entries=entries)
         self.version = 3
         self.configure(RATE_PER_S, BURST)
         rng = random.Random(1)
@@ -119,6 +99,13 @@
         host = "localhost" if node.startswith("storage") else "127.0.0.1"
         return f"{host}:{self.store.address.rpartition(':')[2]}"
 
+    def restart_ledgers(self, shift_s: float) -> None:
+        """Kill all ledger processes, and start them on machines whose clocks have started anew."""
+        for node in self.ledgers:
+            node.kill()
+            node.shift_s = shift_s
+            node.start()
+
     def refuse_ledgers(self) -> Refusal:
         """Let the store refuse all ledger processes from now on, and serve the entries."""
         return self.store.refuse({self.store_address(node.name) for node in self.ledgers}, 503)
--- a/tests/platform_cluster.py
+++ b/tests/platform_cluster.py
@@ -141,7 +141,15 @@
 
 
 class Node:
-    """One process of a daemon."""
+    """One process of a daemon.
+
+    Attributes
+    ----------
+    shift_s : float
+        Seconds by which its steady clock differs from that of this machine, from its next start on.
+    """
+
+    shift_s = 0.0
 
     def __init__(self, cluster: "PlatformCluster", purpose: str, number: int) -> None:
         self.purpose = purpose
@@ -181,7 +189,10 @@
 
     def command(self) -> list[str]:
         """Return the command that starts the process."""
-        return start_command(self.purpose, self.checkout)
+        command = start_command(self.purpose, self.checkout)
+        if self.shift_s:
+            command[2:2] = [str(SHIFTED_CLOCK), str(self.shift_s)]
+        return command
 
     def start(self) -> None:
         """Start the process."""
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from tests.platform_cluster import SHIFTED_CLOCK, Node, PlatformCluster
+from tests.platform_cluster import Node, PlatformCluster
 from tests.prove.relay import ADDRESS, STORE, Relays
 from tests.soak.accounts import BOUNDS, FREE, Accounts
 from waxwingglade.platform.registry import REPLICAS_KEY
@@ -112,27 +112,16 @@
 
 
 class LedgerProcess(Node):
-    """A ledger process.
-
-    Attributes
-    ----------
-    flush_s : float
-        Duration of its flushes in seconds; 0 to flush to the machine's disk.
-    shift_s : float
-        Seconds by which its steady clock differs from that of this machine.
-    """
+    """A ledger process whose flushes take `flush_s` seconds; 0 to flush to the machine's disk."""
 
     flush_s = 0.0
-    shift_s = 0.0
 
     def command(self) -> list[str]:
         """Return the command that starts the process."""
         interpreter, option, *command = super().command()
-        if self.shift_s:
-            command = [str(SHIFTED_CLOCK), str(self.shift_s), *command]
-        if self.flush_s:
-            command = [str(SLOW_DISK), str(self.flush_s), *command]
-        return [interpreter, option, *command]
+        if not self.flush_s:
+            return [interpreter, option, *command]
+        return [interpreter, option, str(SLOW_DISK), str(self.flush_s), *command]
 
 
 class SoakCluster(PlatformCluster):
--- a/tests/test_account_limits.py
+++ b/tests/test_account_limits.py
@@ -78,8 +78,7 @@
         for shift_s in (50_000.0, -50_000.0):
             with self.subTest(shift_s=shift_s):
                 await cluster.press(CALL, 1.0)
-                for node in cluster.ledgers:
-                    node.restart_machine(shift_s)
+                cluster.restart_ledgers(shift_s)
                 await cluster.press(CALL, LONG_WINDOW.window_s)
                 self.assertIn(OVER_LIMIT, cluster.statuses, "the account is not at its limit")
                 self.assertLessEqual(cluster.highest(CALL), LONG_WINDOW.most(RATE_PER_S, BURST))
--- a/tests/windows.py
+++ b/tests/windows.py
@@ -1,5 +1,6 @@
 """Time windows with the requests that were both sent and run in them."""
 
+from bisect import bisect_left, bisect_right
 from collections.abc import Iterator, Sequence
 
 import msgspec
@@ -25,10 +26,14 @@
 
 def windows(spans: Sequence[Span], length_s: float) -> Iterator[Window]:
     """Yield the window that begins with the sending of each span; no other window has more runs."""
-    for first in spans:
-        end_at = first.sent_at + length_s
-        runs = sum(first.sent_at <= each.sent_at and each.began_at <= end_at for each in spans)
-        yield Window(first.sent_at, end_at, runs)
+    ordered = sorted(spans, key=lambda span: span.sent_at)
+    sent_at = [span.sent_at for span in ordered]
+    for begin_at in sent_at:
+        end_at = begin_at + length_s
+        # A request is run after it was sent.
+        sent_inside = ordered[bisect_left(sent_at, begin_at) : bisect_right(sent_at, end_at)]
+        runs = sum(span.began_at <= end_at for span in sent_inside)
+        yield Window(begin_at, end_at, runs)
 
 
 __all__ = ["Span", "Window", "windows"]
