Log what changed in an entry while a request failed, and count answers that it cuts

Of an answer that an entry cut, its log could not tell a pause of the target, a lost quorum of the ledger, a stalled process and a changed configuration apart: the line had a reason and the version that served it. Lines of failed requests now also have the seconds without bytes on the connection and the number of other connections that received some, since when the quorum is lost, the delay of the event loop and a version that came into force meanwhile. Answers that are closed before their end are counted by the ending of their last sending. Nothing is computed for requests that succeed.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -26,6 +26,7 @@
     Http1Connection,
     HttpRequest,
     HttpResponse,
+    Inactivity,
     NotConnected,
     Siblings,
     Unresponsive,
@@ -87,6 +88,8 @@
     siblings : Siblings or None
         The other connections to the target at that moment.  If the target ended, all of them are
         lost together.
+    inactivity : Inactivity or None
+        How long its connection had received nothing at that moment.
     """
 
     target: TargetId
@@ -101,6 +104,7 @@
     seconds: float = 0.0
     ending: Ending | None = None
     siblings: Siblings | None = None
+    inactivity: Inactivity | None = None
 
 
 class Head(msgspec.Struct):
@@ -390,6 +394,7 @@
         record.reason = str(error)
         record.ending = _ending_of(connection, error)
         record.siblings = self.pool.siblings_of(connection)
+        record.inactivity = self.pool.inactivity_of(connection)
         if isinstance(error, Unresponsive):
             self.saw_unresponsive = True
         else:
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -143,7 +143,7 @@
         self.metrics = IngressMetrics()
         self.loop_delay = LoopDelay()
         self.tasks: list[asyncio.Task] = []
-        self.request_log = RequestLog(self.cached_view)
+        self.request_log = RequestLog(self.cached_view, self.quorum_monitor, self.loop_delay)
 
     # Start and stop
 
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -54,6 +54,8 @@
         Whether the head of an answer was written.
     status : int
         Status of the answer; 0 before.
+    aborted : bool
+        Whether the connection was closed instead of a complete answer.
     close_after : bool
         Whether the connection is closed after the answer.
     """
@@ -78,6 +80,7 @@
         self.done = False
         self.disconnected = False
         self.status = 0
+        self.aborted = False
         self.close_after = False
 
     # Called by the server
@@ -170,6 +173,7 @@
     def abort(self) -> None:
         """Close the connection, so that the caller detects a truncated answer."""
         self.done = True
+        self.aborted = True
         self.connection.stream.close()
 
     def close_when_idle(self) -> None:
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -46,6 +46,12 @@
         self.breaks = self._count(
             "broken_attempts_total", "Attempts with an incomplete answer by ending.", "ending"
         )
+        self.aborted = self._count(
+            "aborted_answers_total",
+            "Connections closed instead of a complete answer, by the ending of the last attempt.",
+            "route",
+            "ending",
+        )
         self.seconds = self._time(
             "request_seconds", "From a request's head to its answer's end.", "route"
         )
@@ -62,6 +68,7 @@
             self.refusals,
             self.attempts,
             self.breaks,
+            self.aborted,
             self.seconds,
             self.first_event,
             self.reserve,
@@ -97,7 +104,11 @@
             self.keep.observe(trace.kept_s)
         if trace.reason:
             self.refusals.add(route, status)
-        for record in trace.attempts.records if trace.attempts else []:
+        records = trace.attempts.records if trace.attempts else []
+        if exchange.aborted:
+            ending = records[-1].ending if records else None
+            self.aborted.add(route, ending.value if ending else "none")
+        for record in records:
             self.attempts.add(record.verdict.value if record.verdict else "open")
             if record.ending is not None:
                 self.breaks.add(record.ending.value)
--- a/waxwingglade/ingress/quorum_monitor.py
+++ b/waxwingglade/ingress/quorum_monitor.py
@@ -75,6 +75,8 @@
     ----------
     has_quorum : bool
         Whether the majority was reachable at the last check.
+    lost_at : float
+        When it was last found to be unreachable, in monotonic seconds; the start before that.
     wait_limits : dict
         For the timeout of each pending `wait`, the seconds that it waits without a quorum.
     """
@@ -82,6 +84,7 @@
     def __init__(self, is_reachable: Callable[[], bool]) -> None:
         self.is_reachable = is_reachable
         self.has_quorum = False
+        self.lost_at = monotonic()
         self.wait_limits: dict[asyncio.Timeout, float] = {}
 
     def check(self) -> bool:
@@ -90,6 +93,8 @@
         if has_quorum == self.has_quorum:
             return False
         self.has_quorum = has_quorum
+        if not has_quorum:
+            self.lost_at = monotonic()
         for timeout, wait_limit_s in self.wait_limits.items():
             # An expired timeout ends its wait in one of the next iterations of the event loop.
             if not timeout.expired():
--- a/waxwingglade/ingress/request_log.py
+++ b/waxwingglade/ingress/request_log.py
@@ -5,11 +5,14 @@
 import msgspec
 from loguru import logger
 
+from waxwingglade.base import monotonic
 from waxwingglade.base.logs import Sampler
+from waxwingglade.base.loop_delay import STALL_S, LoopDelay
 from waxwingglade.follow.feed import LONGEST_AGE_S, CachedView
 from waxwingglade.ingress.attempt import AttemptRecord
 from waxwingglade.ingress.exchange import Exchange
 from waxwingglade.ingress.fingerprint import fingerprint_of
+from waxwingglade.ingress.quorum_monitor import QuorumMonitor
 from waxwingglade.ingress.serving import Trace, TracedGrant
 
 SUCCESSES_LOGGED_PER_S = 20.0
@@ -25,10 +28,18 @@
     ----------
     cached_view : CachedView
         The cached view of the platform's state.
+    quorum_monitor : QuorumMonitor
+        Whether a majority of the ledger is reachable.
+    loop_delay : LoopDelay
+        Delay of the event loop.
     """
 
-    def __init__(self, cached_view: CachedView) -> None:
+    def __init__(
+        self, cached_view: CachedView, quorum_monitor: QuorumMonitor, loop_delay: LoopDelay
+    ) -> None:
         self.cached_view = cached_view
+        self.quorum_monitor = quorum_monitor
+        self.loop_delay = loop_delay
         self.successes = Sampler(SUCCESSES_LOGGED_PER_S)
         self.failures = Sampler(FAILURES_LOGGED_PER_S)
 
@@ -65,10 +76,24 @@
             "events": trace.events,
             "grants": [_grant(each) for each in trace.grants],
             "attempts": [_attempt(record) for record in records],
+            **(self._surroundings(trace, seconds) if failed else {}),
             "left_out": sampler.take_left_out(),
         }
         logger.bind(**_without_empty(fields)).info("request")
 
+    def _surroundings(self, trace: Trace, seconds: float) -> dict[str, Any]:
+        """Return what changed in this process while a request was served."""
+        monitor, delay_s = self.quorum_monitor, self.loop_delay.longest_s
+        lost_s = monotonic() - monitor.lost_at
+        was_lost = not monitor.has_quorum or lost_s < seconds
+        in_force = self.cached_view.view.version
+        return {
+            "later_version": in_force if in_force != trace.version else None,
+            "quorum": None if monitor.has_quorum else "lost",
+            "quorum_lost_s": max(0.001, round(lost_s, 3)) if was_lost else None,
+            "loop_delay_s": round(delay_s, 2) if delay_s >= STALL_S else None,
+        }
+
 
 def _grant(traced: TracedGrant) -> dict[str, Any]:
     return {"after_s": traced.after_s, **msgspec.structs.asdict(traced.grant)}
@@ -90,6 +115,8 @@
             "ending": record.ending.value if record.ending else None,
             "siblings_lost": record.siblings.lost if record.siblings else 0,
             "siblings_open": record.siblings.open if record.siblings else 0,
+            "silent_s": round(record.inactivity.seconds, 2) if record.inactivity else 0,
+            "others_heard": record.inactivity.others if record.inactivity else 0,
         }
     )
 
--- a/waxwingglade/ingress/tests/test_wait_limits.py
+++ b/waxwingglade/ingress/tests/test_wait_limits.py
@@ -9,7 +9,7 @@
 from waxwingglade.ingress.attempt import Attempts, MayHaveRun
 from waxwingglade.ingress.send_grants import SendGrants
 from waxwingglade.ingress.tests.builders import call, quarantine
-from waxwingglade.transport import ConnectionBroken, Siblings, Unresponsive, WaitLimits
+from waxwingglade.transport import ConnectionBroken, Inactivity, Siblings, Unresponsive, WaitLimits
 
 
 class FailingPool:
@@ -40,6 +40,10 @@
         """Return that there are no other connections."""
         return Siblings(0, 0)
 
+    def inactivity_of(self, _connection: Any) -> Inactivity:
+        """Return that nothing arrived on any connection."""
+        return Inactivity(0.0, 0)
+
 
 class WaitLimitTest(unittest.IsolatedAsyncioTestCase):
     async def ends(
--- a/waxwingglade/transport/__init__.py
+++ b/waxwingglade/transport/__init__.py
@@ -9,7 +9,7 @@
 )
 from waxwingglade.transport.liveness import WaitLimits
 from waxwingglade.transport.messages import HttpRequest, HttpResponse
-from waxwingglade.transport.pool import ConnectionPool, Siblings
+from waxwingglade.transport.pool import ConnectionPool, Inactivity, Siblings
 
 __all__ = [
     "ConnectionBroken",
@@ -17,6 +17,7 @@
     "Http1Connection",
     "HttpRequest",
     "HttpResponse",
+    "Inactivity",
     "NotConnected",
     "Siblings",
     "Unresponsive",
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -38,6 +38,21 @@
     lost: int
 
 
+class Inactivity(msgspec.Struct, frozen=True):
+    """How long a connection had received nothing when its request failed.
+
+    Parameters
+    ----------
+    seconds : float
+        Seconds since bytes last arrived on it, or since its request was sent.
+    others : int
+        Number of other connections of the pool on which bytes arrived meanwhile.
+    """
+
+    seconds: float
+    others: int
+
+
 class ConnectionPool:
     """Idle connections of one process; the most recently used is reused first.
 
@@ -126,6 +141,12 @@
             lost=sum(abs(lost_at - broke_at) <= SAME_MOMENT_S for lost_at in lost),
         )
 
+    def inactivity_of(self, connection: Http1Connection) -> Inactivity:
+        """Return how long a connection has received nothing, and how many others have."""
+        since = max(connection.last_received_at, connection.sent_at)
+        others = sum(other.last_received_at > since for other in self.connections)
+        return Inactivity(monotonic() - since, others)
+
     def _drop_unresponsive(self, moment: float) -> None:
         """Close the idle connections that were open at `moment` and have received nothing since."""
         dropped = 0
@@ -171,4 +192,4 @@
             self.close_idle(address)
 
 
-__all__ = ["ConnectionPool", "Siblings"]
+__all__ = ["ConnectionPool", "Inactivity", "Siblings"]
