Reproduce answers that are cut while their sound target pauses

Callers of a route with one sending get 502, or a connection closed within a 200, when their target sends nothing for a second and nothing else arrives at the entry. A stand-in for a target can now pause like a stopped process, and answers its health path.

--- /dev/null
+++ b/tests/test_paused_targets.py
@@ -0,0 +1,110 @@
+"""Sound targets that send nothing for a second or so and go on, at entries without other work."""
+
+import asyncio
+import unittest
+
+from tests.platform_cluster import HOST, PlatformCluster, configuration
+from waxwingglade.standins.registered_server import RegisteredServer, answer_to, event_data
+from waxwingglade.transport import HttpRequest, open_connection
+
+DRAFTS, READS = "/drafts/", "/reads/"
+PAUSE_S = 1.6
+EVENTS = 4
+WARM_UP_CALLS = 4
+"""Calls of each route, after which the entry has an idle connection to each target."""
+
+ONE_SENDING = [
+    {
+        "name": "drafts",
+        "host": HOST,
+        "path_prefix": DRAFTS,
+        "kind": "streaming",
+        "service": "engines",
+        "timeout_ms": 8000,
+        "target_latency_ms": 200,
+        "max_attempts": 1,
+        "resumable": True,
+        "sticky": True,
+    },
+    {
+        "name": "reads",
+        "host": HOST,
+        "path_prefix": READS,
+        "kind": "safe",
+        "service": "notes",
+        "timeout_ms": 4000,
+        "target_latency_ms": 200,
+        "max_attempts": 1,
+    },
+]
+"""Routes whose calls may be repeated, though not by the entry."""
+
+
+class PausedTargets(unittest.IsolatedAsyncioTestCase):
+    """The only caller of an entry waits for a target that is sound."""
+
+    async def asyncSetUp(self) -> None:
+        self.cluster = PlatformCluster(entries=1)
+        self.addAsyncCleanup(self.cluster.stop)
+        await self.cluster.start()
+        (self.entry,) = self.cluster.entries
+        self.cluster.store.put("op/config", configuration(4, ONE_SENDING))
+        async with asyncio.timeout(5.0):
+            while (await self.cluster.call(self.entry, "POST", READS)).status != 200:
+                await asyncio.sleep(0.05)
+        for _ in range(WARM_UP_CALLS):
+            for path in (DRAFTS, READS):
+                await self.cluster.call(self.entry, "POST", path)
+
+    async def test_a_stream_whose_target_pauses_is_not_cut(self) -> None:
+        for events in (0, 2):
+            with self.subTest(events=events):
+                answer = await self._call(DRAFTS, f"drafts-{events}", self.cluster.engines, events)
+                self.assertEqual(answer, (200, stream_of(b"body")))
+
+    async def test_a_call_whose_target_pauses_gets_its_answer(self) -> None:
+        answer = await self._call(READS, "reads", self.cluster.notes)
+        self.assertEqual(answer, (200, answer_to(b"body")))
+
+    async def test_a_stream_of_a_slow_target_is_not_cut(self) -> None:
+        """The target goes on answering others meanwhile."""
+        for engine in self.cluster.engines:
+            engine.event_s = PAUSE_S
+        answer = await self.cluster.call(self.entry, "POST", DRAFTS, b"body")
+        self.assertEqual((answer.status, answer.body), (200, stream_of(b"body")))
+
+    async def _call(
+        self, path: str, request: str, servers: list[RegisteredServer], events: int = 0
+    ) -> tuple[int, bytes]:
+        """Send a request and pause the servers once some events arrived; return the answer."""
+        for server in servers:
+            server.event_s = 0.1
+        connection = await open_connection(f"{self.entry.ip}:{self.entry.port}", 2.0)
+        headers = [("Host", HOST), ("X-Waxwingglade-Request-Id", request)]
+        connection.send(HttpRequest("POST", path, headers, b"body"))
+        body = b""
+        try:
+            if events:
+                head = await connection.read_head(lambda _: True)
+                while body.count(b"\n\n") < events:
+                    body += await connection.read_piece() or b""
+            await asyncio.sleep(0.05)
+            for server in servers:
+                server.pause(PAUSE_S)
+            if not events:
+                head = await connection.read_head(lambda _: True)
+            return head.status, body + await connection.read_body(10_000)
+        finally:
+            connection.close()
+
+
+def stream_of(prompt: bytes) -> bytes:
+    """Return the complete stream that answers a prompt."""
+    return b"".join(
+        b"id: %d\ndata: %s\n\n" % (number, event_data(prompt, number))
+        for number in range(1, EVENTS + 1)
+    )
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -16,6 +16,7 @@
 from waxwingglade.standins.metadata_store import MetadataStore
 
 PREFIX = "x-waxwingglade-"
+HEALTH_PATH = "/health"
 
 
 class ServerFault(Enum):
@@ -72,6 +73,8 @@
         When it ended, in monotonic seconds.
     crashed_by : str
         Id of the request that ended it.
+    paused_until : float
+        When it goes on after a pause, in monotonic seconds.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         self.crashed: Callable[[], None] = lambda: None
         self.crashed_at: float | None = None
         self.crashed_by = ""
+        self.paused_until = 0.0
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Start to serve, and register."""
@@ -146,6 +150,14 @@
             writer.transport.abort()
         self.crashed()
 
+    def pause(self, seconds: float) -> None:
+        """Stand still like a stopped process: connections stay open, and nothing is sent."""
+        self.paused_until = time.monotonic() + seconds
+
+    async def _until_resumed(self) -> None:
+        while (left_s := self.paused_until - time.monotonic()) > 0:
+            await asyncio.sleep(left_s)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -163,7 +175,11 @@
             name, _, value = line.partition(":")
             headers[name.strip().lower()] = value.strip()
         body = await reader.readexactly(int(headers.get("content-length", 0)))
+        await self._until_resumed()
         request = headers.get(PREFIX + "request-id", "")
+        if path == HEALTH_PATH:
+            writer.write(self._plain(200, request, b"healthy\n"))
+            return True
         expected = headers.get(PREFIX + "expect-instance")
         if expected not in (None, self.name):
             writer.write(self._plain(421, request, b"other\n", not_run=True))
@@ -191,6 +207,7 @@
         if self.events:
             return await self._stream(writer, request, body)
         await asyncio.sleep(self.event_s)
+        await self._until_resumed()
         answer = self._plain(200, request, answer_to(body))
         if self.fault is ServerFault.TRUNCATED:
             writer.write(answer[:-3])
@@ -206,6 +223,7 @@
         writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(1, self.events + 1):
             await asyncio.sleep(self.event_s)
+            await self._until_resumed()
             event = b"id: %d\ndata: %s\n\n" % (number, event_data(body, number))
             if self.fault is ServerFault.TRUNCATED and number == self.events:
                 event = event[: len(event) // 2]
