End a last sending only on a connection that a probe finds dead

Callers of routes with one sending got 502, or a connection closed within a 200, from sound targets that sent nothing for a second and went on.

Cause: the last sending of a call that may be repeated was ended after 1.0 s without bytes on its connection if no other connection received any meanwhile. At an entry without other work that is any pause of the target. An absence of bytes was taken for the death of the connection.

Change: 0.3 s before its time is over, a request to the target's health path is sent on an idle connection that was open during the silence and on a new one. Only if the new one alone is answered the connections of that time are dead, and the sending ends as before. A target that pauses answers neither, a slow one both. Without an idle connection nothing is sent and the call waits. Requests to one target share a probe. A sending after which another is left ends as early as before, so callers are answered within their latency objective, and tests.test_silent_targets is unchanged. Nothing is done on a connection that carries bytes.

--- a/waxwingglade/follow/model.py
+++ b/waxwingglade/follow/model.py
@@ -127,11 +127,14 @@
         Greatest number of connections to one target, from all callers together.
     engine : EngineTraits or None
         Set where the targets are model engines.
+    health_path : str
+        Path that each target answers without running a request; empty if there is none.
     """
 
     name: ServiceName
     max_connections: int = 0
     engine: EngineTraits | None = None
+    health_path: str = ""
 
 
 class ClientLimits(msgspec.Struct, frozen=True):
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -23,6 +23,7 @@
 from waxwingglade.transport import (
     ConnectionBroken,
     ConnectionPool,
+    Finding,
     Http1Connection,
     HttpRequest,
     HttpResponse,
@@ -48,8 +49,8 @@
 with log-normally distributed times and a sigma of 1, 3 in 100 exceed this multiple of the mean."""
 
 LAST_RESPONSE_TIMEOUT_S = 1.0
-"""Seconds after which the last attempt ends if its connection is unresponsive.  This is half of the
-two seconds after which callers abandon a stream without events, so that they can retry on a new
+"""Seconds after which the last attempt ends if its connection is dead.  This is half of the two
+seconds after which callers abandon a stream without events, so that they can retry on a new
 connection in time."""
 
 SERVER_ERRORS = 500
@@ -90,6 +91,8 @@
         lost together.
     inactivity : Inactivity or None
         How long its connection had received nothing at that moment.
+    finding : Finding or None
+        What a probe found while its connection received nothing.
     """
 
     target: TargetId
@@ -105,6 +108,7 @@
     ending: Ending | None = None
     siblings: Siblings | None = None
     inactivity: Inactivity | None = None
+    finding: Finding | None = None
 
 
 class Head(msgspec.Struct):
@@ -340,6 +344,8 @@
         objective.  A call that may not run twice continues; only idle connections of that time
         are closed.  The last attempt continues as well if an earlier one met an unresponsive
         connection: the connections of that time are no longer in use, so its target must be slow.
+        Otherwise it ends only if a probe finds that its connection is dead: a target that pauses
+        looks the same without one, and the caller would lose the answer.
         """
         route = self.route
         may_retry = route.idempotent and self.may_try
@@ -349,11 +355,13 @@
                 suspect_s / 2 if may_retry else suspect_s, USUAL_TIME_FACTOR * choice.usual_s
             )
         suspect_s = max(suspect_s, MIN_RESPONSE_TIMEOUT_S)
-        if not route.idempotent or (self.saw_unresponsive and not may_retry):
+        if may_retry:
+            return WaitLimits(suspect_s, suspect_s)
+        health_path = self.service.health_path
+        if not route.idempotent or self.saw_unresponsive or not health_path:
             return WaitLimits(suspect_s, None)
-        return WaitLimits(
-            suspect_s, suspect_s if may_retry else max(suspect_s, LAST_RESPONSE_TIMEOUT_S)
-        )
+        probe = HttpRequest("GET", health_path, [("Host", choice.target.address)])
+        return WaitLimits(suspect_s, max(suspect_s, LAST_RESPONSE_TIMEOUT_S), probe)
 
     async def _connect(self, choice: Choice, record: AttemptRecord) -> Http1Connection:
         try:
@@ -432,6 +440,7 @@
 
     def close(self, choice: Choice, connection: Http1Connection) -> None:
         """Return a connection to the pool, and record the end of the request at its target."""
+        self.records[-1].finding = self.pool.finding_of(connection)
         self.pool.release(choice.target.address, connection)
         self.balancer.record_end(choice.target)
         record = self.records[-1]
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -7,6 +7,7 @@
 
 from waxwingglade.base.buffered_metrics import BufferedCounter, BufferedHistogram, LabelValues
 from waxwingglade.follow.feed import LONGEST_AGE_S
+from waxwingglade.transport import Finding
 
 if TYPE_CHECKING:
     from waxwingglade.ingress.entry import Ingress
@@ -131,6 +132,8 @@
             "held_back": float(ingress.quarantine.held),
             "loop_delay_seconds": ingress.loop_delay.longest_s,
         }
+        for finding in Finding:
+            facts[f"target_probes_{finding.name.lower()}"] = float(ingress.pool.findings[finding])
         for name, value in facts.items():
             self.state.set({"name": name}, value)
         for buffered in self.buffered_metrics:
--- a/waxwingglade/ingress/request_log.py
+++ b/waxwingglade/ingress/request_log.py
@@ -117,6 +117,7 @@
             "siblings_open": record.siblings.open if record.siblings else 0,
             "silent_s": round(record.inactivity.seconds, 2) if record.inactivity else 0,
             "others_heard": record.inactivity.others if record.inactivity else 0,
+            "probe": record.finding.value if record.finding else None,
         }
     )
 
--- a/waxwingglade/ingress/tests/builders.py
+++ b/waxwingglade/ingress/tests/builders.py
@@ -25,8 +25,8 @@
 from waxwingglade.ledger.failure_client import FailureClient
 from waxwingglade.ledger.target_failures import NO_FAILURES, FailureTable, TargetFailures
 
-ENGINES = Service(ServiceName("engines"), 100, EngineTraits(16, 500_000, 30))
-NOTES = Service(ServiceName("notes"), 100)
+ENGINES = Service(ServiceName("engines"), 100, EngineTraits(16, 500_000, 30), "/health")
+NOTES = Service(ServiceName("notes"), 100, health_path="/health")
 
 
 def route(prefix: str, host: str = "shop", **fields: Any) -> Route:
--- a/waxwingglade/ingress/tests/test_wait_limits.py
+++ b/waxwingglade/ingress/tests/test_wait_limits.py
@@ -33,6 +33,9 @@
         """Record how long a connection may be unresponsive."""
         self.wait_limits.append(limits)
 
+    def finding_of(self, _connection: Any) -> None:
+        """Return that no probe was sent."""
+
     def release(self, *_: Any) -> None:
         """Accept a returned connection."""
 
--- a/waxwingglade/platform/registry.py
+++ b/waxwingglade/platform/registry.py
@@ -88,6 +88,7 @@
     name: str
     max_conns: int = 0
     engine: _Engine | None = None
+    health_path: str = ""
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -219,7 +220,7 @@
             max(1, wire.engine.stride),
             wire.engine.pin_ms / 1000,
         )
-    return Service(ServiceName(wire.name), wire.max_conns, engine)
+    return Service(ServiceName(wire.name), wire.max_conns, engine, wire.health_path)
 
 
 def decode_target(key: str, value: bytes) -> Target:
--- a/waxwingglade/transport/__init__.py
+++ b/waxwingglade/transport/__init__.py
@@ -10,10 +10,12 @@
 from waxwingglade.transport.liveness import WaitLimits
 from waxwingglade.transport.messages import HttpRequest, HttpResponse
 from waxwingglade.transport.pool import ConnectionPool, Inactivity, Siblings
+from waxwingglade.transport.probe import Finding
 
 __all__ = [
     "ConnectionBroken",
     "ConnectionPool",
+    "Finding",
     "Http1Connection",
     "HttpRequest",
     "HttpResponse",
--- a/waxwingglade/transport/liveness.py
+++ b/waxwingglade/transport/liveness.py
@@ -9,12 +9,22 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Protocol
 
 import msgspec
 
 from waxwingglade.base import monotonic
+from waxwingglade.base.tasks import start_task
+from waxwingglade.transport.messages import HttpRequest
+from waxwingglade.transport.probe import Finding, ProbeResult
+
+PROBE_LEAD_S = 0.3
+"""Seconds before the end of its time at which a connection that is ended only if a probe finds it
+dead is probed, so that the finding is there by then."""
+
+PROBE_INTERVAL_S = 1.0
+"""Seconds between probes of a connection that is not found to be dead."""
 
 
 class ConnectionTimes(Protocol):
@@ -46,10 +56,14 @@
     end_s : float or None
         Seconds without bytes after which the request fails; None if it waits on, since it may have
         run and must not run again.
+    probe : HttpRequest or None
+        Request to the target that costs it little.  If given, the request fails only if probes with
+        it find that the connection is dead, since no other connection is tried after this one.
     """
 
     suspect_s: float
     end_s: float | None
+    probe: HttpRequest | None = None
 
 
 def unresponsive_since(waiting: ConnectionTimes, connections: Iterable[ConnectionTimes]) -> float:
@@ -79,6 +93,13 @@
         How long to wait.
     suspected : callable
         Called with the moment since which connections are suspected to be unresponsive.
+    probe : callable
+        Sends `limits.probe` to the target, on an idle connection and on a new one.
+
+    Attributes
+    ----------
+    finding : Finding or None
+        What the last probe found.
     """
 
     def __init__(
@@ -87,17 +108,23 @@
         connections: Callable[[], Iterable[ConnectionTimes]],
         limits: WaitLimits,
         suspected: Callable[[float], None],
+        probe: Callable[[], Awaitable[ProbeResult]],
     ) -> None:
         self.waiting = waiting
         self.connections = connections
         self.limits = limits
         self.suspected = suspected
+        self.probe = probe
+        self.finding: Finding | None = None
+        self.probing: asyncio.Task[None] | None = None
         self.loop = asyncio.get_running_loop()
         self.timer = self.loop.call_later(limits.suspect_s, self._check)
 
     def stop(self) -> None:
         """Cancel further checks."""
         self.timer.cancel()
+        if self.probing is not None:
+            self.probing.cancel()
 
     def _check(self) -> None:
         if self.waiting.ended:
@@ -119,11 +146,32 @@
         end_s = self.limits.end_s
         if end_s is None:
             return
-        if now < idle_from + end_s:
-            self._check_at(idle_from + end_s)
+        ends_at = idle_from + end_s
+        if self.limits.probe is not None:
+            probe_at = max(idle_from + suspect_s, ends_at - PROBE_LEAD_S)
+            if now < probe_at:
+                self._check_at(probe_at)
+            else:
+                self.probing = start_task(self._probe(idle_from, ends_at))
+            return
+        if now < ends_at:
+            self._check_at(ends_at)
             return
         self.waiting.fail(f"silent for {now - idle_from:.2f} s")
 
+    async def _probe(self, idle_from: float, ends_at: float) -> None:
+        """End the request at a moment if the connection is dead; otherwise check again later."""
+        result = await self.probe()
+        self.finding = result.finding
+        if not result.is_dead(self.waiting.opened_at):
+            self._check_at(monotonic() + PROBE_INTERVAL_S)
+            return
+        await asyncio.sleep(max(0.0, ends_at - monotonic()))
+        if self.waiting.last_received_at > idle_from:
+            self._check()
+            return
+        self.waiting.fail(f"silent for {monotonic() - idle_from:.2f} s: {result.finding.value}")
+
     def _unresponsive_since(self, now: float) -> float:
         """Return since when connections may be unresponsive, or `now` if nothing indicates it.
 
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -1,15 +1,18 @@
 """A pool of reusable connections to targets, by address."""
 
+import asyncio
 import weakref
-from collections import defaultdict
+from collections import Counter, defaultdict
 
 import msgspec
 from loguru import logger
 
 from waxwingglade.base import monotonic
+from waxwingglade.base.tasks import start_task
 from waxwingglade.transport.http1 import Http1Connection, open_connection
 from waxwingglade.transport.liveness import LivenessWatch, WaitLimits
-from waxwingglade.transport.messages import HttpResponse
+from waxwingglade.transport.messages import HttpRequest, HttpResponse
+from waxwingglade.transport.probe import Finding, ProbeResult, probe
 
 DEFAULT_IDLE_S = 2.0
 """Seconds for which an idle connection is reused if the target does not state its timeout."""
@@ -23,6 +26,10 @@
 does not close it while a request is in transit."""
 
 
+WITNESS_S = 3.0
+"""Seconds for which a connection that is suspected to be unresponsive is retained for a probe."""
+
+
 class Siblings(msgspec.Struct, frozen=True):
     """The other connections to a peer at the moment at which one of them broke.
 
@@ -67,6 +74,10 @@
         Connections opened since the start.
     connections : WeakSet of Http1Connection
         All connections, idle and in use.
+    witnesses : dict
+        By address, a suspected idle connection on which a probe can tell whether it still works.
+    findings : Counter
+        Number of probes by their finding.
     """
 
     def __init__(self, connect_timeout_s: float) -> None:
@@ -76,6 +87,9 @@
         self.opened = 0
         self.connections: weakref.WeakSet[Http1Connection] = weakref.WeakSet()
         self.watches: dict[Http1Connection, LivenessWatch] = {}
+        self.witnesses: dict[str, Http1Connection] = {}
+        self.probes: dict[str, asyncio.Task[ProbeResult]] = {}
+        self.findings: Counter[Finding] = Counter()
 
     async def acquire(self, address: str) -> Http1Connection:
         """Return an idle connection, or a new one.
@@ -121,12 +135,24 @@
         """Check whether a connection is unresponsive, until it is released.
 
         If it is, the idle connections that were open when it became so and have received nothing
-        since are closed, and this one fails with `Unresponsive` if `limits.end_s` is not None.
+        since are closed, and this one fails with `Unresponsive` if `limits.end_s` is not None and,
+        where `limits.probe` is given, a probe finds it dead.
         """
         self.watches[connection] = LivenessWatch(
-            connection, lambda: self.connections, limits, self._drop_unresponsive
+            connection,
+            lambda: self.connections,
+            limits,
+            lambda moment: self._drop_unresponsive(
+                moment, connection.address if limits.probe is not None else None
+            ),
+            lambda: self._probe(connection.address, limits.probe),
         )
 
+    def finding_of(self, connection: Http1Connection) -> Finding | None:
+        """Return what the last probe found for the request that waits on a connection."""
+        watch = self.watches.get(connection)
+        return watch.finding if watch else None
+
     def siblings_of(self, connection: Http1Connection) -> Siblings:
         """Return how the other connections to the peer of a broken connection fare."""
         others = [
@@ -147,15 +173,21 @@
         others = sum(other.last_received_at > since for other in self.connections)
         return Inactivity(monotonic() - since, others)
 
-    def _drop_unresponsive(self, moment: float) -> None:
-        """Close the idle connections that were open at `moment` and have received nothing since."""
+    def _drop_unresponsive(self, moment: float, probed: str | None) -> None:
+        """Close the idle connections that were open at `moment` and have received nothing since.
+
+        Of the address that is to be probed, the one that was heard last is retained.
+        """
         dropped = 0
         for address, connections in list(self.idle.items()):
             retained = []
             for connection in connections:
                 if connection.opened_at < moment and connection.last_received_at <= moment:
-                    connection.close()
                     dropped += 1
+                    if address == probed:
+                        self._retain_witness(address, connection)
+                    else:
+                        connection.close()
                 else:
                     retained.append(connection)
             self.idle[address] = retained
@@ -165,9 +197,60 @@
                 "idle connections dropped"
             )
 
+    def _retain_witness(self, address: str, connection: Http1Connection) -> None:
+        """Retain the connection or the present witness, whichever was heard last."""
+        present = self.witnesses.get(address)
+        if present is not None and present.usable:
+            older, connection = sorted(
+                (present, connection), key=lambda each: each.last_received_at
+            )
+            older.close()
+        self.witnesses[address] = connection
+
+    def _take_witness(self, address: str) -> Http1Connection | None:
+        """Return the open connection without a request that was heard last, or None."""
+        witness = self.witnesses.pop(address, None)
+        idle = self.idle.get(address, [])
+        candidates = [each for each in (witness, *idle) if each is not None and each.usable]
+        if not candidates:
+            return None
+        chosen = max(candidates, key=lambda each: each.last_received_at)
+        if chosen in idle:
+            idle.remove(chosen)
+        if witness is not None and witness is not chosen:
+            witness.close()
+        return chosen
+
+    async def _probe(self, address: str, request: HttpRequest | None) -> ProbeResult:
+        """Probe the connections to an address; requests that ask meanwhile share the result."""
+        assert request is not None
+        if address not in self.probes:
+            task = self.probes[address] = start_task(self._probe_once(address, request))
+            task.add_done_callback(lambda _: self.probes.pop(address, None))
+        return await asyncio.shield(self.probes[address])
+
+    async def _probe_once(self, address: str, request: HttpRequest) -> ProbeResult:
+        witness = self._take_witness(address)
+        if witness is None:
+            result, reusable = ProbeResult(Finding.NO_WITNESS), []
+        else:
+            self.opened += 1
+            result, reusable = await probe(witness, request, self.connect_timeout_s)
+        self.findings[result.finding] += 1
+        for connection in reusable:
+            self.connections.add(connection)
+            self.idle[address].append(connection)
+        if result.finding is Finding.DEAD:
+            logger.bind(address=address).warning("open connections are dead")
+        return result
+
     def close_expired(self) -> None:
         """Close connections that have been idle for longer than their limit."""
         now = monotonic()
+        for address, witness in list(self.witnesses.items()):
+            if not witness.usable or now - witness.last_received_at > WITNESS_S:
+                witness.close()
+                del self.witnesses[address]
         for address, connections in list(self.idle.items()):
             limit_s = self.idle_limits_s.get(address, DEFAULT_IDLE_S)
             retained = []
@@ -185,11 +268,15 @@
         """Close the idle connections to an address."""
         for connection in self.idle.pop(address, []):
             connection.close()
+        if witness := self.witnesses.pop(address, None):
+            witness.close()
 
     def close(self) -> None:
-        """Close every idle connection."""
-        for address in list(self.idle):
+        """Close every idle connection, and end all probes."""
+        for address in [*self.idle, *self.witnesses]:
             self.close_idle(address)
+        for task in self.probes.values():
+            task.cancel()
 
 
 __all__ = ["ConnectionPool", "Inactivity", "Siblings"]
--- /dev/null
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -0,0 +1,198 @@
+"""What a probe finds out about open connections, and that only dead ones end a request."""
+
+import asyncio
+import time
+import unittest
+
+from waxwingglade.base.tests.daemon_loop import OnDaemonLoop
+from waxwingglade.transport import ConnectionPool, Finding, HttpRequest, Unresponsive, WaitLimits
+from waxwingglade.transport.http1 import Http1Connection
+from waxwingglade.transport.liveness import PROBE_LEAD_S
+from waxwingglade.transport.probe import ANSWER_TIMEOUT_S, SPREAD_S, ProbeResult, probe
+
+REQUEST = HttpRequest("GET", "/", [("Host", "h")])
+HEALTH = HttpRequest("GET", "/health", [("Host", "h")])
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+END_S = 0.4
+
+
+class PausingServer:
+    """A server of which a test decides on which connections it answers, and when.
+
+    Attributes
+    ----------
+    resumed : asyncio.Event
+        Cleared while the server sends nothing.
+    dead : int
+        Number of connections, the first ones, that lose all bytes.
+    delays_s : dict
+        Seconds by which answers on a connection are late, by its number.
+    health_requests : int
+        Number of requests to the health path that were answered.
+    """
+
+    def __init__(self) -> None:
+        self.resumed = asyncio.Event()
+        self.resumed.set()
+        self.dead = 0
+        self.resets_new = False
+        self.opened = 0
+        self.delays_s: dict[int, float] = {}
+        self.health_requests = 0
+        self.writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> str:
+        """Start to serve, and return the address."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        number = self.opened
+        self.opened += 1
+        self.writers.append(writer)
+        if self.resets_new:
+            writer.transport.abort()
+            return
+        try:
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                if number < self.dead:
+                    continue
+                await asyncio.sleep(self.delays_s.get(number, 0.0))
+                await self.resumed.wait()
+                self.health_requests += b"/health" in head
+                writer.write(ANSWER)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The test or the connection ended.
+        finally:
+            writer.close()
+
+
+class ProbeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.server = PausingServer()
+        self.address = await self.server.start()
+        self.addCleanup(self.server.server.close)
+        self.pool = ConnectionPool(5.0)
+        self.addCleanup(self.pool.close)
+
+    async def open(self, count: int = 1) -> list[Http1Connection]:
+        """Return connections that were opened together, and on which a request was answered."""
+        connections = [await self.pool.acquire(self.address) for _ in range(count)]
+        for connection in connections:
+            connection.send(REQUEST)
+            await connection.read_head(lambda _: True)
+            await connection.read_body(10)
+        return connections
+
+    async def finding(self) -> Finding:
+        """Probe with an idle connection, and return what is found."""
+        (witness,) = await self.open()
+        result, reusable = await probe(witness, HEALTH, 1.0)
+        for connection in reusable:
+            connection.close()
+        return result.finding
+
+    async def test_open_connections_work_if_one_is_answered(self) -> None:
+        self.assertEqual(await self.finding(), Finding.WORKING)
+
+    async def test_they_are_dead_if_only_a_new_connection_is_answered(self) -> None:
+        self.server.dead = 1
+        (witness,) = [await self.pool.acquire(self.address)]
+        heard_at = witness.last_received_at
+        result, reusable = await probe(witness, HEALTH, 1.0)
+        self.assertEqual(result, ProbeResult(Finding.DEAD, heard_at))
+        self.assertFalse(witness.usable)
+        (new,) = reusable
+        new.close()
+
+    async def test_a_target_that_pauses_tells_nothing(self) -> None:
+        (witness,) = await self.open()
+        self.server.resumed.clear()
+        began_at = time.monotonic()
+        result, reusable = await probe(witness, HEALTH, 1.0)
+        self.assertEqual((result.finding, reusable), (Finding.UNANSWERED, []))
+        self.assertLess(time.monotonic() - began_at, 2 * ANSWER_TIMEOUT_S)
+
+    async def test_a_target_that_goes_on_may_answer_the_new_connection_first(self) -> None:
+        """Guards against a pause that ends within a probe and counts as a dead connection."""
+        self.server.delays_s = {0: SPREAD_S / 2}
+        self.assertEqual(await self.finding(), Finding.WORKING)
+
+    async def test_a_connection_that_the_target_closes_carries_bytes(self) -> None:
+        (witness,) = await self.open()
+        self.server.resumed.clear()
+        asyncio.get_running_loop().call_later(0.05, self.server.writers[0].transport.abort)
+        result, _ = await probe(witness, HEALTH, 1.0)
+        self.assertEqual(result.finding, Finding.WORKING)
+
+    async def test_a_target_that_resets_new_connections_tells_nothing(self) -> None:
+        """Guards against a full target that counts as reached while it is slow to answer."""
+        (witness,) = await self.open()
+        self.server.resumed.clear()
+        self.server.resets_new = True
+        result, _ = await probe(witness, HEALTH, 1.0)
+        self.assertEqual(result.finding, Finding.UNANSWERED)
+
+    def test_a_connection_opened_after_the_others_last_worked_may_be_alive(self) -> None:
+        result = ProbeResult(Finding.DEAD, works_since=5.0)
+        self.assertTrue(result.is_dead(opened_at=4.0))
+        self.assertFalse(result.is_dead(opened_at=6.0))
+
+    # Requests of a pool that are probed
+
+    async def wait(self, connections: list[Http1Connection]) -> list[asyncio.Task]:
+        """Send a request on each connection and wait for its answer under a watch."""
+        waiting = []
+        for connection in connections:
+            connection.send(REQUEST)
+            self.pool.watch(connection, WaitLimits(END_S / 2, END_S, HEALTH))
+            waiting.append(asyncio.create_task(connection.read_head(lambda _: True)))
+        return waiting
+
+    async def test_a_request_waits_while_its_target_pauses(self) -> None:
+        one, two = await self.open(2)
+        self.pool.release(self.address, two)
+        self.server.resumed.clear()
+        (waiting,) = await self.wait([one])
+        await asyncio.sleep(2 * END_S)
+        self.server.resumed.set()
+        self.assertEqual((await waiting).status, 200)
+        self.assertEqual(self.pool.findings[Finding.UNANSWERED], 1)
+
+    async def test_a_request_waits_for_a_slow_answer_of_a_target_that_works(self) -> None:
+        one, two = await self.open(2)
+        self.pool.release(self.address, two)
+        self.server.delays_s = {0: 2 * END_S}
+        (waiting,) = await self.wait([one])
+        self.assertEqual((await waiting).status, 200)
+        self.assertEqual(self.pool.findings, {Finding.WORKING: 1})
+
+    async def test_a_request_waits_if_no_idle_connection_tells(self) -> None:
+        (one,) = await self.open()
+        self.server.delays_s = {0: 2 * END_S}
+        (waiting,) = await self.wait([one])
+        self.assertEqual((await waiting).status, 200)
+        self.assertEqual(self.server.opened, 1, "no connection is opened in vain")
+
+    async def test_requests_on_dead_connections_end_and_share_a_probe(self) -> None:
+        *used, idle = await self.open(4)
+        self.pool.release(self.address, idle)
+        self.server.dead = 4
+        began_at = time.monotonic()
+        waiting = await self.wait(used)
+        for task in waiting:
+            with self.assertRaisesRegex(Unresponsive, Finding.DEAD.value):
+                await task
+        self.assertLess(
+            time.monotonic() - began_at, END_S + SPREAD_S + PROBE_LEAD_S, "soon after their time"
+        )
+        self.assertEqual(self.server.health_requests, 1)
+        self.assertEqual(self.pool.findings, {Finding.DEAD: 1})
+
+
+class ProbeOnDaemonLoopTest(OnDaemonLoop, ProbeTest):
+    """The same tests on the event loop of the daemons."""
+
+
+if __name__ == "__main__":
+    unittest.main()
