Bound the bytes and the time that are read without a part of a response

Trickling header lines were read for up to 1.4 s.

Cause: only the bytes of one head were counted, and interim heads started the count anew; all bytes that arrive count as a sign of a living connection, so the watch never ended it.

Change: a connection counts bytes and time since the last part of the awaited response, 64 KiB and one second at most; time between receptions counts as 0.25 s at most, so a target that pauses is read on. Late responses to other requests are skipped as before, eight of them and 8 MiB of each at most. This holds for the store as well, which uses the same connections.

--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -25,6 +25,21 @@
 unreachable while an answer is awaited is detected after about two seconds; a peer that is only slow
 is not affected."""
 
+MAX_OVERHEAD_BYTES = 64 * 1024
+"""Bytes that may arrive without any part of a response: of its head, of interim responses, and
+around the pieces of its body."""
+
+MAX_OVERHEAD_S = 1.0
+"""Seconds for which bytes may go on arriving without any part of the awaited response."""
+
+MAX_SKIPPED_RESPONSES = 8
+MAX_SKIPPED_BYTES = 8 * 1024 * 1024
+"""Responses to earlier requests that are skipped before the awaited one, and the size in bytes of
+the body of each."""
+
+MAX_COUNTED_GAP_S = 0.25
+"""Greatest time in seconds between two receptions that counts as receiving: a peer may pause."""
+
 READ_HIGH_WATER_BYTES = 256 * 1024
 """Received bytes that are buffered for the reader before the connection stops reading."""
 
@@ -53,6 +68,40 @@
     """A connection was closed because it was unresponsive; its target may be healthy."""
 
 
+class Overhead:
+    """Bytes received on a connection since the last part of the awaited response.
+
+    Attributes
+    ----------
+    size : int
+        Number of bytes.
+    seconds : float
+        Time spent receiving them.
+    received_at : float
+        When bytes last arrived, in monotonic seconds.
+    """
+
+    def __init__(self) -> None:
+        self.reset()
+
+    def reset(self) -> None:
+        """Start anew, as a part of the response arrived."""
+        self.size = 0
+        self.seconds = 0.0
+        self.received_at = float("inf")
+
+    def add(self, size: int, now: float) -> None:
+        """Count received bytes."""
+        self.size += size
+        self.seconds += min(max(0.0, now - self.received_at), MAX_COUNTED_GAP_S)
+        self.received_at = now
+
+    @property
+    def exceeds_limits(self) -> bool:
+        """Whether so many bytes, or for so long, are no response."""
+        return self.size > MAX_OVERHEAD_BYTES or self.seconds > MAX_OVERHEAD_S
+
+
 class Http1Connection(asyncio.Protocol):
     """One connection, which serves one request at a time.
 
@@ -83,6 +132,8 @@
         self.address = address
         self.loop = asyncio.get_running_loop()
         self.parser = ResponseParser()
+        self.overhead = Overhead()
+        self.skipped_responses = 0
         self.transport: asyncio.Transport | None = None
         self.chunks: deque[bytes] = deque()
         self.buffered_bytes = 0
@@ -184,6 +235,8 @@
         self.in_use = True
         self.sent = True
         self.sent_at = monotonic()
+        self.overhead.reset()
+        self.skipped_responses = 0
         self.request = request
         self.transport.write(data)
 
@@ -203,10 +256,11 @@
             If the connection ends first, or the bytes are not HTTP.
         """
         while True:
-            head = await self._next_event()
+            head = await self._next_event(is_awaited=False)
             if not isinstance(head, HttpResponse):
                 raise ConnectionBroken("a body or an end instead of a response", self.sent)
             if is_expected(head):
+                self.overhead.reset()
                 self.close_after_response = self.close_after_response or _announces_close(head)
                 return head
             await self._skip_response()
@@ -250,14 +304,28 @@
 
     # Implementation
 
-    async def _next_event(self) -> Event:
+    async def _next_event(self, is_awaited: bool = True) -> Event:
+        """Return the next event of the parser.
+
+        Parameters
+        ----------
+        is_awaited : bool
+            Whether any event is a part of the awaited response.
+        """
         while True:
             try:
                 event = self.parser.take()
             except InvalidResponse as error:
                 raise ConnectionBroken(str(error), self.sent) from error
             if event is not None:
+                if is_awaited:
+                    self.overhead.reset()
                 return event
+            if self.overhead.exceeds_limits:
+                size, seconds = self.overhead.size, self.overhead.seconds
+                raise ConnectionBroken(
+                    f"{size} bytes in {seconds:.2f} s without a part of the response", self.sent
+                )
             await self._feed()
 
     async def _feed(self) -> None:
@@ -278,13 +346,27 @@
         if self.paused and self.transport is not None and not self.transport.is_closing():
             self.paused = False
             self.transport.resume_reading()
+        self.overhead.add(len(data), monotonic())
         self.parser.feed(data)
 
     async def _skip_response(self) -> None:
         """Skip a response to an earlier request; the expected one may follow."""
         self.close_after_response = True
-        while not isinstance(event := await self._next_event(), ResponseEnd):
-            pass
+        self.skipped_responses += 1
+        if self.skipped_responses > MAX_SKIPPED_RESPONSES:
+            raise ConnectionBroken(
+                f"{self.skipped_responses} responses to other requests", self.sent
+            )
+        size = 0
+        while not isinstance(event := await self._next_event(is_awaited=False), ResponseEnd):
+            if isinstance(event, bytes):
+                size += len(event)
+                self.overhead.size = 0
+            if size > MAX_SKIPPED_BYTES:
+                raise ConnectionBroken(
+                    f"a response to another request of more than {MAX_SKIPPED_BYTES} bytes",
+                    self.sent,
+                )
         if event is ResponseEnd.CLOSING:
             raise ConnectionBroken("closed after a response to another request", self.sent)
 
