Do not wait for the end of a refusal

Cause: the body was read to its end, up to 8 MiB, though nobody gets it; it is read only so that the connection can be reused. Now it is read for 0.1 s and 64 KiB at most, and otherwise its connection is closed.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -37,6 +37,11 @@
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 """Maximum size in bytes of an answer body that is buffered before it is passed on."""
 
+MAX_REFUSAL_BYTES = 64 * 1024
+REFUSAL_TIMEOUT_S = 0.1
+"""Size in bytes of the body of a refusal as not run, and seconds to wait for it.  It is not passed on,
+and read only so that its connection can be reused."""
+
 MAX_CONNECT_FAILURES = 3
 """Number of unreachable targets after which a call is abandoned; nothing was sent to them."""
 
@@ -383,8 +388,9 @@
         head.record.verdict = Verdict.NOT_RUN
         head.record.reason = "refused"
         try:
-            await head.connection.read_body(MAX_ANSWER_BYTES)
-        except ConnectionBroken:
+            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+                await head.connection.read_body(MAX_REFUSAL_BYTES)
+        except (ConnectionBroken, TimeoutError):
             head.record.reason = "refused, then broken off"
         finally:
             self.close(head.choice, head.connection)
