--- a/waxwingglade/ingress/events.py
+++ b/waxwingglade/ingress/events.py
@@ -3,6 +3,9 @@
 import msgspec
 
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_COMMENT_BYTES = 64 * 1024
+"""Size in bytes of consecutive events without id and data, such as comments."""
+
 _DATA = b"data:"
 _ID = b"id:"
 
@@ -30,10 +33,17 @@
 
 
 class EventSplitter:
-    """Buffers bytes until events are complete."""
+    """Buffers bytes until events are complete.
+
+    Attributes
+    ----------
+    comment_bytes : int
+        Size of the events since the last one that has an id or data.
+    """
 
     def __init__(self) -> None:
         self.buffer = bytearray()
+        self.comment_bytes = 0
 
     @property
     def rest(self) -> bool:
@@ -45,12 +55,22 @@
         self.buffer += data
         events = []
         while (end := _end_of_event(self.buffer)) > 0:
-            events.append(parse_event(bytes(self.buffer[:end])))
+            event = parse_event(bytes(self.buffer[:end]))
+            self._check_comments(event)
+            events.append(event)
             del self.buffer[:end]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise StreamError(f"an event of more than {MAX_EVENT_BYTES} bytes")
         return events
 
+    def _check_comments(self, event: Event) -> None:
+        if event.number is not None or event.data is not None:
+            self.comment_bytes = 0
+            return
+        self.comment_bytes += len(event.raw)
+        if self.comment_bytes > MAX_COMMENT_BYTES:
+            raise StreamError(f"{self.comment_bytes} bytes of events without id and data")
+
 
 def _end_of_event(buffer: bytearray) -> int:
     """Return the length of the first event, or 0 if it is incomplete."""
