--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -39,8 +39,8 @@
 
 MAX_REFUSAL_BYTES = 64 * 1024
 REFUSAL_TIMEOUT_S = 0.1
-"""Size in bytes of the body of a refusal as not run, and seconds to wait for it.  It is not passed on,
-and read only so that its connection can be reused."""
+"""Size in bytes of the body of a refusal as not run, and seconds to wait for it.  Reading it only
+serves to reuse its connection."""
 
 MAX_CONNECT_FAILURES = 3
 """Number of unreachable targets after which a call is abandoned; nothing was sent to them."""
