Bound the requests that a page of metrics or readiness reads

A client could make a process read a body of up to 100 MB on its page, more than the memory of an entry's VM leaves, and hold a connection for an hour. Cause: the HTTP server's own limits. Heads and bodies have 16 KiB now, a body five seconds, and a connection a minute between requests. transport/tests/test_page.py: both new tests failed before.

--- a/waxwingglade/transport/page.py
+++ b/waxwingglade/transport/page.py
@@ -16,6 +16,13 @@
 
 ALLOWED_METHODS = ("GET", "HEAD")
 
+MAX_REQUEST_BYTES = 16 * 1024
+"""Size in bytes of a request's head, and of its body."""
+
+BODY_TIMEOUT_S = 5.0
+IDLE_TIMEOUT_S = 60.0
+"""Seconds for a request's body, and for its head or until the next request of a connection."""
+
 
 def serve_page(address: str, path: str, render: Render) -> HTTPServer:
     """Serve a page at ``IP:PORT``.
@@ -40,7 +47,13 @@
         status, text = _render_page(request, pattern, render)
         _write_answer(request, HTTPStatus(status), text.encode())
 
-    server = HTTPServer(answer)
+    server = HTTPServer(
+        answer,
+        max_header_size=MAX_REQUEST_BYTES,
+        max_body_size=MAX_REQUEST_BYTES,
+        body_timeout=BODY_TIMEOUT_S,
+        idle_connection_timeout=IDLE_TIMEOUT_S,
+    )
     host, _, port = address.rpartition(":")
     server.add_sockets(bind_sockets(int(port), host))
     return server
--- a/waxwingglade/transport/tests/test_page.py
+++ b/waxwingglade/transport/tests/test_page.py
@@ -1,13 +1,18 @@
 """The page that the balancer requests, and the metrics page."""
 
+import asyncio
 import unittest
+from unittest import mock
 
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 
 from waxwingglade.base.tests.daemon_loop import OnDaemonLoop
-from waxwingglade.transport.page import serve_metrics, serve_page
+from waxwingglade.transport import page
+from waxwingglade.transport.page import MAX_REQUEST_BYTES, serve_metrics, serve_page
+
+WAIT_LIMIT_S = 5.0
 
 
 def free_address() -> str:
@@ -60,6 +65,28 @@
         answer = await self.ask(method="POST")
         self.assertEqual((answer.code, answer.headers["Allow"]), (405, "GET, HEAD"))
 
+    async def test_a_body_over_the_limit_is_not_read(self) -> None:
+        """Guards against memory that a body of any size would take."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        size = MAX_REQUEST_BYTES + 1
+        head = f"POST /v1/ready HTTP/1.1\r\nHost: h\r\nContent-Length: {size}\r\n\r\n"
+        writer.write(head.encode())
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            self.assertIn(b" 400 ", await reader.readline())
+
+    async def test_a_body_that_does_not_arrive_in_time_closes_its_connection(self) -> None:
+        with mock.patch.object(page, "BODY_TIMEOUT_S", 0.1):
+            self.address = free_address()
+            self.serve(self.address)
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        self.addCleanup(writer.close)
+        writer.write(b"POST /v1/ready HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx")
+        async with asyncio.timeout(WAIT_LIMIT_S):
+            self.assertEqual(await reader.read(), b"")
+
     async def test_an_address_in_use_is_an_error(self) -> None:
         with self.assertRaises(OSError):
             self.serve(self.address)
