Close connections of callers that stop within a body

A caller that stopped within a body held its connection for as long as it liked: idle connections are closed, and the one that waits for the rest of a body was not idle. It is closed once nothing arrived for the limit in force for idle connections; a caller that is slow is served. ingress/tests/test_limits.py: the first of two new tests failed before.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -306,14 +306,16 @@
         return math.isfinite(age_s) and age_s > STORE_FALLBACK_AGE_S
 
     def close_idle(self) -> None:
-        """Close connections that have been idle for longer than the current limit.
+        """Close connections that received nothing for longer than the current limit.
 
-        The server itself applies the limit that was in force when a connection became idle.
+        These are idle, or wait for the rest of a body.  The server itself applies the limit that
+        was in force when a connection became idle.
         """
         idle_since = time.monotonic() - self._limits().idle_timeout_s
         for exchange in list(self.open_exchanges.values()):
             if exchange.idle and exchange.arrived_at < idle_since:
                 exchange.close_when_idle()
+            exchange.close_if_stalled(idle_since)
 
     def _check_quorum(self) -> None:
         """Check whether a majority of the ledger is reachable, and log a change."""
--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -50,6 +50,10 @@
     arrived_at : float
         Monotonic time in seconds at which the head arrived; until then, the time at which the wait
         for it began.
+    received_at : float
+        Monotonic time in seconds at which a part of the request last arrived.
+    received : bool
+        Whether the request is complete.
     answered : bool
         Whether the head of an answer was written.
     status : int
@@ -74,7 +78,8 @@
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.pieces: list[bytes] = []
-        self.arrived_at = time.monotonic()
+        self.arrived_at = self.received_at = time.monotonic()
+        self.received = False
         self.task: asyncio.Task | None = None
         self.answered = False
         self.done = False
@@ -92,12 +97,13 @@
         assert isinstance(start_line, RequestStartLine)
         self.start_line = start_line
         self.headers = headers
-        self.arrived_at = time.monotonic()
+        self.arrived_at = self.received_at = time.monotonic()
         # The server applied its limit when the connection began to wait for this request.
         self.connection.set_max_body_size(self.limits().max_body_bytes)
 
     def data_received(self, chunk: bytes) -> None:
         """Store a piece of the body."""
+        self.received_at = time.monotonic()
         self.pieces.append(chunk)
 
     def finish(self) -> None:
@@ -105,6 +111,7 @@
 
         A request whose connection was closed while it was read is not sent to a target.
         """
+        self.received = True
         if self.connection.stream.closed():
             self.disconnected = True
             return
@@ -185,6 +192,11 @@
         if self.idle:
             self.connection.stream.close()
 
+    def close_if_stalled(self, since: float) -> None:
+        """Close the connection if the rest of its request is missing, without a part since then."""
+        if not self.idle and not self.received and self.received_at < since:
+            self.connection.stream.close()
+
     @property
     def idle(self) -> bool:
         """Whether no request has arrived."""
--- a/waxwingglade/ingress/tests/test_limits.py
+++ b/waxwingglade/ingress/tests/test_limits.py
@@ -76,6 +76,25 @@
         self.put(max_body_bytes=SMALL)
         self.assertEqual(await self.ask(connection, 2 * SMALL), 400)
 
+    async def test_a_caller_that_stops_within_a_body_is_closed(self) -> None:
+        """Guards against connections that are held for as long as a caller likes."""
+        self.put(idle_timeout_s=SHORT_S)
+        caller = await self.entry.send_half(PLAIN)
+        self.addCleanup(caller.close)
+        open_exchanges = self.entry.ingress.open_exchanges
+        self.assertEqual(len(open_exchanges), 1)
+        closed = await until(lambda: not open_exchanges, SHORT_S + 1.0)
+        self.assertTrue(closed, "it is still open")
+
+    async def test_a_caller_that_is_slow_with_its_body_is_served(self) -> None:
+        self.put(idle_timeout_s=SHORT_S)
+        caller = await self.entry.send_half(PLAIN)
+        self.addCleanup(caller.close)
+        for piece in (b"d", b"y"):
+            await asyncio.sleep(SHORT_S / 2)
+            caller.sendall(piece)
+        self.assertTrue(await until(lambda: self.fake.arrived, WAIT_LIMIT_S))
+
     async def test_an_open_connection_may_be_idle_within_the_new_limit(self) -> None:
         self.put(idle_timeout_s=SHORT_S)
         reused, idle = await self.connect(), await self.connect()
