Let the soak count events with data only as tokens of a turn

A comment has no tokens, neither for the ledger nor on the platform. An event without comments counts as before.

--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -59,8 +59,8 @@
 
     @property
     def events(self) -> int:
-        """Number of complete events received."""
-        return self.answer.count(b"\n\n")
+        """Number of complete events with data received; comments have none."""
+        return sum(b"data: " in event for event in self.answer.split(b"\n\n")[:-1])
 
     @property
     def tokens(self) -> int:
