Let the soak pause sound servers and send bytes without end beside changes

The soak did not find answers that are cut while their target pauses: its servers answer, fail or break off, its entries are rarely idle, and all its routes allow two sendings. Pauses and planned work excuse no cut answer, and no connection with bytes that are no answer may be read for over two seconds.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
     LEAVING_KINDS,
     LEDGER_KINDS,
     LIMIT_KINDS,
+    PAUSE_KINDS,
     FaultKind,
 )
 from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
@@ -29,6 +30,12 @@
 """Many programs, so that many turns are in progress while the ledger does not answer."""
 
 
+PAUSED_SIZE = Size(
+    entries=6, programs=1, plain=1, kinds=PAUSE_KINDS, sub_agents=0, fatal=0, single=4
+)
+"""Few callers, so that entries are idle at times."""
+
+
 def main(
     first: Annotated[int, typer.Option(help="first seed")] = 1,
     count: Annotated[int, typer.Option(help="how many seeds")] = 10,
@@ -62,6 +69,12 @@
             help="accounts at their limits, and only faults between which they stay there"
         ),
     ] = False,
+    paused: Annotated[
+        bool,
+        typer.Option(
+            help="idle entries, and servers that pause or send bytes without end, beside changes"
+        ),
+    ] = False,
     pressing: Annotated[
         int, typer.Option(help="callers at a time that keep the account with a limit at it")
     ] = 8,
@@ -91,6 +104,10 @@
         )
     if limits:
         size = msgspec.structs.replace(size, kinds=LIMIT_KINDS, faults_per_s=LIMIT_FAULTS_PER_S)
+    if paused:
+        size = msgspec.structs.replace(
+            PAUSED_SIZE, seconds=seconds, entries=max(entries, PAUSED_SIZE.entries)
+        )
     if leaving:
         size = msgspec.structs.replace(size, kinds=LEAVING_KINDS)
     if ledger:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -12,6 +12,7 @@
 from tests.platform_cluster import Node, PlatformCluster
 from tests.prove.relay import ADDRESS, STORE, Relays
 from tests.soak.accounts import BOUNDS, FREE, Accounts
+from tests.soak.endless_bytes import EndlessAnswer, EndlessKind, send_without_end
 from waxwingglade.platform.registry import REPLICAS_KEY
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
 from waxwingglade.standins.registered_server import RegisteredServer
@@ -49,6 +50,12 @@
         When the store accepted that it leaves, in monotonic seconds.
     loses_answer : callable
         Returns whether the answer to the request that it runs now is lost.
+    endless : EndlessKind or None
+        Bytes without end that it sends instead of answers.
+    endless_is_slow : bool
+        Whether it sends them slowly.
+    endless_answers : list of EndlessAnswer
+        Such answers that ended.
     """
 
     def __init__(
@@ -58,6 +65,9 @@
         self.completed_at: dict[str, float] = {}
         self.left_at: float | None = None
         self.loses_answer: Callable[[], bool] = lambda: False
+        self.endless: EndlessKind | None = None
+        self.endless_is_slow = False
+        self.endless_answers: list[EndlessAnswer] = []
         self.heartbeats: asyncio.Task | None = None
 
     def send_heartbeats(self, heartbeat_s: float) -> None:
@@ -105,6 +115,15 @@
     async def _run(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
         if self.loses_answer():
             return False
+        if self.endless is not None:
+            if self.endless is EndlessKind.REFUSAL:
+                self.runs[:] = [run for run in self.runs if run.request != request]
+            head = self._head(200, request) + "X-Waxwingglade-Server-Seal: seal\r\n"
+            answer = await send_without_end(
+                writer, self.endless, head, request, self.endless_is_slow
+            )
+            self.endless_answers.append(answer)
+            return False
         completed = await super()._run(writer, request, body)
         if completed:
             self.completed_at[request] = time.monotonic()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,6 +13,7 @@
 from tests.soak.accounts import RULES, Accounts
 from tests.soak.checks import check
 from tests.soak.cluster import SoakCluster
+from tests.soak.endless_bytes import check_endless_answers
 from tests.soak.fatal_requests import (
     MARK,
     FatalCallers,
@@ -24,6 +25,7 @@
 from tests.soak.interrupted_turns import Completion, check_completed_turns, check_ledger_refusals
 from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind
 from tests.soak.leaving_targets import check_left
+from tests.soak.single_sendings import SingleCallers, check_single_sendings, put_routes
 from tests.soak.sub_agents import SubAgents
 from tests.soak.supervisor import Supervisor
 from tests.soak.workload import NO_ANSWER, Attempt, Callers
@@ -60,6 +62,9 @@
         Duration in seconds of a flush of a ledger process; 0 to use the machine's disk.
     fatal : int
         Number of concurrent callers whose requests end servers; it changes the run of a seed.
+    single : int
+        Number of concurrent callers whose calls may be sent to one server only; it changes the run
+        of a seed.
     accounts : bool
         Whether callers need the keys of client accounts.
     pressing : int
@@ -85,6 +90,7 @@
     sub_agents: int = 2
     flush_s: float = 0.001
     fatal: int = 2
+    single: int = 0
     accounts: bool = False
     pressing: int = 0
     lost_share: float = 0.0
@@ -149,12 +155,16 @@
         sub_agents = SubAgents(callers, random.Random(seed + 2_000_000))
         fatal = FatalCallers(callers, random.Random(seed + 4_000_000))
         faults = Faults(cluster, random.Random(seed + 1_000_000), size.kinds)
+        if size.single:
+            await put_routes(cluster, callers, faults)
+        single = SingleCallers(callers, random.Random(seed + 5_000_000))
         supervisor = Supervisor(cluster, size.restarts)
         supervisor.start()
         workload_task = asyncio.gather(
             callers.run(size.programs, size.plain, size.pressing),
             sub_agents.run(size.sub_agents),
             fatal.run(size.fatal),
+            single.run(size.single),
         )
         await faults.run(size.seconds, size.faults_per_s)
         cluster.lost_shares.remove(size.lost_share)
@@ -260,6 +270,11 @@
     }
     violations += check_completed_turns(callers.attempts, completions, faults.occurrences, ledgers)
     violations += check_ledger_refusals(callers.attempts, faults.occurrences)
+    ran_at = {run.request: server.name for server in cluster.all_servers() for run in server.runs}
+    violations += check_single_sendings(callers.attempts, ran_at, faults.occurrences)
+    violations += check_endless_answers(
+        answer for server in cluster.all_servers() for answer in server.endless_answers
+    )
     ends = ends_of(cluster.all_servers())
     violations += check_fatal_requests(
         works, callers.attempts, runs, ends, faults.occurrences, ledgers
