Count bytes without a part of a response only where there are some

Counting cost 2 us for each plain response and 13 us for a stream of eight events. Bytes are now counted only if those that arrived hold no part of a response, and events only if they have neither id nor data.

--- a/waxwingglade/ingress/events.py
+++ b/waxwingglade/ingress/events.py
@@ -56,17 +56,17 @@
         events = []
         while (end := _end_of_event(self.buffer)) > 0:
             event = parse_event(bytes(self.buffer[:end]))
-            self._check_comments(event)
+            if event.number is None and event.data is None:
+                self._count_comment(event)
+            else:
+                self.comment_bytes = 0
             events.append(event)
             del self.buffer[:end]
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise StreamError(f"an event of more than {MAX_EVENT_BYTES} bytes")
         return events
 
-    def _check_comments(self, event: Event) -> None:
-        if event.number is not None or event.data is not None:
-            self.comment_bytes = 0
-            return
+    def _count_comment(self, event: Event) -> None:
         self.comment_bytes += len(event.raw)
         if self.comment_bytes > MAX_COMMENT_BYTES:
             raise StreamError(f"{self.comment_bytes} bytes of events without id and data")
--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -77,8 +77,10 @@
         Number of bytes.
     seconds : float
         Time spent receiving them.
+    received : bool
+        Whether any were received.
     received_at : float
-        When bytes last arrived, in monotonic seconds.
+        When they last arrived, in monotonic seconds.
     """
 
     def __init__(self) -> None:
@@ -88,10 +90,12 @@
         """Start anew, as a part of the response arrived."""
         self.size = 0
         self.seconds = 0.0
+        self.received = False
         self.received_at = float("inf")
 
     def add(self, size: int, now: float) -> None:
         """Count received bytes."""
+        self.received = True
         self.size += size
         self.seconds += min(max(0.0, now - self.received_at), MAX_COUNTED_GAP_S)
         self.received_at = now
@@ -235,7 +239,7 @@
         self.in_use = True
         self.sent = True
         self.sent_at = monotonic()
-        self.overhead.reset()
+        self._end_overhead()
         self.skipped_responses = 0
         self.request = request
         self.transport.write(data)
@@ -256,11 +260,11 @@
             If the connection ends first, or the bytes are not HTTP.
         """
         while True:
-            head = await self._next_event(is_awaited=False)
+            head = await self._next_event()
             if not isinstance(head, HttpResponse):
                 raise ConnectionBroken("a body or an end instead of a response", self.sent)
             if is_expected(head):
-                self.overhead.reset()
+                self._end_overhead()
                 self.close_after_response = self.close_after_response or _announces_close(head)
                 return head
             await self._skip_response()
@@ -278,6 +282,7 @@
             self._finish_response(ResponseEnd.CLOSING)
             return None
         event = await self._next_event()
+        self._end_overhead()
         if isinstance(event, bytes):
             return event
         if isinstance(event, ResponseEnd):
@@ -304,32 +309,34 @@
 
     # Implementation
 
-    async def _next_event(self, is_awaited: bool = True) -> Event:
-        """Return the next event of the parser.
-
-        Parameters
-        ----------
-        is_awaited : bool
-            Whether any event is a part of the awaited response.
-        """
+    async def _next_event(self) -> Event:
         while True:
             try:
                 event = self.parser.take()
             except InvalidResponse as error:
                 raise ConnectionBroken(str(error), self.sent) from error
             if event is not None:
-                if is_awaited:
-                    self.overhead.reset()
                 return event
-            if self.overhead.exceeds_limits:
-                size, seconds = self.overhead.size, self.overhead.seconds
-                raise ConnectionBroken(
-                    f"{size} bytes in {seconds:.2f} s without a part of the response", self.sent
-                )
-            await self._feed()
+            size = await self._feed()
+            if not self.parser.events:
+                self._count_overhead(size)
+
+    def _count_overhead(self, size: int) -> None:
+        """Count bytes that are no part of the awaited response; raise if they are too many."""
+        overhead = self.overhead
+        overhead.add(size, monotonic())
+        if overhead.exceeds_limits:
+            raise ConnectionBroken(
+                f"{overhead.size} bytes in {overhead.seconds:.2f} s without a part of the response",
+                self.sent,
+            )
+
+    def _end_overhead(self) -> None:
+        if self.overhead.received:
+            self.overhead.reset()
 
-    async def _feed(self) -> None:
-        """Pass further bytes, or the end of the connection, to the parser."""
+    async def _feed(self) -> int:
+        """Pass further bytes, or the end of the connection, to the parser; return their number."""
         while not self.chunks:
             if isinstance(self.error, Unresponsive):
                 raise self.error
@@ -337,7 +344,7 @@
                 raise ConnectionBroken(f"reset: {self.error}", self.sent)
             if self.ended:
                 self.parser.end()
-                return
+                return 0
             self.read_waiter = self.loop.create_future()
             await self.read_waiter
         data = b"".join(self.chunks)
@@ -346,22 +353,24 @@
         if self.paused and self.transport is not None and not self.transport.is_closing():
             self.paused = False
             self.transport.resume_reading()
-        self.overhead.add(len(data), monotonic())
         self.parser.feed(data)
+        return len(data)
 
     async def _skip_response(self) -> None:
         """Skip a response to an earlier request; the expected one may follow."""
         self.close_after_response = True
         self.skipped_responses += 1
+        self._count_overhead(0)
         if self.skipped_responses > MAX_SKIPPED_RESPONSES:
             raise ConnectionBroken(
                 f"{self.skipped_responses} responses to other requests", self.sent
             )
         size = 0
-        while not isinstance(event := await self._next_event(is_awaited=False), ResponseEnd):
+        while not isinstance(event := await self._next_event(), ResponseEnd):
             if isinstance(event, bytes):
                 size += len(event)
                 self.overhead.size = 0
+                self._count_overhead(0)
             if size > MAX_SKIPPED_BYTES:
                 raise ConnectionBroken(
                     f"a response to another request of more than {MAX_SKIPPED_BYTES} bytes",
