Let a target pause for over a second before it reads a request

A target that paused while a part of the request was still unread lost the call: the connection was reset after 0.96 s, and the caller got 502 or a closed connection, for calls that may not be repeated, too. Bodies of 100 kB met it with a receive buffer of 16 KiB (pauses of 1.2 and 1.8 s).

Cause: TCP_USER_TIMEOUT was 0.7 s. Linux applies it to a peer that acknowledges and does not read, and a machine that pauses looks the same as one that lost power. It is 2.0 s now, longer than a pause and no longer than callers of streams wait. The price: a peer that lost power is detected after two seconds instead of one. Calls that may be sent again do not wait for it.

--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -15,15 +15,15 @@
 from waxwingglade.transport.messages import HttpRequest, HttpResponse
 from waxwingglade.transport.parser import Event, InvalidResponse, ResponseEnd, ResponseParser
 
-USER_TIMEOUT_MS = 700
-"""Milliseconds for which sent bytes may stay unacknowledged.  This allows for many round trips of
-about 3 ms with retransmissions.  It is short compared with the deadlines of requests, so that there
-is time for a retry after a peer lost power or was partitioned."""
+USER_TIMEOUT_MS = 2_000
+"""Milliseconds for which sent bytes may stay unacknowledged, or unread by a peer whose receive
+buffer is full.  A sound peer may pause for more than a second.  A peer that lost power or was
+partitioned is detected before most callers abandon their requests, after two seconds or later."""
 
 KEEPALIVE_S = 1
 """Seconds after which an idle connection is probed, and between probes.  A peer that becomes
-unreachable while an answer is awaited is detected after about two seconds; a peer that is only slow
-is not affected."""
+unreachable while an answer is awaited is detected after two to three seconds; a peer that is only
+slow is not affected."""
 
 MAX_OVERHEAD_BYTES = 64 * 1024
 """Bytes that may arrive without any part of a response: of its head, of interim responses, and
