Use a health path only if it is one

A service whose health path is null would have made the configuration invalid, and one with a space or a line break would have ended the probe with an error, since probes read that field. Such services are not probed. platform/tests/test_wire.py: null was rejected before.

--- a/waxwingglade/platform/registry.py
+++ b/waxwingglade/platform/registry.py
@@ -88,7 +88,7 @@
     name: str
     max_conns: int = 0
     engine: _Engine | None = None
-    health_path: str = ""
+    health_path: str | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -220,7 +220,9 @@
             max(1, wire.engine.stride),
             wire.engine.pin_ms / 1000,
         )
-    return Service(ServiceName(wire.name), wire.max_conns, engine, wire.health_path)
+    path = wire.health_path or ""
+    is_path = path.startswith("/") and path.isprintable() and " " not in path
+    return Service(ServiceName(wire.name), wire.max_conns, engine, path if is_path else "")
 
 
 def decode_target(key: str, value: bytes) -> Target:
--- a/waxwingglade/platform/tests/test_wire.py
+++ b/waxwingglade/platform/tests/test_wire.py
@@ -148,6 +148,21 @@
         self.assertFalse(read.idempotent)
         self.assertEqual(configuration.services[0].engine.tokens_per_event, 30)
 
+    def test_a_health_path_that_is_none_is_not_used(self) -> None:
+        """Guards against a configuration that is not accepted, or a probe that is no request."""
+        for path, expected in (
+            ("/health?x=1", "/health?x=1"),
+            ("", ""),
+            (None, ""),
+            ("health", ""),
+            ("/a b", ""),
+            ("/a\r\nX: 1", ""),
+        ):
+            with self.subTest(path=path):
+                service = {"name": "a", "health_path": path}
+                value = json.dumps({"version": 1, "services": [service]}).encode()
+                self.assertEqual(decode_configuration(value).services[0].health_path, expected)
+
     def test_client_accounts_are_decoded(self) -> None:
         route = {"name": "r", "host": "h", "path_prefix": "/", "kind": "safe", "public": True}
         tenant = {"name": "shop", "api_keys": ["k1", "k2"], "priority": 1, "rate_per_s": 198}
