Give a standby the time of the product to join before a machine is retired in a test

Trace: the order came at 26.112 s, the standby had read the members at 26.302, and the machine was removed at 26.433, 0.32 s after the order. A retiring machine waits 2.0 s for a standby; the test shortens that to 0.3 s like all periods, but not the flushes of the real disk, which took long at that moment (an account was held up for 0.562 s, the event loop for 0.202 s).

--- a/waxwingglade/ledger/tests/test_membership.py
+++ b/waxwingglade/ledger/tests/test_membership.py
@@ -10,6 +10,7 @@
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import blocking_size_of
 from waxwingglade.ledger.catch_up import catch_up
+from waxwingglade.ledger.membership import STANDBY_JOIN_WAIT_S
 from waxwingglade.ledger.messages import NoSuchTurn, TurnBegun
 from waxwingglade.ledger.tests.builders import PROGRAM, Cluster, MessageLost, begin, end, turn
 from waxwingglade.ledger.tests.machines import Machines, quick_times
@@ -87,6 +88,7 @@
         await self.machines.remove_machine("vm-1")
         await self.find("vm-10", 1)
 
+    @mock.patch("waxwingglade.ledger.membership.STANDBY_JOIN_WAIT_S", STANDBY_JOIN_WAIT_S)
     async def test_a_standby_joins_before_a_machine_is_retired(self) -> None:
         await self.keep("vm-0", 1)
         await self.machines.add_machine("vm-9")
