--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -15,15 +15,22 @@
 from waxwingglade.transport.messages import HttpRequest, HttpResponse
 from waxwingglade.transport.parser import Event, InvalidResponse, ResponseEnd, ResponseParser
 
-USER_TIMEOUT_MS = 2_000
-"""Milliseconds for which sent bytes may stay unacknowledged, or unread by a peer whose receive
-buffer is full.  A sound peer may pause for more than a second.  A peer that lost power or was
-partitioned is detected before most callers abandon their requests, after two seconds or later."""
+USER_TIMEOUT_MS = 700
+"""Milliseconds for which sent bytes may stay unacknowledged.  This allows for many round trips of
+about 3 ms with retransmissions.  It is short compared with the deadlines of requests, so that there
+is time for a retry after a peer lost power or was partitioned."""
+
+LARGE_USER_TIMEOUT_MS = 2_000
+"""The same for a large request.  The kernel also counts bytes for which a peer has no room in its
+receive buffer, and a sound peer may pause for more than a second before it reads them."""
+
+LARGE_REQUEST_BYTES = 32 * 1024
+"""Size in bytes from which on a request may not fit into the receive buffer of its peer."""
 
 KEEPALIVE_S = 1
 """Seconds after which an idle connection is probed, and between probes.  A peer that becomes
-unreachable while an answer is awaited is detected after two to three seconds; a peer that is only
-slow is not affected."""
+unreachable while an answer is awaited is detected after about two seconds; a peer that is only slow
+is not affected."""
 
 MAX_OVERHEAD_BYTES = 64 * 1024
 """Bytes that may arrive without any part of a response: of its head, of interim responses, and
@@ -138,6 +145,7 @@
         self.parser = ResponseParser()
         self.overhead = Overhead()
         self.skipped_responses = 0
+        self.user_timeout_ms = 0
         self.transport: asyncio.Transport | None = None
         self.chunks: deque[bytes] = deque()
         self.buffered_bytes = 0
@@ -167,7 +175,7 @@
         own_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_S)
         own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_S)
-        own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+        self._limit_unacknowledged(USER_TIMEOUT_MS)
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes for the reader; bytes without a request close the connection."""
@@ -236,6 +244,8 @@
             raise ConnectionBroken("the connection has ended", sent=False)
         assert self.transport is not None
         data = request.encode()
+        is_large = len(data) >= LARGE_REQUEST_BYTES
+        self._limit_unacknowledged(LARGE_USER_TIMEOUT_MS if is_large else USER_TIMEOUT_MS)
         self.in_use = True
         self.sent = True
         self.sent_at = monotonic()
@@ -309,6 +319,15 @@
 
     # Implementation
 
+    def _limit_unacknowledged(self, timeout_ms: int) -> None:
+        """Set for how many milliseconds sent bytes may stay unacknowledged."""
+        if timeout_ms == self.user_timeout_ms:
+            return
+        assert self.transport is not None
+        self.user_timeout_ms = timeout_ms
+        own_socket = self.transport.get_extra_info("socket")
+        own_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
     async def _next_event(self) -> Event:
         while True:
             try:
