Await the answer on an open connection for longer than a retransmission takes

A probe counted open connections as dead if the answer on one came over 0.2 s after that on a new one, and the last sending of a call on a target that is merely slow was then cut. Linux sends a lost packet again after 0.2 s and a round trip at the earliest, so one lost packet was enough.

It is 0.3 s now. transport/tests/test_probe.py, with a server that is late by 0.22 s on the open connection: found dead before, working now.

--- a/waxwingglade/transport/probe.py
+++ b/waxwingglade/transport/probe.py
@@ -23,9 +23,10 @@
 ANSWER_TIMEOUT_S = 0.5
 """Seconds to wait for the first of the two answers."""
 
-SPREAD_S = 0.2
+SPREAD_S = 0.3
 """Greatest time in seconds between the two answers of a peer that is reached on both connections.
-It received the request on the open connection first."""
+It received the request on the open connection first, or after a packet was lost: Linux sends it
+again after 0.2 s and a round trip."""
 
 BODY_TIMEOUT_S = 0.05
 MAX_BODY_BYTES = 64 * 1024
--- a/waxwingglade/transport/tests/test_probe.py
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -189,6 +189,11 @@
         self.assertEqual(self.server.health_requests, 1)
         self.assertEqual(self.pool.findings, {Finding.DEAD: 1})
 
+    async def test_an_answer_after_a_lost_packet_is_awaited(self) -> None:
+        """The kernel sends a lost request again after 0.2 s and a round trip."""
+        self.server.delays_s = {0: 0.22}
+        self.assertEqual(await self.finding(), Finding.WORKING)
+
 
 class ProbeOnDaemonLoopTest(OnDaemonLoop, ProbeTest):
     """The same tests on the event loop of the daemons."""
