Close the connections of a probe that are not used again

A connection of a probe stayed open, in no pool, if the answer on it announced its end or was followed by further bytes, and so did both if the probe was cancelled at the stop of an entry. They were closed only if reading failed.

transport/tests/test_probe.py: both new tests failed before.

--- a/waxwingglade/transport/probe.py
+++ b/waxwingglade/transport/probe.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from enum import Enum
 
 import msgspec
@@ -99,6 +100,10 @@
             result = ProbeResult(Finding.DEAD, heard_at)
         else:
             result = ProbeResult(Finding.UNANSWERED)
+    except asyncio.CancelledError:
+        for connection in (witness, *new):
+            connection.close()
+        raise
     finally:
         for task in (on_open, on_new):
             task.cancel()
@@ -128,11 +133,11 @@
 
 
 async def _is_reusable(connection: Http1Connection) -> bool:
-    """Read the rest of an answer if it has begun; close the connection unless it is complete."""
-    try:
+    """Read the rest of an answer if it has begun; close the connection unless it is reusable."""
+    with suppress(ConnectionBroken, TimeoutError):
         async with asyncio.timeout(BODY_TIMEOUT_S):
             await connection.read_body(MAX_BODY_BYTES)
-    except (ConnectionBroken, TimeoutError):
+    if connection.in_use or not connection.usable:
         connection.close()
     return connection.usable
 
--- a/waxwingglade/transport/tests/test_probe.py
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -39,6 +39,7 @@
         self.opened = 0
         self.delays_s: dict[int, float] = {}
         self.health_requests = 0
+        self.answer = ANSWER
         self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> str:
@@ -60,7 +61,7 @@
                 await asyncio.sleep(self.delays_s.get(number, 0.0))
                 await self.resumed.wait()
                 self.health_requests += b"/health" in head
-                writer.write(ANSWER)
+                writer.write(self.answer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The test or the connection ended.
         finally:
@@ -194,6 +195,25 @@
         self.server.delays_s = {0: 0.22}
         self.assertEqual(await self.finding(), Finding.WORKING)
 
+    async def test_connections_that_are_not_reused_are_closed(self) -> None:
+        (witness,) = await self.open()
+        self.server.answer = ANSWER.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        _, reusable = await probe(witness, HEALTH, 1.0)
+        self.assertEqual(reusable, [])
+        assert witness.transport is not None
+        self.assertTrue(witness.transport.is_closing())
+
+    async def test_a_probe_that_is_cancelled_closes_its_connections(self) -> None:
+        (witness,) = await self.open()
+        self.server.resumed.clear()
+        task = asyncio.create_task(probe(witness, HEALTH, 1.0))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        assert witness.transport is not None
+        self.assertTrue(witness.transport.is_closing())
+
 
 class ProbeOnDaemonLoopTest(OnDaemonLoop, ProbeTest):
     """The same tests on the event loop of the daemons."""
