Retain an idle connection of each target for a probe

Two requests that waited on dead connections to different targets, each with its last sending: the first one closed the idle connections to all other targets when it suspected its own, so the other found no connection to ask on and waited until the time of its caller was over instead of a second. A request with another sending left did the same to its own target.

--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -142,9 +142,7 @@
             connection,
             lambda: self.connections,
             limits,
-            lambda moment: self._drop_unresponsive(
-                moment, connection.address if limits.probe is not None else None
-            ),
+            self._drop_unresponsive,
             lambda: self._probe(connection.address, limits.probe),
         )
 
@@ -173,18 +171,24 @@
         others = sum(other.last_received_at > since for other in self.connections)
         return Inactivity(monotonic() - since, others)
 
-    def _drop_unresponsive(self, moment: float, probed: str | None) -> None:
+    def _drop_unresponsive(self, moment: float) -> None:
         """Close the idle connections that were open at `moment` and have received nothing since.
 
-        Of the address that is to be probed, the one that was heard last is retained.
+        Of each address at which a request waits that is to be probed, the one that was heard last
+        is retained.
         """
         dropped = 0
+        probed = {
+            connection.address
+            for connection, watch in self.watches.items()
+            if watch.limits.probe is not None
+        }
         for address, connections in list(self.idle.items()):
             retained = []
             for connection in connections:
                 if connection.opened_at < moment and connection.last_received_at <= moment:
                     dropped += 1
-                    if address == probed:
+                    if address in probed:
                         self._retain_witness(address, connection)
                     else:
                         connection.close()
--- a/waxwingglade/transport/tests/test_probe.py
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -190,6 +190,28 @@
         self.assertEqual(self.server.health_requests, 1)
         self.assertEqual(self.pool.findings, {Finding.DEAD: 1})
 
+    async def ends_as_dead(self, *waiting: asyncio.Task) -> None:
+        """Expect that requests on dead connections end soon after their time."""
+        done, pending = await asyncio.wait(waiting, timeout=4 * END_S)
+        for task in pending:
+            task.cancel()
+        self.assertFalse(pending, "it would wait until the time of its caller is over")
+        for task in done:
+            self.assertIsInstance(task.exception(), Unresponsive)
+
+    async def test_a_request_to_another_target_leaves_the_idle_connection_that_tells(self) -> None:
+        """Guards against requests that wait in vain as the first one closed their witness."""
+        (one, idle), mine = await self.open(2), self.server
+        self.pool.release(self.address, idle)
+        my_address, self.server = self.address, PausingServer()
+        self.address = await self.server.start()
+        self.addCleanup(self.server.server.close)
+        other, other_idle = await self.open(2)
+        self.pool.release(self.address, other_idle)
+        mine.dead = self.server.dead = 2
+        self.assertNotEqual(my_address, self.address)
+        await self.ends_as_dead(*await self.wait([other, one]))
+
     async def test_an_answer_after_a_lost_packet_is_awaited(self) -> None:
         """The kernel sends a lost request again after 0.2 s and a round trip."""
         self.server.delays_s = {0: 0.22}
