Probe on a connection that was open while the waiting one still worked

The last sending of a call on a dead connection waited until the time of its caller was over if another request had opened a connection meanwhile: that one was idle and heard last, so the probe asked on it, and found that open connections work.

transport/tests/test_probe.py: the request did not end before.

--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -143,7 +143,7 @@
             lambda: self.connections,
             limits,
             self._drop_unresponsive,
-            lambda: self._probe(connection.address, limits.probe),
+            lambda: self._probe(connection, limits.probe),
         )
 
     def finding_of(self, connection: Http1Connection) -> Finding | None:
@@ -211,11 +211,20 @@
             older.close()
         self.witnesses[address] = connection
 
-    def _take_witness(self, address: str) -> Http1Connection | None:
-        """Return the open connection without a request that was heard last, or None."""
-        witness = self.witnesses.pop(address, None)
+    def _take_witness(self, waiting: Http1Connection) -> Http1Connection | None:
+        """Return the open connection without a request that was heard last, or None.
+
+        It was open when `waiting` was last heard: a later one may have been opened after the others
+        died, and tells nothing of them.
+        """
+        address = waiting.address
+        witness = self.witnesses.get(address)
         idle = self.idle.get(address, [])
-        candidates = [each for each in (witness, *idle) if each is not None and each.usable]
+        candidates = [
+            each
+            for each in (witness, *idle)
+            if each is not None and each.usable and each.opened_at <= waiting.last_received_at
+        ]
         if not candidates:
             return None
         chosen = max(candidates, key=lambda each: each.last_received_at)
@@ -223,18 +232,21 @@
             idle.remove(chosen)
         if witness is not None and witness is not chosen:
             witness.close()
+        self.witnesses.pop(address, None)
         return chosen
 
-    async def _probe(self, address: str, request: HttpRequest | None) -> ProbeResult:
+    async def _probe(self, waiting: Http1Connection, request: HttpRequest | None) -> ProbeResult:
         """Probe the connections to an address; requests that ask meanwhile share the result."""
         assert request is not None
+        address = waiting.address
         if address not in self.probes:
-            task = self.probes[address] = start_task(self._probe_once(address, request))
+            task = self.probes[address] = start_task(self._probe_once(waiting, request))
             task.add_done_callback(lambda _: self.probes.pop(address, None))
         return await asyncio.shield(self.probes[address])
 
-    async def _probe_once(self, address: str, request: HttpRequest) -> ProbeResult:
-        witness = self._take_witness(address)
+    async def _probe_once(self, waiting: Http1Connection, request: HttpRequest) -> ProbeResult:
+        address = waiting.address
+        witness = self._take_witness(waiting)
         if witness is None:
             result, reusable = ProbeResult(Finding.NO_WITNESS), []
         else:
--- a/waxwingglade/transport/tests/test_probe.py
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -199,6 +199,19 @@
         for task in done:
             self.assertIsInstance(task.exception(), Unresponsive)
 
+    async def test_a_newer_idle_connection_does_not_tell_for_older_ones(self) -> None:
+        one, idle = await self.open(2)
+        self.pool.release(self.address, idle)
+        self.server.dead = 2
+        (first,) = await self.wait([one])
+        (newer,) = [await self.pool.acquire(self.address) for _ in range(2)][1:]
+        newer.send(REQUEST)
+        await newer.read_head(lambda _: True)
+        await newer.read_body(10)
+        self.pool.release(self.address, newer)
+        self.pool.release(self.address, idle)
+        await self.ends_as_dead(first)
+
     async def test_a_request_to_another_target_leaves_the_idle_connection_that_tells(self) -> None:
         """Guards against requests that wait in vain as the first one closed their witness."""
         (one, idle), mine = await self.open(2), self.server
