Let a finding hold for requests that are probed after it

Of two requests that were sent on dead connections to a target shortly after one another, each with its last sending, only the first ended after a second. Its probe used up the idle connection that could tell; the second one asked on the new connection of that probe, found that open connections work, and its caller waited until its time was over.

A finding of dead connections now also holds for each connection that was open at that time and has received nothing since the probe began. transport/tests/test_probe.py: the second request did not end before.

--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -78,6 +78,9 @@
         By address, a suspected idle connection on which a probe can tell whether it still works.
     findings : Counter
         Number of probes by their finding.
+    found_dead : dict
+        By address, the last result that open connections are dead, and when its probe began, in
+        monotonic seconds.
     """
 
     def __init__(self, connect_timeout_s: float) -> None:
@@ -90,6 +93,7 @@
         self.witnesses: dict[str, Http1Connection] = {}
         self.probes: dict[str, asyncio.Task[ProbeResult]] = {}
         self.findings: Counter[Finding] = Counter()
+        self.found_dead: dict[str, tuple[ProbeResult, float]] = {}
 
     async def acquire(self, address: str) -> Http1Connection:
         """Return an idle connection, or a new one.
@@ -236,9 +240,17 @@
         return chosen
 
     async def _probe(self, waiting: Http1Connection, request: HttpRequest | None) -> ProbeResult:
-        """Probe the connections to an address; requests that ask meanwhile share the result."""
+        """Probe the connections to an address; requests that ask meanwhile share the result.
+
+        So do requests whose connections have received nothing since a probe that found those of
+        its time dead: no other one of them is left to ask on.
+        """
         assert request is not None
         address = waiting.address
+        if address in self.found_dead:
+            result, began_at = self.found_dead[address]
+            if result.is_dead(waiting.opened_at) and waiting.last_received_at < began_at:
+                return result
         if address not in self.probes:
             task = self.probes[address] = start_task(self._probe_once(waiting, request))
             task.add_done_callback(lambda _: self.probes.pop(address, None))
@@ -247,6 +259,7 @@
     async def _probe_once(self, waiting: Http1Connection, request: HttpRequest) -> ProbeResult:
         address = waiting.address
         witness = self._take_witness(waiting)
+        began_at = monotonic()
         if witness is None:
             result, reusable = ProbeResult(Finding.NO_WITNESS), []
         else:
@@ -257,6 +270,7 @@
             self.connections.add(connection)
             self.idle[address].append(connection)
         if result.finding is Finding.DEAD:
+            self.found_dead[address] = result, began_at
             logger.bind(address=address).warning("open connections are dead")
         return result
 
@@ -286,6 +300,7 @@
             connection.close()
         if witness := self.witnesses.pop(address, None):
             witness.close()
+        self.found_dead.pop(address, None)
 
     def close(self) -> None:
         """Close every idle connection, and end all probes."""
--- a/waxwingglade/transport/tests/test_probe.py
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -199,6 +199,16 @@
         for task in done:
             self.assertIsInstance(task.exception(), Unresponsive)
 
+    async def test_a_request_sent_before_a_probe_found_its_connection_dead_ends(self) -> None:
+        """Guards against the new connection of the first probe being the witness of the second."""
+        one, two, idle = await self.open(3)
+        self.pool.release(self.address, idle)
+        self.server.dead = 3
+        first = await self.wait([one])
+        await asyncio.sleep(0.7 * END_S)
+        second = await self.wait([two])
+        await self.ends_as_dead(*first, *second)
+
     async def test_a_newer_idle_connection_does_not_tell_for_older_ones(self) -> None:
         one, idle = await self.open(2)
         self.pool.release(self.address, idle)
