Search the bytes of a stream for the end of an event once

A target that sent a long event in small chunks, or many events at once, kept an entry from serving anybody: with an event of 512 KiB, 20,000 chunks of one byte took 13.9 s of processor time, and 20,000 events that arrived together 1.3 and 2.0 s.

Cause: each piece, and each event, searched the whole buffer again, once for each kind of end. ingress/tests/test_endless_answers.py: both new tests failed before.

--- a/waxwingglade/ingress/events.py
+++ b/waxwingglade/ingress/events.py
@@ -1,5 +1,7 @@
 """Split a stream of server-sent events without changing its bytes."""
 
+import re
+
 import msgspec
 
 MAX_EVENT_BYTES = 1024 * 1024
@@ -8,6 +10,8 @@
 
 _DATA = b"data:"
 _ID = b"id:"
+_END_OF_EVENT = re.compile(rb"\n\n|\r\n\r\n")
+_MAX_END_BYTES = 4
 
 
 class StreamError(Exception):
@@ -52,9 +56,11 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that are complete now."""
+        # The rest of earlier data may end with a part of an end, and has no complete one.
+        searched = max(0, len(self.buffer) - _MAX_END_BYTES + 1)
         self.buffer += data
         events = []
-        while (end := _end_of_event(self.buffer)) > 0:
+        while (end := _end_of_event(self.buffer, searched)) > 0:
             event = parse_event(bytes(self.buffer[:end]))
             if event.number is None and event.data is None:
                 self._count_comment(event)
@@ -62,6 +68,7 @@
                 self.comment_bytes = 0
             events.append(event)
             del self.buffer[:end]
+            searched = 0
         if len(self.buffer) > MAX_EVENT_BYTES:
             raise StreamError(f"an event of more than {MAX_EVENT_BYTES} bytes")
         return events
@@ -72,14 +79,10 @@
             raise StreamError(f"{self.comment_bytes} bytes of events without id and data")
 
 
-def _end_of_event(buffer: bytearray) -> int:
-    """Return the length of the first event, or 0 if it is incomplete."""
-    ends = []
-    for mark in (b"\n\n", b"\r\n\r\n"):
-        at = buffer.find(mark)
-        if at >= 0:
-            ends.append(at + len(mark))
-    return min(ends, default=0)
+def _end_of_event(buffer: bytearray, start: int) -> int:
+    """Return the length of the first event that ends after `start`, or 0 if it is incomplete."""
+    found = _END_OF_EVENT.search(buffer, start)
+    return found.end() if found else 0
 
 
 def parse_event(raw: bytes) -> Event:
--- a/waxwingglade/ingress/tests/test_endless_answers.py
+++ b/waxwingglade/ingress/tests/test_endless_answers.py
@@ -1,9 +1,10 @@
 """Parts of answers that a target never ends, and that no caller needs."""
 
+import time
 import unittest
 
 from waxwingglade.ingress.attempt import REFUSAL_TIMEOUT_S
-from waxwingglade.ingress.events import MAX_COMMENT_BYTES, EventSplitter, StreamError
+from waxwingglade.ingress.events import MAX_COMMENT_BYTES, MAX_EVENT_BYTES, EventSplitter, StreamError
 from waxwingglade.ingress.tests.entry_builders import (
     ONCE,
     PLAIN,
@@ -13,6 +14,8 @@
     FakeTarget,
 )
 
+PIECES = 20_000
+MAX_STALL_S = 0.5
 COMMENT = b":" + b"c" * 1000 + b"\n\n"
 
 
@@ -42,5 +45,27 @@
             self.assertEqual(2, len(splitter.feed(COMMENT + b"id: %d\ndata: x\n\n" % number)))
 
 
+class SmallPieces(unittest.TestCase):
+    """Guards against an entry that serves nobody else while it searches the same bytes again."""
+
+    def test_a_long_event_in_small_pieces_takes_little_time(self) -> None:
+        splitter = EventSplitter()
+        splitter.feed(b"data: " + b"x" * (MAX_EVENT_BYTES // 2))
+        began_at = time.process_time()
+        for _ in range(PIECES):
+            splitter.feed(b"x")
+        self.assertLess(time.process_time() - began_at, MAX_STALL_S)
+        (event,) = [*splitter.feed(b"\r\n\r"), *splitter.feed(b"\n")]
+        self.assertTrue(event.raw.endswith(b"x\r\n\r\n"))
+
+    def test_many_events_in_one_piece_take_little_time(self) -> None:
+        for end in (b"\n\n", b"\r\n\r\n"):
+            with self.subTest(end):
+                began_at = time.process_time()
+                events = EventSplitter().feed((b"data: x" + end) * PIECES)
+                self.assertLess(time.process_time() - began_at, MAX_STALL_S)
+                self.assertEqual(PIECES, len(events))
+
+
 if __name__ == "__main__":
     unittest.main()
