Read a body of small chunks without many times its memory

A target that sent the body of a plain answer in chunks of two bytes took 224 MB of an entry within the limit of 8 MiB, for each such answer. Cause: the body was kept as a list of its pieces until its end.

--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -298,14 +298,13 @@
         ConnectionBroken
             If the body is truncated or exceeds `limit` bytes.
         """
-        pieces = []
-        size = 0
+        # A list of the pieces would take many times their size if they are small.
+        body = bytearray()
         while (piece := await self.read_piece()) is not None:
-            size += len(piece)
-            if size > limit:
+            body += piece
+            if len(body) > limit:
                 raise ConnectionBroken(f"a body of more than {limit} bytes", self.sent)
-            pieces.append(piece)
-        return b"".join(pieces)
+        return bytes(body)
 
     # Implementation
 
--- a/waxwingglade/transport/tests/test_endless_bytes.py
+++ b/waxwingglade/transport/tests/test_endless_bytes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import tracemalloc
 import unittest
 from contextlib import suppress
 
@@ -13,6 +14,7 @@
     MAX_OVERHEAD_S,
     MAX_SKIPPED_BYTES,
     READ_HIGH_WATER_BYTES,
+    Http1Connection,
     Overhead,
 )
 
@@ -38,6 +40,9 @@
 FAST_PIECES = 640
 """Pieces that are written at once, 64 kB."""
 
+SMALL_CHUNKS = 500_000
+SMALL_CHUNKS_AT_ONCE = 5_000
+
 PAUSE_S = 0.02
 READ_S = 2.0
 """Seconds within which a connection has to be closed."""
@@ -133,6 +138,24 @@
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         await self._read()
 
+    async def test_a_body_in_small_chunks_takes_little_memory(self) -> None:
+        """Guards against 200 MB for a body of 8 MiB in chunks of two bytes."""
+        connection = Http1Connection()
+        connection.in_use = True
+        connection.data_received(CHUNKED)
+        await connection.read_head(_is_own)
+        body = asyncio.create_task(connection.read_body(KERNEL_BYTES))
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        for _ in range(SMALL_CHUNKS // SMALL_CHUNKS_AT_ONCE):
+            connection.data_received(b"2\r\nxy\r\n" * SMALL_CHUNKS_AT_ONCE)
+            while connection.chunks:
+                await asyncio.sleep(0)
+        connection.data_received(b"0\r\n\r\n")
+        size = len(await body)
+        self.assertEqual(size, 2 * SMALL_CHUNKS)
+        self.assertLess(tracemalloc.get_traced_memory()[1], 4 * size)
+
     def test_time_without_bytes_counts_as_a_short_one(self) -> None:
         overhead = Overhead()
         for now in (0.0, 100.0, 200.0):
