--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -78,6 +78,9 @@
         By address, a suspected idle connection on which a probe can tell whether it still works.
     findings : Counter
         Number of probes by their finding.
+    found_dead : dict
+        By address, the last result that open connections are dead, and when its probe began, in
+        monotonic seconds.
     """
 
     def __init__(self, connect_timeout_s: float) -> None:
@@ -90,6 +93,7 @@
         self.witnesses: dict[str, Http1Connection] = {}
         self.probes: dict[str, asyncio.Task[ProbeResult]] = {}
         self.findings: Counter[Finding] = Counter()
+        self.found_dead: dict[str, tuple[ProbeResult, float]] = {}
 
     async def acquire(self, address: str) -> Http1Connection:
         """Return an idle connection, or a new one.
@@ -142,10 +146,8 @@
             connection,
             lambda: self.connections,
             limits,
-            lambda moment: self._drop_unresponsive(
-                moment, connection.address if limits.probe is not None else None
-            ),
-            lambda: self._probe(connection.address, limits.probe),
+            self._drop_unresponsive,
+            lambda: self._probe(connection, limits.probe),
         )
 
     def finding_of(self, connection: Http1Connection) -> Finding | None:
@@ -173,18 +175,24 @@
         others = sum(other.last_received_at > since for other in self.connections)
         return Inactivity(monotonic() - since, others)
 
-    def _drop_unresponsive(self, moment: float, probed: str | None) -> None:
+    def _drop_unresponsive(self, moment: float) -> None:
         """Close the idle connections that were open at `moment` and have received nothing since.
 
-        Of the address that is to be probed, the one that was heard last is retained.
+        Of each address at which a request waits that is to be probed, the one that was heard last
+        is retained.
         """
         dropped = 0
+        probed = {
+            connection.address
+            for connection, watch in self.watches.items()
+            if watch.limits.probe is not None
+        }
         for address, connections in list(self.idle.items()):
             retained = []
             for connection in connections:
                 if connection.opened_at < moment and connection.last_received_at <= moment:
                     dropped += 1
-                    if address == probed:
+                    if address in probed:
                         self._retain_witness(address, connection)
                     else:
                         connection.close()
@@ -207,11 +215,20 @@
             older.close()
         self.witnesses[address] = connection
 
-    def _take_witness(self, address: str) -> Http1Connection | None:
-        """Return the open connection without a request that was heard last, or None."""
-        witness = self.witnesses.pop(address, None)
+    def _take_witness(self, waiting: Http1Connection) -> Http1Connection | None:
+        """Return the open connection without a request that was heard last, or None.
+
+        It was open when `waiting` was last heard: a later one may have been opened after the others
+        died, and tells nothing of them.
+        """
+        address = waiting.address
+        witness = self.witnesses.get(address)
         idle = self.idle.get(address, [])
-        candidates = [each for each in (witness, *idle) if each is not None and each.usable]
+        candidates = [
+            each
+            for each in (witness, *idle)
+            if each is not None and each.usable and each.opened_at <= waiting.last_received_at
+        ]
         if not candidates:
             return None
         chosen = max(candidates, key=lambda each: each.last_received_at)
@@ -219,18 +236,30 @@
             idle.remove(chosen)
         if witness is not None and witness is not chosen:
             witness.close()
+        self.witnesses.pop(address, None)
         return chosen
 
-    async def _probe(self, address: str, request: HttpRequest | None) -> ProbeResult:
-        """Probe the connections to an address; requests that ask meanwhile share the result."""
+    async def _probe(self, waiting: Http1Connection, request: HttpRequest | None) -> ProbeResult:
+        """Probe the connections to an address; requests that ask meanwhile share the result.
+
+        So do requests whose connections have received nothing since a probe that found those of
+        its time dead: no other one of them is left to ask on.
+        """
         assert request is not None
+        address = waiting.address
+        if address in self.found_dead:
+            result, began_at = self.found_dead[address]
+            if result.is_dead(waiting.opened_at) and waiting.last_received_at < began_at:
+                return result
         if address not in self.probes:
-            task = self.probes[address] = start_task(self._probe_once(address, request))
+            task = self.probes[address] = start_task(self._probe_once(waiting, request))
             task.add_done_callback(lambda _: self.probes.pop(address, None))
         return await asyncio.shield(self.probes[address])
 
-    async def _probe_once(self, address: str, request: HttpRequest) -> ProbeResult:
-        witness = self._take_witness(address)
+    async def _probe_once(self, waiting: Http1Connection, request: HttpRequest) -> ProbeResult:
+        address = waiting.address
+        witness = self._take_witness(waiting)
+        began_at = monotonic()
         if witness is None:
             result, reusable = ProbeResult(Finding.NO_WITNESS), []
         else:
@@ -241,6 +270,7 @@
             self.connections.add(connection)
             self.idle[address].append(connection)
         if result.finding is Finding.DEAD:
+            self.found_dead[address] = result, began_at
             logger.bind(address=address).warning("open connections are dead")
         return result
 
@@ -270,6 +300,7 @@
             connection.close()
         if witness := self.witnesses.pop(address, None):
             witness.close()
+        self.found_dead.pop(address, None)
 
     def close(self) -> None:
         """Close every idle connection, and end all probes."""
--- a/waxwingglade/transport/probe.py
+++ b/waxwingglade/transport/probe.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from contextlib import suppress
 from enum import Enum
 
 import msgspec
@@ -23,9 +24,10 @@
 ANSWER_TIMEOUT_S = 0.5
 """Seconds to wait for the first of the two answers."""
 
-SPREAD_S = 0.2
+SPREAD_S = 0.3
 """Greatest time in seconds between the two answers of a peer that is reached on both connections.
-It received the request on the open connection first."""
+It received the request on the open connection first, or after a packet was lost: Linux sends it
+again after 0.2 s and a round trip."""
 
 BODY_TIMEOUT_S = 0.05
 MAX_BODY_BYTES = 64 * 1024
@@ -98,6 +100,10 @@
             result = ProbeResult(Finding.DEAD, heard_at)
         else:
             result = ProbeResult(Finding.UNANSWERED)
+    except asyncio.CancelledError:
+        for connection in (witness, *new):
+            connection.close()
+        raise
     finally:
         for task in (on_open, on_new):
             task.cancel()
@@ -127,11 +133,11 @@
 
 
 async def _is_reusable(connection: Http1Connection) -> bool:
-    """Read the rest of an answer if it has begun; close the connection unless it is complete."""
-    try:
+    """Read the rest of an answer if it has begun; close the connection unless it is reusable."""
+    with suppress(ConnectionBroken, TimeoutError):
         async with asyncio.timeout(BODY_TIMEOUT_S):
             await connection.read_body(MAX_BODY_BYTES)
-    except (ConnectionBroken, TimeoutError):
+    if connection.in_use or not connection.usable:
         connection.close()
     return connection.usable
 
--- a/waxwingglade/transport/tests/test_probe.py
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -39,6 +39,7 @@
         self.opened = 0
         self.delays_s: dict[int, float] = {}
         self.health_requests = 0
+        self.answer = ANSWER
         self.writers: list[asyncio.StreamWriter] = []
 
     async def start(self) -> str:
@@ -60,7 +61,7 @@
                 await asyncio.sleep(self.delays_s.get(number, 0.0))
                 await self.resumed.wait()
                 self.health_requests += b"/health" in head
-                writer.write(ANSWER)
+                writer.write(self.answer)
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The test or the connection ended.
         finally:
@@ -189,6 +190,75 @@
         self.assertEqual(self.server.health_requests, 1)
         self.assertEqual(self.pool.findings, {Finding.DEAD: 1})
 
+    async def ends_as_dead(self, *waiting: asyncio.Task) -> None:
+        """Expect that requests on dead connections end soon after their time."""
+        done, pending = await asyncio.wait(waiting, timeout=4 * END_S)
+        for task in pending:
+            task.cancel()
+        self.assertFalse(pending, "it would wait until the time of its caller is over")
+        for task in done:
+            self.assertIsInstance(task.exception(), Unresponsive)
+
+    async def test_a_request_sent_before_a_probe_found_its_connection_dead_ends(self) -> None:
+        """Guards against the new connection of the first probe being the witness of the second."""
+        one, two, idle = await self.open(3)
+        self.pool.release(self.address, idle)
+        self.server.dead = 3
+        first = await self.wait([one])
+        await asyncio.sleep(0.7 * END_S)
+        second = await self.wait([two])
+        await self.ends_as_dead(*first, *second)
+
+    async def test_a_newer_idle_connection_does_not_tell_for_older_ones(self) -> None:
+        one, idle = await self.open(2)
+        self.pool.release(self.address, idle)
+        self.server.dead = 2
+        (first,) = await self.wait([one])
+        (newer,) = [await self.pool.acquire(self.address) for _ in range(2)][1:]
+        newer.send(REQUEST)
+        await newer.read_head(lambda _: True)
+        await newer.read_body(10)
+        self.pool.release(self.address, newer)
+        self.pool.release(self.address, idle)
+        await self.ends_as_dead(first)
+
+    async def test_a_request_to_another_target_leaves_the_idle_connection_that_tells(self) -> None:
+        """Guards against requests that wait in vain as the first one closed their witness."""
+        (one, idle), mine = await self.open(2), self.server
+        self.pool.release(self.address, idle)
+        my_address, self.server = self.address, PausingServer()
+        self.address = await self.server.start()
+        self.addCleanup(self.server.server.close)
+        other, other_idle = await self.open(2)
+        self.pool.release(self.address, other_idle)
+        mine.dead = self.server.dead = 2
+        self.assertNotEqual(my_address, self.address)
+        await self.ends_as_dead(*await self.wait([other, one]))
+
+    async def test_an_answer_after_a_lost_packet_is_awaited(self) -> None:
+        """The kernel sends a lost request again after 0.2 s and a round trip."""
+        self.server.delays_s = {0: 0.22}
+        self.assertEqual(await self.finding(), Finding.WORKING)
+
+    async def test_connections_that_are_not_reused_are_closed(self) -> None:
+        (witness,) = await self.open()
+        self.server.answer = ANSWER.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+        _, reusable = await probe(witness, HEALTH, 1.0)
+        self.assertEqual(reusable, [])
+        assert witness.transport is not None
+        self.assertTrue(witness.transport.is_closing())
+
+    async def test_a_probe_that_is_cancelled_closes_its_connections(self) -> None:
+        (witness,) = await self.open()
+        self.server.resumed.clear()
+        task = asyncio.create_task(probe(witness, HEALTH, 1.0))
+        await asyncio.sleep(0.05)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        assert witness.transport is not None
+        self.assertTrue(witness.transport.is_closing())
+
 
 class ProbeOnDaemonLoopTest(OnDaemonLoop, ProbeTest):
     """The same tests on the event loop of the daemons."""
