--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -13,6 +13,7 @@
 
 from waxwingglade.base import WaxwinggladeError, monotonic
 from waxwingglade.transport.messages import HttpRequest, HttpResponse
+from waxwingglade.transport.overhead import Overhead
 from waxwingglade.transport.parser import Event, InvalidResponse, ResponseEnd, ResponseParser
 
 USER_TIMEOUT_MS = 700
@@ -32,20 +33,11 @@
 unreachable while an answer is awaited is detected after about two seconds; a peer that is only slow
 is not affected."""
 
-MAX_OVERHEAD_BYTES = 64 * 1024
-"""Bytes that may arrive without any part of a response: of its head, of interim responses, and
-around the pieces of its body."""
-
-MAX_OVERHEAD_S = 1.0
-"""Seconds for which bytes may go on arriving without any part of the awaited response."""
-
 MAX_SKIPPED_RESPONSES = 8
-MAX_SKIPPED_BYTES = 8 * 1024 * 1024
-"""Responses to earlier requests that are skipped before the awaited one, and the size in bytes of
-the body of each."""
+"""Responses to earlier requests that are skipped before the awaited one."""
 
-MAX_COUNTED_GAP_S = 0.25
-"""Greatest time in seconds between two receptions that counts as receiving: a peer may pause."""
+MAX_SKIPPED_BYTES = 8 * 1024 * 1024
+"""Size in bytes of the body of such a response."""
 
 READ_HIGH_WATER_BYTES = 256 * 1024
 """Received bytes that are buffered for the reader before the connection stops reading."""
@@ -75,44 +67,6 @@
     """A connection was closed because it was unresponsive; its target may be healthy."""
 
 
-class Overhead:
-    """Bytes received on a connection since the last part of the awaited response.
-
-    Attributes
-    ----------
-    size : int
-        Number of bytes.
-    seconds : float
-        Time spent receiving them.
-    received : bool
-        Whether any were received.
-    received_at : float
-        When they last arrived, in monotonic seconds.
-    """
-
-    def __init__(self) -> None:
-        self.reset()
-
-    def reset(self) -> None:
-        """Start anew, as a part of the response arrived."""
-        self.size = 0
-        self.seconds = 0.0
-        self.received = False
-        self.received_at = float("inf")
-
-    def add(self, size: int, now: float) -> None:
-        """Count received bytes."""
-        self.received = True
-        self.size += size
-        self.seconds += min(max(0.0, now - self.received_at), MAX_COUNTED_GAP_S)
-        self.received_at = now
-
-    @property
-    def exceeds_limits(self) -> bool:
-        """Whether so many bytes, or for so long, are no response."""
-        return self.size > MAX_OVERHEAD_BYTES or self.seconds > MAX_OVERHEAD_S
-
-
 class Http1Connection(asyncio.Protocol):
     """One connection, which serves one request at a time.
 
