Close unanswered connections of a probe at once, and those of a cancelled one

A probe that was cancelled while it read the rest of an answer left its connections open, and a request whose connection had just ended in order could be failed by it.

--- a/waxwingglade/transport/liveness.py
+++ b/waxwingglade/transport/liveness.py
@@ -167,7 +167,7 @@
             self._check_at(monotonic() + PROBE_INTERVAL_S)
             return
         await asyncio.sleep(max(0.0, ends_at - monotonic()))
-        if self.waiting.last_received_at > idle_from:
+        if self.waiting.ended or self.waiting.last_received_at > idle_from:
             self._check()
             return
         self.waiting.fail(f"silent for {monotonic() - idle_from:.2f} s: {result.finding.value}")
--- a/waxwingglade/transport/probe.py
+++ b/waxwingglade/transport/probe.py
@@ -48,20 +48,20 @@
 
     Parameters
     ----------
-    works_since : float
+    worked_at : float
         If the finding is `DEAD`, a moment at which the open connections still worked, in monotonic
         seconds.
     """
 
     finding: Finding
-    works_since: float = float("inf")
+    worked_at: float = float("inf")
 
     def is_dead(self, opened_at: float) -> bool:
         """Return whether a connection that was opened at a moment is dead, too.
 
         One that was opened later may have been opened after the others died.
         """
-        return self.finding is Finding.DEAD and opened_at <= self.works_since
+        return self.finding is Finding.DEAD and opened_at <= self.worked_at
 
 
 async def probe(
@@ -100,19 +100,25 @@
             result = ProbeResult(Finding.DEAD, heard_at)
         else:
             result = ProbeResult(Finding.UNANSWERED)
+        await _cancel(on_open, on_new)
+        asked = [(witness, on_open), *((each, on_new) for each in new)]
+        return result, [each for each, task in asked if await _is_reusable(each, task)]
     except asyncio.CancelledError:
         for connection in (witness, *new):
             connection.close()
         raise
     finally:
-        for task in (on_open, on_new):
-            task.cancel()
-        await asyncio.gather(on_open, on_new, return_exceptions=True)
-    return result, [each for each in (witness, *new) if await _is_reusable(each)]
+        await _cancel(on_open, on_new)
+
+
+async def _cancel(*tasks: asyncio.Task[bool]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
 
 
 def _has_succeeded(task: asyncio.Task[bool]) -> bool:
-    return task.done() and task.result()
+    return task.done() and not task.cancelled() and task.result()
 
 
 async def _is_answered(connection: Http1Connection, request: HttpRequest) -> bool:
@@ -132,11 +138,12 @@
     return connection.lost_at is not None and not isinstance(connection.error, TimeoutError)
 
 
-async def _is_reusable(connection: Http1Connection) -> bool:
-    """Read the rest of an answer if it has begun; close the connection unless it is reusable."""
-    with suppress(ConnectionBroken, TimeoutError):
-        async with asyncio.timeout(BODY_TIMEOUT_S):
-            await connection.read_body(MAX_BODY_BYTES)
+async def _is_reusable(connection: Http1Connection, asking: asyncio.Task[bool]) -> bool:
+    """Read the rest of an answer; close the connection unless it can be reused then."""
+    if _has_succeeded(asking):
+        with suppress(ConnectionBroken, TimeoutError):
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                await connection.read_body(MAX_BODY_BYTES)
     if connection.in_use or not connection.usable:
         connection.close()
     return connection.usable
--- a/waxwingglade/transport/tests/test_probe.py
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -135,7 +135,7 @@
         self.assertEqual(result.finding, Finding.UNANSWERED)
 
     def test_a_connection_opened_after_the_others_last_worked_may_be_alive(self) -> None:
-        result = ProbeResult(Finding.DEAD, works_since=5.0)
+        result = ProbeResult(Finding.DEAD, worked_at=5.0)
         self.assertTrue(result.is_dead(opened_at=4.0))
         self.assertFalse(result.is_dead(opened_at=6.0))
 
