Discount a stall of an entry from the time without a majority

A turn that reached an entry while it stood still for over a second was refused with 503, "no majority is in reach", although all members of the ledger were sound.

An entry reads no reports of the ledger while it stands still itself. Once it went on, the last report was older than 0.8 s, which counted as a lost majority, and turns then wait 0.1 s to begin. The links need about as long to be opened again, as their heartbeats were missed, too.

The length of a stall is now subtracted, as replicas do for the members that they ping. A report that the majority is lost stays in force, and a majority that stays away is lost 0.8 s after the last report, not counting the stall.

--- a/waxwingglade/base/loop_delay.py
+++ b/waxwingglade/base/loop_delay.py
@@ -25,7 +25,7 @@
     delays : deque of float
         Delays of the last sleeps in seconds, newest last.
     due_at : float
-        When the current sleep was to end, in the time of the event loop.
+        When the current sleep is to end, in the time of the event loop; inf between two sleeps.
     stall_ended_at : float
         When the last sleep that was late by `STALL_S` or more ended, in monotonic seconds.
     """
@@ -40,11 +40,16 @@
         """Longest delay of the last few seconds, in seconds."""
         return max(self.delays, default=0.0)
 
+    @property
+    def overdue_s(self) -> float:
+        """Seconds by which the current sleep is late, 0 if that is too short to be a stall."""
+        overdue_s = asyncio.get_running_loop().time() - self.due_at
+        return overdue_s if overdue_s >= STALL_S else 0.0
+
     @property
     def stalled_until(self) -> float:
         """End of the last stall in monotonic seconds: now, if the current sleep is late."""
-        overdue_s = asyncio.get_running_loop().time() - self.due_at
-        return monotonic() if overdue_s >= STALL_S else self.stall_ended_at
+        return monotonic() if self.overdue_s else self.stall_ended_at
 
     async def sleep(self, seconds: float) -> None:
         """Sleep, and record how late the sleep ended."""
@@ -52,6 +57,7 @@
         self.due_at = loop.time() + seconds
         await asyncio.sleep(seconds)
         delay_s = max(0.0, loop.time() - self.due_at)
+        self.due_at = float("inf")
         self.delays.append(delay_s)
         if delay_s >= STALL_S:
             self.stall_ended_at = monotonic()
--- a/waxwingglade/base/tests/test_loop_delay.py
+++ b/waxwingglade/base/tests/test_loop_delay.py
@@ -20,6 +20,20 @@
             await delay.sleep(SHORT_S)
         self.assertLess(delay.longest_s, STALL_S / 2)
 
+    async def test_a_late_sleep_is_overdue_only_until_it_ends(self) -> None:
+        """Guards against a stall that is subtracted both from its delay and as overdue."""
+        delay = LoopDelay()
+        overdue_s: list[float] = []
+
+        def stall() -> None:
+            time.sleep(STALL_S)
+            overdue_s.append(delay.overdue_s)
+
+        asyncio.get_running_loop().call_soon(stall)
+        await delay.sleep(SHORT_S)
+        self.assertGreater(overdue_s[0], STALL_S / 2)
+        self.assertEqual(delay.overdue_s, 0.0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -281,6 +281,10 @@
         """Seconds since a source reported that it reaches a majority of the ledger's members."""
         return self.cached_view.clock() - self.quorum_at
 
+    def discount_stall(self, seconds: float) -> None:
+        """Subtract a stall of this process from the time since a majority was reported."""
+        self.quorum_at = min(self.cached_view.clock(), self.quorum_at + seconds)
+
     async def _follow(self) -> None:
         while True:
             sources = self.sources()
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -13,7 +13,7 @@
 from tornado.httputil import HTTPMessageDelegate, HTTPServerConnectionDelegate
 from tornado.netutil import bind_sockets
 
-from waxwingglade.base.loop_delay import LoopDelay
+from waxwingglade.base.loop_delay import STALL_S, LoopDelay
 from waxwingglade.base.tasks import start_task
 from waxwingglade.follow.feed import (
     LONGEST_AGE_S,
@@ -230,8 +230,11 @@
 
     @property
     def reaches_ledger(self) -> bool:
-        """Whether a replica recently reported that it reaches a majority."""
-        return self.follower.quorum_age_s < QUORUM_TIMEOUT_S
+        """Whether a replica recently reported that it reaches a majority.
+
+        The time of a stall does not count, as this process reads no reports meanwhile.
+        """
+        return self.follower.quorum_age_s - self.loop_delay.overdue_s < QUORUM_TIMEOUT_S
 
     def replicas(self) -> list[Replica]:
         """Return the members of the ledger, the nearest first."""
@@ -282,6 +285,8 @@
         lost_at: float | None = None
         while True:
             await self.loop_delay.sleep(CHECK_INTERVAL_S)
+            if (delay_s := self.loop_delay.delays[-1]) >= STALL_S:
+                self.follower.discount_stall(delay_s)
             self._check_quorum()
             self.cached_view.drop_expired()
             self.quarantine.remove_expired()
