Notice a regained majority at its report instead of the next check

A turn that was about to begin while an entry took the majority of the ledger for lost was refused with 503 up to 0.2 s after a replica had reported the majority again.

Such a turn waits 0.1 s, and the entry looked at the reports only every 0.2 s and when a further turn arrived. If the source that it follows pauses, or reports a loss, the next one is asked at once and answers within some milliseconds, but the turn was refused 0.1 s after the loss was noticed all the same.

Each report of a majority is now checked when it arrives, which ends the limit of all waiting turns. Reports arrive about twice a second.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -237,6 +237,8 @@
         Returns whether a source needs to be followed at present.
     wants_suspects : bool
         Whether the list of suspect requests is followed, too.
+    quorum_reported : callable
+        Called whenever a source reports that it reaches a majority.
     """
 
     def __init__(
@@ -246,12 +248,14 @@
         ask: Ask,
         needed: Callable[[], bool] = lambda: True,
         wants_suspects: bool = False,
+        quorum_reported: Callable[[], None] = lambda: None,
     ) -> None:
         self.cached_view = cached_view
         self.sources = sources
         self.ask = ask
         self.needed = needed
         self.wants_suspects = wants_suspects
+        self.quorum_reported = quorum_reported
         self.tried = 0
         self.source = ""
         self.source_current = False
@@ -342,6 +346,8 @@
         # A source that has lost the majority reports it at once.  If another source still reaches
         # it, that source is asked next, and the loss lasts for one round trip.
         self.quorum_at = now if answer.quorum else float("-inf")
+        if answer.quorum:
+            self.quorum_reported()
         return answer.age_s <= FRESH_S and answer.quorum
 
 
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -121,7 +121,11 @@
         )
         self.quarantine = Quarantine(self.ledger.failures, self.cached_view.suspects)
         self.follower = FeedFollower(
-            self.cached_view, self.replicas, ask_over(self.links), wants_suspects=True
+            self.cached_view,
+            self.replicas,
+            ask_over(self.links),
+            wants_suspects=True,
+            quorum_reported=self._check_quorum,
         )
         self.suspect_follower = SuspectFollower(
             self.cached_view.suspects,
