Report a majority in time while the store is away and a source is silent

While the store was away and one member of the ledger was silent, an entry took the majority for lost for 0.1 s of each 0.9 s. It told the balancer so (not ready), and turns that began then had 0.1 s.

Without the store no source has a current view, so a follower asks all sources in turn, and waits up to 0.5 s for an update at the one that it followed last. With 0.3 s for the silent source and a pause of 0.1 s, two reports of a majority were 0.9 s apart, and after 0.8 s without one it counts as lost.

The wait at a source whose view is not current is now 0.2 s. Entries send more requests then, and only while the store is away; changes are still answered at once.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -28,6 +28,10 @@
 """Seconds that an answer may wait for an update.  An answer without one is the heartbeat of the
 source."""
 
+STALE_WAIT_S = 0.2
+"""`WAIT_S` while no source has a current view.  All sources are then asked in turn, and entries
+need a report of a majority every 0.8 s, also if one source is silent."""
+
 ANSWER_S = 0.3
 """Seconds beyond `WAIT_S` after which a request to a source times out."""
 
@@ -310,7 +314,9 @@
     async def _ask(self, source: Replica) -> bool:
         """Ask one source; return whether its view is current and it reaches a majority."""
         view = self.cached_view.view
-        wait_s = WAIT_S if source.address == self.source else 0.0
+        wait_s = 0.0
+        if source.address == self.source:
+            wait_s = WAIT_S if self.source_current else STALE_WAIT_S
         message = Follow(
             view.version,
             view.targets.revision,
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -1,6 +1,7 @@
 """Tests of a watcher of the store, and of one process that follows another."""
 
 import asyncio
+import itertools
 import time
 import unittest
 from unittest import mock
@@ -8,7 +9,7 @@
 import msgspec
 
 from waxwingglade.base import ConfigVersion, ZoneId
-from waxwingglade.follow.feed import CachedView, FeedFollower
+from waxwingglade.follow.feed import FRESH_S, SOURCE_PAUSE_S, CachedView, FeedFollower
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Configuration, Replica, Revision, Target, TargetList, View
 from waxwingglade.follow.retention import REREGISTRATION_S
@@ -22,6 +23,7 @@
     quick_pauses,
     until,
 )
+from waxwingglade.ingress.entry import QUORUM_TIMEOUT_S
 
 
 class WatcherTest(unittest.IsolatedAsyncioTestCase):
@@ -299,6 +301,34 @@
             self.unreachable.add("far")
             await until(lambda: self.follower.quorum_age_s == float("inf"))
 
+    async def test_reports_are_not_late_while_the_store_is_away_and_one_source_is_silent(
+        self,
+    ) -> None:
+        """Guards against entries that take the majority for lost between two reports."""
+        reported_at: list[float] = []
+        age_s = 0.0
+
+        async def ask(address: str, message: Follow, timeout_s: float) -> Followed:
+            await asyncio.sleep(0)
+            if address in self.unreachable:
+                self.now += timeout_s
+                raise StoreUnavailable("silent", may_have_run=False)
+            self.now += message.wait_s
+            reported_at.append(self.now)
+            return Followed(View(), age_s)
+
+        self.follower.ask = ask
+        self.follower.start()
+        self.addAsyncCleanup(self.follower.stop)
+        await until(lambda: self.follower.source == "near")
+        self.unreachable.add("far")
+        age_s = 2 * FRESH_S
+        await until(lambda: not self.follower.source_current)
+        reported_at.clear()
+        await until(lambda: len(reported_at) > 5)
+        gaps_s = [later - earlier for earlier, later in itertools.pairwise(reported_at)]
+        self.assertLess(max(gaps_s) + SOURCE_PAUSE_S, QUORUM_TIMEOUT_S)
+
     async def test_updates_are_answered_at_once_and_alone(self) -> None:
         self._publish("near", 3)
         source = self.sources["near"]
