Discount a stall of a ledger process in the majority that it reports

While one member of the ledger paused, a turn was refused with 503, "no majority is in reach", although the two other members answered, and an entry was not ready for up to 0.4 s.

A ledger process counts a member as reached for 0.35 s after a sign of it, and subtracts its own stalls in a periodic task. A follower that was answered after a stall, but before that task went on, was told that the majority was lost: of three processes that stood still for 1 s, all three answered so. The entry then asked the next process, which may be the one that pauses, and waited 0.3 s for it.

The part of a stall that is not subtracted yet is now taken into account wherever the time since a member was seen is read. Members that are lost in a stall are reported 0.35 s after it as before.

--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -111,6 +111,8 @@
         Decides whether this replica is the one of its zone that may join.
     clock : Clock
         Monotonic seconds.
+    overdue_s : callable
+        Returns the seconds of a stall of this process that `discount_stall` will subtract.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         status_prefix: str,
         candidacy: Candidacy,
         clock: Clock = monotonic,
+        overdue_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.own = own
         self.replica = replica
@@ -138,6 +141,7 @@
         self.status_prefix = status_prefix
         self.candidacy = candidacy
         self.clock = clock
+        self.overdue_s = overdue_s
         self.last_seen_at: dict[str, float] = {}
         self.failures_read_at: dict[str, float] = {}
         self.previous_disks: frozenset[str] = frozenset()
@@ -233,11 +237,12 @@
         return bool(members) and len(seen) >= self.replicas.majority
 
     def unresponsive_s(self, member: Member) -> float:
-        """Return the seconds since a member was last seen."""
+        """Return the seconds since a member was last seen, without a stall of this process."""
         if member.disk == self.own.disk:
             return 0.0
         self._record_joined()
-        return self.clock() - max(self.last_seen_at.get(member.disk, 0.0), self.started_at)
+        seen_at = max(self.last_seen_at.get(member.disk, 0.0), self.started_at)
+        return max(0.0, self.clock() - seen_at - self.overdue_s())
 
     def _record_joined(self) -> None:
         """Count a member as seen when it joins, since it was not pinged before."""
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -172,6 +172,7 @@
             keys.replicas,
             settings.status_prefix,
             Candidacy(self.own, self.watcher, store, keys.candidates),
+            overdue_s=lambda: self.loop_delay.overdue_s,
         )
         self.membership.observe_replicas = self.observe_replicas
         self.follower = FeedFollower(
