--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -28,6 +28,10 @@
 """Seconds that an answer may wait for an update.  An answer without one is the heartbeat of the
 source."""
 
+STALE_WAIT_S = 0.2
+"""`WAIT_S` while no source has a current view.  All sources are then asked in turn, and entries
+need a report of a majority every 0.8 s, also if one source is silent."""
+
 ANSWER_S = 0.3
 """Seconds beyond `WAIT_S` after which a request to a source times out."""
 
@@ -237,6 +241,8 @@
         Returns whether a source needs to be followed at present.
     wants_suspects : bool
         Whether the list of suspect requests is followed, too.
+    quorum_reported : callable
+        Called whenever a source reports that it reaches a majority.
     """
 
     def __init__(
@@ -246,12 +252,14 @@
         ask: Ask,
         needed: Callable[[], bool] = lambda: True,
         wants_suspects: bool = False,
+        quorum_reported: Callable[[], None] = lambda: None,
     ) -> None:
         self.cached_view = cached_view
         self.sources = sources
         self.ask = ask
         self.needed = needed
         self.wants_suspects = wants_suspects
+        self.quorum_reported = quorum_reported
         self.tried = 0
         self.source = ""
         self.source_current = False
@@ -281,6 +289,10 @@
         """Seconds since a source reported that it reaches a majority of the ledger's members."""
         return self.cached_view.clock() - self.quorum_at
 
+    def discount_stall(self, seconds: float) -> None:
+        """Subtract a stall of this process from the time since a majority was reported."""
+        self.quorum_at = min(self.cached_view.clock(), self.quorum_at + seconds)
+
     async def _follow(self) -> None:
         while True:
             sources = self.sources()
@@ -302,7 +314,9 @@
     async def _ask(self, source: Replica) -> bool:
         """Ask one source; return whether its view is current and it reaches a majority."""
         view = self.cached_view.view
-        wait_s = WAIT_S if source.address == self.source else 0.0
+        wait_s = 0.0
+        if source.address == self.source:
+            wait_s = WAIT_S if self.source_current else STALE_WAIT_S
         message = Follow(
             view.version,
             view.targets.revision,
@@ -338,6 +352,8 @@
         # A source that has lost the majority reports it at once.  If another source still reaches
         # it, that source is asked next, and the loss lasts for one round trip.
         self.quorum_at = now if answer.quorum else float("-inf")
+        if answer.quorum:
+            self.quorum_reported()
         return answer.age_s <= FRESH_S and answer.quorum
 
 
