Parse only the metrics of an engine that state its load

An entry stood still while it parsed the metrics of an engine that had many of them, or sent lines without end up to the limit of 16 MB: callers, heartbeats and all other answers waited meanwhile.

Cause: all series were parsed, in the event loop. Measured with series of no interest: 0.06 s for 100 kB, 0.69 s for 1 MB, 9.3 s for 15.9 MB, which is long enough for peers to take over its programs.

Change: lines that do not begin with the name of a metric in use are dropped before, and the rest may have 64 KiB; more is a failure of that read.

test_engine_control: the longest delay of the event loop was 1.65 s before, of 0.5 s allowed.

--- a/waxwingglade/connection/engine_control.py
+++ b/waxwingglade/connection/engine_control.py
@@ -27,6 +27,9 @@
 RUNNING_METRIC = "vllm:num_requests_running"
 WAITING_METRIC = "vllm:num_requests_waiting"
 KV_METRICS = ("vllm:kv_cache_usage_perc", "vllm:gpu_cache_usage_perc")
+LOAD_METRICS = tuple(name.encode() for name in (RUNNING_METRIC, WAITING_METRIC, *KV_METRICS))
+MAX_LOAD_BYTES = 65_536
+"""Maximum size in bytes of the metrics that state the load; parsing blocks the event loop."""
 
 
 class HeldPrograms(msgspec.Struct, frozen=True):
@@ -151,8 +154,13 @@
 
 
 def _parse_load(answer: HttpAnswer, stamp: float) -> Outcome[EngineLoad]:
+    lines = [line for line in answer.body.splitlines() if line.startswith(LOAD_METRICS)]
+    size = sum(map(len, lines))
+    if size > MAX_LOAD_BYTES:
+        text = f"engine reports no load: its metrics have {size} bytes, {MAX_LOAD_BYTES} allowed"
+        return ran(ErrorCode.TARGET_FAILED, text)
     try:
-        families = text_string_to_metric_families(answer.body.decode("utf-8"))
+        families = text_string_to_metric_families(b"\n".join(lines).decode("utf-8"))
         samples = [sample for family in families for sample in family.samples]
         running = _values(samples, RUNNING_METRIC)
         waiting = _values(samples, WAITING_METRIC)
--- a/waxwingglade/connection/tests/target_builders.py
+++ b/waxwingglade/connection/tests/target_builders.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from typing import TypeVar
 
 import msgspec
 from hypothesis import settings
 
-from waxwingglade.base import ModelName, ProgramId
+from waxwingglade.base import ModelName, ProgramId, monotonic
 from waxwingglade.connection import EngineDelta, EngineEvent, EngineRequest
 from waxwingglade.program.messages import Message, MessageRole
 from waxwingglade.settings import TargetKind, TargetSettings, ToolSettings
@@ -20,6 +21,7 @@
 # The same examples in each run, without a time limit for an example.
 FIXED = settings(derandomize=True, deadline=None)
 TEST_TIMEOUT_S = 20.0
+MEASURE_EVERY_S = 0.005
 OK_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 
 
@@ -87,6 +89,33 @@
     return "".join(each.text for each in found[:-1]), found[-1]
 
 
+@asynccontextmanager
+async def longest_delay() -> AsyncIterator[Callable[[], float]]:
+    """Measure for how long other tasks wait for the event loop.
+
+    Yields
+    ------
+    callable
+        Returns the longest delay so far, in seconds.
+    """
+    longest = 0.0
+
+    async def measure() -> None:
+        nonlocal longest
+        while True:
+            since = monotonic()
+            await asyncio.sleep(MEASURE_EVERY_S)
+            longest = max(longest, monotonic() - since - MEASURE_EVERY_S)
+
+    measuring = asyncio.create_task(measure())
+    await asyncio.sleep(0)
+    try:
+        yield lambda: longest
+        await asyncio.sleep(2 * MEASURE_EVERY_S)
+    finally:
+        measuring.cancel()
+
+
 class ScriptedServer:
     """Answers each request with the next bytes of a script.
 
--- a/waxwingglade/connection/tests/test_engine_control.py
+++ b/waxwingglade/connection/tests/test_engine_control.py
@@ -29,9 +29,11 @@
     conversation,
     engine_request,
     engine_target,
+    longest_delay,
 )
 from waxwingglade.standins import EngineSpeed, EngineStandin
 
+MAX_DELAY_S = 0.5
 LONG = conversation("a long brief of a wrap " * 20 + "tokens=4")
 
 
@@ -120,6 +122,19 @@
             failure = (await self._load_of(body)).unwrap_err()
             self.assertEqual(ErrorCode.TARGET_FAILED, failure.code)
 
+    async def test_long_metrics_do_not_hold_up_other_requests(self) -> None:
+        other = b'vllm:other{engine="0",le="0.5"} 1.0\n' * 100_000
+        load_series = b'vllm:num_requests_running{model_name="a"} 2.0\n'
+        rest = b"vllm:num_requests_waiting 4.0\nvllm:gpu_cache_usage_perc 0.25\n"
+        async with longest_delay() as delay_s:
+            load = (await self._load_of(other + load_series + rest)).unwrap()
+        self.assertEqual((2, 4, 0.25), (load.running, load.waiting, load.kv_used_fraction))
+        self.assertLess(delay_s(), MAX_DELAY_S)
+        async with longest_delay() as delay_s:
+            failure = (await self._load_of(load_series * 100_000 + rest)).unwrap_err()
+        self.assertEqual(ErrorCode.TARGET_FAILED, failure.code)
+        self.assertLess(delay_s(), MAX_DELAY_S)
+
     async def test_stand_in_reports_with_a_lag(self) -> None:
         engine = await self.start(load_lag_s=3600)
         load = (await read_load(self.client, self.target)).unwrap()
