Do not wait for text beyond the limit while other bytes arrive

An engine that sent comments or events without text faster than every 50 ms was read until the time of the whole answer was over, 60 s by default, instead of the 30 s and 10 s for the first and for further text, so its calls went on elsewhere that much later.

Cause: a wait that ran out is followed by a grace of 50 ms, as bytes may have arrived during a stall of this process. Each piece within the grace ended it successfully, and the next wait had one again.

Change: only the first wait after the limit has the grace.

--- a/waxwingglade/connection/http.py
+++ b/waxwingglade/connection/http.py
@@ -135,6 +135,7 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.header_bytes = 0
+        self.used_grace = False
         self.pieces: asyncio.Queue[bytes] = asyncio.Queue()
         self.future = self._start()
         self.future.add_done_callback(self._on_done)
@@ -208,14 +209,19 @@
 
     async def next_piece(self, timeout_s: float) -> bytes:
         """Return a piece of the body, or `END_OF_BODY`; raises TimeoutError after `timeout_s`."""
+        if timeout_s > 0.0:
+            self.used_grace = False
         if not self.pieces.empty():
             return self.pieces.get_nowait()
         try:
             async with asyncio.timeout(timeout_s):
                 return await self.pieces.get()
         except TimeoutError:
+            if self.used_grace:
+                raise
             # After a stall of this process the timer expires before bytes that already arrived are
             # read.
+            self.used_grace = True
             async with asyncio.timeout(READ_GRACE_S):
                 return await self.pieces.get()
 
--- a/waxwingglade/connection/tests/target_builders.py
+++ b/waxwingglade/connection/tests/target_builders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import TypeVar
 
 import msgspec
@@ -170,6 +170,48 @@
         return bool(answer) and not self.close
 
 
+class DrippingServer:
+    """Answers each connection with a start and then repeats bytes until it is closed.
+
+    Parameters
+    ----------
+    start, repeated : bytes
+        Bytes that are sent once, and again and again.
+    pause_s : float
+        Seconds between repetitions.
+    """
+
+    def __init__(self, start: bytes, repeated: bytes, pause_s: float) -> None:
+        self.start = start
+        self.repeated = repeated
+        self.pause_s = pause_s
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task] = set()
+        self.url = ""
+
+    async def __aenter__(self) -> "DrippingServer":
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.url = f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.tasks.add(asyncio.current_task())
+        with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.start)
+            while True:
+                writer.write(self.repeated)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+        writer.transport.abort()
+
+
 def _content_length(head: bytes) -> int:
     for line in head.lower().split(b"\r\n"):
         if line.startswith(b"content-length:"):
--- a/waxwingglade/connection/tests/test_engine.py
+++ b/waxwingglade/connection/tests/test_engine.py
@@ -3,8 +3,9 @@
 import asyncio
 import unittest
 from contextlib import aclosing
+from unittest import mock
 
-from waxwingglade.base import ErrorCode, Verdict
+from waxwingglade.base import ErrorCode, Verdict, monotonic
 from waxwingglade.connection import (
     EngineDelta,
     EngineDone,
@@ -12,11 +13,13 @@
     HttpClient,
     HttpClientSettings,
     StreamTimeouts,
+    http,
     stream_completion,
 )
 from waxwingglade.connection.tests.target_builders import (
     MODEL,
     OK_STREAM,
+    DrippingServer,
     ScriptedServer,
     answer_bytes,
     collect,
@@ -232,6 +235,19 @@
     async def test_between_tokens(self) -> None:
         await self._expect_timeout(event_bytes("a"), StreamTimeouts(60, 0.05), 60)
 
+    async def test_comments_without_end_are_no_text(self) -> None:
+        # No gap between the comments is as long as the grace, however busy the machine is.
+        grace = mock.patch.object(http, "READ_GRACE_S", 2.0)
+        async with DrippingServer(OK_STREAM, b": ping\n\n", 0.01) as server:
+            target, timeouts = engine_target(server.url), StreamTimeouts(0.2, 0.2)
+            began_at = monotonic()
+            stream = stream_completion(self.client, target, engine_request(), 4, timeouts)
+            with grace:
+                _, failed = await collect(stream)
+            duration_s = monotonic() - began_at
+        self.assertEqual("engine fell silent", failed.failure.message)
+        self.assertLess(duration_s, 2)
+
     async def test_complete_answer(self) -> None:
         await self._expect_timeout(event_bytes("a"), StreamTimeouts(60, 60), 0.1)
 
