--- a/waxwingglade/connection/tests/test_engine.py
+++ b/waxwingglade/connection/tests/test_engine.py
@@ -13,6 +13,7 @@
     HttpClient,
     HttpClientSettings,
     StreamTimeouts,
+    engine,
     http,
     stream_completion,
 )
@@ -95,6 +96,22 @@
                 self.assertEqual(Verdict.MAY_HAVE_RUN, failed.failure.verdict)
                 self.assertEqual(0, failed.produced_text_len)
 
+    async def test_error_answer_without_end_is_not_awaited(self) -> None:
+        refusal = answer_bytes("503 Unavailable", NOT_RUN_BODY + b" ")[:-1]
+        head = b"HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n"
+        drip = b"1\r\n \r\n"
+        cases = ((refusal, b"", Verdict.NOT_RUN), (head + drip, drip, Verdict.MAY_HAVE_RUN))
+        for start, repeated, verdict in cases:
+            with self.subTest(verdict), mock.patch.object(engine, "ERROR_TIMEOUT_S", 0.2):
+                async with DrippingServer(start, repeated, 0.01) as server:
+                    target = engine_target(server.url)
+                    began_at = monotonic()
+                    stream = stream_completion(self.client, target, engine_request(), 4)
+                    _, failed = await collect(stream)
+                    duration_s = monotonic() - began_at
+                self.assertEqual(verdict, failed.failure.verdict)
+                self.assertLess(duration_s, 2)
+
     async def test_not_run_after_text_is_ignored(self) -> None:
         answer = OK_STREAM + event_bytes("hello") + b"data: " + NOT_RUN_BODY + b"\n\n"
         failed = await self.failure_of(answer)
