Let other tasks run while pieces of an answer arrive in a row

An engine that sent empty lines, comments or events without text as fast as they were read held up all other requests of its entry, up to the limit of 16 MB of an answer.

Cause: receiving a piece that has already arrived does not suspend the reader, so all pieces that had arrived, 1 MB and more, were decoded at once.

Change: the reader lets others run every 10 ms. A reader that waits for its pieces does not notice.

--- a/waxwingglade/connection/http.py
+++ b/waxwingglade/connection/http.py
@@ -20,12 +20,23 @@
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest
 
-from waxwingglade.base import Err, ErrorCode, Failure, Ok, Outcome, Verdict, WaxwinggladeError
+from waxwingglade.base import (
+    Err,
+    ErrorCode,
+    Failure,
+    Ok,
+    Outcome,
+    Verdict,
+    WaxwinggladeError,
+    monotonic,
+)
 
 RETRY_AFTER_HEADER = "retry-after"
 END_OF_BODY = b""
 READ_GRACE_S = 0.05
 CLOSE_TIMEOUT_S = 2.0
+TURN_S = 0.01
+"""Seconds for which pieces that already arrived are read before other tasks get a turn."""
 
 
 class HttpClientSettings(msgspec.Struct, frozen=True):
@@ -136,6 +147,7 @@
         self.headers: dict[str, str] = {}
         self.header_bytes = 0
         self.used_grace = False
+        self.turn_ends_at = 0.0
         self.pieces: asyncio.Queue[bytes] = asyncio.Queue()
         self.future = self._start()
         self.future.add_done_callback(self._on_done)
@@ -212,10 +224,10 @@
         if timeout_s > 0.0:
             self.used_grace = False
         if not self.pieces.empty():
-            return self.pieces.get_nowait()
+            return await self.piece_or_end()
         try:
             async with asyncio.timeout(timeout_s):
-                return await self.pieces.get()
+                return await self.piece_or_end()
         except TimeoutError:
             if self.used_grace:
                 raise
@@ -223,11 +235,21 @@
             # read.
             self.used_grace = True
             async with asyncio.timeout(READ_GRACE_S):
-                return await self.pieces.get()
+                return await self.piece_or_end()
+
+    async def piece_or_end(self) -> bytes:
+        """Wait for a piece; other tasks run at least every `TURN_S` seconds."""
+        if not self.pieces.empty():
+            if monotonic() < self.turn_ends_at:
+                return self.pieces.get_nowait()
+            await asyncio.sleep(0)
+        piece = await self.pieces.get()
+        self.turn_ends_at = monotonic() + TURN_S
+        return piece
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the pieces of the body; `failure` is valid afterwards."""
-        while piece := await self.pieces.get():
+        while piece := await self.piece_or_end():
             yield piece
 
     async def answer(self) -> Outcome[HttpAnswer]:
--- a/waxwingglade/connection/tests/test_cancel.py
+++ b/waxwingglade/connection/tests/test_cancel.py
@@ -23,10 +23,13 @@
     """The part of an exchange from which a stream reads."""
 
     next_piece = Exchange.next_piece
+    piece_or_end = Exchange.piece_or_end
 
     def __init__(self) -> None:
         self.request = HttpRequest("POST", "http://127.0.0.1:1", timeout_s=TEST_TIMEOUT_S)
         self.status = 200
+        self.used_grace = False
+        self.turn_ends_at = 0.0
         self.pieces: asyncio.Queue[bytes] = asyncio.Queue()
 
 
--- a/waxwingglade/connection/tests/test_engine.py
+++ b/waxwingglade/connection/tests/test_engine.py
@@ -28,6 +28,7 @@
     engine_request,
     engine_target,
     event_bytes,
+    longest_delay,
     until,
     with_timeout,
 )
@@ -35,6 +36,9 @@
 from waxwingglade.standins import EngineFaults, EngineStandin, answer_text
 
 NOT_RUN_BODY = b'{"error": {"type": "not_run", "message": "full"}}'
+PIECE_BYTES = 16_384
+PIECES = 768
+MAX_DELAY_S = 0.25
 DONE = b"data: [DONE]\n\n"
 
 
@@ -232,6 +236,27 @@
         self.assertEqual(Verdict.NOT_RUN, failed.failure.verdict)
 
 
+class FairnessTest(EngineCase):
+    async def test_bytes_without_end_do_not_hold_up_other_requests(self) -> None:
+        for repeated in (b"\n", b": ping\n\n", b"data: {}\n\n"):
+            with self.subTest(repeated):
+                await self._expect_turns(repeated)
+
+    async def _expect_turns(self, repeated: bytes) -> None:
+        pieces = [repeated * (PIECE_BYTES // len(repeated)) for _ in range(PIECES)]
+        async with DrippingServer(OK_STREAM, b"", 60.0) as server, longest_delay() as delay_s:
+            stream = stream_completion(self.client, engine_target(server.url), engine_request(), 60)
+            waiting = asyncio.create_task(anext(stream))
+            await until(lambda: self.client.exchanges)
+            (exchange,) = self.client.exchanges
+            for piece in pieces:
+                exchange.pieces.put_nowait(piece)
+            exchange.pieces.put_nowait(DONE)
+            self.assertIsInstance(await with_timeout(waiting), EngineFailed)
+            await stream.aclose()
+        self.assertLess(delay_s(), MAX_DELAY_S)
+
+
 class TimeoutTest(EngineCase):
     async def _expect_timeout(
         self, sent: bytes, timeouts: StreamTimeouts, timeout_s: float
