Read a long line of a watch in time proportional to its length

Cause: with each piece the whole line was copied and searched for its end.

Change: only new pieces are searched, and they are joined once the line is complete. Other tasks run meanwhile, as for all answers.

--- a/waxwingglade/connection/store_watch.py
+++ b/waxwingglade/connection/store_watch.py
@@ -144,7 +144,7 @@
         self.revision = revision
         self.purpose = purpose
         self.has_slot = False
-        self.incomplete_line = b""
+        self.incomplete_line: list[bytes] = []
         self.lines: deque[bytes] = deque()
         self.exchange: Exchange | None = None
 
@@ -182,11 +182,15 @@
     async def next_line(self, exchange: Exchange) -> bytes:
         """Return the next line, which is empty at the end of the connection."""
         while not self.lines:
-            piece = await exchange.pieces.get()
+            piece = await exchange.piece_or_end()
             if piece == END_OF_BODY:
                 return b""
-            *complete_lines, self.incomplete_line = (self.incomplete_line + piece).split(b"\n")
-            self.lines.extend(complete_lines)
+            first, *others = piece.split(b"\n")
+            self.incomplete_line.append(first)
+            if others:
+                self.lines.append(b"".join(self.incomplete_line))
+                self.lines.extend(others[:-1])
+                self.incomplete_line = others[-1:]
         return self.lines.popleft()
 
     def close(self) -> None:
--- a/waxwingglade/connection/tests/test_store_watch.py
+++ b/waxwingglade/connection/tests/test_store_watch.py
@@ -1,15 +1,24 @@
 """Tests of watches across outages, dropped connections and compaction."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from unittest import mock
 
-from waxwingglade.connection import DeleteEvent, Purpose, ResyncEvent, WatchEvent, store_watch
+from waxwingglade.connection import DeleteEvent, Purpose, ResyncEvent, WatchEvent, http, store_watch
 from waxwingglade.connection.store_budget import MAX_WATCHES
 from waxwingglade.connection.tests.store_builders import StoreTestCase, ok, write_directly
+from waxwingglade.connection.tests.target_builders import (
+    OK_STREAM,
+    DrippingServer,
+    longest_delay,
+)
 from waxwingglade.standins import Outage
 from waxwingglade.standins.store_state import StoreState
 
+LINE_PIECE_BYTES = 16_384
+LINE_PIECES = 2_000
+MAX_DELAY_S = 0.5
 WAIT_LIMIT_S = 20.0
 """Seconds after which a test fails instead of waiting forever."""
 
@@ -64,6 +73,34 @@
             async with asyncio.timeout(WAIT_LIMIT_S):
                 self.assertEqual((await anext(events)).item.value, b"1")
 
+    async def test_a_line_without_end_does_not_hold_up_other_calls(self) -> None:
+        stream = store_watch.WatchStream(self.client.transport, b"a", 1, Purpose.WATCH)
+        async with (
+            DrippingServer(OK_STREAM, b"", 60.0) as server,
+            self.opened(stream, server.url) as exchange,
+            longest_delay() as delay_s,
+        ):
+            for _ in range(LINE_PIECES):
+                exchange.pieces.put_nowait(b"x" * LINE_PIECE_BYTES)
+            exchange.pieces.put_nowait(b"\n")
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                line = await stream.next_line(exchange)
+        self.assertEqual(len(line), LINE_PIECES * LINE_PIECE_BYTES)
+        self.assertLess(delay_s(), MAX_DELAY_S)
+
+    @contextlib.asynccontextmanager
+    async def opened(
+        self, stream: store_watch.WatchStream, url: str
+    ) -> AsyncIterator[http.Exchange]:
+        """Begin the exchange of a watch, without a request to the stand-in."""
+        exchange = self.client.transport.begin(url, b"{}", WAIT_LIMIT_S, False)
+        assert exchange is not None
+        stream.exchange = exchange
+        try:
+            yield exchange
+        finally:
+            stream.close()
+
     async def test_a_listing_replaces_compacted_changes(self) -> None:
         events = await self.open_watch()
         await self.set_faults(outage=Outage.REFUSE)
