Reconnect a watch after many responses without changes

Cause: any response counted as a sign of life, and only the 100 MB of a connection ended it.

Change: a hundred in a row end the connection. A sound store sends one such response at the start, and others only if asked to.

test_store_watch: no second connection within 20 s before.

--- a/waxwingglade/connection/store_watch.py
+++ b/waxwingglade/connection/store_watch.py
@@ -37,6 +37,9 @@
 LONGEST_WATCH_S = 3600.0
 """Seconds after which a watch reconnects in any case."""
 
+MAX_EMPTY_RESPONSES = 100
+"""Consecutive responses without changes after which a watch reconnects."""
+
 UNKNOWN_REVISION = 0
 """Marks a watch without a known revision: the prefix has to be listed first."""
 
@@ -84,9 +87,13 @@
     key = client.full_key(prefix)
     stream = WatchStream(client.transport, key, position.revision, purpose)
     opened_at = client.clock()
+    empty_responses = 0
     try:
         response = await stream.open()
         while response is not None and not response.canceled:
+            empty_responses = 0 if response.events else empty_responses + 1
+            if empty_responses > MAX_EMPTY_RESPONSES:
+                return
             if is_store_behind(response, position.revision):
                 position.revision = UNKNOWN_REVISION
                 return
--- a/waxwingglade/connection/tests/test_store_watch.py
+++ b/waxwingglade/connection/tests/test_store_watch.py
@@ -88,6 +88,16 @@
         self.assertEqual(len(line), LINE_PIECES * LINE_PIECE_BYTES)
         self.assertLess(delay_s(), MAX_DELAY_S)
 
+    async def test_responses_without_changes_and_without_end_end_a_connection(self) -> None:
+        async with DrippingServer(OK_STREAM, b'{"result":{}}\n' * 10, 0.0) as server:
+            client = self.new_client(server.url)
+            waiting = asyncio.create_task(anext(client.watch("a", 1), None))
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                while client.calls_by_purpose[Purpose.WATCH] < 2:
+                    await asyncio.sleep(0.01)
+            await client.close()
+            await waiting
+
     @contextlib.asynccontextmanager
     async def opened(
         self, stream: store_watch.WatchStream, url: str
