Let other tasks run while messages of peers arrive in a row

A process that sent messages without end to an entry's socket for peers, valid or not, held up the whole entry: callers and heartbeats waited for as long as it went on, and for longer.

Cause: receiving a message that has already arrived does not suspend the reader, and the socket had one each time. The tasks that answer them never ran either, and their number grew.

Change: after 64 messages in a row the reader lets others run, in both directions.

--- a/waxwingglade/connection/peer.py
+++ b/waxwingglade/connection/peer.py
@@ -43,6 +43,10 @@
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
+FRAMES_PER_TURN = 64
+"""Messages that are read before other tasks get a turn.  Receiving a message that has already
+arrived does not suspend the reader."""
+
 
 class PeerServer:
     """The socket on which this process answers requests of its peers.
@@ -89,7 +93,9 @@
         self.socket.close()
 
     async def _read(self) -> None:
-        while True:
+        for received in itertools.count(1):
+            if received % FRAMES_PER_TURN == 0:
+                await asyncio.sleep(0)
             sender, *frames = await self.socket.recv_multipart()
             if len(frames) != 1:
                 logger.warning("peer message with {} frames ignored", len(frames))
@@ -225,7 +231,9 @@
             self.pending.pop(number, None)
 
     async def _read(self) -> None:
-        while True:
+        for received in itertools.count(1):
+            if received % FRAMES_PER_TURN == 0:
+                await asyncio.sleep(0)
             frame = await self.socket.recv()
             self.bytes_received += len(frame)
             try:
