Bound the time in which callers complete a request

A caller that never completed the body of its request, whether it stopped or sent pieces of no use, held its connection without end, and one that never completed its head for an hour.

Cause: the HTTP server has no limit for a body of its own, and 3600 s for a head.

Change: 60 s for a body and 300 s for a head or until the next request of a connection.

test_caller: both connections were still open after 10 s with limits of 0.2 s before. The interface of the test's builder is now served by the function that the entry uses.

--- a/waxwingglade/connection/caller.py
+++ b/waxwingglade/connection/caller.py
@@ -18,6 +18,10 @@
 """The server accepts headers up to this multiple of the limit, so that the application can reject
 them with a typed error."""
 
+BODY_TIMEOUT_S = 60.0
+IDLE_TIMEOUT_S = 300.0
+"""Seconds for a request's body, and for its head or until the next request of a connection."""
+
 
 def caller_application(
     settings: ProcessSettings,
@@ -48,4 +52,9 @@
 
 def http_server(application: Application, limits: LimitSettings) -> HTTPServer:
     """Return a server with limits above those of the application, which sends typed errors."""
-    return HTTPServer(application, max_header_size=limits.header_bytes * HEADER_LIMIT_FACTOR)
+    return HTTPServer(
+        application,
+        max_header_size=limits.header_bytes * HEADER_LIMIT_FACTOR,
+        body_timeout=BODY_TIMEOUT_S,
+        idle_connection_timeout=IDLE_TIMEOUT_S,
+    )
--- a/waxwingglade/connection/tests/caller_builders.py
+++ b/waxwingglade/connection/tests/caller_builders.py
@@ -4,11 +4,10 @@
 from collections.abc import AsyncIterator
 from typing import Any
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
 from waxwingglade.connection.api_client import ApiClient
-from waxwingglade.connection.caller import caller_application
+from waxwingglade.connection.caller import caller_application, http_server
 from waxwingglade.connection.caller_stream import Serve
 from waxwingglade.connection.http import HttpClient
 from waxwingglade.connection.keys import new_key
@@ -49,7 +48,7 @@
     settings = ProcessSettings(
         "entry-1", "helsinki-1", caller_keys=[CallerKey("kettu", key.salt, key.sha256)]
     )
-    server = HTTPServer(caller_application(settings, serve, lambda: True))
+    server = http_server(caller_application(settings, serve, lambda: True), settings.limits)
     sockets = bind_sockets(0, "127.0.0.1")
     server.add_sockets(sockets)
     http = HttpClient()
--- a/waxwingglade/connection/tests/test_caller.py
+++ b/waxwingglade/connection/tests/test_caller.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import msgspec
 
 from waxwingglade.base import Failure, Verdict
+from waxwingglade.connection import caller
 from waxwingglade.connection.api_client import ApiClient
 from waxwingglade.connection.http_limits import check_nesting, exceeds_depth
 from waxwingglade.connection.keys import KeyRing, find_key, new_key
@@ -20,6 +22,8 @@
 from waxwingglade.program import Delta
 from waxwingglade.settings import CallerKey, LimitSettings
 
+WAIT_LIMIT_S = 10.0
+
 BAD_CALLS = {
     "bad JSON": b'{"type": "model",',
     "bad UTF-8": b'{"type": "tool", "call": "c", "tool": "\xff\xfe", "arguments": {}}',
@@ -209,6 +213,35 @@
             return [event async for event in caller.stream("GET", path)]
 
 
+class Connections(unittest.IsolatedAsyncioTestCase):
+    """A caller that does not complete its request does not keep its connection."""
+
+    async def test_a_body_without_end_ends_its_connection(self):
+        with mock.patch.object(caller, "BODY_TIMEOUT_S", 0.2):
+            await self.expect_close(b"POST /v1/programs HTTP/1.1\r\n", b"1\r\n \r\n")
+
+    async def test_a_head_without_end_ends_its_connection(self):
+        with mock.patch.object(caller, "IDLE_TIMEOUT_S", 0.2):
+            await self.expect_close(b"", b"X")
+
+    async def expect_close(self, start, repeated):
+        async with serving(interrupted_stream(None)) as api:
+            host, _, port = api.url.removeprefix("http://").partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            token = f"Authorization: Bearer {api.token}\r\n".encode()
+            encoding = b"Host: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            writer.write(start and start + token + encoding)
+            try:
+                async with asyncio.timeout(WAIT_LIMIT_S):
+                    while not reader.at_eof() and reader.exception() is None:
+                        writer.write(repeated)
+                        await asyncio.sleep(0.01)
+            except ConnectionError:
+                pass
+            finally:
+                writer.close()
+
+
 class Health(unittest.IsolatedAsyncioTestCase):
     async def test_a_draining_entry_is_alive_but_not_ready(self):
         async with system() as (running, http):
