Distribute the loads of targets without waiting for the slowest one

While one engine paused, or sent its metrics without end, no load of any engine of its zone was known: each round took up to 5 s instead of the period of 1 s, and loads were then distributed with the age that they had when they were read.

Cause: each round waited for the answers of all targets.

Change: a round waits for a period at most and distributes what has arrived; the other reads go on and count in a later round. The age of a load is taken when it is distributed.

--- a/waxwingglade/process/sampling.py
+++ b/waxwingglade/process/sampling.py
@@ -7,10 +7,12 @@
 
 import asyncio
 
+import msgspec
 from loguru import logger
 
-from waxwingglade.base import TargetId
+from waxwingglade.base import Outcome, TargetId
 from waxwingglade.connection.engine_control import read_load
+from waxwingglade.connection.engine_events import EngineLoad
 from waxwingglade.connection.peer_messages import LoadReports, TargetLoad
 from waxwingglade.decisions import LoadReport
 from waxwingglade.process.entry import Entry
@@ -18,26 +20,49 @@
 from waxwingglade.settings import TargetKind
 
 
+class LoadRead(msgspec.Struct, frozen=True):
+    """Answer of a target about its load, and when it was requested, in monotonic seconds."""
+
+    answer: Outcome[EngineLoad]
+    started_at: float
+
+
 async def sample_loads(entry: Entry) -> None:
     """Read and distribute loads until the process stops."""
-    while True:
-        await asyncio.sleep(entry.settings.sampling.period_s)
-        try:
-            await _sample_once(entry)
-        except Exception:
-            logger.exception("reading the load of targets failed; retrying")
+    reads: dict[TargetId, asyncio.Task[LoadRead]] = {}
+    try:
+        while True:
+            await asyncio.sleep(entry.settings.sampling.period_s)
+            try:
+                await _sample_once(entry, reads)
+            except Exception:
+                logger.exception("reading the load of targets failed; retrying")
+    finally:
+        for read in reads.values():
+            read.cancel()
 
 
-async def _sample_once(entry: Entry) -> None:
-    read = await asyncio.gather(*(_read(entry, name) for name in assigned_targets(entry)))
-    loads = [load for load in read if load is not None]
+async def _sample_once(entry: Entry, reads: dict[TargetId, asyncio.Task[LoadRead]]) -> None:
+    """Start reads, and distribute the loads that arrive within a period.
+
+    A target that takes longer does not delay the loads of the others: its read stays in `reads`,
+    and its load is distributed when it has arrived.
+    """
+    period_s = entry.settings.sampling.period_s
+    for name in assigned_targets(entry):
+        if name not in reads:
+            reads[name] = asyncio.create_task(_read(entry, name))
+    if not reads:
+        return
+    done, _ = await asyncio.wait(reads.values(), timeout=period_s)
+    finished = [name for name, read in reads.items() if read in done]
+    loads = [load for name in finished if (load := _load(entry, name, reads.pop(name).result()))]
     if not loads:
         return
     apply_loads(entry, loads)
     peers = [ref for ref in entry.members.usable() if ref.zone == entry.own.zone]
     links = [entry.links.to(ref.peer_address, ref.incarnation) for ref in peers]
     message = LoadReports(loads)
-    period_s = entry.settings.sampling.period_s
     await asyncio.gather(*(link.request(message, period_s) for link in links))
 
 
@@ -54,13 +79,16 @@
     ]
 
 
-async def _read(entry: Entry, name: TargetId) -> TargetLoad | None:
+async def _read(entry: Entry, name: TargetId) -> LoadRead:
     started_at = entry.clock()
-    answer = await read_load(entry.http, entry.targets[name])
-    if answer.is_err():
+    return LoadRead(await read_load(entry.http, entry.targets[name]), started_at)
+
+
+def _load(entry: Entry, name: TargetId, read: LoadRead) -> TargetLoad | None:
+    if read.answer.is_err():
         return None
-    load = answer.ok_value
-    age_s = entry.clock() - started_at
+    load = read.answer.ok_value
+    age_s = entry.clock() - read.started_at
     return TargetLoad(name, load.running, load.waiting, load.kv_used_fraction, age_s)
 
 
