Take a refusal whose body does not end for what it says

A service that refused a call as not run and never ended the body of its refusal kept the call until its time was over, 20 s by default, and then the call counted as one that may have run: a call that may not be repeated was lost although it had certainly not run.

Cause: only complete error answers were read, for as long as the request may take.

An answer whose connection breaks is a failure as before.

test_tool: after 4 s "may have run" for a refusal that stops and for one that goes on before, "not run" now. test_engine: only the module whose limit is shortened changed.

--- a/waxwingglade/connection/engine.py
+++ b/waxwingglade/connection/engine.py
@@ -34,9 +34,6 @@
 COMPLETIONS_PATH = "/v1/chat/completions"
 STREAM_END = "[DONE]"
 ABORT_REASONS = frozenset({None, "abort", "error"})
-MAX_ERROR_BYTES = 65_536
-ERROR_TIMEOUT_S = 5.0
-"""Size in bytes of an error answer's body, and seconds for which its rest is awaited."""
 
 
 async def stream_completion(
@@ -199,15 +196,7 @@
         return failure or self._stream_failure(ErrorCode.UNAVAILABLE, "engine cut the stream")
 
     async def _error_failure(self, piece: bytes) -> Failure:
-        """Read the rest of an error answer, as far as it arrives before the timeout."""
-        body = b""
-        end_at = min(self.end_at, monotonic() + ERROR_TIMEOUT_S)
-        try:
-            while piece and len(body) < MAX_ERROR_BYTES:
-                body += piece
-                piece = await self.exchange.next_piece(max(0.0, end_at - monotonic()))
-        except TimeoutError:
-            pass
+        body = await self.exchange.error_body(piece)
         return failure_of_answer(HttpAnswer(self.exchange.status, self.exchange.headers, body))
 
 
--- a/waxwingglade/connection/http.py
+++ b/waxwingglade/connection/http.py
@@ -14,6 +14,7 @@
 import os
 import socket
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 import msgspec
 import pycurl
@@ -35,6 +36,10 @@
 END_OF_BODY = b""
 READ_GRACE_S = 0.05
 CLOSE_TIMEOUT_S = 2.0
+MAX_ERROR_BYTES = 65_536
+ERROR_TIMEOUT_S = 5.0
+"""Size in bytes of an error answer's body, and seconds for which its rest is awaited."""
+
 TURN_S = 0.01
 """Seconds for which pieces that already arrived are read before other tasks get a turn."""
 
@@ -254,7 +259,37 @@
 
     async def answer(self) -> Outcome[HttpAnswer]:
         """Wait for the complete answer and return it, whatever its status."""
-        pieces = [piece async for piece in self.body()]
+        return self._answer_with([piece async for piece in self.body()])
+
+    async def answer_or_error_start(self) -> Outcome[HttpAnswer]:
+        """Wait for the complete answer, or for the start of an error answer that goes on."""
+        first = await self.piece_or_end()
+        if not first:
+            return self._answer_with([])
+        if self.status < HTTPStatus.BAD_REQUEST:
+            return self._answer_with([first, *[piece async for piece in self.body()]])
+        body = await self.error_body(first)
+        if self.future.done():
+            return self._answer_with([body])
+        return Ok(HttpAnswer(self.status, self.headers, body))
+
+    async def error_body(self, first: bytes) -> bytes:
+        """Return the body of an error answer after its first piece, as far as it arrives in time.
+
+        Its rest is awaited for `ERROR_TIMEOUT_S` and up to `MAX_ERROR_BYTES`.
+        """
+        body, piece = bytearray(), first
+        end_at = monotonic() + ERROR_TIMEOUT_S
+        try:
+            while piece and len(body) < MAX_ERROR_BYTES:
+                body += piece
+                piece = await self.next_piece(max(0.0, end_at - monotonic()))
+        except TimeoutError:
+            pass
+        return bytes(body)
+
+    def _answer_with(self, pieces: list[bytes]) -> Outcome[HttpAnswer]:
+        """Return the answer with the pieces of its body, or its failure."""
         failure = self.failure()
         if failure is not None:
             return Err(failure)
@@ -289,11 +324,12 @@
 async def send(client: HttpClient, request: HttpRequest) -> Outcome[HttpAnswer]:
     """Send a request and return the complete answer, whatever its status.
 
+    An error answer whose body does not end in time is returned as far as it has arrived.
     Cancelling the caller closes the connection.
     """
     exchange = Exchange(client, request)
     try:
-        return await exchange.answer()
+        return await exchange.answer_or_error_start()
     finally:
         exchange.abort()
 
--- a/waxwingglade/connection/tests/test_engine.py
+++ b/waxwingglade/connection/tests/test_engine.py
@@ -13,7 +13,6 @@
     HttpClient,
     HttpClientSettings,
     StreamTimeouts,
-    engine,
     http,
     stream_completion,
 )
@@ -106,7 +105,7 @@
         drip = b"1\r\n \r\n"
         cases = ((refusal, b"", Verdict.NOT_RUN), (head + drip, drip, Verdict.MAY_HAVE_RUN))
         for start, repeated, verdict in cases:
-            with self.subTest(verdict), mock.patch.object(engine, "ERROR_TIMEOUT_S", 0.2):
+            with self.subTest(verdict), mock.patch.object(http, "ERROR_TIMEOUT_S", 0.2):
                 async with DrippingServer(start, repeated, 0.01) as server:
                     target = engine_target(server.url)
                     began_at = monotonic()
--- a/waxwingglade/connection/tests/test_tool.py
+++ b/waxwingglade/connection/tests/test_tool.py
@@ -1,17 +1,20 @@
 """Calls of tools: verdicts, and effects recorded by the service."""
 
 import unittest
+from unittest import mock
 
-from waxwingglade.base import ErrorCode, Outcome, Verdict
+from waxwingglade.base import ErrorCode, Outcome, Verdict, monotonic
 from waxwingglade.connection import (
     HttpClient,
     HttpClientSettings,
     ToolAnswer,
     ask_outcome,
     call_tool,
+    http,
 )
 from waxwingglade.connection.tests.target_builders import (
     BOOKING,
+    DrippingServer,
     ScriptedServer,
     answer_bytes,
     service_target,
@@ -53,6 +56,20 @@
         self.assertEqual([answer.result], [each.result for each in effects])
         self.assertEqual({"slot": "09:30"}, effects[0].arguments)
 
+    async def test_refusal_without_end_is_known_as_one(self) -> None:
+        refusal = answer_bytes("503 Unavailable", b'{"verdict": "not_run"} ')[:-1]
+        chunked = b"HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n"
+        drip = b"1\r\n \r\n"
+        starts = ((refusal, b""), (chunked + b'16\r\n{"verdict": "not_run"}\r\n', drip))
+        for start, repeated in starts:
+            with self.subTest(repeated), mock.patch.object(http, "ERROR_TIMEOUT_S", 0.2):
+                async with DrippingServer(start, repeated, 0.01) as server:
+                    began_at = monotonic()
+                    failure = (await self.call(timeout_s=4, url=server.url)).unwrap_err()
+                    duration_s = monotonic() - began_at
+                self.assertEqual(Verdict.NOT_RUN, failure.verdict)
+                self.assertLess(duration_s, 2)
+
     async def test_verdict_is_correct_for_each_fault(self) -> None:
         cases = [
             (ToolFaults(cut_before=True), Verdict.MAY_HAVE_RUN, 0),
