Log messages of peers that cannot be read once a second

Change: one line a second at most, with the number of messages since the last one and the reason for the latest.

test_peer_flood: 500 lines for 500 messages before, of fewer than 50 allowed.

--- a/waxwingglade/connection/peer.py
+++ b/waxwingglade/connection/peer.py
@@ -43,11 +43,38 @@
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
+LOG_PERIOD_S = 1.0
+"""Seconds between lines about messages that cannot be read."""
+
 FRAMES_PER_TURN = 64
 """Messages that are read before other tasks get a turn.  Receiving a message that has already
 arrived does not suspend the reader."""
 
 
+class IgnoredMessages:
+    """Logs messages that cannot be read, at most one line in `LOG_PERIOD_S`.
+
+    Parameters
+    ----------
+    kind : str
+        Which messages, in plural.
+    """
+
+    def __init__(self, kind: str) -> None:
+        self.kind = kind
+        self.count = 0
+        self.logged_at = float("-inf")
+
+    def add(self, reason: object) -> None:
+        """Count a message, and log the number since the last line if a line is due."""
+        self.count += 1
+        now = monotonic()
+        if now < self.logged_at + LOG_PERIOD_S:
+            return
+        logger.warning("{} {} ignored: {}", self.count, self.kind, reason)
+        self.count, self.logged_at = 0, now
+
+
 class PeerServer:
     """The socket on which this process answers requests of its peers.
 
@@ -72,6 +99,7 @@
         self.socket.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         self.reader: asyncio.Task | None = None
         self.running: set[asyncio.Task] = set()
+        self.ignored = IgnoredMessages("requests of peers")
         self.bytes_received = 0
         self.bytes_sent = 0
 
@@ -98,13 +126,13 @@
                 await asyncio.sleep(0)
             sender, *frames = await self.socket.recv_multipart()
             if len(frames) != 1:
-                logger.warning("peer message with {} frames ignored", len(frames))
+                self.ignored.add(f"{len(frames)} frames instead of one")
                 continue
             self.bytes_received += len(frames[0])
             try:
                 envelope = decode_envelope(frames[0])
             except FormatError as error:
-                logger.warning("peer message ignored: {}", error)
+                self.ignored.add(error)
                 continue
             task = start_task(self._answer(sender, envelope))
             self.running.add(task)
@@ -154,6 +182,7 @@
         self.socket.connect(address)
         self.request_numbers = itertools.count(1)
         self.pending: dict[int, asyncio.Queue[Envelope]] = {}
+        self.ignored = IgnoredMessages(f"answers of {address}")
         self.reader = start_task(self._read())
         self.last_used_at = monotonic()
         self.bytes_sent = 0
@@ -239,7 +268,7 @@
             try:
                 envelope = decode_envelope(frame)
             except FormatError as error:
-                logger.warning("answer from {} ignored: {}", self.address, error)
+                self.ignored.add(error)
                 continue
             answers = self.pending.get(envelope.number)
             if answers is not None:
--- a/waxwingglade/connection/tests/test_peer_flood.py
+++ b/waxwingglade/connection/tests/test_peer_flood.py
@@ -6,6 +6,7 @@
 
 import zmq
 import zmq.asyncio
+from loguru import logger
 from tornado.testing import bind_unused_port
 
 from waxwingglade.base import ConfigVersion
@@ -25,6 +26,7 @@
 REQUEST_FRAME = encode_envelope(Envelope(PROTOCOL_VERSION, 1, "", REQUEST))
 LATE_ANSWER_FRAME = encode_envelope(Envelope(PROTOCOL_VERSION, 10**9, "", ConfigSnapshot()))
 FLOOD_BYTES = 50_000
+GARBAGE_MESSAGES = 500
 REQUESTS = 20
 TIMEOUT_S = 5.0
 WAIT_LIMIT_S = 40.0
@@ -102,6 +104,22 @@
         asked.cancel()
 
 
+class LogTest(FloodCase, unittest.IsolatedAsyncioTestCase):
+    async def test_garbage_does_not_fill_the_log(self) -> None:
+        lines: list[str] = []
+        sink = logger.add(lines.append, level="WARNING")
+        self.addCleanup(logger.remove, sink)
+        with self.context.socket(zmq.DEALER) as sender:
+            sender.connect(self.endpoint)
+            for _ in range(GARBAGE_MESSAGES):
+                await sender.send(b"garbage")
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                while self._flood_bytes() < GARBAGE_MESSAGES * len(b"garbage"):
+                    await asyncio.sleep(0.01)
+        self.assertIn("ignored", lines[0])
+        self.assertLess(len(lines), GARBAGE_MESSAGES / 10)
+
+
 class FloodOfServerOnDaemonLoopTest(OnDaemonLoop, FloodOfServerTest):
     pass
 
