--- a/waxwingglade/connection/http.py
+++ b/waxwingglade/connection/http.py
@@ -259,18 +259,18 @@
 
     async def answer(self) -> Outcome[HttpAnswer]:
         """Wait for the complete answer and return it, whatever its status."""
-        return self._answer_with([piece async for piece in self.body()])
+        return self._answer_with(await self._collect_body())
 
     async def answer_or_error_start(self) -> Outcome[HttpAnswer]:
         """Wait for the complete answer, or for the start of an error answer that goes on."""
         first = await self.piece_or_end()
         if not first:
-            return self._answer_with([])
+            return self._answer_with(b"")
         if self.status < HTTPStatus.BAD_REQUEST:
-            return self._answer_with([first, *[piece async for piece in self.body()]])
+            return self._answer_with(await self._collect_body(first))
         body = await self.error_body(first)
         if self.future.done():
-            return self._answer_with([body])
+            return self._answer_with(body)
         return Ok(HttpAnswer(self.status, self.headers, body))
 
     async def error_body(self, first: bytes) -> bytes:
@@ -288,12 +288,20 @@
             pass
         return bytes(body)
 
-    def _answer_with(self, pieces: list[bytes]) -> Outcome[HttpAnswer]:
-        """Return the answer with the pieces of its body, or its failure."""
+    async def _collect_body(self, first: bytes = b"") -> bytes:
+        """Return the body after its first piece."""
+        # Pieces may have a few bytes each, and a list of them would take many times their size.
+        body = bytearray(first)
+        async for piece in self.body():
+            body += piece
+        return bytes(body)
+
+    def _answer_with(self, body: bytes) -> Outcome[HttpAnswer]:
+        """Return the answer with a body, or its failure."""
         failure = self.failure()
         if failure is not None:
             return Err(failure)
-        return Ok(HttpAnswer(self.status, self.headers, b"".join(pieces)))
+        return Ok(HttpAnswer(self.status, self.headers, body))
 
     def failure(self) -> Failure | None:
         """Return the failure of a finished exchange without a complete answer, or None."""
--- a/waxwingglade/connection/tests/test_http.py
+++ b/waxwingglade/connection/tests/test_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import tracemalloc
 import unittest
 
 import pycurl
@@ -16,6 +17,7 @@
 )
 from waxwingglade.connection.tests.target_builders import ScriptedServer, answer_bytes, with_timeout
 
+SMALL_PIECES = 60_000
 SMALL = answer_bytes("200 OK", b"{}")
 
 
@@ -191,6 +193,21 @@
             failure = await self.failure(post(server.url))
         self.assertEqual(Verdict.MAY_HAVE_RUN, failure.verdict)
 
+    async def test_small_pieces_take_no_more_memory_than_their_bytes(self) -> None:
+        async with ScriptedServer(SMALL[:10], close=False) as server:
+            exchange = Exchange(self.client, post(server.url, timeout_s=60))
+            await with_timeout(server.request_received.wait())
+            reading = asyncio.create_task(exchange.answer())
+            tracemalloc.start()
+            self.addCleanup(tracemalloc.stop)
+            for number in range(SMALL_PIECES):
+                exchange.pieces.put_nowait(number.to_bytes(2, "big"))
+                if number % 100 == 0:
+                    await asyncio.sleep(0)
+            self.assertLess(tracemalloc.get_traced_memory()[0], 5 * 2 * SMALL_PIECES)
+            exchange.abort()
+            await with_timeout(reading)
+
     async def test_long_headers_are_rejected(self) -> None:
         head = answer_bytes("200 OK", b"{}", f"Long: {'x' * 2000}\r\n")
         async with ScriptedServer(head[:-2], close=False) as server:
