--- a/waxwingglade/connection/http.py
+++ b/waxwingglade/connection/http.py
@@ -14,18 +14,34 @@
 import os
 import socket
 from collections.abc import AsyncIterator
+from http import HTTPStatus
 
 import msgspec
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPRequest
 
-from waxwingglade.base import Err, ErrorCode, Failure, Ok, Outcome, Verdict, WaxwinggladeError
+from waxwingglade.base import (
+    Err,
+    ErrorCode,
+    Failure,
+    Ok,
+    Outcome,
+    Verdict,
+    WaxwinggladeError,
+    monotonic,
+)
 
 RETRY_AFTER_HEADER = "retry-after"
 END_OF_BODY = b""
 READ_GRACE_S = 0.05
 CLOSE_TIMEOUT_S = 2.0
+MAX_ERROR_BYTES = 65_536
+ERROR_TIMEOUT_S = 5.0
+"""Size in bytes of an error answer's body, and seconds for which its rest is awaited."""
+
+TURN_S = 0.01
+"""Seconds for which pieces that already arrived are read before other tasks get a turn."""
 
 
 class HttpClientSettings(msgspec.Struct, frozen=True):
@@ -135,6 +151,8 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.header_bytes = 0
+        self.used_grace = False
+        self.turn_ends_at = 0.0
         self.pieces: asyncio.Queue[bytes] = asyncio.Queue()
         self.future = self._start()
         self.future.add_done_callback(self._on_done)
@@ -208,29 +226,82 @@
 
     async def next_piece(self, timeout_s: float) -> bytes:
         """Return a piece of the body, or `END_OF_BODY`; raises TimeoutError after `timeout_s`."""
+        if timeout_s > 0.0:
+            self.used_grace = False
         if not self.pieces.empty():
-            return self.pieces.get_nowait()
+            return await self.piece_or_end()
         try:
             async with asyncio.timeout(timeout_s):
-                return await self.pieces.get()
+                return await self.piece_or_end()
         except TimeoutError:
+            if self.used_grace:
+                raise
             # After a stall of this process the timer expires before bytes that already arrived are
             # read.
+            self.used_grace = True
             async with asyncio.timeout(READ_GRACE_S):
-                return await self.pieces.get()
+                return await self.piece_or_end()
+
+    async def piece_or_end(self) -> bytes:
+        """Wait for a piece; other tasks run at least every `TURN_S` seconds."""
+        if not self.pieces.empty():
+            if monotonic() < self.turn_ends_at:
+                return self.pieces.get_nowait()
+            await asyncio.sleep(0)
+        piece = await self.pieces.get()
+        self.turn_ends_at = monotonic() + TURN_S
+        return piece
 
     async def body(self) -> AsyncIterator[bytes]:
         """Yield the pieces of the body; `failure` is valid afterwards."""
-        while piece := await self.pieces.get():
+        while piece := await self.piece_or_end():
             yield piece
 
     async def answer(self) -> Outcome[HttpAnswer]:
         """Wait for the complete answer and return it, whatever its status."""
-        pieces = [piece async for piece in self.body()]
+        return self._answer_with(await self._collect_body())
+
+    async def answer_or_error_start(self) -> Outcome[HttpAnswer]:
+        """Wait for the complete answer, or for the start of an error answer that goes on."""
+        first = await self.piece_or_end()
+        if not first:
+            return self._answer_with(b"")
+        if self.status < HTTPStatus.BAD_REQUEST:
+            return self._answer_with(await self._collect_body(first))
+        body = await self.error_body(first)
+        if self.future.done():
+            return self._answer_with(body)
+        return Ok(HttpAnswer(self.status, self.headers, body))
+
+    async def error_body(self, first: bytes) -> bytes:
+        """Return the body of an error answer after its first piece, as far as it arrives in time.
+
+        Its rest is awaited for `ERROR_TIMEOUT_S` and up to `MAX_ERROR_BYTES`.
+        """
+        body, piece = bytearray(), first
+        end_at = monotonic() + ERROR_TIMEOUT_S
+        try:
+            while piece and len(body) < MAX_ERROR_BYTES:
+                body += piece
+                piece = await self.next_piece(max(0.0, end_at - monotonic()))
+        except TimeoutError:
+            pass
+        return bytes(body)
+
+    async def _collect_body(self, first: bytes = b"") -> bytes:
+        """Return the body after its first piece."""
+        # Pieces may have a few bytes each, and a list of them would take many times their size.
+        body = bytearray(first)
+        async for piece in self.body():
+            body += piece
+        return bytes(body)
+
+    def _answer_with(self, body: bytes) -> Outcome[HttpAnswer]:
+        """Return the answer with a body, or its failure."""
         failure = self.failure()
         if failure is not None:
             return Err(failure)
-        return Ok(HttpAnswer(self.status, self.headers, b"".join(pieces)))
+        return Ok(HttpAnswer(self.status, self.headers, body))
 
     def failure(self) -> Failure | None:
         """Return the failure of a finished exchange without a complete answer, or None."""
@@ -261,11 +332,12 @@
 async def send(client: HttpClient, request: HttpRequest) -> Outcome[HttpAnswer]:
     """Send a request and return the complete answer, whatever its status.
 
+    An error answer whose body does not end in time is returned as far as it has arrived.
     Cancelling the caller closes the connection.
     """
     exchange = Exchange(client, request)
     try:
-        return await exchange.answer()
+        return await exchange.answer_or_error_start()
     finally:
         exchange.abort()
 
--- a/waxwingglade/connection/store_watch.py
+++ b/waxwingglade/connection/store_watch.py
@@ -37,6 +37,9 @@
 LONGEST_WATCH_S = 3600.0
 """Seconds after which a watch reconnects in any case."""
 
+MAX_EMPTY_RESPONSES = 100
+"""Consecutive responses without changes after which a watch reconnects."""
+
 UNKNOWN_REVISION = 0
 """Marks a watch without a known revision: the prefix has to be listed first."""
 
@@ -84,9 +87,13 @@
     key = client.full_key(prefix)
     stream = WatchStream(client.transport, key, position.revision, purpose)
     opened_at = client.clock()
+    empty_responses = 0
     try:
         response = await stream.open()
         while response is not None and not response.canceled:
+            empty_responses = 0 if response.events else empty_responses + 1
+            if empty_responses > MAX_EMPTY_RESPONSES:
+                return
             if is_store_behind(response, position.revision):
                 position.revision = UNKNOWN_REVISION
                 return
@@ -144,7 +151,7 @@
         self.revision = revision
         self.purpose = purpose
         self.has_slot = False
-        self.incomplete_line = b""
+        self.incomplete_line: list[bytes] = []
         self.lines: deque[bytes] = deque()
         self.exchange: Exchange | None = None
 
@@ -182,11 +189,15 @@
     async def next_line(self, exchange: Exchange) -> bytes:
         """Return the next line, which is empty at the end of the connection."""
         while not self.lines:
-            piece = await exchange.pieces.get()
+            piece = await exchange.piece_or_end()
             if piece == END_OF_BODY:
                 return b""
-            *complete_lines, self.incomplete_line = (self.incomplete_line + piece).split(b"\n")
-            self.lines.extend(complete_lines)
+            first, *others = piece.split(b"\n")
+            self.incomplete_line.append(first)
+            if others:
+                self.lines.append(b"".join(self.incomplete_line))
+                self.lines.extend(others[:-1])
+                self.incomplete_line = others[-1:]
         return self.lines.popleft()
 
     def close(self) -> None:
--- a/waxwingglade/connection/tests/target_builders.py
+++ b/waxwingglade/connection/tests/target_builders.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
 from typing import TypeVar
 
 import msgspec
 from hypothesis import settings
 
-from waxwingglade.base import ModelName, ProgramId
+from waxwingglade.base import ModelName, ProgramId, monotonic
 from waxwingglade.connection import EngineDelta, EngineEvent, EngineRequest
 from waxwingglade.program.messages import Message, MessageRole
 from waxwingglade.settings import TargetKind, TargetSettings, ToolSettings
@@ -20,6 +21,7 @@
 # The same examples in each run, without a time limit for an example.
 FIXED = settings(derandomize=True, deadline=None)
 TEST_TIMEOUT_S = 20.0
+MEASURE_EVERY_S = 0.005
 OK_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
 
 
@@ -87,6 +89,33 @@
     return "".join(each.text for each in found[:-1]), found[-1]
 
 
+@asynccontextmanager
+async def longest_delay() -> AsyncIterator[Callable[[], float]]:
+    """Measure for how long other tasks wait for the event loop.
+
+    Yields
+    ------
+    callable
+        Returns the longest delay so far, in seconds.
+    """
+    longest = 0.0
+
+    async def measure() -> None:
+        nonlocal longest
+        while True:
+            since = monotonic()
+            await asyncio.sleep(MEASURE_EVERY_S)
+            longest = max(longest, monotonic() - since - MEASURE_EVERY_S)
+
+    measuring = asyncio.create_task(measure())
+    await asyncio.sleep(0)
+    try:
+        yield lambda: longest
+        await asyncio.sleep(2 * MEASURE_EVERY_S)
+    finally:
+        measuring.cancel()
+
+
 class ScriptedServer:
     """Answers each request with the next bytes of a script.
 
@@ -141,6 +170,48 @@
         return bool(answer) and not self.close
 
 
+class DrippingServer:
+    """Answers each connection with a start and then repeats bytes until it is closed.
+
+    Parameters
+    ----------
+    start, repeated : bytes
+        Bytes that are sent once, and again and again.
+    pause_s : float
+        Seconds between repetitions.
+    """
+
+    def __init__(self, start: bytes, repeated: bytes, pause_s: float) -> None:
+        self.start = start
+        self.repeated = repeated
+        self.pause_s = pause_s
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task] = set()
+        self.url = ""
+
+    async def __aenter__(self) -> "DrippingServer":
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.url = f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def __aexit__(self, *_error: object) -> None:
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.tasks.add(asyncio.current_task())
+        with suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.start)
+            while True:
+                writer.write(self.repeated)
+                await writer.drain()
+                await asyncio.sleep(self.pause_s)
+        writer.transport.abort()
+
+
 def _content_length(head: bytes) -> int:
     for line in head.lower().split(b"\r\n"):
         if line.startswith(b"content-length:"):
--- a/waxwingglade/connection/tests/test_engine.py
+++ b/waxwingglade/connection/tests/test_engine.py
@@ -3,8 +3,9 @@
 import asyncio
 import unittest
 from contextlib import aclosing
+from unittest import mock
 
-from waxwingglade.base import ErrorCode, Verdict
+from waxwingglade.base import ErrorCode, Verdict, monotonic
 from waxwingglade.connection import (
     EngineDelta,
     EngineDone,
@@ -12,11 +13,13 @@
     HttpClient,
     HttpClientSettings,
     StreamTimeouts,
+    http,
     stream_completion,
 )
 from waxwingglade.connection.tests.target_builders import (
     MODEL,
     OK_STREAM,
+    DrippingServer,
     ScriptedServer,
     answer_bytes,
     collect,
@@ -24,6 +27,7 @@
     engine_request,
     engine_target,
     event_bytes,
+    longest_delay,
     until,
     with_timeout,
 )
@@ -31,6 +35,9 @@
 from waxwingglade.standins import EngineFaults, EngineStandin, answer_text
 
 NOT_RUN_BODY = b'{"error": {"type": "not_run", "message": "full"}}'
+PIECE_BYTES = 16_384
+PIECES = 768
+MAX_DELAY_S = 0.25
 DONE = b"data: [DONE]\n\n"
 
 
@@ -92,6 +99,22 @@
                 self.assertEqual(Verdict.MAY_HAVE_RUN, failed.failure.verdict)
                 self.assertEqual(0, failed.produced_text_len)
 
+    async def test_error_answer_without_end_is_not_awaited(self) -> None:
+        refusal = answer_bytes("503 Unavailable", NOT_RUN_BODY + b" ")[:-1]
+        head = b"HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n"
+        drip = b"1\r\n \r\n"
+        cases = ((refusal, b"", Verdict.NOT_RUN), (head + drip, drip, Verdict.MAY_HAVE_RUN))
+        for start, repeated, verdict in cases:
+            with self.subTest(verdict), mock.patch.object(http, "ERROR_TIMEOUT_S", 0.2):
+                async with DrippingServer(start, repeated, 0.01) as server:
+                    target = engine_target(server.url)
+                    began_at = monotonic()
+                    stream = stream_completion(self.client, target, engine_request(), 4)
+                    _, failed = await collect(stream)
+                    duration_s = monotonic() - began_at
+                self.assertEqual(verdict, failed.failure.verdict)
+                self.assertLess(duration_s, 2)
+
     async def test_not_run_after_text_is_ignored(self) -> None:
         answer = OK_STREAM + event_bytes("hello") + b"data: " + NOT_RUN_BODY + b"\n\n"
         failed = await self.failure_of(answer)
@@ -212,6 +235,27 @@
         self.assertEqual(Verdict.NOT_RUN, failed.failure.verdict)
 
 
+class FairnessTest(EngineCase):
+    async def test_bytes_without_end_do_not_hold_up_other_requests(self) -> None:
+        for repeated in (b"\n", b": ping\n\n", b"data: {}\n\n"):
+            with self.subTest(repeated):
+                await self._expect_turns(repeated)
+
+    async def _expect_turns(self, repeated: bytes) -> None:
+        pieces = [repeated * (PIECE_BYTES // len(repeated)) for _ in range(PIECES)]
+        async with DrippingServer(OK_STREAM, b"", 60.0) as server, longest_delay() as delay_s:
+            stream = stream_completion(self.client, engine_target(server.url), engine_request(), 60)
+            waiting = asyncio.create_task(anext(stream))
+            await until(lambda: self.client.exchanges)
+            (exchange,) = self.client.exchanges
+            for piece in pieces:
+                exchange.pieces.put_nowait(piece)
+            exchange.pieces.put_nowait(DONE)
+            self.assertIsInstance(await with_timeout(waiting), EngineFailed)
+            await stream.aclose()
+        self.assertLess(delay_s(), MAX_DELAY_S)
+
+
 class TimeoutTest(EngineCase):
     async def _expect_timeout(
         self, sent: bytes, timeouts: StreamTimeouts, timeout_s: float
@@ -232,6 +276,19 @@
     async def test_between_tokens(self) -> None:
         await self._expect_timeout(event_bytes("a"), StreamTimeouts(60, 0.05), 60)
 
+    async def test_comments_without_end_are_no_text(self) -> None:
+        # No gap between the comments is as long as the grace, however busy the machine is.
+        grace = mock.patch.object(http, "READ_GRACE_S", 2.0)
+        async with DrippingServer(OK_STREAM, b": ping\n\n", 0.01) as server:
+            target, timeouts = engine_target(server.url), StreamTimeouts(0.2, 0.2)
+            began_at = monotonic()
+            stream = stream_completion(self.client, target, engine_request(), 4, timeouts)
+            with grace:
+                _, failed = await collect(stream)
+            duration_s = monotonic() - began_at
+        self.assertEqual("engine fell silent", failed.failure.message)
+        self.assertLess(duration_s, 2)
+
     async def test_complete_answer(self) -> None:
         await self._expect_timeout(event_bytes("a"), StreamTimeouts(60, 60), 0.1)
 
