--- a/waxwingglade/transport/liveness.py
+++ b/waxwingglade/transport/liveness.py
@@ -5,7 +5,8 @@
 target.  But a fault of this kind affects every connection that is open at that moment, so bytes
 that arrive later on one of them rule it out.  In a busy process some bytes almost always do, and a
 request to a target that is merely slow continues.  In an idle process the time without bytes alone
-decides.  Only there can a fault be detected that affects just some of the connections.
+decides, or a probe where no other connection is tried afterwards.  Only there can a fault be
+detected that affects just some of the connections.
 """
 
 import asyncio
@@ -57,7 +58,7 @@
         Seconds without bytes after which the request fails; None if it waits on, since it may have
         run and must not run again.
     probe : HttpRequest or None
-        Request to the target that costs it little.  If given, the request fails only if probes with
+        Request that a target answers without running anything.  If given, the request fails only if probes with
         it find that the connection is dead, since no other connection is tried after this one.
     """
 
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -25,7 +25,6 @@
 """Seconds before the stated timeout at which a connection is no longer used, so that the target
 does not close it while a request is in transit."""
 
-
 WITNESS_S = 3.0
 """Seconds for which a connection that is suspected to be unresponsive is retained for a probe."""
 
