--- a/waxwingglade/transport/liveness.py
+++ b/waxwingglade/transport/liveness.py
@@ -58,8 +58,8 @@
         Seconds without bytes after which the request fails; None if it waits on, since it may have
         run and must not run again.
     probe : HttpRequest or None
-        Request that a target answers without running anything.  If given, the request fails only if probes with
-        it find that the connection is dead, since no other connection is tried after this one.
+        Request that a target answers without running anything.  If given, the request fails only
+        if a probe with it finds that the connection is dead, since no other one is tried after it.
     """
 
     suspect_s: float
