Limit lines about unreadable messages of peers with the sampler of the project

Cause: wrote a second limit of one line per second with a count of the lines left out, which base.logs.Sampler already is. It is used now; lines, their rate and their text are the same.

--- a/waxwingglade/connection/peer.py
+++ b/waxwingglade/connection/peer.py
@@ -23,6 +23,7 @@
     monotonic,
     not_run,
 )
+from waxwingglade.base.logs import Sampler
 from waxwingglade.base.tasks import start_task
 from waxwingglade.base.verdict import Failure, Verdict
 from waxwingglade.connection.peer_messages import (
@@ -43,8 +44,8 @@
 
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 
-LOG_PERIOD_S = 1.0
-"""Seconds between lines about messages that cannot be read."""
+IGNORED_LOGGED_PER_S = 1.0
+"""Maximum lines per second about messages that cannot be read."""
 
 FRAMES_PER_TURN = 64
 """Messages that are read before other tasks get a turn.  Receiving a message that has already
@@ -52,7 +53,7 @@
 
 
 class IgnoredMessages:
-    """Logs messages that cannot be read, at most one line in `LOG_PERIOD_S`.
+    """Logs messages that cannot be read, at most `IGNORED_LOGGED_PER_S` lines per second.
 
     Parameters
     ----------
@@ -62,17 +63,13 @@
 
     def __init__(self, kind: str) -> None:
         self.kind = kind
-        self.count = 0
-        self.logged_at = float("-inf")
+        self.sampler = Sampler(IGNORED_LOGGED_PER_S)
 
     def add(self, reason: object) -> None:
         """Count a message, and log the number since the last line if a line is due."""
-        self.count += 1
-        now = monotonic()
-        if now < self.logged_at + LOG_PERIOD_S:
-            return
-        logger.warning("{} {} ignored: {}", self.count, self.kind, reason)
-        self.count, self.logged_at = 0, now
+        if self.sampler.allows():
+            count = 1 + self.sampler.take_left_out()
+            logger.warning("{} {} ignored: {}", count, self.kind, reason)
 
 
 class PeerServer:
