Expect streams in the test of paused targets as the soak does

Cause: the test built the complete stream of a prompt a second time; tests.soak.checks.answer_to_turn returns the same bytes. The assertions compare with the same answers as before.

--- a/tests/test_paused_targets.py
+++ b/tests/test_paused_targets.py
@@ -5,14 +5,14 @@
 
 from tests.one_sending import DRAFTS, READS, ROUTES
 from tests.platform_cluster import HOST, PlatformCluster, configuration
-from waxwingglade.standins.registered_server import RegisteredServer, answer_to, event_data
+from tests.soak.checks import answer_to_turn
+from waxwingglade.standins.registered_server import RegisteredServer, answer_to
 from waxwingglade.transport import HttpRequest, open_connection
 
 PAUSE_S = 1.6
 SLOW_EVENT_S = 1.1
 """Seconds between the events of a slow target: all of them are sent in the time of the route."""
 
-EVENTS = 4
 WARM_UP_CALLS = 4
 """Calls of each route, after which the entry has an idle connection to each target."""
 
@@ -37,7 +37,7 @@
         for events in (0, 2):
             with self.subTest(events=events):
                 answer = await self._call(DRAFTS, f"drafts-{events}", self.cluster.engines, events)
-                self.assertEqual(answer, (200, stream_of(b"body")))
+                self.assertEqual(answer, (200, answer_to_turn(b"body")))
 
     async def test_a_call_whose_target_pauses_gets_its_answer(self) -> None:
         answer = await self._call(READS, "reads", self.cluster.notes)
@@ -48,7 +48,7 @@
         for engine in self.cluster.engines:
             engine.event_s = SLOW_EVENT_S
         answer = await self.cluster.call(self.entry, "POST", DRAFTS, b"body")
-        self.assertEqual((answer.status, answer.body), (200, stream_of(b"body")))
+        self.assertEqual((answer.status, answer.body), (200, answer_to_turn(b"body")))
 
     async def _call(
         self, path: str, request: str, servers: list[RegisteredServer], events: int = 0
@@ -75,13 +75,5 @@
             connection.close()
 
 
-def stream_of(prompt: bytes) -> bytes:
-    """Return the complete stream that answers a prompt."""
-    return b"".join(
-        b"id: %d\ndata: %s\n\n" % (number, event_data(prompt, number))
-        for number in range(1, EVENTS + 1)
-    )
-
-
 if __name__ == "__main__":
     unittest.main()
