Look the record of an attempt up once when it is closed

Cause: the last record was indexed twice in five lines after the finding of probes was added. Behaviour is the same.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -446,10 +446,10 @@
 
     def close(self, choice: Choice, connection: Http1Connection) -> None:
         """Return a connection to the pool, and record the end of the request at its target."""
-        self.records[-1].finding = self.pool.finding_of(connection)
+        record = self.records[-1]
+        record.finding = self.pool.finding_of(connection)
         self.pool.release(choice.target.address, connection)
         self.balancer.record_end(choice.target)
-        record = self.records[-1]
         if record.verdict is None or record.ending is Ending.UNRESPONSIVE:
             self.quarantine.record_unanswered(self.call, choice.target, self.route.name)
         if record.ending is not Ending.LOST:
