--- a/waxwingglade/ingress/dialect.py
+++ b/waxwingglade/ingress/dialect.py
@@ -112,11 +112,21 @@
 
 
 class LoadStamp(msgspec.Struct, frozen=True):
-    """Load that a target reported with an answer."""
+    """Load that a target reported with an answer.
+
+    Parameters
+    ----------
+    running, waiting, slots : int
+        Requests that run and that wait, and the number that the target runs at once.
+    stretch : float or None
+        How many times longer than usual work takes on the target's VM at this moment, since it
+        shares the VM with others; None if the target does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    stretch: float | None = None
 
 
 class AnswerFacts(msgspec.Struct, frozen=True):
--- a/waxwingglade/platform/headers.py
+++ b/waxwingglade/platform/headers.py
@@ -39,6 +39,9 @@
 
 MISDIRECTED = 421
 
+USUAL_STRETCH = 100
+"""Reported by a target on whose VM work takes as long as usual."""
+
 _HOP_BY_HOP = {
     "connection",
     "keep-alive",
@@ -165,14 +168,18 @@
 
 
 def _load(value: str | None) -> LoadStamp | None:
-    """Decode RUNNING,WAITING,SLOTS; return None if the value is missing or invalid."""
+    """Decode RUNNING,WAITING,SLOTS[,STRETCH]; return None if the value is missing or invalid.
+
+    STRETCH is in percent.  Figures after it, which a newer target may add, are ignored.
+    """
     if value is None:
         return None
     try:
-        running, waiting, slots = (int(part) for part in value.split(","))
+        running, waiting, slots, *others = (int(part) for part in value.split(","))
     except ValueError:
         return None
-    return LoadStamp(running, waiting, slots)
+    stretch = others[0] / USUAL_STRETCH if others and others[0] > 0 else None
+    return LoadStamp(running, waiting, slots, stretch)
 
 
 def target_headers(call: Call, send: Send) -> HeaderList:
--- a/waxwingglade/platform/tests/test_wire.py
+++ b/waxwingglade/platform/tests/test_wire.py
@@ -124,6 +124,17 @@
         self.assertEqual(read_answer(HttpResponse(200, [load])).load.waiting, 1)
         self.assertIsNone(read_answer(HttpResponse(200, [(load[0], "many")])).load)
 
+    def test_a_load_may_tell_how_long_work_takes(self) -> None:
+        def stretch(value: str) -> float | None:
+            return read_answer(
+                HttpResponse(200, [("X-Waxwingglade-Server-Load", value)])
+            ).load.stretch
+
+        self.assertIsNone(stretch("3,1,8"))
+        self.assertEqual(stretch("3,1,8,250"), 2.5)
+        self.assertEqual(stretch("3,1,8,100,7"), 1.0)
+        self.assertIsNone(stretch("3,1,8,0"))
+
 
 class RegistryTest(unittest.TestCase):
     def test_a_configuration_is_decoded(self) -> None:
