Tell callers to wait out an outage of the store that all entries have

Cause: where keys must be confirmed, an entry refuses once its view is too old. It told each caller to return after the default of 0.1 s. While the ledger is in reach, no entry has a newer view, and a caller is told to return after a third of its time, or after the outage so far if that is less. An entry that is cut off says when the balancer will have removed it, as it does for turns.

--- a/waxwingglade/ingress/accounts.py
+++ b/waxwingglade/ingress/accounts.py
@@ -1,5 +1,7 @@
 """Authenticate callers: find the client account that holds the key of a request."""
 
+from collections.abc import Callable
+
 import msgspec
 from loguru import logger
 
@@ -57,13 +59,22 @@
         return None if token is None else self.holders.get(digest_of(token))
 
 
-def identify(table: AccountTable, call: Call, age_s: float, rules: KeyAgeLimits) -> ClientAccount:
+def identify(
+    table: AccountTable,
+    call: Call,
+    age_s: float,
+    rules: KeyAgeLimits,
+    retry_after_s: Callable[[], float | None] = lambda: None,
+) -> ClientAccount:
     """Return the client account of a call.
 
     Parameters
     ----------
     age_s : float
         Age of the view, in seconds.
+    retry_after_s : callable
+        Returns the seconds after which a caller may retry if the view is too old; None for the
+        default.
 
     Raises
     ------
@@ -74,9 +85,8 @@
     if account is None and age_s <= rules.max_deny_age_s:
         raise Refusal(UNAUTHORIZED, "no key" if not call.credentials else "unknown key")
     if account is None or age_s > rules.max_accept_age_s:
-        raise Refusal(
-            UNAVAILABLE, f"not run: keys were confirmed {min(age_s, LONGEST_AGE_S):.1f} s ago"
-        )
+        reason = f"not run: keys were confirmed {min(age_s, LONGEST_AGE_S):.1f} s ago"
+        raise Refusal(UNAVAILABLE, reason, retry_after_s())
     return account
 
 
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -15,6 +15,7 @@
 
 from waxwingglade.base.loop_delay import STALL_S, LoopDelay
 from waxwingglade.base.tasks import start_task
+from waxwingglade.decisions.returns import return_after_s
 from waxwingglade.follow.feed import (
     LONGEST_AGE_S,
     CachedView,
@@ -429,7 +430,18 @@
 
     def _identify(self, accounts: AccountTable, call: Call) -> ClientAccount:
         """Return the account of a call; `Refusal` if it has none or the view is too old."""
-        return identify(accounts, call, self.cached_view.incomplete_s, self.settings.keys)
+        age_s = self.cached_view.incomplete_s
+
+        def retry_after_s() -> float | None:
+            if not self.reaches_ledger:
+                # Other entries may have a newer view; the balancer will send callers there.
+                return self.rotation.until_removed_s
+            if math.isinf(age_s):
+                return None
+            # The ledger has no newer view either, so the store is unavailable to all entries.
+            return return_after_s(call.deadline_s or 0.0, age_s)
+
+        return identify(accounts, call, age_s, self.settings.keys, retry_after_s)
 
     def _priority(self, serving: Serving) -> int | None:
         """Return the priority of a call in the queue of an engine."""
--- a/waxwingglade/ingress/tests/test_accounts.py
+++ b/waxwingglade/ingress/tests/test_accounts.py
@@ -154,6 +154,22 @@
         self.assertEqual(UNAVAILABLE, await self.status((AUTHORIZATION, BEARER)))
         self.assertEqual(1, len(self.target.heads))
 
+    async def test_a_caller_waits_out_an_outage_of_the_store_that_all_entries_have(self) -> None:
+        await self.serve(keys=RULES)
+        ingress = self.entry.ingress
+        ingress.cached_view.complete_until = time.monotonic() - RULES.max_accept_age_s
+        headers = ((AUTHORIZATION, BEARER), ("X-Waxwingglade-Deadline-Ms", "3000"))
+
+        async def retry_after() -> str | None:
+            connection = await self.entry.send(PLAIN, "r1", *headers)
+            self.addCleanup(connection.close)
+            return (await connection.read_head(lambda _: True)).header("Retry-After")
+
+        self.assertEqual("1.00", await retry_after())
+        # An entry that is cut off says when the balancer will have removed it.
+        ingress.follower.quorum_at = float("-inf")
+        self.assertEqual(f"{ingress.rotation.until_removed_s:.2f}", await retry_after())
+
     async def test_a_call_is_granted_before_it_is_sent_and_a_turn_where_it_begins(self) -> None:
         limited = account("shop", KEY, rate_per_s=9.0)
         await self.serve((limited, ACCOUNTS[1]))
