--- a/waxwingglade/ledger/journal.py
+++ b/waxwingglade/ledger/journal.py
@@ -11,7 +11,7 @@
 import struct
 import threading
 from collections.abc import Iterator
-from concurrent.futures import ThreadPoolExecutor
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
 
@@ -20,6 +20,7 @@
 
 from waxwingglade.base import monotonic
 from waxwingglade.base.tasks import start_task
+from waxwingglade.ledger.disk_thread import DiskThread
 
 FORMAT = b"waxwingglade-ledger-1\n"
 SEGMENT_BYTES = 16 * 1024 * 1024
@@ -72,12 +73,13 @@
         self.size = 0
         self.pending: list[tuple[bytes, asyncio.Future[Place]]] = []
         self.wake = asyncio.Event()
-        self.thread = ThreadPoolExecutor(1, thread_name_prefix="disk")
+        self.thread = DiskThread()
         self.writer: asyncio.Task | None = None
         self.flushed_bytes = 0
         self.flushes = 0
         self.longest_flush_s = 0.0
         self.failing = False
+        self.has_partial_write = False
         self.closed = threading.Event()
 
     # Reading
@@ -151,10 +153,9 @@
         if self.writer is not None:
             self.writer.cancel()
             await asyncio.gather(self.writer, return_exceptions=True)
-        self.thread.shutdown(wait=False, cancel_futures=True)
+        self.thread.stop()
 
     async def _write_groups(self) -> None:
-        loop = asyncio.get_running_loop()
         while True:
             await self.wake.wait()
             self.wake.clear()
@@ -162,7 +163,7 @@
             if not group:
                 continue
             contents = [content for content, _ in group]
-            places = await loop.run_in_executor(self.thread, self._write_until_done, contents)
+            places = await self.thread.run(partial(self._write_until_done, contents))
             for (_, future), place in zip(group, places, strict=True):
                 if not future.done():
                     future.set_result(place)
@@ -197,11 +198,14 @@
             places.append(Place(self.active, start, len(content)))
             offset = start + len(content)
         data = b"".join(parts)
-        os.ftruncate(self.file, self.size)
+        if self.has_partial_write:
+            os.ftruncate(self.file, self.size)
+        self.has_partial_write = True
         written = 0
         while written < len(data):
             written += os.pwrite(self.file, data[written:], self.size + written)
         self._flush(len(data))
+        self.has_partial_write = False
         self.size = offset
         self.segments[self.active] = offset
         self.flushed_bytes += len(data)
@@ -242,9 +246,8 @@
 
     async def drop(self, number: int) -> None:
         """Remove the segments with lower numbers."""
-        loop = asyncio.get_running_loop()
         # The writing thread does this, as only it changes the list of segments.
-        await loop.run_in_executor(self.thread, self._drop_before, number)
+        await self.thread.run(partial(self._drop_before, number))
 
     def _drop_before(self, number: int) -> None:
         for old in sorted(self.segments):
