Write what one request changes in one flush

The grant of a turn and the reservation of its tokens, and a turn and the change of its account, were appended two iterations of the event loop apart, so each took a flush of its own, and the second waited for the first. A group now waits for two iterations, and a turn is sent along with the proposal of its account, in one message to each member.

--- a/waxwingglade/ledger/coordinator.py
+++ b/waxwingglade/ledger/coordinator.py
@@ -44,6 +44,9 @@
 """Seconds for which the answer to the end of a stored turn waits until its reservation is
 resolved."""
 
+ITERATIONS_TO_PROPOSE = 2
+"""Iterations of the event loop between the begin of a change of an account and its proposal."""
+
 SLOW_END_S = 0.2
 """Duration in seconds from which the end of a turn is logged as slow, with its steps."""
 
@@ -157,6 +160,10 @@
         """
         began_at = monotonic()
         resolving = run_detached(self._resolve(message))
+        # The change of the account is sent this much later.  Together with it, the turn takes one
+        # message to each member and one flush there.
+        for _ in range(ITERATIONS_TO_PROPOSE):
+            await asyncio.sleep(0)
         stored = await self._store(message)
         stored_s = monotonic() - began_at
         await asyncio.wait(
--- a/waxwingglade/ledger/journal.py
+++ b/waxwingglade/ledger/journal.py
@@ -33,6 +33,10 @@
 """Duration in seconds from which a flush is logged; longer ones delay rounds of messages, which
 continue without this replica."""
 
+GROUP_ITERATIONS = 2
+"""Iterations of the event loop for which a group waits for further records: those between the grant
+of a turn's request and the reservation of its tokens, which then take one flush instead of two."""
+
 _FRAME = struct.Struct("<II")
 _IDENTITY = "identity"
 _SUFFIX = ".ledger"
@@ -158,6 +162,10 @@
     async def _write_groups(self) -> None:
         while True:
             await self.wake.wait()
+            # A request may write twice, with some iterations of the event loop in between.  A
+            # flush costs far more than these.
+            for _ in range(GROUP_ITERATIONS):
+                await asyncio.sleep(0)
             self.wake.clear()
             group, self.pending = self.pending, []
             if not group:
--- a/waxwingglade/ledger/tests/test_coordinator.py
+++ b/waxwingglade/ledger/tests/test_coordinator.py
@@ -95,6 +95,17 @@
             kinds = [type(message) for _, _, message in self.cluster.carried]
             self.assertEqual(kinds, [Accept, Accept])
 
+    async def test_a_turn_and_its_account_share_a_flush_at_each_member(self) -> None:
+        replicas = self.cluster.replicas
+        self.cluster.ask = lambda _, member, message: replicas[member.vm].handle(message)
+        await self.one.begin(begin(1))
+        before = [replica.journal.flushes for replica in replicas.values()]
+        ended = await self.one.end(end(1))
+        self.assertTrue(ended.kept and ended.settled)
+        await asyncio.gather(*(replica.flush() for replica in replicas.values()))
+        after = [replica.journal.flushes for replica in replicas.values()]
+        self.assertEqual([2, 2, 2], [new - old for new, old in zip(after, before, strict=True)])
+
     async def test_a_committed_change_survives_one_without_a_majority(self) -> None:
         """The committed change has the lower name; the other follows one of its own process."""
         self.one.accounts.name, self.two.accounts.name = "zz", "aa"
