Wait for the answers of a round with one future instead of a queue and a timeout context

Each answer passed through an `asyncio.Queue` and an `asyncio.timeout`, two classes in Python, also where it was there already.

--- a/waxwingglade/ledger/rounds.py
+++ b/waxwingglade/ledger/rounds.py
@@ -1,6 +1,7 @@
 """Rounds of messages among the replicas: send one request to several until enough answer."""
 
 import asyncio
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from functools import partial
 from typing import Any
@@ -200,7 +201,8 @@
         self.asked: set[str] = set()
         self.open: list[Member] = []
         self.failed: list[Member] = []
-        self.answers: asyncio.Queue[tuple[Member, Any]] = asyncio.Queue()
+        self.answers: deque[tuple[Member, Any]] = deque()
+        self.waiter: asyncio.Future[None] | None = None
 
     def add(self, members: Iterable[Member]) -> None:
         """Send the request to those of the members that were not asked yet."""
@@ -213,7 +215,9 @@
             request.add_done_callback(partial(self._answered, member))
 
     def _answered(self, member: Member, asked: asyncio.Future[Any]) -> None:
-        self.answers.put_nowait((member, _outcome(asked)))
+        self.answers.append((member, outcome_of(asked)))
+        if self.waiter is not None:
+            _wake(self.waiter)
 
     def left(self, order: list[Member]) -> int:
         """Return how many members of a round have not answered, whether asked or not."""
@@ -221,23 +225,43 @@
 
     async def next(self, timeout_s: float | None) -> tuple[Member, Any] | None:
         """Return the next member that answers and its answer; None if none does in time."""
-        try:
-            async with asyncio.timeout(timeout_s):
-                member, answer = await self.answers.get()
-        except TimeoutError:
+        if not self.answers:
+            await self._wait(timeout_s)
+        if not self.answers:
             return None
+        member, answer = self.answers.popleft()
         self.open.remove(member)
         if answer is None:
             self.failed.append(member)
         return member, answer
 
+    async def _wait(self, timeout_s: float | None) -> None:
+        """Wait for an answer.
+
+        A queue and a timeout context would take several times as long, for each answer.
+        """
+        loop = asyncio.get_running_loop()
+        self.waiter = loop.create_future()
+        timer = None if timeout_s is None else loop.call_later(timeout_s, _wake, self.waiter)
+        try:
+            await self.waiter
+        finally:
+            self.waiter = None
+            if timer is not None:
+                timer.cancel()
+
     @property
     def unresponsive(self) -> list[Member]:
         """Members that were asked and did not answer."""
         return [*self.failed, *self.open]
 
 
-def _outcome(asked: asyncio.Future[Any]) -> Any:
+def _wake(waiter: asyncio.Future[None]) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
+
+
+def outcome_of(asked: asyncio.Future[Any]) -> Any:
     """Return the answer of a member; None if it gave none."""
     if asked.cancelled():
         return None
@@ -249,4 +273,4 @@
     return None
 
 
-__all__ = ["Ask", "NoMajority", "Rounds"]
+__all__ = ["Ask", "NoMajority", "Rounds", "outcome_of"]
