Send and answer pings without tasks

Each ping took a task in the process that sends it and another in the process that answers it. Its answer now arrives in a callback, and a request that needs no waiting is answered where it is received.

--- a/waxwingglade/base/tasks.py
+++ b/waxwingglade/base/tasks.py
@@ -26,11 +26,12 @@
         The task; the caller has to hold a reference to it.
     """
     task = asyncio.create_task(coroutine)
-    task.add_done_callback(_log_failure)
+    task.add_done_callback(log_failure)
     return task
 
 
-def _log_failure(task: asyncio.Task) -> None:
+def log_failure(task: asyncio.Task) -> None:
+    """Log the exception that ended a task, if there is one."""
     if task.cancelled() or task.exception() is None:
         return
     logger.opt(exception=task.exception()).error("task {} failed", task.get_coro().__qualname__)
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -13,6 +13,8 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
+from typing import Any
 
 import msgspec
 from loguru import logger
@@ -32,7 +34,7 @@
     Pong,
 )
 from waxwingglade.ledger.replica import Replica
-from waxwingglade.ledger.rounds import Ask
+from waxwingglade.ledger.rounds import Ask, outcome_of
 
 CHECK_INTERVAL_S = 0.25
 """Mean seconds between checks whether the set must change."""
@@ -186,20 +188,24 @@
 
     async def ping_forever(self) -> None:
         """Ping the other members periodically."""
+        loop = asyncio.get_running_loop()
         while True:
-            # The pings run concurrently, as one unresponsive member would delay the others.
             for member in self.replicas.members:
                 if member.disk != self.own.disk:
-                    run_detached(self._ping(member))
+                    # A ping that fails at once must not keep the next ones from being sent.
+                    loop.call_soon(self._ping, member)
             await asyncio.sleep(STANDBY_PING_INTERVAL_S if self.stands_by else PING_INTERVAL_S)
 
-    async def _ping(self, member: Member) -> None:
-        try:
-            answer = await self.ask(
-                member, Ping(self.replicas.epoch, self.own.disk), PING_TIMEOUT_S
-            )
-        except WaxwinggladeError:
-            return
+    def _ping(self, member: Member) -> None:
+        """Ping a member without waiting for its answer, as an unresponsive one gives none."""
+        message = Ping(self.replicas.epoch, self.own.disk)
+        # A callback costs less than a task, of which there would be one for each ping.
+        asked = asyncio.ensure_future(self.ask(member, message, PING_TIMEOUT_S))
+        asked.add_done_callback(partial(self._record_answer, member))
+
+    def _record_answer(self, member: Member, asked: asyncio.Future[Any]) -> None:
+        """Record the answer to a ping."""
+        answer = outcome_of(asked)
         if not isinstance(answer, Pong):
             return
         if answer.disk == member.disk:
@@ -207,17 +213,20 @@
             self.synced[member.disk] = answer.synced_epoch
             change = self.without_store.discard if answer.reaches_store else self.without_store.add
             change(member.disk)
-            await self._compare_failures(member, answer.failures)
+            if self._has_other_failures(answer.failures):
+                run_detached(self._read_failures(member))
         if answer.replicas is not None:
             self.observe_replicas(answer.replicas)
 
-    async def _compare_failures(self, member: Member, checksum: int | None) -> None:
-        """Read a member's records of failed targets if they differ from those here.
+    def _has_other_failures(self, checksum: int | None) -> bool:
+        """Return whether a member's records of failed targets differ from those here."""
+        return not self.stands_by and checksum not in (None, self.replica.failures.checksum)
+
+    async def _read_failures(self, member: Member) -> None:
+        """Read a member's records of failed targets, which differ from those here.
 
         Entries report failures to all members, but reach only some of them in a partition.
         """
-        if self.stands_by or checksum in (None, self.replica.failures.checksum):
-            return
         now = self.clock()
         if now - self.failures_read_at.get(member.disk, float("-inf")) < FAILURES_READ_INTERVAL_S:
             return
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -147,7 +147,7 @@
         self.store = store
         self.codec = Codec(LedgerMessage)
         self.context = zmq.Context()
-        self.server = LinkServer(self.context, self.codec, self.answer)
+        self.server = LinkServer(self.context, self.codec, self.answer, self.answer_at_once)
         self.links = Links(self.context, self.codec)
         self.cached_view = CachedView(heartbeat_s=settings.target_heartbeat_s)
         self.watcher = Watcher(store, keys, self._store_changed, wait_s=self._watch_s)
@@ -197,7 +197,6 @@
             ListFailures: self.replica.list_failures,
             Follow: self.follow,
             FollowSuspects: self.cached_view.answer_suspects,
-            Ping: self.ping,
             ToReplica: self.to_replica,
         }
         self.replica.failures_changed = self._update_suspects
@@ -327,6 +326,15 @@
 
     # Requests to this process
 
+    def answer_at_once(self, message: Any) -> Any:
+        """Answer a ping of another replica; None for all other requests."""
+        if not isinstance(message, Ping):
+            return None
+        asked_at = monotonic()
+        if self.stopping:
+            return self._record(message, Unavailable("the process stops"), asked_at)
+        return self._record(message, self.membership.answer_ping(message), asked_at)
+
     async def answer(self, message: Any) -> Any:
         """Answer a request of an entry or another replica."""
         handler = self.handlers.get(type(message))
@@ -386,10 +394,6 @@
         answer = await self.cached_view.answer(message)
         return msgspec.structs.replace(answer, quorum=self.membership.quorum)
 
-    async def ping(self, message: Ping) -> Any:
-        """Answer a ping of another replica."""
-        return self.membership.answer_ping(message)
-
     async def to_replica(self, message: ToReplica) -> Any:
         """Pass a request on to the replica of this process, if it is the addressed one."""
         if message.disk != self.own.disk:
--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import msgspec
@@ -20,7 +20,7 @@
 from loguru import logger
 
 from waxwingglade.base import WaxwinggladeError
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import log_failure
 
 # Plain integers, since operations on enumerations of the library cost more than the calls that use
 # them.
@@ -208,17 +208,22 @@
         Codec of the protocol.
     handler : callable
         Called for each request; returns the answer, or None to give none.
+    answer_at_once : callable
+        Called for each request before; returns its answer if that needs no waiting, and thus no
+        task.  None leaves the request to `handler`.
     """
 
     def __init__(
         self,
         context: zmq.Context,
         codec: Codec,
-        handler: Callable[[Any], Awaitable[Any]],
+        handler: Callable[[Any], Coroutine[Any, Any, Any]],
+        answer_at_once: Callable[[Any], Any] = lambda _: None,
     ) -> None:
         self.context = context
         self.codec = codec
         self.handler = handler
+        self.answer_at_once = answer_at_once
         self.link_socket: LinkSocket | None = None
         self.running: set[asyncio.Task] = set()
         self.answers: dict[bytes, list[bytes]] = {}
@@ -259,14 +264,25 @@
             except msgspec.DecodeError as error:
                 logger.warning("message ignored: {}", error)
                 continue
-            task = start_task(self._answer(sender, number, body))
+            answer = self.answer_at_once(body)
+            if answer is not None:
+                self._send(sender, number, answer)
+                continue
+            task = asyncio.create_task(self._answer(sender, number, body))
             self.running.add(task)
-            task.add_done_callback(self.running.discard)
+            task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task) -> None:
+        self.running.discard(task)
+        log_failure(task)
 
     async def _answer(self, sender: bytes, number: int, body: Any) -> None:
         answer = await self.handler(body)
-        if answer is None:
-            return
+        if answer is not None:
+            self._send(sender, number, answer)
+
+    def _send(self, sender: bytes, number: int, answer: Any) -> None:
+        """Send an answer with the others of this iteration of the event loop."""
         if not self.answers:
             asyncio.get_running_loop().call_soon(self._flush)
         self.answers.setdefault(sender, []).append(self.codec.encode(number, answer))
