Compute only the parts of a placement that decide it

The state of all engines was computed for admission although one free engine is enough, weights for all targets although they only decide between equal costs, and the home targets of a shared part for each turn, though they only change with the targets. The choice is the same.

--- a/waxwingglade/decisions/admission.py
+++ b/waxwingglade/decisions/admission.py
@@ -59,14 +59,20 @@
     request : AdmissionRequest
         The turn, and how long it may wait.
     """
-    ahead = (_without_overtaken(engine, request.rank_share) for engine in engines)
-    wait_s = min((queue_wait_s(speed, engine) for engine in ahead), default=0.0)
     longest_s = request.wait_limit_s
     if request.is_first:
         longest_s = min(longest_s, FIRST_TURN_WAIT_FACTOR * speed.generation_s(1.0))
-    if wait_s <= longest_s:
+    shortest_s: float | None = None
+    for engine in engines:
+        wait_s = queue_wait_s(speed, _without_overtaken(engine, request.rank_share))
+        if wait_s <= longest_s:
+            # The states of further engines, which may be computed one by one, are not needed.
+            return None
+        shortest_s = wait_s if shortest_s is None else min(shortest_s, wait_s)
+    shortest_s = shortest_s or 0.0
+    if shortest_s <= longest_s:
         return None
-    return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
+    return min(MAX_RETRY_S, max(MIN_RETRY_S, shortest_s))
 
 
 def _without_overtaken(engine: Engine, share: float) -> Engine:
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -5,7 +5,8 @@
 The ledger reports where the previous turn ran.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
+from functools import lru_cache
 
 import msgspec
 
@@ -37,6 +38,13 @@
 """The same for services without engines, as a share of the slots of a target."""
 
 
+MAX_CACHED_HOMES = 256
+"""Number of shared prompt parts, each with one list of targets, whose home targets are cached.  The
+programs of a deployment share some ten parts, and targets change every few minutes."""
+
+_cached_home_targets = lru_cache(MAX_CACHED_HOMES)(home_targets)
+
+
 class Choice(msgspec.Struct, frozen=True):
     """A chosen target, with its cost and load.
 
@@ -148,17 +156,19 @@
         """
         now = self.clock()
         usable = self._usable(service.name, set(avoid))
-        if history is not None:
+        if history is not None and history.failed_at is not None:
             others = [state for state in usable if state.target.incarnation != history.failed_at]
             usable = others or usable
         if not usable:
             return None
         usual_s = median_unit_s(self.by_service.get(service.name, ()))
         if service.engine is not None:
+            key = call.request
             choices = self._engine_choices(service, call, usable, usual_s, history)
         else:
-            choices = self._plain_choices(service.name, call, usable, usual_s)
-        cost, _, state, tokens = min(choices, key=lambda entry: entry[:2])
+            key = call.affinity or call.request
+            choices = self._plain_choices(service.name, usable, usual_s)
+        cost, state, tokens = _cheapest(choices, key)
         age_s = min(now - state.load_reported_at, 1e6)
         load = state.load(now, self.usual_external_load.get(service.name, 0.0))
         return Choice(state.target, cost, load, age_s, usual_s, tokens)
@@ -172,13 +182,13 @@
         ]
         return [state for state in states if not state.ejection.active] or states
 
-    def engines(self, service: ServiceName) -> list[Engine]:
-        """Return the usable engines of a service."""
+    def engines(self, service: ServiceName) -> Iterator[Engine]:
+        """Yield the usable engines of a service."""
         now = self.clock()
         external_load = self.usual_external_load.get(service, 0.0)
         usual_s = median_unit_s(self.by_service.get(service, ()))
         usable = self._usable(service, set())
-        return [state.as_engine(now, external_load, usual_s) for state in usable]
+        return (state.as_engine(now, external_load, usual_s) for state in usable)
 
     def _engine_choices(
         self,
@@ -187,7 +197,7 @@
         states: list[TargetState],
         usual_s: float,
         history: History | None,
-    ) -> list[tuple[float, int, TargetState, int]]:
+    ) -> list[tuple[float, TargetState, int]]:
         now = self.clock()
         speed = self.speed_of(service.name)
         external_load = self.usual_external_load.get(service.name, 0.0)
@@ -197,7 +207,7 @@
             seconds = turn_cost_s(speed, state.as_engine(now, external_load, usual_s), tokens)
             if state.target.zone != self.zone:
                 seconds += OTHER_ZONE_PENALTY_S
-            choices.append((seconds, weight(call.request, state.target.target), state, tokens))
+            choices.append((seconds, state, tokens))
         return choices
 
     def _prefill_tokens(
@@ -208,12 +218,12 @@
             return [0] * len(states)
         parts = [(part.part, part.tokens) for part in call.prompt_parts]
         shared = call.prompt_parts[0] if len(parts) > 1 else None
-        places = [(state.target.target, state.target.zone) for state in states]
-        home = home_targets(shared.part, places) if shared else set()
+        places = tuple((state.target.target, state.target.zone) for state in states)
+        home = _cached_home_targets(shared.part, places) if shared else set()
         preferred = history.holder if history else self._preferred(call, states, home)
         prefill_tokens = []
         for state in states:
-            if state.target.incarnation == preferred:
+            if preferred is not None and state.target.incarnation == preferred:
                 prefill_tokens.append(0)
                 continue
             assumed = shared.part if shared and state.target.target in home else None
@@ -241,11 +251,10 @@
         return max(near, key=lambda target: weight(call.program, target.target)).incarnation
 
     def _plain_choices(
-        self, service: ServiceName, call: Call, states: list[TargetState], usual_s: float
-    ) -> list[tuple[float, int, TargetState, int]]:
+        self, service: ServiceName, states: list[TargetState], usual_s: float
+    ) -> list[tuple[float, TargetState, int]]:
         now = self.clock()
         choices = []
-        key = call.affinity or call.request
         external_load = self.usual_external_load.get(service, 0.0)
         for state in states:
             load = state.load(now, external_load)
@@ -253,7 +262,7 @@
             cost *= state.slowness(usual_s)
             if state.target.zone != self.zone:
                 cost += OTHER_ZONE_LOAD_PENALTY
-            choices.append((round(cost, 1), weight(key, state.target.target), state, 0))
+            choices.append((round(cost, 1), state, 0))
         return choices
 
     def accepts(self, target: Target) -> bool:
@@ -336,4 +345,15 @@
             state.ejection.record_failure(is_error)
 
 
+def _cheapest(
+    choices: list[tuple[float, TargetState, int]], key: str
+) -> tuple[float, TargetState, int]:
+    """Return the choice with the least cost, by the weight of its target among equal ones."""
+    least = min(choice[0] for choice in choices)
+    equal = [choice for choice in choices if choice[0] == least]
+    if len(equal) == 1:
+        return equal[0]
+    return min(equal, key=lambda choice: weight(key, choice[1].target.target))
+
+
 __all__ = ["Balancer", "Choice", "History"]
