Send messages without an answer over links

Cause: processes are to tell one another loads that change many times a second. A request keeps a future and a timer until its answer, and its answer wakes the sender. Change: `Link.tell` sends a message that gets no answer. While it cannot be sent, the next one replaces it, so that a peer that is back gets one message and not a queue of old ones. Result: unit tests only.

--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -55,6 +55,9 @@
 """Seconds that peers have to read the last answers before the connection ends, since they lose what
 they have not read by then.  A round trip takes about 3 ms."""
 
+TOLD = 0
+"""Number of messages without an answer; requests are numbered from 1."""
+
 RETRANSMIT_TIMEOUT_MS = 1_500
 """Milliseconds for which sent bytes may stay unacknowledged before the connection is dropped."""
 
@@ -323,6 +326,7 @@
         self.request_numbers = itertools.count(1)
         self.pending: dict[int, asyncio.Future[Any]] = {}
         self.unsent: dict[int, bytes] = {}
+        self.untold: bytes | None = None
         self.last_used_at = self.link_socket.loop.time()
 
     def close(self) -> None:
@@ -366,6 +370,16 @@
         future.add_done_callback(remove)
         return future
 
+    def tell(self, body: Any) -> None:
+        """Send a message that gets no answer; it may be lost.
+
+        While it cannot be sent, the next one replaces it, so each has to be complete in itself.
+        """
+        loop = self.link_socket.loop
+        self.last_used_at = loop.time()
+        self.untold = self.codec.encode(TOLD, body)
+        loop.call_soon(self._flush)
+
     def _expire(self, number: int) -> None:
         """Fail a request whose timeout expired."""
         future = self.pending.get(number)
@@ -399,10 +413,14 @@
 
     def _flush(self) -> None:
         """Send the requests of this iteration of the event loop, and those not sent before."""
-        if not self.unsent or self.link_socket.socket.closed:
+        frames = list(self.unsent.values())
+        if self.untold is not None:
+            frames.append(self.untold)
+        if not frames or self.link_socket.socket.closed:
             return
-        if self.link_socket.send(list(self.unsent.values())):
+        if self.link_socket.send(frames):
             self.unsent.clear()
+            self.untold = None
 
     def _received(self, frames: list[bytes]) -> None:
         for frame in frames:
--- a/waxwingglade/transport/tests/test_links.py
+++ b/waxwingglade/transport/tests/test_links.py
@@ -92,6 +92,20 @@
         self.assertEqual(answered, Pong(2))
         self.assertEqual(self.links.to(self.address).pending, {})
 
+    async def test_a_message_without_an_answer_replaces_the_one_before(self) -> None:
+        arrived: list[Ping] = []
+
+        async def record(message: Ping) -> None:
+            arrived.append(message)
+
+        link = self.links.to(self.address)
+        with mock.patch.object(self.server, "handler", record):
+            for number in range(3):
+                link.tell(Ping(number))
+            while not arrived:
+                await asyncio.sleep(0.001)
+        self.assertEqual(([Ping(2)], {}, None), (arrived, link.pending, link.untold))
+
     async def test_a_request_to_an_unreachable_peer_is_not_sent_later(self) -> None:
         link = self.links.to("tcp://127.0.0.1:1")
         with self.assertRaises(LinkFailed) as caught:
