Add up in the ledger what entries have in progress at targets

Cause: each of 68 entries knows its own requests at 22 engines, and a load that an engine reported to it is nearly always too old. Change: an entry reports its requests to a member of the ledger, which tells it on request what the others have; members that get reports tell one another the sums. No entry reports yet. Result: unit tests only.

--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from waxwingglade.base import Fingerprint, ProgramId
+from waxwingglade.decisions.shared_load import EntryLoad, TargetLoad
 from waxwingglade.follow.messages import Follow, Followed, FollowSuspects, Message, SuspectList
 from waxwingglade.follow.model import (
     ClientAccount,
@@ -377,6 +378,37 @@
     records: dict[Fingerprint, TargetFailures]
 
 
+class ReportLoad(Message):
+    """Report what an entry has in progress at targets; it is answered if the entry asks.
+
+    Parameters
+    ----------
+    entry : str
+        VM of the entry and random name of its process.
+    loads : dict
+        Load of the entry by target; complete, without targets that have none.
+    asks : bool
+        Whether the entry asks what others have in progress.
+    """
+
+    entry: str
+    loads: dict[IncarnationName, EntryLoad] = msgspec.field(default_factory=dict)
+    asks: bool = False
+
+
+class SharedLoads(Message):
+    """Answer to a `ReportLoad`.
+
+    Parameters
+    ----------
+    loads : dict or None
+        What others have in progress by target, without targets of which nothing is known; None if
+        too few entries have reported to this process yet.
+    """
+
+    loads: dict[IncarnationName, TargetLoad] | None = None
+
+
 class Busy(Message):
     """The process has too many pending requests to answer in time; it did nothing."""
 
@@ -390,6 +422,21 @@
 # Among replicas
 
 
+class MergeLoads(Message):
+    """Report what the entries that report to a member have in progress; it gets no answer.
+
+    Parameters
+    ----------
+    member : str
+        Disk of the member.
+    loads : dict
+        Sums over these entries by target; complete, without targets that have none.
+    """
+
+    member: str
+    loads: dict[IncarnationName, EntryLoad] = msgspec.field(default_factory=dict)
+
+
 class Prepare(Message):
     """Promise to accept no proposal for a program's account below `ballot`."""
 
@@ -634,6 +681,9 @@
     | KnownFailures
     | ListFailures
     | Failures
+    | ReportLoad
+    | SharedLoads
+    | MergeLoads
     | Unavailable
     | Busy
     | Follow
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -32,6 +32,7 @@
 from waxwingglade.follow.watcher import WAIT_S, Keys, Watcher
 from waxwingglade.ledger.candidacy import Candidacy
 from waxwingglade.ledger.coordinator import Coordinator
+from waxwingglade.ledger.load_board import LoadBoard
 from waxwingglade.ledger.membership import Membership
 from waxwingglade.ledger.messages import (
     BeginProgram,
@@ -42,9 +43,11 @@
     LedgerMessage,
     ListFailures,
     MergeFailures,
+    MergeLoads,
     NoteEnd,
     NotHere,
     Ping,
+    ReportLoad,
     TakeQuota,
     ToReplica,
     TurnBegun,
@@ -186,6 +189,9 @@
             settings.bootstrap,
             vm=settings.vm,
         )
+        self.load_board = LoadBoard(
+            self.own, lambda: self.replica.replicas.members, self.tell_member
+        )
         self.handlers: dict[type, Callable[[Any], Any]] = {
             BeginTurn: self.begin,
             TakeQuota: self.quotas.take,
@@ -195,6 +201,8 @@
             NoteEnd: self.replica.note_end,
             MergeFailures: self.replica.merge_failures,
             ListFailures: self.replica.list_failures,
+            ReportLoad: self.load_board.report,
+            MergeLoads: self.load_board.merge,
             Follow: self.follow,
             FollowSuspects: self.cached_view.answer_suspects,
             Ping: self.ping,
@@ -239,6 +247,7 @@
         self.cached_view.notify()
         self.cached_view.notify_suspects()
         await self.server.finish(FINISH_TIMEOUT_S)
+        self.load_board.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
@@ -286,6 +295,7 @@
             self.cached_view.drop_expired()
             self._adopt_members(self.cached_view.view.replicas)
             self.quotas.record_state()
+            self.load_board.update()
             if self.membership.quorum != reported:
                 reported = self.membership.quorum
                 self.cached_view.notify()
@@ -325,6 +335,10 @@
             return self.replica.handle(message)
         return self.links.to(member.address).post(ToReplica(member.disk, message), timeout_s)
 
+    def tell_member(self, member: Member, message: Any) -> None:
+        """Send a message without an answer to another member."""
+        self.links.to(member.address).tell(message)
+
     # Requests to this process
 
     async def answer(self, message: Any) -> Any:
@@ -360,7 +374,7 @@
             ).warning("too much to do")
 
     def _record(self, message: Any, answer: Any, asked_at: float) -> Any:
-        if not isinstance(message, Follow | FollowSuspects):
+        if answer is not None and not isinstance(message, Follow | FollowSuspects):
             kinds = type(message).__name__, type(answer).__name__
             self.metrics.record(*kinds, monotonic() - asked_at)
         return answer
--- a/waxwingglade/ledger/tests/test_node.py
+++ b/waxwingglade/ledger/tests/test_node.py
@@ -12,12 +12,18 @@
 
 from waxwingglade.base import ProgramId, ZoneId
 from waxwingglade.base.tests.daemon_loop import OnDaemonLoop
+from waxwingglade.decisions.load_sums import LEARNING_S
+from waxwingglade.decisions.shared_load import EntryLoad, TargetLoad
 from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.model import IncarnationName
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
 from waxwingglade.ledger.messages import (
     BeginTurn,
     Busy,
     EndTurn,
+    MergeLoads,
+    ReportLoad,
+    SharedLoads,
     TurnBegun,
     TurnEnded,
     TurnId,
@@ -76,6 +82,16 @@
         self.assertEqual(await self.node.answer(BEGIN), TurnBegun())
 
 
+class SharedLoadsTest(NodeTest):
+    async def test_loads_of_members_and_entries_are_told_to_an_entry(self) -> None:
+        target = IncarnationName("a@1")
+        self.assertIsNone(await self.node.answer(MergeLoads("disk", {target: EntryLoad(2)})))
+        self.assertIsNone(await self.node.answer(ReportLoad("e1")))
+        await asyncio.sleep(LEARNING_S)
+        answer = await self.node.answer(ReportLoad("e1", {target: EntryLoad(3)}, asks=True))
+        self.assertEqual(SharedLoads({target: TargetLoad(2)}), answer)
+
+
 class StoppingTest(NodeTest):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
