Share the loads of targets among entries

Cause: placement is close to random with many entries before few targets: the busiest engine has 1.9 times the mean load. Change: an entry reports what it has in progress when a turn arrives, beside the begin of the turn at the ledger, and is told what others have; it reports again when a request is sent and after one ends. It chooses by its own requests and what it was told, while that is at most 0.25 s old, and without an answer as before. This is switched on per service by targets that report their stretch; without one nothing is sent.

--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -5,7 +5,7 @@
 The ledger reports where the previous turn ran.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import msgspec
 
@@ -14,6 +14,7 @@
 from waxwingglade.decisions.engine_speed import CompletedTurn, EngineSpeed
 from waxwingglade.decisions.placement import Engine, home_targets, turn_cost_s, uncached_tokens
 from waxwingglade.decisions.ranks import RankShares
+from waxwingglade.decisions.shared_load import EntryLoad, TargetLoad
 from waxwingglade.follow.model import (
     IncarnationName,
     Revision,
@@ -29,6 +30,9 @@
 """Weight of one report in the moving average of the load from other entries.  The last twenty
 reports make up two thirds of it."""
 
+NOTHING_SHARED = TargetLoad()
+NOTHING_TO_SHARE = EntryLoad()
+
 OTHER_ZONE_PENALTY_S = 0.03
 """Seconds added to the cost of a target in another zone.  The round trip takes only 3 ms more; the
 rest protects answers from partitions between zones, and keeps traffic within the zone."""
@@ -75,6 +79,13 @@
         Availability zone of the entry.
     clock : Clock
         Monotonic seconds.
+
+    Attributes
+    ----------
+    sharing : set of ServiceName
+        Services whose targets report their stretch; entries share the loads of these.
+    load_changed : callable
+        Called when the load of such a target changes; the argument is whether it increased.
     """
 
     def __init__(self, zone: ZoneId, clock: Clock = monotonic) -> None:
@@ -86,6 +97,8 @@
         self.usual_external_load: dict[ServiceName, float] = {}
         self.ranks: dict[ServiceName, RankShares] = {}
         self.targets: TargetList | None = None
+        self.sharing: set[ServiceName] = set()
+        self.load_changed: Callable[[bool], None] = lambda _: None
 
     def update(self, targets: TargetList) -> list[Target]:
         """Update the targets in use and return the removed incarnations.
@@ -159,7 +172,7 @@
         else:
             choices = self._plain_choices(service.name, call, usable, usual_s)
         cost, _, state, tokens = min(choices, key=lambda entry: entry[:2])
-        age_s = min(now - state.load_reported_at, 1e6)
+        age_s = min(now - max(state.load_reported_at, state.shared_at), 1e6)
         load = state.load(now, self.usual_external_load.get(service.name, 0.0))
         return Choice(state.target, cost, load, age_s, usual_s, tokens)
 
@@ -283,11 +296,17 @@
         state.in_flight += 1
         for part in call.prompt_parts:
             state.record_prompt_part(part.part, part.tokens)
+        if target.service in self.sharing:
+            self.load_changed(True)
 
     def record_end(self, target: Target) -> None:
         """Record the end of a request."""
-        if state := self._state(target):
-            state.in_flight -= 1
+        state = self._state(target)
+        if state is None:
+            return
+        state.in_flight -= 1
+        if target.service in self.sharing:
+            self.load_changed(False)
 
     def record_load(self, target: Target, load: LoadStamp | None) -> None:
         """Record the load that a target reported with an answer."""
@@ -297,11 +316,38 @@
         if state is None:
             return
         state.record_load(self.clock(), load)
+        if load.stretch is not None:
+            self.sharing.add(target.service)
         before = self.usual_external_load.get(target.service, 0.0)
         self.usual_external_load[target.service] = before + EXTERNAL_LOAD_SMOOTHING * (
             state.external_load - before
         )
 
+    def own_loads(self) -> dict[IncarnationName, EntryLoad]:
+        """Return what this entry has at targets and has observed since the last call."""
+        now = self.clock()
+        loads = {}
+        for service in self.sharing:
+            for state in self.by_service.get(service, ()):
+                load = state.entry_load(now)
+                if load != NOTHING_TO_SHARE:
+                    loads[state.target.incarnation] = load
+        return loads
+
+    def record_shared(self, loads: Mapping[IncarnationName, TargetLoad], as_of: float) -> None:
+        """Record what other entries have at targets.
+
+        Parameters
+        ----------
+        loads : mapping
+            Loads by target; a target that is missing has none.
+        as_of : float
+            Monotonic time in seconds for which they hold.
+        """
+        for service in self.sharing:
+            for state in self.by_service.get(service, ()):
+                state.record_shared(loads.get(state.target.incarnation, NOTHING_SHARED), as_of)
+
     def record_turn(
         self, choice: Choice, first_event_s: float, seconds: float, events: int
     ) -> None:
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -32,6 +32,7 @@
 from waxwingglade.ingress.balance import Balancer
 from waxwingglade.ingress.dialect import Call, Dialect
 from waxwingglade.ingress.exchange import CallerDisconnected, Exchange
+from waxwingglade.ingress.load_exchange import LoadExchange
 from waxwingglade.ingress.metrics import IngressMetrics
 from waxwingglade.ingress.quarantine import Quarantine
 from waxwingglade.ingress.quorum_monitor import QuorumMonitor, RotationEstimate
@@ -50,7 +51,7 @@
 from waxwingglade.ingress.settings import IngressSettings
 from waxwingglade.ingress.streaming import LedgerAccess, serve_stream
 from waxwingglade.ledger.client import LedgerClient
-from waxwingglade.ledger.messages import LedgerMessage
+from waxwingglade.ledger.messages import LedgerMessage, SharedLoads
 from waxwingglade.transport import ConnectionPool
 from waxwingglade.transport.links import Codec, Links
 from waxwingglade.transport.page import serve_metrics, serve_page
@@ -134,6 +135,14 @@
             lambda: self.follower.last_exchange,
             lambda: self.loop_delay.stalled_until,
         )
+        self.load_exchange = LoadExchange(
+            self.balancer,
+            settings.vm,
+            settings.zone,
+            lambda: self.cached_view.view.replicas.members,
+            ask_over(self.links, SharedLoads),
+            lambda address, message: self.links.to(address).tell(message),
+        )
         self.watcher: Watcher | None = None
         self.table: RouteTable | None = None
         self.draining = False
@@ -203,6 +212,7 @@
         await self.ledger.finish(0.0)
         await self.follower.stop()
         await self.suspect_follower.stop()
+        await self.load_exchange.stop()
         if self.watcher is not None:
             await self.watcher.stop()
         self.links.close()
@@ -413,6 +423,8 @@
             send_grants(serving, self.ledger),
         )
         serving.trace.attempts = attempts
+        if is_stream(serving.route):
+            self.load_exchange.turn_arrived(serving.service.name)
         try:
             async with asyncio.timeout(left_s):
                 await self.suspect_follower.ensure_current()
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -116,6 +116,7 @@
 
     def text(self, ingress: "Ingress") -> str:
         """Return all metrics in Prometheus's text format."""
+        exchange = ingress.load_exchange
         facts = {
             "configuration_version": float(ingress.cached_view.view.version),
             "view_age_seconds": min(ingress.cached_view.age_s, LONGEST_AGE_S),
@@ -130,6 +131,10 @@
             "targets": float(len(ingress.balancer.states)),
             "suspect_requests": float(len(ingress.cached_view.suspects.failed)),
             "held_back": float(ingress.quarantine.held),
+            "load_exchanges": float(exchange.outcomes[True]),
+            "load_exchanges_failed": float(exchange.outcomes[False]),
+            "load_exchange_lost": float(exchange.is_lost),
+            "shared_loads_age_seconds": min(exchange.age_s, LONGEST_AGE_S),
             "loop_delay_seconds": ingress.loop_delay.longest_s,
         }
         for finding in Finding:
--- a/waxwingglade/ingress/target_state.py
+++ b/waxwingglade/ingress/target_state.py
@@ -6,12 +6,17 @@
 from waxwingglade.base import Clock
 from waxwingglade.decisions.ejection import Ejection
 from waxwingglade.decisions.placement import Engine
+from waxwingglade.decisions.shared_load import EntryLoad, TargetLoad
 from waxwingglade.follow.model import Target
 from waxwingglade.ingress.dialect import LoadStamp
 
 LOAD_HALF_LIFE_S = 0.5
 """Half-life in seconds of the weight of a reported load; reports lag by 0.2 s."""
 
+SHARED_LOAD_FRESH_S = 0.25
+"""Greatest age in seconds of a load that other entries shared.  Turns take some tenths of a second,
+so most requests that it counts have ended later."""
+
 SLOWNESS_SMOOTHING = 0.15
 SLOW_RATIO = 1.6
 """Ratio to the median time per unit of work from which on a target counts as slow.  The times of
@@ -29,6 +34,10 @@
     ----------
     cached_parts : OrderedDict
         Tokens of each prompt part that was sent to the target, the latest last.
+    shared : TargetLoad or None
+        Load from other entries, as last shared by the ledger.
+    shared_at : float
+        Monotonic time in seconds for which it holds.
     """
 
     def __init__(self, target: Target, clock: Clock) -> None:
@@ -36,6 +45,8 @@
         self.in_flight = 0
         self.external_load = 0.0
         self.load_reported_at = float("-inf")
+        self.shared: TargetLoad | None = None
+        self.shared_at = float("-inf")
         self.ejection = Ejection(clock)
         self.unit_s: float | None = None
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
@@ -54,8 +65,10 @@
             Monotonic time in seconds.
         usual_external_load : float
             Average number of requests that other entries have at a target of the service.  It
-            replaces the reported load as the report ages.
+            replaces the reported load as the report ages, unless entries share their loads.
         """
+        if self.shared is not None and now - self.shared_at <= SHARED_LOAD_FRESH_S:
+            return float(self.in_flight + self.shared.in_flight)
         trust = 0.5 ** (max(0.0, now - self.load_reported_at) / LOAD_HALF_LIFE_S)
         return self.in_flight + trust * self.external_load + (1 - trust) * usual_external_load
 
@@ -65,6 +78,20 @@
         self.external_load = max(0.0, stamp.running + stamp.waiting - own)
         self.load_reported_at = now
 
+    def record_shared(self, shared: TargetLoad, as_of: float) -> None:
+        """Record what other entries have at the target."""
+        self.shared, self.shared_at = shared, as_of
+
+    def entry_load(self, now: float) -> EntryLoad:
+        """Return what this entry has at the target, and what it has observed since the last call.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        """
+        return EntryLoad(self.in_flight)
+
     def slowness(self, usual_s: float) -> float:
         """Return how many times slower than usual the target is, at least 1."""
         if self.unit_s is None or usual_s <= 0:
