--- a/waxwingglade/decisions/engine_speed.py
+++ b/waxwingglade/decisions/engine_speed.py
@@ -1,8 +1,8 @@
 """Speed of a service's engines, estimated by one entry from completed turns.
 
 Prefill and generation speeds differ tenfold between vendors, so they are not constants here.  Each
-entry estimates them from the turns that it forwards.  All engines of a service are of one kind; a
-slowness factor describes how a single engine differs from the others.
+entry estimates them from the turns that it forwards.  The estimates are averages over the engines
+of a service; a slowness factor describes how a single engine differs from them.
 """
 
 import msgspec
@@ -15,6 +15,10 @@
 """Prior for the seconds between the events of a stream at an idle and at a full engine.  A full
 batch increases this gap by a factor of 1.6 on known engines."""
 
+UNEVEN_EVENT_GAP_PRIOR = msgspec.structs.replace(EVENT_GAP_PRIOR, min_relative_slope=0.5)
+"""The same for engines of different speed.  Turns at full engines must not seem to be as fast as at
+idle ones: all programs would crowd at the fast engines."""
+
 PREFILL_PRIOR = Prior(0.04, 0.05, 0.002, 0.1)
 """Prior for the seconds to the first event without prefill and with 1,000 tokens of prefill.  The
 bounds of the slope allow 10 to 500 tokens per millisecond; known engines reach 39 to 247."""
@@ -36,6 +40,10 @@
         Seconds from sending to the first event, and to the end.
     events : int
         Number of events of the stream.
+    stretch : float
+        How many times longer than usual work took on the VM of the engine, as reported meanwhile.
+    slowness : float
+        How many times slower than the mean of its service the engine is known to be.
     """
 
     load: float
@@ -43,28 +51,42 @@
     first_event_s: float
     seconds: float
     events: int
+    stretch: float = 1.0
+    slowness: float = 1.0
 
 
 class EngineSpeed:
-    """Estimated speed of a service's engines."""
+    """Estimated speed of a service's engines.
+
+    Parameters
+    ----------
+    event_gap_prior : Prior
+        Prior for the seconds between events at an idle and at a full engine.
+    """
 
-    def __init__(self) -> None:
-        self.event_gap = FadingLinearFit(EVENT_GAP_PRIOR)
+    def __init__(self, event_gap_prior: Prior = EVENT_GAP_PRIOR) -> None:
+        self.event_gap = FadingLinearFit(event_gap_prior)
         self.prefill = FadingLinearFit(PREFILL_PRIOR)
         self.mean_events = DEFAULT_EVENTS
 
     def observe(self, turn: CompletedTurn) -> float:
-        """Update the estimates with a turn; return how many times slower than usual it was."""
+        """Update the estimates with a turn; return how many times slower than usual it was.
+
+        The stretch of the turn is divided out: it says nothing about the engine.  So is the known
+        slowness of the engine from the estimates: slow engines have less load, and the event gap
+        would not seem to depend on it.
+        """
+        pace = turn.stretch * turn.slowness
         load = min(1.0, turn.load)
         self.mean_events += EVENTS_SMOOTHING * (turn.events - self.mean_events)
         if turn.load < 1.0:
             # At a full engine the time to the first event includes the time in its queue.
-            self.prefill.observe(turn.prefill_tokens / TOKENS_PER_UNIT, turn.first_event_s)
+            self.prefill.observe(turn.prefill_tokens / TOKENS_PER_UNIT, turn.first_event_s / pace)
         if turn.events < 2:
             return 1.0
-        gap_s = (turn.seconds - turn.first_event_s) / (turn.events - 1)
+        gap_s = (turn.seconds - turn.first_event_s) / (turn.events - 1) / turn.stretch
         usual_s = self.event_gap.predict(load)
-        self.event_gap.observe(load, gap_s)
+        self.event_gap.observe(load, gap_s / turn.slowness)
         return gap_s / usual_s if usual_s > 0 else 1.0
 
     def prefill_s(self, tokens: float) -> float:
@@ -80,4 +102,4 @@
         return self.mean_events * self.event_gap.slope / slots
 
 
-__all__ = ["CompletedTurn", "EngineSpeed"]
+__all__ = ["UNEVEN_EVENT_GAP_PRIOR", "CompletedTurn", "EngineSpeed"]
--- a/waxwingglade/decisions/linear_fit.py
+++ b/waxwingglade/decisions/linear_fit.py
@@ -24,12 +24,16 @@
         Values of the line at 0 and 1, in the unit of the observations.
     min_slope, max_slope : float
         Bounds of the line's slope.
+    min_relative_slope : float
+        Least slope as a multiple of the value at 0.  If x is known only roughly, the fitted slope
+        is too small.
     """
 
     at_0: float
     at_1: float
     min_slope: float
     max_slope: float
+    min_relative_slope: float = 0.0
 
 
 class FadingLinearFit:
@@ -71,6 +75,9 @@
         slope = (weight * xy - x * y) / (weight * xx - x * x)
         self.slope = min(prior.max_slope, max(prior.min_slope, slope))
         self.intercept = max(0.0, (y - self.slope * x) / weight)
+        if self.slope < prior.min_relative_slope * self.intercept:
+            self.intercept = y / (weight + prior.min_relative_slope * x)
+            self.slope = prior.min_relative_slope * self.intercept
 
 
 __all__ = ["FadingLinearFit", "Prior"]
--- a/waxwingglade/decisions/program_starts.py
+++ b/waxwingglade/decisions/program_starts.py
@@ -26,14 +26,19 @@
 class ProgramLength:
     """Mean number of requests of a program, over all accounts without recent refusals.
 
+    Parameters
+    ----------
+    prior : float
+        Number of requests that is assumed before the first programs.
+
     Attributes
     ----------
     requests, programs : float
         Weighted numbers of requests and programs; recent ones have more weight.
     """
 
-    def __init__(self) -> None:
-        self.requests = DEFAULT_REQUESTS
+    def __init__(self, prior: float = DEFAULT_REQUESTS) -> None:
+        self.requests = prior
         self.programs = 1.0
 
     def record(self, is_first: bool) -> None:
