Place requests by speed, stretch and memory of targets that report the stretch of their VMs

Change: from the first report of a stretch on, a service is served by `ingress/uneven.py`; all others by the former choice. Entries provide what they tell each other of a target, log which target is slow and since when, and show it among their metrics. While other entries' loads are known, another zone costs its round trip. `bench/turns` plays engines of two speeds, stretches, preemptions and the exchange of loads between entries.

--- a/bench/placing_cost.py
+++ b/bench/placing_cost.py
@@ -56,7 +56,7 @@
         assert choice is not None
         balancer.record_sent(choice.target, call)
         balancer.record_turn(choice, 0.1, 0.5, 11)
-        balancer.record_end(choice.target)
+        balancer.record_end(choice.target, call)
     return (time.process_time() - started_at) / TURNS * 1e6
 
 
--- a/bench/turns/engine.py
+++ b/bench/turns/engine.py
@@ -51,6 +51,10 @@
 
     Attributes
     ----------
+    slowdown, stretch : float
+        How many times longer than stated in the sheet work takes; the stretch is reported.
+    preempted : int
+        Number of preempted turns.
     read, read_again : int
         Prompt tokens read, and how many of these some engine had read before.
     """
@@ -70,6 +74,8 @@
         self.has_crashed = False
         self.failing = False
         self.slowdown = 1.0
+        self.stretch = 1.0
+        self.preempted = 0
         self.read = self.read_again = 0
         self.loads: deque[tuple[float, int, int]] = deque([(0.0, 0, 0)])
 
@@ -102,6 +108,20 @@
     def _record_load(self) -> None:
         self.loads.append((self.timeline.now, len(self.running), len(self.waiting)))
 
+    def _preempt(self) -> None:
+        """Preempt the newest of the least urgent turns while the running ones lack memory."""
+        while len(self.running) > 1 and self._needed_tokens() > self.figures.cache_tokens:
+            job = max(reversed(self.running), key=lambda job: job.priority)
+            self.running.remove(job)
+            self.cached -= self.cache.pop(job.parts[-1][0], 0)
+            heapq.heappush(self.waiting, (job.priority, next(self.sequence), job))
+            self.preempted += 1
+
+    def _needed_tokens(self) -> int:
+        """Return the memory of the running turns, with each shared part once."""
+        parts = {part: tokens for job in self.running for part, tokens in job.parts}
+        return sum(parts.values()) + sum(job.generated_tokens for job in self.running)
+
     def _admit(self) -> None:
         while self.waiting and len(self.running) < self.figures.slots:
             job = heapq.heappop(self.waiting)[2]
@@ -138,6 +158,8 @@
         if self.has_crashed:
             return
         self._admit()
+        if self.figures.preempts:
+            self._preempt()
         if not self.running:
             self.busy = False
             return
@@ -153,7 +175,8 @@
         if generating:
             batch_factor = 1 + figures.batch_slowdown * len(generating) / figures.slots
             seconds += figures.stride * figures.step_s * batch_factor
-        self.timeline.call_later(seconds * self.slowdown, lambda: self._finish_step(generating))
+        seconds *= self.slowdown * self.stretch
+        self.timeline.call_later(seconds, lambda: self._finish_step(generating))
 
     def _finish_step(self, generating: list[Job]) -> None:
         if self.has_crashed:
--- a/bench/turns/play.py
+++ b/bench/turns/play.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from bench.turns.engine import Engine, Job
+from bench.turns.exchange import exchange
 from bench.turns.policies import Placement, Policy, PolicyFactory, TurnRequest, make_targets
 from bench.turns.sheet import Sheet
 from bench.turns.timeline import Timeline
@@ -12,6 +13,7 @@
 from waxwingglade.decisions.engine_speed import CompletedTurn
 from waxwingglade.follow.model import IncarnationName
 from waxwingglade.ingress.balance import History
+from waxwingglade.ingress.dialect import LoadStamp
 
 MAX_TRIES = 3
 """Number of tries of a turn before its program fails."""
@@ -50,6 +52,7 @@
     in_time: int
     late: int
     urgent: float = 0.0
+    preempted: int = 0
 
 
 class Program:
@@ -181,9 +184,10 @@
         if is_complete and self.first_s is not None:
             events = -(-self.job.output // self.program.play.sheet.engine.stride)
             completed = CompletedTurn(0.0, 0, self.first_s, seconds, events)
-        self.policy.record_end(
-            self.placement, self.engine.reported_load(), completed, self.engine.failing
-        )
+        sheet = self.program.play.sheet
+        stretch = self.engine.stretch if sheet.stretch != 1.0 else None
+        load = LoadStamp(*self.engine.reported_load(), sheet.engine.slots, stretch)
+        self.policy.record_end(self.placement, load, completed, self.engine.failing)
         self.program.turn_ended(self.placement.target, is_complete)
 
 
@@ -194,6 +198,7 @@
         self.sheet = sheet
         self.timeline = Timeline()
         self.rng = random.Random(seed)
+        self.stretch_rng = random.Random(seed)
         targets = make_targets(sheet)
         seen_tokens: dict[str, int] = {}
         self.engines = {
@@ -210,6 +215,11 @@
         """Run the sheet to its end."""
         sheet = self.sheet
         self._schedule_programs()
+        self._set_speeds()
+        if sheet.stretch != 1.0:
+            self._stretch()
+        if sheet.exchange_s:
+            self._exchange()
         names = sorted(self.engines)
         for name in names[: sheet.slow]:
             self.timeline.call_later(sheet.seconds / 2, lambda name=name: self._slow(name))
@@ -222,6 +232,24 @@
         self.timeline.run(3 * sheet.seconds)
         return self._outcome()
 
+    def _set_speeds(self) -> None:
+        engines = list(self.engines.values())
+        slower = round(len(engines) * self.sheet.slower_share)
+        for index, engine in enumerate(engines):
+            engine.slowdown = 1 / (self.sheet.slower if index < slower else self.sheet.fast)
+
+    def _stretch(self) -> None:
+        """Draw which engines are stretched, again and again."""
+        for engine in self.engines.values():
+            stretched = self.stretch_rng.random() < self.sheet.stretch_share
+            engine.stretch = self.sheet.stretch if stretched else 1.0
+        self.timeline.call_later(self.sheet.stretch_s, self._stretch)
+
+    def _exchange(self) -> None:
+        """Let the entries exchange their loads."""
+        exchange(self.policies, self.timeline.now)
+        self.timeline.call_later(self.sheet.exchange_s, self._exchange)
+
     def _fail(self, name: TargetId, failing: bool) -> None:
         self.engines[name].failing = failing
 
@@ -261,6 +289,7 @@
             sum(program.worth == 1.0 for program in self.programs),
             sum(0.0 < program.worth < 1.0 for program in self.programs),
             _mean([program for program in self.programs if program.rank == 0]),
+            sum(engine.preempted for engine in self.engines.values()),
         )
 
 
--- a/bench/turns/policies.py
+++ b/bench/turns/policies.py
@@ -49,10 +49,11 @@
 
 
 class Placement(msgspec.Struct, frozen=True):
-    """The target of a turn, and the balancer's choice if the policy has one."""
+    """The target of a turn, and the balancer's choice for its call if the policy has one."""
 
     target: TargetId
     choice: Choice | None = None
+    call: Call | None = None
 
 
 class Rejection(msgspec.Struct, frozen=True):
@@ -70,7 +71,7 @@
     def record_end(
         self,
         placement: Placement,
-        load: tuple[int, int],
+        load: LoadStamp,
         completed: CompletedTurn | None,
         is_error: bool,
     ) -> None:
@@ -82,7 +83,7 @@
 
     def __init__(self, sheet: Sheet, zone: ZoneId, targets: TargetList, timeline: Timeline) -> None:
         figures = sheet.engine
-        self.slots = figures.slots
+        self.output_tokens = int(sheet.program.output)
         self.first_event_timeout_s = sheet.first_event_timeout_s
         traits = EngineTraits(figures.slots, figures.cache_tokens, figures.stride)
         self.service = Service(ENGINES, 0, traits)
@@ -101,31 +102,34 @@
             return Rejection(retry_s)
         call = Call(RequestId(turn_request.request), "POST", "/", "", [])
         call.program = ProgramId(turn_request.program)
+        call.max_output_tokens = self.output_tokens
         call.prompt_parts = tuple(PromptPart(*part) for part in turn_request.parts)
         choice = self.balancer.choose(self.service, call, (), turn_request.history)
         assert choice is not None
+        if turn_request.history is not None:
+            self.balancer.turns_of(None).record(turn_request.is_first)
         self.balancer.record_sent(choice.target, call)
         ranks.record(turn_request.rank)
-        return Placement(choice.target.target, choice)
+        return Placement(choice.target.target, choice, call)
 
     def record_end(
         self,
         placement: Placement,
-        load: tuple[int, int],
+        load: LoadStamp,
         completed: CompletedTurn | None,
         is_error: bool,
     ) -> None:
         """Record the end of a turn."""
-        assert placement.choice is not None
+        assert placement.choice is not None and placement.call is not None
         target = placement.choice.target
         if completed is None:
             self.balancer.record_failure(target, is_error)
         else:
-            self.balancer.record_load(target, LoadStamp(*load, self.slots))
+            self.balancer.record_load(target, load)
             self.balancer.record_turn(
                 placement.choice, completed.first_event_s, completed.seconds, completed.events
             )
-        self.balancer.record_end(target)
+        self.balancer.record_end(target, placement.call)
 
 
 class Previous(ProductPolicy):
@@ -137,6 +141,21 @@
         self.balancer.update(targets)
 
 
+class EvenPolicy(ProductPolicy):
+    """The product's placement without reports of a stretch, as if all engines were equal."""
+
+    def record_end(
+        self,
+        placement: Placement,
+        load: LoadStamp,
+        completed: CompletedTurn | None,
+        is_error: bool,
+    ) -> None:
+        """Record the end of a turn."""
+        even = msgspec.structs.replace(load, stretch=None)
+        super().record_end(placement, even, completed, is_error)
+
+
 class TrueSpeed(EngineSpeed):
     """The engine speed stated in the sheet, instead of an observed one."""
 
@@ -185,7 +204,7 @@
     def record_end(
         self,
         placement: Placement,
-        load: tuple[int, int],
+        load: LoadStamp,
         completed: CompletedTurn | None,
         is_error: bool,
     ) -> None:
@@ -225,6 +244,7 @@
     "hash": _rule_policy(by_hash),
     "previous": Previous,
     "oracle": Oracle,
+    "even": EvenPolicy,
     "waxwingglade": ProductPolicy,
 }
 
--- a/bench/turns/sheet.py
+++ b/bench/turns/sheet.py
@@ -24,6 +24,8 @@
         Prompt tokens read between two tokens of the other requests.
     stride : int
         Tokens of one event.
+    preempts : bool
+        Whether running turns need memory; the newest one is preempted if it runs out.
     """
 
     slots: int
@@ -33,6 +35,7 @@
     batch_slowdown: float = 0.6
     chunk_tokens: int = 512
     stride: int = 3
+    preempts: bool = False
 
 
 class ProgramFigures(msgspec.Struct, frozen=True):
@@ -94,6 +97,13 @@
         Time without a first event after which a caller cancels a turn.
     urgent_share : float
         Share of the programs whose turns have priority over the others.
+    fast, slower : float
+        Speeds of the engines, of which the first `slower_share` have the lower one.
+    stretch, stretch_share, stretch_s : float
+        How many times longer than usual work takes, at which share of the engines at a time, and
+        after how many seconds this changes.  Engines report it if it differs from 1.
+    exchange_s : float
+        Interval at which entries exchange their loads; 0 if they do not.
     slow, lost, failing : int
         Engines that, from the middle of the run on, are three times slower, are lost, or answer
         errors at once for `FAILING_S`.
@@ -116,6 +126,13 @@
     seconds: float = 30.0
     burst: Burst | None = Burst(8.0, 5.0, 2.2)
     urgent_share: float = 0.0
+    fast: float = 1.0
+    slower: float = 1.0
+    slower_share: float = 0.0
+    stretch: float = 1.0
+    stretch_share: float = 0.0
+    stretch_s: float = 0.6
+    exchange_s: float = 0.0
     slow: int = 0
     lost: int = 0
     failing: int = 0
@@ -155,6 +172,27 @@
     deadline_slack_s=0.2,
     late_share=0.1,
 )
+CARDS = Sheet(
+    "cards",
+    EngineFigures(8, 0.00118, 471_000, 225_391, stride=30, preempts=True),
+    ProgramFigures(34.0, 5.0, 210, 12_600, 1680, 1500),
+    entries=60,
+    engines=22,
+    zones=4,
+    same_entry_share=0.2,
+    deadline_factor=1.25,
+    deadline_slack_s=0.23,
+    pause_s=0.1,
+    fast=1.2,
+    slower=0.55,
+    slower_share=0.25,
+    stretch=2.5,
+    stretch_share=0.15,
+    exchange_s=0.25,
+    burst=Burst(8.0, 5.0, 1.5),
+)
+"""Uneven engines: of two speeds, on VMs shared with others, with memory for few histories."""
+
 KNOWN_SHEETS = (CHATS, GROWN_CHATS, BOOKINGS, DESIGNS)
 """Engines and programs of three firms."""
 
@@ -210,4 +248,12 @@
     return 1 / (turn_s * program.turns)
 
 
-__all__ = ["KNOWN_SHEETS", "Burst", "EngineFigures", "ProgramFigures", "Sheet", "random_sheet"]
+__all__ = [
+    "CARDS",
+    "KNOWN_SHEETS",
+    "Burst",
+    "EngineFigures",
+    "ProgramFigures",
+    "Sheet",
+    "random_sheet",
+]
--- a/bench/turns/tests/test_placing.py
+++ b/bench/turns/tests/test_placing.py
@@ -5,13 +5,14 @@
 """
 
 import unittest
+from statistics import fmean
 from unittest import mock
 
 import msgspec
 
 from bench.turns.play import play
 from bench.turns.policies import POLICIES
-from bench.turns.sheet import BOOKINGS, CHATS, DESIGNS, GROWN_CHATS, Burst, Sheet
+from bench.turns.sheet import BOOKINGS, CARDS, CHATS, DESIGNS, GROWN_CHATS, Burst, Sheet
 
 SEEDS = (1, 2)
 MIN_WORTH_WITH_FAILING_ENGINES = 0.99
@@ -59,6 +60,26 @@
         self.assertGreater(outcome.worth, MIN_WORTH_WITH_FAILING_ENGINES)
 
 
+class UnevenEngines(unittest.TestCase):
+    """A quarter of the engines is slower, and 15 in 100 are stretched at a time."""
+
+    def test_programs_avoid_slow_and_stretched_engines(self) -> None:
+        """0.80 on average; 0.78 if engines do not report their stretch and count as equal.
+
+        The entries do not exchange their loads.
+        """
+        figures = msgspec.structs.replace(CARDS.program, arrivals_per_s=6.0)
+        sheet = msgspec.structs.replace(
+            CARDS, program=figures, entries=20, engines=11, burst=None, exchange_s=0.0, seconds=15.0
+        )
+        worth = {
+            policy: fmean(play(sheet, POLICIES[policy], seed).worth for seed in (1, 2, 3))
+            for policy in ("waxwingglade", "even")
+        }
+        self.assertGreater(worth["waxwingglade"], worth["even"])
+        self.assertGreater(worth["waxwingglade"], 0.75)
+
+
 class BeyondCapacity(unittest.TestCase):
     """Bursts of 3.5 to 6 times the programs, which exceed the capacity of all engines."""
 
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -264,6 +264,8 @@
         record.connect_s = round(sent_at - chosen_at, 3)
         self.balancer.record_sent(target, self.call)
         self.balancer.ranks_of(self.service.name).record(self.route.rank)
+        if self.history is not None and not self.sent:
+            self.balancer.turns_of(self.route.name).record(self.history.holder is None)
         try:
             self.sent += 1
             connection.send(request)
@@ -294,7 +296,7 @@
 
     def _choose(self) -> tuple[Choice, AttemptRecord]:
         """Return the best remaining target, and the record of a new attempt."""
-        choice = self.balancer.choose(self.service, self.call, self.tried, self.history)
+        choice = self.balancer.choose(self.service, self.call, self.tried, self.history, self.route)
         if choice is None:
             raise NoTarget
         self.last_target = choice.target
@@ -449,7 +451,7 @@
         record = self.records[-1]
         record.finding = self.pool.finding_of(connection)
         self.pool.release(choice.target.address, connection)
-        self.balancer.record_end(choice.target)
+        self.balancer.record_end(choice.target, self.call)
         if record.verdict is None or record.ending is Ending.UNRESPONSIVE:
             self.quarantine.record_unanswered(self.call, choice.target, self.route.name)
         if record.ending is not Ending.LOST:
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -11,12 +11,22 @@
 
 from waxwingglade.base import Clock, TargetId, ZoneId, monotonic
 from waxwingglade.base.rendezvous import weight
-from waxwingglade.decisions.engine_speed import CompletedTurn, EngineSpeed
+from waxwingglade.decisions.engine_memory import own_tokens
+from waxwingglade.decisions.engine_speed import (
+    UNEVEN_EVENT_GAP_PRIOR,
+    CompletedTurn,
+    EngineSpeed,
+)
 from waxwingglade.decisions.placement import Engine, home_targets, turn_cost_s, uncached_tokens
+from waxwingglade.decisions.program_cost import DEFAULT_TURNS, remaining_turns
+from waxwingglade.decisions.program_starts import ProgramLength
 from waxwingglade.decisions.ranks import RankShares
+from waxwingglade.decisions.target_speed import bounded_ratio
 from waxwingglade.follow.model import (
     IncarnationName,
     Revision,
+    Route,
+    RouteName,
     Service,
     ServiceName,
     Target,
@@ -24,6 +34,7 @@
 )
 from waxwingglade.ingress.dialect import Call, LoadStamp
 from waxwingglade.ingress.target_state import TargetState, median_unit_s
+from waxwingglade.ingress.uneven import UnevenService, UnevenTurn, memory_tokens, part_tokens
 
 EXTERNAL_LOAD_SMOOTHING = 0.05
 """Weight of one report in the moving average of the load from other entries.  The last twenty
@@ -60,10 +71,13 @@
         Target that has the previous turns in its cache; None for a first turn.
     failed_at : IncarnationName or None
         Target that failed the last turn of the program; it is used only if there is no other.
+    turns : int or None
+        Number of the previous turns; None if it is unknown.
     """
 
     holder: IncarnationName | None
     failed_at: IncarnationName | None = None
+    turns: int | None = None
 
 
 class Balancer:
@@ -85,6 +99,8 @@
         self.speeds: dict[ServiceName, EngineSpeed] = {}
         self.usual_external_load: dict[ServiceName, float] = {}
         self.ranks: dict[ServiceName, RankShares] = {}
+        self.program_lengths: dict[RouteName | None, ProgramLength] = {}
+        self.uneven: dict[ServiceName, UnevenService] = {}
         self.targets: TargetList | None = None
 
     def update(self, targets: TargetList) -> list[Target]:
@@ -126,12 +142,17 @@
         """Return the shares of the ranks among the turns that this entry sends to a service."""
         return self.ranks.setdefault(service, RankShares())
 
+    def turns_of(self, route: RouteName | None) -> ProgramLength:
+        """Return the number of turns of the programs that this entry serves on a route."""
+        return self.program_lengths.setdefault(route, ProgramLength(DEFAULT_TURNS))
+
     def choose(
         self,
         service: Service,
         call: Call,
         avoid: Iterable[TargetId],
         history: History | None = None,
+        route: Route | None = None,
     ) -> Choice | None:
         """Return the best target for a call, or None if there is none.
 
@@ -145,6 +166,8 @@
             Targets that were already tried.
         history : History or None
             Where the previous turns of the program ran, if that is known.
+        route : Route or None
+            Route of the call, if known; programs of one route are of similar length.
         """
         now = self.clock()
         usable = self._usable(service.name, set(avoid))
@@ -155,7 +178,10 @@
             return None
         usual_s = median_unit_s(self.by_service.get(service.name, ()))
         if service.engine is not None:
-            choices = self._engine_choices(service, call, usable, usual_s, history)
+            if service.name in self.uneven:
+                choices = self._uneven_choices(service, call, usable, history, route)
+            else:
+                choices = self._engine_choices(service, call, usable, usual_s, history)
         else:
             choices = self._plain_choices(service.name, call, usable, usual_s)
         cost, _, state, tokens = min(choices, key=lambda entry: entry[:2])
@@ -200,6 +226,36 @@
             choices.append((seconds, weight(call.request, state.target.target), state, tokens))
         return choices
 
+    def _uneven_choices(
+        self,
+        service: Service,
+        call: Call,
+        states: list[TargetState],
+        history: History | None,
+        route: Route | None,
+    ) -> list[tuple[float, int, TargetState, int]]:
+        assert service.engine is not None
+        is_first = history is not None and history.holder is None
+        turns_before = 0 if is_first else history.turns if history else None
+        parts = part_tokens(call)
+        turn = UnevenTurn(
+            call.request,
+            remaining_turns(self.turns_of(route.name if route else None), turns_before),
+            memory_tokens(call),
+            sum(tokens for _, tokens in parts),
+            own_tokens(parts, 0),
+            service.engine.cache_tokens,
+            history.holder if history else None,
+            1 - self.ranks_of(service.name).share_up_to(route.rank) if route else 0.0,
+        )
+        return self.uneven[service.name].engine_choices(
+            self.speed_of(service.name),
+            turn,
+            states,
+            self._prefill_tokens(call, states, history),
+            self.usual_external_load.get(service.name, 0.0),
+        )
+
     def _prefill_tokens(
         self, call: Call, states: list[TargetState], history: History | None
     ) -> list[int]:
@@ -243,10 +299,12 @@
     def _plain_choices(
         self, service: ServiceName, call: Call, states: list[TargetState], usual_s: float
     ) -> list[tuple[float, int, TargetState, int]]:
-        now = self.clock()
-        choices = []
         key = call.affinity or call.request
         external_load = self.usual_external_load.get(service, 0.0)
+        if service in self.uneven:
+            return self.uneven[service].plain_choices(key, states, usual_s, external_load)
+        now = self.clock()
+        choices = []
         for state in states:
             load = state.load(now, external_load)
             cost = 1 + max(0.0, load - state.slots + 1) + load / state.slots
@@ -281,13 +339,17 @@
         if state is None:
             return
         state.in_flight += 1
+        state.tokens += memory_tokens(call)
         for part in call.prompt_parts:
             state.record_prompt_part(part.part, part.tokens)
+        if call.prompt_parts and (uneven := self.uneven.get(target.service)):
+            uneven.memory.record_sent(part_tokens(call), memory_tokens(call), self.clock())
 
-    def record_end(self, target: Target) -> None:
-        """Record the end of a request."""
+    def record_end(self, target: Target, call: Call) -> None:
+        """Record the end of a request that was sent."""
         if state := self._state(target):
             state.in_flight -= 1
+            state.tokens -= memory_tokens(call)
 
     def record_load(self, target: Target, load: LoadStamp | None) -> None:
         """Record the load that a target reported with an answer."""
@@ -301,6 +363,20 @@
         self.usual_external_load[target.service] = before + EXTERNAL_LOAD_SMOOTHING * (
             state.external_load - before
         )
+        if load.stretch is not None:
+            self._uneven_service(target.service).usual_stretch.observe(state.stretch)
+
+    def _uneven_service(self, service: ServiceName) -> UnevenService:
+        """Return the state of a service whose targets report their stretch."""
+        if service not in self.uneven:
+            self.speeds[service] = EngineSpeed(UNEVEN_EVENT_GAP_PRIOR)
+            self.uneven[service] = UnevenService(self.zone, self.clock, OTHER_ZONE_PENALTY_S)
+        return self.uneven[service]
+
+    def check_slow(self) -> None:
+        """Log changes of which targets are slow."""
+        for service, uneven in self.uneven.items():
+            uneven.check_slow(self.by_service.get(service, ()))
 
     def record_turn(
         self, choice: Choice, first_event_s: float, seconds: float, events: int
@@ -309,26 +385,43 @@
         state = self._state(choice.target)
         if state is None:
             return
+        uneven = self.uneven.get(choice.target.service)
+        stretch = slowness = 1.0
+        if uneven:
+            stretch = uneven.stretch_during(state, seconds)
+            slowness = uneven.slowness_to_mean(state, self.by_service[choice.target.service])
         turn = CompletedTurn(
-            choice.load / state.slots, choice.prefill_tokens, first_event_s, seconds, events
+            choice.load / state.slots,
+            choice.prefill_tokens,
+            first_event_s,
+            seconds,
+            events,
+            stretch,
+            slowness,
         )
         ratio = self.speed_of(choice.target.service).observe(turn)
-        self.record_success(choice.target, ratio)
+        if uneven and events > 1:
+            state.observe_ratio(bounded_ratio(ratio), self.clock())
+        state.ejection.record_success()
+        state.observe(ratio)
 
     def record_success(self, target: Target, unit_s: float) -> None:
-        """Record a complete answer.
+        """Record a complete answer that is no stream.
 
         Parameters
         ----------
         target : Target
             Target that answered.
         unit_s : float
-            For a plain answer, its duration in seconds; for a stream, the ratio of its duration to
-            the expected one.
+            Duration of the answer in seconds.
         """
-        if state := self._state(target):
-            state.ejection.record_success()
-            state.observe(unit_s)
+        state = self._state(target)
+        if state is None:
+            return
+        state.ejection.record_success()
+        if uneven := self.uneven.get(target.service):
+            unit_s /= uneven.stretch_during(state, unit_s)
+        state.observe(unit_s)
 
     def record_failure(self, target: Target, is_error: bool = False) -> None:
         """Record that a target broke off, was unreachable, or answered with an error."""
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -296,6 +296,7 @@
             self.quarantine.remove_expired()
             self.pool.close_expired()
             self.close_idle()
+            self.balancer.check_slow()
             self.links.close_idle_except(
                 {member.address for member in self.cached_view.view.replicas.members}, LINK_IDLE_S
             )
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -10,6 +10,7 @@
 from waxwingglade.transport import Finding
 
 if TYPE_CHECKING:
+    from waxwingglade.ingress.balance import Balancer
     from waxwingglade.ingress.entry import Ingress
     from waxwingglade.ingress.exchange import Exchange
     from waxwingglade.ingress.serving import Trace
@@ -78,6 +79,11 @@
         self.state = Gauge(
             PREFIX + "state", "What the entry believes, and its resources.", registry=self.registry
         )
+        self.targets = Gauge(
+            PREFIX + "target",
+            "Slowness, stretch and memory in tokens of targets that report their stretch.",
+            registry=self.registry,
+        )
 
     def _count(self, name: str, text: str, *labels: str) -> BufferedCounter:
         return BufferedCounter(self.registry, PREFIX + name, text, labels)
@@ -136,10 +142,29 @@
             facts[f"target_probes_{finding.name.lower()}"] = float(ingress.pool.findings[finding])
         for name, value in facts.items():
             self.state.set({"name": name}, value)
+        self.publish_targets(ingress.balancer)
         for buffered in self.buffered_metrics:
             buffered.publish()
         content, _ = render(self.registry, ["text/plain"])
         return content.decode()
 
+    def publish_targets(self, balancer: "Balancer") -> None:
+        """Set the gauges of present targets, and remove those of former ones."""
+        self.targets.values.clear()
+        now = balancer.clock()
+        for target, state in balancer.states.items():
+            if state.target.service not in balancer.uneven:
+                continue
+            report = state.stretch_report(now)
+            facts = {
+                "slowness": state.relative_slowness(now)[0],
+                "slow_seconds": state.speed.slow_s(now),
+                "stretch": report.stretch if report else 1.0,
+                "own_tokens": float(state.tokens),
+                "load": state.load(now),
+            }
+            for name, value in facts.items():
+                self.targets.set({"name": name, "target": target}, value)
+
 
 __all__ = ["IngressMetrics"]
--- a/waxwingglade/ingress/streaming.py
+++ b/waxwingglade/ingress/streaming.py
@@ -259,7 +259,7 @@
 def _history(serving: Serving, begun: TurnBegun) -> History | None:
     """Return where the previous turns ran, or None if that is unknown."""
     if begun.chain and (target := begun.chain[-1].target) is not None:
-        return History(target, begun.failed_at)
+        return History(target, begun.failed_at, len(begun.chain))
     if _is_first_stored_turn(serving):
         return History(None, begun.failed_at)
     if serving.route.keeps_turns and begun.target is None:
--- a/waxwingglade/ingress/target_state.py
+++ b/waxwingglade/ingress/target_state.py
@@ -1,4 +1,4 @@
-"""State of a target as observed by one entry: load, speed, failures, cached prompt parts."""
+"""State of a target as known to one entry: load, speed, memory, failures, cached prompt parts."""
 
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -6,6 +6,9 @@
 from waxwingglade.base import Clock
 from waxwingglade.decisions.ejection import Ejection
 from waxwingglade.decisions.placement import Engine
+from waxwingglade.decisions.shared_load import EntryLoad, TargetLoad
+from waxwingglade.decisions.stretch import StretchReport, latest
+from waxwingglade.decisions.target_speed import Slowness
 from waxwingglade.follow.model import Target
 from waxwingglade.ingress.dialect import LoadStamp
 
@@ -18,6 +21,17 @@
 the answers of one service vary by about this ratio anyway."""
 
 MAX_SLOWNESS = 10.0
+SHARED_LOAD_AGE_S = 1.0
+"""Seconds after which the load that other entries reported is unknown again; most turns that ran
+then have ended."""
+
+MEAN_LOAD_HALF_LIFE_S = 3.0
+"""Half-life in seconds of the mean load, about the duration of a program.  Over less time it varies
+by one or two turns, and running programs would move between equal engines."""
+
+MIN_STRETCH, MAX_STRETCH = 0.1, 10.0
+"""Bounds of a reported stretch, which comes from the network."""
+
 MAX_CACHED_PARTS = 4_000
 """Maximum number of prompt parts recorded for a target."""
 
@@ -29,6 +43,16 @@
     ----------
     cached_parts : OrderedDict
         Tokens of each prompt part that was sent to the target, the latest last.
+    tokens : int
+        Memory that the requests of this entry need at an engine, in tokens.
+    stretch : float or None
+        Last reported stretch of the target's VM, at `stretch_at` by the entry's clock.
+    speed : Slowness
+        Slowness of the target as observed by this entry.
+    slowness_sum, turns : float, int
+        Slowness of the turns that have ended since the last `entry_load`, and their number.
+    shared : TargetLoad or None
+        What other entries reported, received at `shared_at` by the entry's clock.
     """
 
     def __init__(self, target: Target, clock: Clock) -> None:
@@ -39,6 +63,16 @@
         self.ejection = Ejection(clock)
         self.unit_s: float | None = None
         self.cached_parts: OrderedDict[str, int] = OrderedDict()
+        self.tokens = 0
+        self.stretch: float | None = None
+        self.stretch_at = float("-inf")
+        self.speed = Slowness()
+        self.slowness_sum = 0.0
+        self.turns = 0
+        self.mean_load = 0.0
+        self.mean_load_at = float("-inf")
+        self.shared: TargetLoad | None = None
+        self.shared_at = float("-inf")
 
     @property
     def slots(self) -> int:
@@ -64,6 +98,68 @@
         own = max(1, self.in_flight)
         self.external_load = max(0.0, stamp.running + stamp.waiting - own)
         self.load_reported_at = now
+        if stamp.stretch is not None:
+            self.stretch = min(MAX_STRETCH, max(MIN_STRETCH, stamp.stretch))
+            self.stretch_at = now
+
+    def fresh_shared(self, now: float) -> TargetLoad | None:
+        """Return what other entries reported, or None if that is too old."""
+        return self.shared if now - self.shared_at <= SHARED_LOAD_AGE_S else None
+
+    def stretch_report(self, now: float) -> StretchReport | None:
+        """Return the latest stretch that the target reported to this or another entry."""
+        own = shared = None
+        if self.stretch is not None:
+            own = StretchReport(self.stretch, now - self.stretch_at)
+        if self.shared is not None and self.shared.stretch is not None:
+            age_s = self.shared.stretch_age_s + now - self.shared_at
+            shared = StretchReport(self.shared.stretch, age_s)
+        return latest(own, shared)
+
+    def relative_slowness(self, now: float) -> tuple[float, float]:
+        """Return the slowness relative to the service's average, and the weight of its turns."""
+        shared = self.fresh_shared(now)
+        if shared is None or shared.slowness is None:
+            return self.speed.estimate(now)
+        return self.speed.estimate(now, shared.slowness, shared.turns)
+
+    def observe_ratio(self, ratio: float, now: float) -> None:
+        """Record how many times longer than usual a turn took, without the stretch of the VM."""
+        self.speed.observe(ratio, now)
+        self.slowness_sum += ratio
+        self.turns += 1
+
+    def observe_load(self, load: float, now: float) -> None:
+        """Update the recent mean load with the current estimate."""
+        weight = 1 - 0.5 ** (max(0.0, now - self.mean_load_at) / MEAN_LOAD_HALF_LIFE_S)
+        self.mean_load += weight * (load - self.mean_load)
+        self.mean_load_at = now
+
+    def held_tokens(self, now: float, load: float, mean_turn_tokens: float) -> float:
+        """Return the estimated memory of all requests at an engine, without shared parts.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic time in seconds.
+        load : float
+            Estimated number of requests at the engine.
+        mean_turn_tokens : float
+            Memory of an average turn, for turns of which no entry has reported the memory.
+        """
+        shared = self.fresh_shared(now)
+        if shared is not None:
+            return float(self.tokens + shared.tokens)
+        return self.tokens + max(0.0, load - self.in_flight) * mean_turn_tokens
+
+    def entry_load(self, now: float) -> EntryLoad:
+        """Return what this entry reports to others; turns are reported once."""
+        age_s = now - self.stretch_at if self.stretch is not None else 0.0
+        report = EntryLoad(
+            self.in_flight, self.tokens, self.stretch, age_s, self.slowness_sum, self.turns
+        )
+        self.slowness_sum, self.turns = 0.0, 0
+        return report
 
     def slowness(self, usual_s: float) -> float:
         """Return how many times slower than usual the target is, at least 1."""
--- a/waxwingglade/ingress/tests/test_choices.py
+++ b/waxwingglade/ingress/tests/test_choices.py
@@ -240,7 +240,7 @@
     def test_late_reports_of_its_former_incarnation_are_ignored(self) -> None:
         self.balancer.record_sent(self.before, self.turn)
         self.start_again()
-        self.balancer.record_end(self.before)
+        self.balancer.record_end(self.before, self.turn)
         self.balancer.record_failure(self.before)
         self.balancer.record_load(self.before, LoadStamp(8, 30, 8))
         state = self.balancer.states[TargetId("e0")]
--- a/waxwingglade/ingress/tests/test_history.py
+++ b/waxwingglade/ingress/tests/test_history.py
@@ -33,7 +33,7 @@
     async def test_the_next_turn_uses_the_target_of_the_previous_one(self) -> None:
         before = Turn(TurnId("r0"), None, b"asked", b"said\n", 1e12, IncarnationName("engine-2"))
         self.entry.ledger.chain = (before,)
-        self.assertEqual(await self.history(), History(IncarnationName("engine-2")))
+        self.assertEqual(await self.history(), History(IncarnationName("engine-2"), turns=1))
 
     async def test_an_engine_that_fails_a_turn_is_recorded_and_avoided(self) -> None:
         """Guards against a retry at the same engine if the caller uses another entry."""
