--- a/bench/turns/previous.py
+++ b/bench/turns/previous.py
@@ -36,7 +36,7 @@
         states: list[TargetState],
         usual_s: float,
         history: History | None,
-    ) -> list[tuple[float, int, TargetState, int]]:
+    ) -> list[tuple[float, TargetState, int]]:
         now = self.clock()
         shared = call.prompt_parts[0]
         home = home_targets(shared.part, [(s.target.target, s.target.zone) for s in states])
@@ -62,7 +62,7 @@
             seconds += tokens / PREFILL_TOKENS_PER_S * (1 + load / state.slots)
             if state.target.zone != self.zone:
                 seconds += OTHER_ZONE_S
-            choices.append((seconds, weight(call.request, state.target.target), state, 0))
+            choices.append((seconds, state, 0))
         return choices
 
 
