--- a/waxwingglade/decisions/target_speed.py
+++ b/waxwingglade/decisions/target_speed.py
@@ -95,7 +95,12 @@
         return now - self.slow_since if self.slow_since is not None else 0.0
 
     def _fade(self, now: float) -> float:
-        return 0.5 ** (max(0.0, now - self.observed_at) / HALF_LIFE_S)
+        return faded(now - self.observed_at)
+
+
+def faded(age_s: float) -> float:
+    """Return the weight that is left of turns that ended some seconds ago."""
+    return 0.5 ** (max(0.0, age_s) / HALF_LIFE_S)
 
 
 def bounded_ratio(ratio: float) -> float:
@@ -103,4 +108,4 @@
     return min(MAX_RATIO, max(1 / MAX_RATIO, ratio))
 
 
-__all__ = ["Slowness", "bounded_ratio"]
+__all__ = ["Slowness", "bounded_ratio", "faded"]
--- a/waxwingglade/ingress/target_state.py
+++ b/waxwingglade/ingress/target_state.py
@@ -8,7 +8,7 @@
 from waxwingglade.decisions.placement import Engine
 from waxwingglade.decisions.shared_load import EntryLoad, TargetLoad
 from waxwingglade.decisions.stretch import StretchReport, latest
-from waxwingglade.decisions.target_speed import Slowness
+from waxwingglade.decisions.target_speed import Slowness, faded
 from waxwingglade.follow.model import Target
 from waxwingglade.ingress.dialect import LoadStamp
 
@@ -122,11 +122,18 @@
         return latest(own, shared)
 
     def relative_slowness(self, now: float) -> tuple[float, float]:
-        """Return the slowness relative to the service's average, and the weight of its turns."""
-        shared = self.fresh_shared(now)
-        if shared is None or shared.slowness is None:
-            return self.speed.estimate(now)
-        return self.speed.estimate(now, shared.slowness, shared.turns)
+        """Return the slowness relative to the service's average, and the weight of its turns.
+
+        What all entries observed counts longer than the load that they share, with less weight as
+        it ages: an entry that is cut off still avoids slow targets.
+        """
+        own = self.speed.estimate(now)
+        if self.shared is None or self.shared.slowness is None:
+            return own
+        turns = self.shared.turns * faded(now - self.shared_at)
+        if turns < own[1]:
+            return own
+        return self.speed.estimate(now, self.shared.slowness, turns)
 
     def observe_ratio(self, ratio: float, now: float) -> None:
         """Record how many times longer than usual a turn took, without the stretch of the VM."""
