--- a/waxwingglade/decisions/engine_speed.py
+++ b/waxwingglade/decisions/engine_speed.py
@@ -15,16 +15,12 @@
 """Prior for the seconds between the events of a stream at an idle and at a full engine.  A full
 batch increases this gap by a factor of 1.6 on known engines."""
 
-UNEVEN_EVENT_GAP_PRIOR = msgspec.structs.replace(EVENT_GAP_PRIOR, min_relative_slope=0.5)
+UNEVEN_EVENT_GAP_PRIOR = msgspec.structs.replace(
+    EVENT_GAP_PRIOR, usual_slope=0.1 * EVENT_GAP_PRIOR.usual_intercept, min_relative_slope=0.1
+)
 """The same for engines of different speed.  Turns at full engines must not seem to be as fast as at
-idle ones: all programs would crowd at the fast engines."""
-
-PREFILL_PRIOR = Prior(0.04, 0.05, 0.002, 0.1)
-"""Prior for the seconds to the first event without prefill and with 1,000 tokens of prefill.  The
-bounds of the slope allow 10 to 500 tokens per millisecond; known engines reach 39 to 247."""
-
-DEFAULT_EVENTS = 10.0
-EVENTS_SMOOTHING = 0.05
+idle ones, but a fast engine is worth its slots: a full batch takes a tenth longer on known engines
+of this kind, and a slow one twice as long."""
 
 
 class CompletedTurn(msgspec.Struct, frozen=True):
