--- a/waxwingglade/decisions/engine_speed.py
+++ b/waxwingglade/decisions/engine_speed.py
@@ -15,12 +15,17 @@
 """Prior for the seconds between the events of a stream at an idle and at a full engine.  A full
 batch increases this gap by a factor of 1.6 on known engines."""
 
-UNEVEN_EVENT_GAP_PRIOR = msgspec.structs.replace(
-    EVENT_GAP_PRIOR, usual_slope=0.1 * EVENT_GAP_PRIOR.usual_intercept, min_relative_slope=0.1
-)
-"""The same for engines of different speed.  Turns at full engines must not seem to be as fast as at
-idle ones, but a fast engine is worth its slots: a full batch takes a tenth longer on known engines
-of this kind, and a slow one twice as long."""
+UNEVEN_EVENT_GAP_PRIOR = Prior(0.025, 0.0275, 0.0, 1.0, min_relative_slope=0.1)
+"""The same for engines of different speed.  A full batch increases the gap by a tenth on known
+engines of this kind and a slow engine doubles it, so the slots of fast ones are worth filling.
+The slope has a lower bound, as turns at full engines must not seem as fast as at idle ones."""
+
+PREFILL_PRIOR = Prior(0.04, 0.05, 0.002, 0.1)
+"""Prior for the seconds to the first event without prefill and with 1,000 tokens of prefill.  The
+bounds of the slope allow 10 to 500 tokens per millisecond; known engines reach 39 to 247."""
+
+DEFAULT_EVENTS = 10.0
+EVENTS_SMOOTHING = 0.05
 
 
 class CompletedTurn(msgspec.Struct, frozen=True):
