Load the metrics library with the first scrape

An entry and a ledger process loaded it at each start, also where nobody scrapes them. Counters and histograms hold plain data now, and each scrape builds its page from them.

Tests compare each page with the collectors of the library after every update, where they compared once at the end.

--- a/waxwingglade/base/tests/test_buffered_metrics.py
+++ b/waxwingglade/base/tests/test_buffered_metrics.py
@@ -22,31 +22,33 @@
 class BufferedMetricsTest(unittest.TestCase):
     @given(st.lists(LABELS, min_size=1))
     def test_counts(self, added: list[tuple[str, str]]) -> None:
-        buffered, direct = Registry(), Registry()
-        counts = BufferedCounter(buffered, "answers", "Answers.", ("route", "status"))
+        direct = Registry()
+        counts = BufferedCounter("answers", "Answers.", ("route", "status"))
         counter = Counter("answers", "Answers.", registry=direct)
         for route, status in added:
             counts.add(route, status)
             counter.inc({"route": route, "status": status})
-            counts.publish()
-        self.assertEqual(rendered_lines(buffered), rendered_lines(direct))
+            buffered = Registry()
+            counts.publish(buffered)
+            self.assertEqual(rendered_lines(buffered), rendered_lines(direct))
 
     @given(st.lists(st.tuples(st.sampled_from((0.0, 0.01, 0.05, 0.1, 7.5)), LABELS), min_size=1))
     def test_times(self, observed: list[tuple[float, tuple[str, str]]]) -> None:
-        buffered, direct = Registry(), Registry()
-        times = BufferedHistogram(buffered, "seconds", "Seconds.", BOUNDS, ("route", "status"))
+        direct = Registry()
+        times = BufferedHistogram("seconds", "Seconds.", BOUNDS, ("route", "status"))
         histogram = Histogram("seconds", "Seconds.", registry=direct, buckets=BOUNDS)
         for value, (route, status) in observed:
             times.observe(value, route, status)
             histogram.observe({"route": route, "status": status}, value)
-            times.publish()
-        self.assertEqual(rendered_lines(buffered), rendered_lines(direct))
+            buffered = Registry()
+            times.publish(buffered)
+            self.assertEqual(rendered_lines(buffered), rendered_lines(direct))
 
     def test_without_labels(self) -> None:
         registry = Registry()
-        times = BufferedHistogram(registry, "seconds", "Seconds.", BOUNDS)
+        times = BufferedHistogram("seconds", "Seconds.", BOUNDS)
         times.observe(0.5)
-        times.publish()
+        times.publish(registry)
         self.assertIn("seconds_count 1.0", rendered_lines(registry))
 
 
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -2,10 +2,15 @@
 
 from typing import TYPE_CHECKING
 
-from aioprometheus import Gauge, Registry
-from aioprometheus.renderer import render
-
-from waxwingglade.base.buffered_metrics import BufferedCounter, BufferedHistogram, LabelValues
+from waxwingglade.base.buffered_metrics import (
+    BufferedCounter,
+    BufferedHistogram,
+    GaugeValues,
+    Labels,
+    LabelValues,
+    render_page,
+    state_gauge,
+)
 from waxwingglade.follow.feed import LONGEST_AGE_S
 from waxwingglade.transport import Finding
 
@@ -24,7 +29,6 @@
     """Counters and histograms of one entry."""
 
     def __init__(self) -> None:
-        self.registry = Registry()
         self.routes = LabelValues()
         self.accounts = LabelValues()
         self.requests = self._count(
@@ -76,20 +80,12 @@
             self.reserve,
             self.keep,
         )
-        self.state = Gauge(
-            PREFIX + "state", "What the entry believes, and its resources.", registry=self.registry
-        )
-        self.targets = Gauge(
-            PREFIX + "target",
-            "Slowness, stretch and memory in tokens of targets that report their stretch.",
-            registry=self.registry,
-        )
 
     def _count(self, name: str, text: str, *labels: str) -> BufferedCounter:
-        return BufferedCounter(self.registry, PREFIX + name, text, labels)
+        return BufferedCounter(PREFIX + name, text, labels)
 
     def _time(self, name: str, text: str, *labels: str) -> BufferedHistogram:
-        return BufferedHistogram(self.registry, PREFIX + name, text, SECONDS, labels)
+        return BufferedHistogram(PREFIX + name, text, SECONDS, labels)
 
     def record(self, exchange: "Exchange", trace: "Trace", seconds: float) -> None:
         """Record one request."""
@@ -145,31 +141,28 @@
         }
         for finding in Finding:
             facts[f"target_probes_{finding.name.lower()}"] = float(ingress.pool.findings[finding])
-        for name, value in facts.items():
-            self.state.set({"name": name}, value)
-        self.publish_targets(ingress.balancer)
-        for buffered in self.buffered_metrics:
-            buffered.publish()
-        content, _ = render(self.registry, ["text/plain"])
-        return content.decode()
+        state = state_gauge(PREFIX + "state", "What the entry believes, and its resources.", facts)
+        return render_page([*self.buffered_metrics, state, target_gauge(ingress.balancer)])
 
-    def publish_targets(self, balancer: "Balancer") -> None:
-        """Set the gauges of present targets, and remove those of former ones."""
-        self.targets.values.clear()
-        now = balancer.clock()
-        for target, state in balancer.states.items():
-            if state.target.service not in balancer.uneven:
-                continue
-            report = state.stretch_report(now)
-            facts = {
-                "slowness": state.relative_slowness(now)[0],
-                "slow_seconds": state.speed.slow_s(now),
-                "stretch": report.stretch if report else 1.0,
-                "own_tokens": float(state.tokens),
-                "load": state.load(now),
-            }
-            for name, value in facts.items():
-                self.targets.set({"name": name, "target": target}, value)
+
+def target_gauge(balancer: "Balancer") -> GaugeValues:
+    """Return the gauge of the present targets that report their stretch."""
+    now = balancer.clock()
+    values: dict[Labels, float] = {}
+    for target, state in balancer.states.items():
+        if state.target.service not in balancer.uneven:
+            continue
+        report = state.stretch_report(now)
+        facts = {
+            "slowness": state.relative_slowness(now)[0],
+            "slow_seconds": state.speed.slow_s(now),
+            "stretch": report.stretch if report else 1.0,
+            "own_tokens": float(state.tokens),
+            "load": state.load(now),
+        }
+        values |= {(name, target): value for name, value in facts.items()}
+    text = "Slowness, stretch, load and memory in tokens of targets that report their stretch."
+    return GaugeValues(PREFIX + "target", text, ("name", "target"), values)
 
 
-__all__ = ["IngressMetrics"]
+__all__ = ["IngressMetrics", "target_gauge"]
--- a/waxwingglade/ingress/tests/test_uneven.py
+++ b/waxwingglade/ingress/tests/test_uneven.py
@@ -5,9 +5,10 @@
 
 from loguru import logger
 
+from waxwingglade.base.buffered_metrics import render_page
 from waxwingglade.decisions.shared_load import TargetLoad
 from waxwingglade.ingress.dialect import LoadStamp
-from waxwingglade.ingress.metrics import IngressMetrics
+from waxwingglade.ingress.metrics import target_gauge
 from waxwingglade.ingress.tests.builders import NOTES, call, targets
 from waxwingglade.ingress.tests.uneven_builders import (
     CACHE_TOKENS,
@@ -182,12 +183,11 @@
         self.assertEqual(self.lines[1][2]["seconds"], 7.0)
 
     def test_the_metrics_page_shows_present_targets(self) -> None:
-        fleet, metrics = Fleet(SLOW, FAST), IngressMetrics()
-        metrics.publish_targets(fleet.balancer)
-        gauge = metrics.targets.get({"name": "slowness", "target": "e0"})
-        self.assertAlmostEqual(gauge, SLOW, delta=0.05)
+        fleet = Fleet(SLOW, FAST)
+        values = target_gauge(fleet.balancer).values
+        self.assertAlmostEqual(values["slowness", "e0"], SLOW, delta=0.05)
         fleet.balancer.update(targets(fleet.target("e1"), revision=2))
-        metrics.publish_targets(fleet.balancer)
-        with self.assertRaises(KeyError):
-            metrics.targets.get({"name": "slowness", "target": "e0"})
-        self.assertGreater(metrics.targets.get({"name": "stretch", "target": "e1"}), 0.0)
+        values = target_gauge(fleet.balancer).values
+        self.assertNotIn(("slowness", "e0"), values)
+        self.assertGreater(values["stretch", "e1"], 0.0)
+        self.assertIn('target="e1"', render_page([target_gauge(fleet.balancer)]))
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -2,10 +2,12 @@
 
 from typing import TYPE_CHECKING
 
-from aioprometheus import Gauge, Registry
-from aioprometheus.renderer import render
-
-from waxwingglade.base.buffered_metrics import BufferedCounter, BufferedHistogram
+from waxwingglade.base.buffered_metrics import (
+    BufferedCounter,
+    BufferedHistogram,
+    render_page,
+    state_gauge,
+)
 from waxwingglade.follow.feed import LONGEST_AGE_S
 
 if TYPE_CHECKING:
@@ -20,25 +22,19 @@
     """Counters and histograms of one ledger process."""
 
     def __init__(self) -> None:
-        self.registry = Registry()
         self.answers = BufferedCounter(
-            self.registry,
             PREFIX + "answers_total",
             "Answers by request and kind.",
             ("request", "answer"),
         )
         self.seconds = BufferedHistogram(
-            self.registry, PREFIX + "seconds", "Time of an answer.", SECONDS, ("request",)
+            PREFIX + "seconds", "Time of an answer.", SECONDS, ("request",)
         )
         self.quota_answers = BufferedCounter(
-            self.registry,
             PREFIX + "quota_answers_total",
             "Requests of client accounts with a limit, by account and answer.",
             ("account", "answer"),
         )
-        self.state = Gauge(
-            PREFIX + "state", "What the process holds and believes.", registry=self.registry
-        )
 
     def record(self, request: str, answer: str, seconds: float) -> None:
         """Count one answer."""
@@ -71,16 +67,12 @@
             "disk_failing": journal.failing,
             "loop_delay_seconds": node.loop_delay.longest_s,
         }
-        for name, value in values.items():
-            self.state.set({"name": name}, float(value))
         for purpose, calls in node.store.calls.items():
-            self.state.set({"name": f"store_calls_{purpose}"}, float(calls))
+            values[f"store_calls_{purpose}"] = calls
         self.quota_answers.counts = node.quotas.usage.answers
-        self.quota_answers.publish()
-        self.answers.publish()
-        self.seconds.publish()
-        content, _ = render(self.registry, ["text/plain"])
-        return content.decode()
+        facts = {name: float(value) for name, value in values.items()}
+        state = state_gauge(PREFIX + "state", "What the process holds and believes.", facts)
+        return render_page((self.answers, self.seconds, self.quota_answers, state))
 
 
 __all__ = ["LedgerMetrics"]
