Compute sources and joined members only when they are needed

A ledger process that follows no other one sorted its sources ten times a second, and each check of a member's age compared the whole set of members with the one before.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -295,9 +295,12 @@
 
     async def _follow(self) -> None:
         while True:
+            if not self.needed():
+                await asyncio.sleep(SOURCE_PAUSE_S)
+                continue
             sources = self.sources()
-            if not sources or not self.needed():
-                self.tried += not sources
+            if not sources:
+                self.tried += 1
                 await asyncio.sleep(SOURCE_PAUSE_S)
                 continue
             source = sources[self.tried % len(sources)]
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -146,6 +146,7 @@
         self.overdue_s = overdue_s
         self.last_seen_at: dict[str, float] = {}
         self.failures_read_at: dict[str, float] = {}
+        self.recorded_replicas: ReplicaSet | None = None
         self.previous_disks: frozenset[str] = frozenset()
         self.synced: dict[str, int] = {}
         self.without_store: set[str] = set()
@@ -255,6 +256,9 @@
 
     def _record_joined(self) -> None:
         """Count a member as seen when it joins, since it was not pinged before."""
+        if self.replicas is self.recorded_replicas:
+            return
+        self.recorded_replicas = self.replicas
         disks = frozenset(member.disk for member in self.replicas.members)
         for disk in disks - self.previous_disks:
             self.last_seen_at[disk] = self.clock()
