Let the soak run with uneven servers, whose loads entries share

Cause: the soak's servers reported no stretch, so that no process took part in the load exchange. A short run of it is a test. Runs of the other options are unchanged.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -75,6 +75,10 @@
             help="idle entries, and servers that pause or send bytes without end, beside changes"
         ),
     ] = False,
+    uneven: Annotated[
+        bool,
+        typer.Option(help="servers differ in speed and report the stretch of their VMs"),
+    ] = False,
     pressing: Annotated[
         int, typer.Option(help="callers at a time that keep the account with a limit at it")
     ] = 8,
@@ -108,6 +112,8 @@
         size = msgspec.structs.replace(
             PAUSED_SIZE, seconds=seconds, entries=max(entries, PAUSED_SIZE.entries)
         )
+    if uneven:
+        size = msgspec.structs.replace(size, uneven=True)
     if leaving:
         size = msgspec.structs.replace(size, kinds=LEAVING_KINDS)
     if ledger:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -35,6 +35,15 @@
 SPARE_SERVERS = 4
 """Further servers of each service in a run in which requests end servers."""
 
+STRETCH = 2.5
+STRETCH_S = 0.6
+STRETCHED_ONE_IN = 7
+"""Of servers that share their VMs, one in seven takes this many times longer for that long."""
+
+SLOW_ONE_IN = 4
+SLOW_EVENT_S = 0.01
+"""Seconds that every fourth of these servers takes for an event, twice as long as the others."""
+
 HEARTBEAT_POLL_S = 0.05
 STORE_AWAY = (StoreFault.BUSY, StoreFault.UNRESPONSIVE)
 
@@ -169,9 +178,12 @@
         Servers that have left, with their runs.
     crashed_servers : list of SoakServer
         Servers that ended under a request, with their runs.
+    uneven : bool
+        Whether servers differ in speed, share their VMs and report their stretch.
     """
 
     server_type = SoakServer
+    uneven = False
 
     def __init__(
         self,
@@ -275,6 +287,8 @@
         server.crashed = lambda: self._replace_crashed(server, relay)
         server.register("ready")
         if isinstance(server, SoakServer):
+            if self.uneven:
+                make_uneven(server, number)
             server.loses_answer = lambda: self.rng.random() < max(self.lost_shares, default=0.0)
             if self.heartbeat_s:
                 server.send_heartbeats(self.heartbeat_s)
@@ -333,6 +347,18 @@
         return [*self.engines, *self.notes, *self.left_servers, *self.crashed_servers]
 
 
+def make_uneven(server: SoakServer, number: int) -> None:
+    """Let a server share its VM with others, and some servers be slow."""
+    if number % SLOW_ONE_IN == 0:
+        server.event_s = SLOW_EVENT_S
+
+    def stretch() -> float:
+        phase = int(time.monotonic() / STRETCH_S) + number
+        return STRETCH if phase % STRETCHED_ONE_IN == 0 else 1.0
+
+    server.stretch = stretch
+
+
 def _like(server: RegisteredServer) -> SoakServer:
     """Return a new server of the same kind."""
     return SoakServer(server.store, server.service, server.events, server.event_s)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -79,6 +79,9 @@
     restarts : bool
         Whether processes that ended by themselves are restarted; if not, the errors that callers
         see after such an end are reported, too.
+    uneven : bool
+        Whether servers differ in speed and report the stretch of their VMs, so that entries share
+        their loads.
     """
 
     seconds: float = 12.0
@@ -97,6 +100,7 @@
     faults_per_s: float = USUAL_PER_S
     heartbeat_s: float = HEARTBEAT_S
     restarts: bool = True
+    uneven: bool = False
 
 
 FAULT_FREE_SIZE = Size(
@@ -148,6 +152,7 @@
     accounts = Accounts(random.Random(seed + 3_000_000)) if size.accounts else None
     mark = MARK if size.fatal else b""
     cluster = SoakCluster(size.entries, size.spares, size.flush_s, accounts, size.heartbeat_s, mark)
+    cluster.uneven = size.uneven
     try:
         await cluster.open()
         cluster.lost_shares.append(size.lost_share)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -53,7 +53,9 @@
 )
 """Without sub-agents and heartbeats, since its seed failed without them."""
 
+SHORT_UNEVEN = Size(seconds=6.0, entries=4, programs=8, plain=4, fatal=0, uneven=True)
 SEED = 7
+UNEVEN_SEED = 11
 LEAVING_SEED = 1
 LEDGER_SEED = 1001
 FAULT_FREE_SEED = 2
@@ -154,6 +156,11 @@
     async def test_faults_violate_no_guarantee(self) -> None:
         await self.check(SEED, SHORT)
 
+    async def test_no_guarantee_is_violated_while_entries_share_loads_of_uneven_servers(
+        self,
+    ) -> None:
+        await self.check(UNEVEN_SEED, SHORT_UNEVEN)
+
     async def test_no_guarantee_is_violated_by_servers_that_leave(self) -> None:
         await self.check(LEAVING_SEED, SHORT_LEAVING)
 
--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -75,6 +75,9 @@
         Id of the request that ended it.
     paused_until : float
         When it goes on after a pause, in monotonic seconds.
+    stretch : callable or None
+        Returns how many times longer than usual its work takes at present, which it reports; None
+        if it always takes as long and nothing is reported.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self.crashed_at: float | None = None
         self.crashed_by = ""
         self.paused_until = 0.0
+        self.stretch: Callable[[], float] | None = None
 
     async def start(self, host: str = "127.0.0.1") -> None:
         """Start to serve, and register."""
@@ -206,7 +210,7 @@
             return False
         if self.events:
             return await self._stream(writer, request, body)
-        await asyncio.sleep(self.event_s)
+        await self._work()
         await self._until_resumed()
         answer = self._plain(200, request, answer_to(body))
         if self.fault is ServerFault.TRUNCATED:
@@ -217,12 +221,15 @@
             writer.write(answer)
         return True
 
+    async def _work(self) -> None:
+        await asyncio.sleep(self.event_s * (self.stretch() if self.stretch else 1.0))
+
     async def _stream(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
         head = self._head(200, request) + "X-Waxwingglade-Server-Seal: seal\r\n"
         head += "Content-Type: text/event-stream\r\n"
         writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
         for number in range(1, self.events + 1):
-            await asyncio.sleep(self.event_s)
+            await self._work()
             await self._until_resumed()
             event = b"id: %d\ndata: %s\n\n" % (number, event_data(body, number))
             if self.fault is ServerFault.TRUNCATED and number == self.events:
@@ -235,11 +242,12 @@
         return True
 
     def _head(self, status: int, request: str) -> str:
+        stretch = f",{100 * self.stretch():.0f}" if self.stretch else ""
         return (
             f"HTTP/1.1 {status} Status\r\n"
             f"X-Waxwingglade-Request-Id: {request}\r\n"
             f"X-Waxwingglade-Instance-Id: {self.name}\r\n"
-            f"X-Waxwingglade-Server-Load: {self.active},0,8\r\n"
+            f"X-Waxwingglade-Server-Load: {self.active},0,8{stretch}\r\n"
         )
 
     def _plain(self, status: int, request: str, body: bytes, not_run: bool = False) -> bytes:
