Check that a stretch is known before it is averaged

Cause: the type checker can't see that a report has just set it. Change: the condition names both. Result: the tests of the ingress named uneven, choices, history, admission and serving pass.

--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -399,7 +399,7 @@
         self.usual_external_load[target.service] = before + EXTERNAL_LOAD_SMOOTHING * (
             state.external_load - before
         )
-        if load.stretch is not None:
+        if load.stretch is not None and state.stretch is not None:
             self._uneven_service(target.service).usual_stretch.observe(state.stretch)
 
     def _uneven_service(self, service: ServiceName) -> UnevenService:
