Share failures of targets among entries

Cause: a target that resets its connections at once has no load, so with shared loads the turns of all entries go there, and each entry has to see two failures by itself. Change: entries report how many requests ended well and how many failed since the last report. Three failures in a row over all entries eject a target everywhere, for half a second to two seconds.

--- a/waxwingglade/decisions/ejection.py
+++ b/waxwingglade/decisions/ejection.py
@@ -11,8 +11,17 @@
 doubles with each further failure up to the maximum."""
 
 
+SHARED_FAILURES_TO_EJECT = 3
+"""Failures in a row, over all entries, after which each of them ejects a target; the first ones may
+be due to a bad connection of one entry."""
+
+MAX_SHARED_EJECTION_S = 2.0
+"""Bound of such an ejection, which doubles like the others.  Requests that were in progress fail
+together, so that the number of failures says less about the next request."""
+
+
 class Ejection:
-    """Ejection state of one target."""
+    """Ejection state of one target, as observed by one entry."""
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -45,4 +54,23 @@
         self.until = self.clock() + min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
 
 
-__all__ = ["Ejection"]
+def is_ejected_by_all(failures: int, age_s: float) -> bool:
+    """Return whether all entries eject a target.
+
+    This handles a target that fails at once, under many entries: it has no load, and each entry
+    would send it two requests before it ejects it, and more after each ejection.
+
+    Parameters
+    ----------
+    failures : int
+        Failures of the target since its last success, at any entry.
+    age_s : float
+        Seconds since the last of them.
+    """
+    if failures < SHARED_FAILURES_TO_EJECT:
+        return False
+    doublings = failures - SHARED_FAILURES_TO_EJECT
+    return age_s < min(MAX_SHARED_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
+
+
+__all__ = ["Ejection", "is_ejected_by_all"]
--- a/waxwingglade/decisions/load_sums.py
+++ b/waxwingglade/decisions/load_sums.py
@@ -66,6 +66,10 @@
         Fading sums over observed turns, and the time up to which they have faded.
     new_slowness_sum, new_turns : float, int
         Observations of entries that other members have not been told.
+    failures, failed_at : int, float
+        Failures since the last success, and when the last of them was reported.
+    new_successes, new_failures : int
+        Ends of requests that other members have not been told.
     is_stretch_new : bool
         Whether other members have not been told the latest stretch.
     changed_at : float
@@ -83,6 +87,10 @@
     faded_at: float = 0.0
     new_slowness_sum: float = 0.0
     new_turns: int = 0
+    failures: int = 0
+    failed_at: float = float("-inf")
+    new_successes: int = 0
+    new_failures: int = 0
     is_stretch_new: bool = False
     changed_at: float = 0.0
 
@@ -100,6 +108,7 @@
         if load.stretch is not None and now - load.stretch_age_s > self.stretch_at:
             self.stretch, self.stretch_at = load.stretch, now - load.stretch_age_s
             self.is_stretch_new = is_entry
+        self._observe_ends(load, is_entry, now)
         if load.turns <= 0:
             return
         self.fade(now)
@@ -109,6 +118,16 @@
             self.new_slowness_sum += load.slowness_sum
             self.new_turns += load.turns
 
+    def _observe_ends(self, load: EntryLoad, is_entry: bool, now: float) -> None:
+        if load.successes:
+            self.failures = 0
+        if load.failures:
+            self.failures += load.failures
+            self.failed_at = now
+        if is_entry:
+            self.new_successes += load.successes
+            self.new_failures += load.failures
+
     def fade(self, now: float) -> None:
         """Reduce the weight of the turns that were observed before."""
         factor = 0.5 ** (max(0.0, now - self.faded_at) / SLOWNESS_HALF_LIFE_S)
@@ -125,8 +144,11 @@
             now - self.stretch_at if self.is_stretch_new else 0.0,
             self.new_slowness_sum,
             self.new_turns,
+            self.new_successes,
+            self.new_failures,
         )
         self.is_stretch_new = False
+        self.new_successes = self.new_failures = 0
         self.new_slowness_sum, self.new_turns = 0.0, 0
         return load
 
@@ -141,6 +163,8 @@
             0.0 if self.stretch is None else now - self.stretch_at,
             self.slowness_sum / self.turns if self.turns > 0 else None,
             self.turns,
+            self.failures,
+            now - self.failed_at if self.failures else 0.0,
         )
 
 
--- a/waxwingglade/decisions/shared_load.py
+++ b/waxwingglade/decisions/shared_load.py
@@ -26,6 +26,9 @@
         times longer each took than a turn takes at an average engine.
     turns : int
         Number of these turns.
+    successes, failures : int
+        Requests that ended since the last report with a complete answer, and those by which the
+        target failed.
     """
 
     in_flight: int = 0
@@ -34,6 +37,8 @@
     stretch_age_s: float = 0.0
     slowness_sum: float = 0.0
     turns: int = 0
+    successes: int = 0
+    failures: int = 0
 
 
 class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -51,6 +56,10 @@
         Average slowness of recent turns; None if none was observed.
     turns : float
         Weight of that average, in turns.
+    failures : int
+        Failures of the target since its last success, at any entry.
+    failed_age_s : float
+        Seconds since the last of these failures.
     """
 
     in_flight: int = 0
@@ -59,6 +68,8 @@
     stretch_age_s: float = 0.0
     slowness: float | None = None
     turns: float = 0.0
+    failures: int = 0
+    failed_age_s: float = 0.0
 
 
 __all__ = ["EntryLoad", "TargetLoad"]
--- a/waxwingglade/decisions/tests/test_load_sums.py
+++ b/waxwingglade/decisions/tests/test_load_sums.py
@@ -62,6 +62,17 @@
         self.report("e1", a=EntryLoad(slowness_sum=2.0, turns=2))
         self.assertEqual(TargetLoad(slowness=1.75, turns=4.0), self.sums.loads_for("")["a"])
 
+    def test_failures_count_until_any_entry_succeeds(self) -> None:
+        self.report("e1", a=EntryLoad(failures=2))
+        self.report("m1", a=EntryLoad(failures=1))
+        self.now += 0.25
+        load = self.sums.loads_for("")["a"]
+        self.assertEqual((3, 0.25), (load.failures, load.failed_age_s))
+        self.assertEqual(2, self.sums.take_entries_loads()["a"].failures)
+        self.report("e2", a=EntryLoad(successes=1))
+        self.assertEqual(TargetLoad(), self.sums.loads_for("")["a"])
+        self.assertEqual(1, self.sums.take_entries_loads()["a"].successes)
+
     def test_members_are_told_the_sums_of_entries_and_observations_once(self) -> None:
         self.report("e1", a=EntryLoad(2, 300, 2.5, 0.25, 3.0, 2))
         self.report("e2", a=EntryLoad(1, 100, slowness_sum=1.5, turns=1))
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -225,7 +225,8 @@
             for state in self.by_service.get(service, ())
             if not state.target.leaving and state.target.target not in tried
         ]
-        return [state for state in states if not state.ejection.active] or states
+        now = self.clock()
+        return [state for state in states if not state.is_ejected(now)] or states
 
     def engines(self, service: ServiceName) -> Iterator[Engine]:
         """Yield the usable engines of a service."""
@@ -465,7 +466,7 @@
         ratio = self.speed_of(choice.target.service).observe(turn)
         if uneven and events > 1:
             state.observe_ratio(bounded_ratio(ratio), self.clock())
-        state.ejection.record_success()
+        state.record_success()
         state.observe(ratio)
 
     def record_success(self, target: Target, unit_s: float) -> None:
@@ -481,15 +482,19 @@
         state = self._state(target)
         if state is None:
             return
-        state.ejection.record_success()
+        state.record_success()
         if uneven := self.uneven.get(target.service):
             unit_s /= uneven.stretch_during(state, unit_s)
         state.observe(unit_s)
 
     def record_failure(self, target: Target, is_error: bool = False) -> None:
         """Record that a target broke off, was unreachable, or answered with an error."""
-        if state := self._state(target):
-            state.ejection.record_failure(is_error)
+        state = self._state(target)
+        if state is None:
+            return
+        state.record_failure(is_error)
+        if target.service in self.sharing:
+            self.load_changed(True)
 
 
 def _cheapest(choices: list[TargetChoice], key: str) -> TargetChoice:
--- a/waxwingglade/ingress/target_state.py
+++ b/waxwingglade/ingress/target_state.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from waxwingglade.base import Clock
-from waxwingglade.decisions.ejection import Ejection
+from waxwingglade.decisions.ejection import Ejection, is_ejected_by_all
 from waxwingglade.decisions.placement import Engine
 from waxwingglade.decisions.shared_load import EntryLoad, TargetLoad
 from waxwingglade.decisions.stretch import StretchReport, latest
@@ -52,6 +52,8 @@
         Slowness of the target as observed by this entry.
     slowness_sum, turns : float, int
         Slowness of the turns that have ended since the last `entry_load`, and their number.
+    successes, failures : int
+        Requests that have ended well or by a failure of the target since then.
     shared : TargetLoad or None
         What other entries have at the target, as shared by the ledger, for the time `shared_at`
         by the entry's clock.
@@ -74,6 +76,8 @@
         self.speed = Slowness()
         self.slowness_sum = 0.0
         self.turns = 0
+        self.successes = 0
+        self.failures = 0
         self.mean_load = 0.0
         self.mean_load_at = float("-inf")
 
@@ -111,6 +115,25 @@
         """Return what other entries reported, or None if that is too old."""
         return self.shared if now - self.shared_at <= SHARED_LOAD_FRESH_S else None
 
+    def record_success(self) -> None:
+        """Record a complete answer."""
+        self.ejection.record_success()
+        self.successes += 1
+
+    def record_failure(self, is_error: bool) -> None:
+        """Record that the target failed; arguments as for `Ejection.record_failure`."""
+        self.ejection.record_failure(is_error)
+        self.failures += 1
+
+    def is_ejected(self, now: float) -> bool:
+        """Return whether the target gets no work while others are available."""
+        if self.ejection.active:
+            return True
+        shared = self.shared
+        if shared is None or not shared.failures:
+            return False
+        return is_ejected_by_all(shared.failures, shared.failed_age_s + now - self.shared_at)
+
     def stretch_report(self, now: float) -> StretchReport | None:
         """Return the latest stretch that the target reported to this or another entry."""
         own = shared = None
@@ -171,9 +194,17 @@
             stretch, age_s = self.stretch, now - self.stretch_at
             self.stretch_told_at = self.stretch_at
         report = EntryLoad(
-            self.in_flight, self.tokens, stretch, age_s, self.slowness_sum, self.turns
+            self.in_flight,
+            self.tokens,
+            stretch,
+            age_s,
+            self.slowness_sum,
+            self.turns,
+            self.successes,
+            self.failures,
         )
         self.slowness_sum, self.turns = 0.0, 0
+        self.successes = self.failures = 0
         return report
 
     def record_shared(self, shared: TargetLoad, as_of: float) -> None:
--- a/waxwingglade/ingress/tests/test_uneven.py
+++ b/waxwingglade/ingress/tests/test_uneven.py
@@ -5,7 +5,9 @@
 
 from loguru import logger
 
+from waxwingglade.base import TargetId
 from waxwingglade.base.buffered_metrics import render_page
+from waxwingglade.decisions.ejection import Ejection
 from waxwingglade.decisions.shared_load import TargetLoad
 from waxwingglade.ingress.dialect import LoadStamp
 from waxwingglade.ingress.metrics import target_gauge
@@ -79,6 +81,25 @@
         self.assertGreater(slowness["e0"], 1.5 * slowness["e1"])
         self.assertAlmostEqual(slowness["e2"], slowness["e1"], delta=0.15)
 
+    def test_a_target_that_fails_at_once_gets_few_requests_of_many_entries(self) -> None:
+        """It has no load, so the requests of all entries would go there."""
+        fleet = Fleet(FAST, SLOW)
+        sent = 0
+        for number in range(40):
+            # Each request comes through another entry, which has seen no failure itself.
+            fleet.balancer.states[TargetId("e0")].ejection = Ejection(lambda: fleet.now)
+            placed = turn(f"p{number}")
+            choice = fleet.place(placed)
+            fleet.balancer.record_end(choice.target, placed)
+            if choice.target.target == "e0":
+                sent += 1
+                failed_at = fleet.now
+            fleet.now += 0.05
+            age_s = fleet.now - failed_at
+            fleet.share(e0=TargetLoad(slowness=FAST, turns=50.0, failures=sent, failed_age_s=age_s))
+        self.assertLessEqual(sent, 5, "three until all know, then one after each ejection")
+        self.assertGreater(sent, 3, "it is tried again")
+
     def test_an_entry_reports_its_load_and_each_turn_once(self) -> None:
         fleet = Fleet(1.0)
         choice = fleet.place(turn("p", 4_000))
