Keep a load whose stretch is invalid

Cause: an odd fourth figure made the whole load count as missing, and one of hundreds of digits raised OverflowError while the answer was read. Change: an invalid stretch counts as not reported, and the other figures still count. Result: the test of a load that tells how long work takes has six more cases; the code before loses the load in four of them and raises in one.

--- a/waxwingglade/platform/headers.py
+++ b/waxwingglade/platform/headers.py
@@ -170,16 +170,26 @@
 def _load(value: str | None) -> LoadStamp | None:
     """Decode RUNNING,WAITING,SLOTS[,STRETCH]; return None if the value is missing or invalid.
 
-    STRETCH is in percent.  Figures after it, which a newer target may add, are ignored.
+    STRETCH is in percent; if it is invalid, the other figures still count.  Later figures, which a
+    newer target may add, are ignored.
     """
     if value is None:
         return None
+    figures = value.split(",")
     try:
-        running, waiting, slots, *others = (int(part) for part in value.split(","))
+        running, waiting, slots = (int(figure) for figure in figures[:3])
     except ValueError:
         return None
-    stretch = others[0] / USUAL_STRETCH if others and others[0] > 0 else None
-    return LoadStamp(running, waiting, slots, stretch)
+    return LoadStamp(running, waiting, slots, _stretch(figures[3]) if len(figures) > 3 else None)
+
+
+def _stretch(figure: str) -> float | None:
+    """Return a stretch, or None if the figure is no positive number."""
+    try:
+        stretch = int(figure) / USUAL_STRETCH
+    except (ValueError, OverflowError):
+        return None
+    return stretch if stretch > 0 else None
 
 
 def target_headers(call: Call, send: Send) -> HeaderList:
--- a/waxwingglade/platform/tests/test_wire.py
+++ b/waxwingglade/platform/tests/test_wire.py
@@ -133,7 +133,8 @@
         self.assertIsNone(stretch("3,1,8"))
         self.assertEqual(stretch("3,1,8,250"), 2.5)
         self.assertEqual(stretch("3,1,8,100,7"), 1.0)
-        self.assertIsNone(stretch("3,1,8,0"))
+        for invalid in ("0", "-100", "", "many", "1e3", "nan", "9" * 400):
+            self.assertIsNone(stretch(f"3,1,8,{invalid}"))
 
 
 class RegistryTest(unittest.TestCase):
