Have an idle connection to each target in the test of streams that end early

Cause: the test needs an idle connection to the stream's target, on which a probe asks whether the connections of that time are dead. The calls that fill the pool choose their targets by a hash of their random ports before any of them is sent, and in some runs all but one go to the other target: the probe finds nothing to ask on, and the stream ends with the time of the request, as designed. Change: the test fills the pool until it has two connections to each target, and asserts that. Its checks and bounds are as they were.

--- a/tests/test_silent_targets.py
+++ b/tests/test_silent_targets.py
@@ -54,6 +54,22 @@
         self.assertGreaterEqual(pooled, POOLED)
         return entry
 
+    async def fill_pool(self, entry: EntryUnderTest) -> None:
+        """Let an entry have two idle connections to each target, so that one is left for a probe.
+
+        Concurrent calls choose their targets by hash before any of them is sent.
+        """
+        idle = entry.ingress.pool.idle
+        self.set_targets(delay_s=0.015)
+        for number in range(20):
+            if all(len(idle.get(fake.advertised, ())) >= 2 for fake in self.fakes):
+                break
+            calls = (entry.call(PLAIN, f"more-{number}-{each}") for each in range(2 * POOLED))
+            await asyncio.gather(*calls)
+        self.set_targets(delay_s=0.0)
+        for fake in self.fakes:
+            self.assertGreaterEqual(len(idle.get(fake.advertised, ())), 2)
+
     def set_targets(self, **fields: Any) -> None:
         """Set attributes of all targets."""
         for fake in self.fakes:
@@ -117,6 +133,7 @@
             with self.subTest(resumable):
                 self.fakes = FakeTarget(), FakeTarget()
                 entry = await self.start_entry(resumable=resumable, max_attempts=1, timeout_s=2.0)
+                await self.fill_pool(entry)
                 self.set_targets(behaviour=Behaviour.EVENT)
                 connection = await entry.send(TURNS)
                 await connection.read_head(lambda _: True)
