Derive which services share their loads from those that are uneven

Cause: Balancer.sharing held just the services of Balancer.uneven, both filled by the first stretch that is reported, and _prefill_tokens listed the parts of a prompt as part_tokens does. Change: the set is gone, and part_tokens serves both. Nothing that callers or targets see changes; a test sets up a service by uneven_service instead of the set, its assertions are as they were.

--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -110,8 +110,8 @@
 
     Attributes
     ----------
-    sharing : set of ServiceName
-        Services whose targets report their stretch; entries share the loads of these.
+    uneven : dict
+        State of the services whose targets report their stretch; entries share the loads of these.
     load_changed : callable
         Called when the load of such a target changes; the argument is whether it increased.
     """
@@ -127,7 +127,6 @@
         self.program_lengths: dict[RouteName | None, ProgramLength] = {}
         self.uneven: dict[ServiceName, UnevenService] = {}
         self.targets: TargetList | None = None
-        self.sharing: set[ServiceName] = set()
         self.load_changed: Callable[[bool], None] = lambda _: None
 
     def update(self, targets: TargetList) -> list[Target]:
@@ -292,7 +291,7 @@
         """Return the number of tokens that each target would have to prefill."""
         if not call.prompt_parts:
             return [0] * len(states)
-        parts = [(part.part, part.tokens) for part in call.prompt_parts]
+        parts = part_tokens(call)
         shared = call.prompt_parts[0] if len(parts) > 1 else None
         places = tuple((state.target.target, state.target.zone) for state in states)
         home = _cached_home_targets(shared.part, places) if shared else set()
@@ -373,7 +372,7 @@
             state.record_prompt_part(part.part, part.tokens)
         if call.prompt_parts and (uneven := self.uneven.get(target.service)):
             uneven.memory.record_sent(part_tokens(call), memory_tokens(call), self.clock())
-        if target.service in self.sharing:
+        if target.service in self.uneven:
             self.load_changed(True)
 
     def record_end(self, target: Target, call: Call) -> None:
@@ -383,7 +382,7 @@
             return
         state.in_flight -= 1
         state.tokens -= memory_tokens(call)
-        if target.service in self.sharing:
+        if target.service in self.uneven:
             self.load_changed(False)
 
     def record_load(self, target: Target, load: LoadStamp | None) -> None:
@@ -394,16 +393,14 @@
         if state is None:
             return
         state.record_load(self.clock(), load)
-        if load.stretch is not None:
-            self.sharing.add(target.service)
         before = self.usual_external_load.get(target.service, 0.0)
         self.usual_external_load[target.service] = before + EXTERNAL_LOAD_SMOOTHING * (
             state.external_load - before
         )
         if load.stretch is not None and state.stretch is not None:
-            self._uneven_service(target.service).usual_stretch.observe(state.stretch)
+            self.uneven_service(target.service).usual_stretch.observe(state.stretch)
 
-    def _uneven_service(self, service: ServiceName) -> UnevenService:
+    def uneven_service(self, service: ServiceName) -> UnevenService:
         """Return the state of a service whose targets report their stretch."""
         if service not in self.uneven:
             self.speeds[service] = EngineSpeed(UNEVEN_EVENT_GAP_PRIOR)
@@ -421,7 +418,7 @@
         """Return what this entry has at targets and has observed since the last call."""
         now = self.clock()
         loads = {}
-        for service in self.sharing:
+        for service in self.uneven:
             for state in self.by_service.get(service, ()):
                 load = state.entry_load(now)
                 if load != NOTHING_TO_SHARE:
@@ -438,7 +435,7 @@
         as_of : float
             Monotonic time in seconds for which they hold.
         """
-        for service in self.sharing:
+        for service in self.uneven:
             for state in self.by_service.get(service, ()):
                 state.record_shared(loads.get(state.target.incarnation, NOTHING_SHARED), as_of)
 
@@ -493,7 +490,7 @@
         if state is None:
             return
         state.record_failure(is_error)
-        if target.service in self.sharing:
+        if target.service in self.uneven:
             self.load_changed(True)
 
 
--- a/waxwingglade/ingress/load_exchange.py
+++ b/waxwingglade/ingress/load_exchange.py
@@ -122,7 +122,7 @@
 
     def turn_arrived(self, service: ServiceName) -> None:
         """Ask what others have, for a turn whose target is chosen soon."""
-        if service in self.balancer.sharing:
+        if service in self.balancer.uneven:
             self.asks = True
             self._report_in(0.0)
 
--- a/waxwingglade/ingress/tests/test_load_exchange.py
+++ b/waxwingglade/ingress/tests/test_load_exchange.py
@@ -164,7 +164,7 @@
         view = View(replicas=ReplicaSet(1, (member,), True))
         for number, entry in enumerate(self.entries, 1):
             await entry.start()
-            entry.ingress.balancer.sharing.add(SERVICE)
+            entry.ingress.balancer.uneven_service(SERVICE)
             entry.ingress.cached_view.merge(view, float("-inf"))
             entry.ingress.load_exchange.turn_arrived(SERVICE)
             self.assertTrue(await until(lambda n=number: self.board.sums.entries == n, WAIT_S))
