Log what an attempt changed in the failures of its request

A request line said how a connection ended, not whether that counted as a failure of the target, nor what the entry knew of the request when it sent it, and nothing said why failures were cleared: targets that ended while they left, with a 500 or without a word looked the same. Attempts now have effect, failed_before and pending_before, and a line says that failures were cleared.

--- a/waxwingglade/explain/story.py
+++ b/waxwingglade/explain/story.py
@@ -30,6 +30,7 @@
         "disk lost",
         "disk regained",
         "draining",
+        "failures of a request cleared",
         LOOP_DELAYED,
         "idle connections dropped",
         "ledger quorum lost",
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -78,6 +78,16 @@
     """The target sent bytes that are no answer."""
 
 
+class Effect(Enum):
+    """What an attempt changed in what is known of the failures of its request."""
+
+    FAILED = "failed"
+    """Its target counts as failed."""
+
+    CLEARED = "cleared"
+    """No earlier failure counts any more."""
+
+
 class AttemptRecord(msgspec.Struct, omit_defaults=True):
     """Log record of one attempt.
 
@@ -98,6 +108,11 @@
         How long its connection had received nothing at that moment.
     finding : Finding or None
         What a probe found while its connection received nothing.
+    failed_before, pending_before : int
+        Targets that were known to have failed the request, and those that still ran it, when it was
+        sent; 0 for a request that had not failed before.
+    effect : Effect or None
+        What it changed in what is known of the request.
     """
 
     target: TargetId
@@ -114,6 +129,9 @@
     siblings: Siblings | None = None
     inactivity: Inactivity | None = None
     finding: Finding | None = None
+    failed_before: int = 0
+    pending_before: int = 0
+    effect: Effect | None = None
 
 
 class Head(msgspec.Struct):
@@ -332,6 +350,10 @@
             record.verdict = Verdict.NOT_RUN
             record.reason = "held back"
             raise
+        if self.trial is not None:
+            known = self.quarantine.known_failures(self.call)
+            record.failed_before = known.failed_targets
+            record.pending_before = known.tried_targets - known.failed_targets - 1
 
     def _withdraw_trial(self) -> None:
         if self.trial is not None:
@@ -422,13 +444,15 @@
         assert target is not None
         if self.records[-1].ending is Ending.LOST and not self.balancer.is_leaving(target):
             await self.quarantine.record_break(self.call, target, self.route.name)
+            self.records[-1].effect = Effect.FAILED
             self.trial = None
         self._withdraw_trial()
 
     def record_answer(self, head: Head) -> None:
         """Record that an answer is complete."""
         self.trial = None
-        self.quarantine.record_answer(self.call)
+        if self.quarantine.record_answer(self.call):
+            head.record.effect = Effect.CLEARED
         head.record.verdict = Verdict.RAN
         head.record.seconds = round(self.balancer.clock() - head.sent_at, 4)
 
@@ -472,6 +496,7 @@
 __all__ = [
     "AttemptRecord",
     "Attempts",
+    "Effect",
     "Ending",
     "Head",
     "MayHaveRun",
--- a/waxwingglade/ingress/quarantine.py
+++ b/waxwingglade/ingress/quarantine.py
@@ -119,6 +119,11 @@
         known = self.known.get(fingerprint)
         return known.failures if known is not None else NO_FAILURES
 
+    def known_failures(self, call: Call) -> TargetFailures:
+        """Return what this entry knows of a call that has failed before."""
+        fingerprint = self.fingerprint_if_suspect(call)
+        return NO_FAILURES if fingerprint is None else self._known_failures(fingerprint)
+
     def _learn(self, fingerprint: Fingerprint, failures: TargetFailures) -> TargetFailures:
         """Add to what is known of a request, and return all of it."""
         merged = self._known_failures(fingerprint).merged(failures)
@@ -208,15 +213,23 @@
             )
         return record
 
-    def record_answer(self, call: Call) -> None:
-        """Record that a target answered a call completely, so that it does not end its targets."""
+    def record_answer(self, call: Call) -> bool:
+        """Record that a target answered a call completely, so that it does not end its targets.
+
+        Returns whether the call had failed before.
+        """
         fingerprint = self.fingerprint_if_suspect(call)
         if fingerprint is None:
-            return
+            return False
         record = self._known_failures(fingerprint)
         self.known.pop(fingerprint, None)
-        if record.tried_targets:
-            self.client.report_later(fingerprint, record.all_released(wall()))
+        if not record.tried_targets:
+            return False
+        self.client.report_later(fingerprint, record.all_released(wall()))
+        logger.bind(
+            fingerprint=fingerprint, request=call.request, failed=record.failed_targets
+        ).info("failures of a request cleared")
+        return True
 
     def record_unanswered(self, call: Call, target: Target, route: str) -> None:
         """Record that a call was given up before a target, which may have ended, answered it."""
--- a/waxwingglade/ingress/request_log.py
+++ b/waxwingglade/ingress/request_log.py
@@ -118,6 +118,9 @@
             "silent_s": round(record.inactivity.seconds, 2) if record.inactivity else 0,
             "others_heard": record.inactivity.others if record.inactivity else 0,
             "probe": record.finding.value if record.finding else None,
+            "failed_before": record.failed_before,
+            "pending_before": record.pending_before,
+            "effect": record.effect.value if record.effect else None,
         }
     )
 
--- a/waxwingglade/ingress/tests/test_quarantine.py
+++ b/waxwingglade/ingress/tests/test_quarantine.py
@@ -4,6 +4,8 @@
 import unittest
 from typing import Any
 
+from loguru import logger
+
 from waxwingglade.ingress.quarantine import HeldBack
 from waxwingglade.ingress.tests.builders import FakeFailureClient, call, quarantine, target
 from waxwingglade.ingress.tests.entry_builders import (
@@ -180,6 +182,32 @@
         self.assertIsNone(self.entries[0].ingress.quarantine.fingerprint_if_suspect(call()))
 
 
+class Effects(EntriesTest):
+    async def attempts_of(self, path: str) -> list[dict[str, Any]]:
+        """Send a request, and return the attempts of its log line."""
+        lines: list[dict[str, Any]] = []
+        sink = logger.add(lambda message: lines.append(message.record["extra"]))
+        self.addCleanup(logger.remove, sink)
+        await self.entries[0].call(path, "last")
+        (line,) = (line for line in lines if "attempts" in line)
+        return line["attempts"]
+
+    async def test_a_line_says_what_was_known_before_a_send_and_what_it_changed(self) -> None:
+        await self.start([Behaviour.CUT] * 3, max_attempts=3)
+        first, second, third = await self.attempts_of(PLAIN)
+        self.assertNotIn("failed_before", first)
+        self.assertEqual((second["failed_before"], third["failed_before"]), (1, 2))
+        self.assertEqual([each["effect"] for each in (first, second, third)], ["failed"] * 3)
+
+    async def test_a_line_says_that_an_answer_cleared_earlier_failures(self) -> None:
+        await self.start([Behaviour.CUT] * 2, entries=1, max_attempts=1)
+        await self.repeat(PLAIN, 1)
+        for each in self.targets:
+            each.behaviour = Behaviour.ANSWER
+        (attempt,) = await self.attempts_of(PLAIN)
+        self.assertEqual(attempt["effect"], "cleared")
+
+
 class Trials(unittest.IsolatedAsyncioTestCase):
     async def test_a_copy_waits_while_the_last_target_that_may_end_still_runs_another(self) -> None:
         client = FakeFailureClient()
