Do not count a target that vanishes against the requests that it answered

Callers of requests that many send alike, such as reads of one object, could be refused as held back although each request had been answered: where three targets that had answered it crashed within ten seconds, all three counted as ended under it.

Cause: the connection of an attempt is released before its verdict is recorded, and each attempt without a verdict was remembered as unanswered, so each answered request was. A response that was read to its end now counts as answered. Evidence: the test failed before on all three kinds of calls (a record of a failed target after two answers), and passes now.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -476,7 +476,8 @@
         record.finding = self.pool.finding_of(connection)
         self.pool.release(choice.target.address, connection)
         self.balancer.record_end(choice.target, self.call)
-        if record.verdict is None or record.ending is Ending.UNRESPONSIVE:
+        given_up = record.verdict is None and connection.in_use
+        if given_up or record.ending is Ending.UNRESPONSIVE:
             self.quarantine.record_unanswered(self.call, choice.target, self.route.name)
         if record.ending is not Ending.LOST:
             self._withdraw_trial()
--- a/waxwingglade/ingress/tests/test_quarantine.py
+++ b/waxwingglade/ingress/tests/test_quarantine.py
@@ -120,6 +120,20 @@
 
 
 class ServedRequests(EntriesTest):
+    async def test_an_answered_request_does_not_count_against_a_target_that_vanishes(self) -> None:
+        for path, behaviour in (
+            (PLAIN, Behaviour.ANSWER),
+            (ONCE, Behaviour.ANSWER),
+            (TURNS, Behaviour.EVENTS),
+        ):
+            with self.subTest(path):
+                await self.start([behaviour], entries=1, max_attempts=1)
+                self.assertEqual(await self.repeat(path, 2), [ANSWERED] * 2)
+                vanished = target(self.targets[0].address)
+                self.entries[0].ingress.quarantine.record_removed([vanished])
+                await asyncio.sleep(0)
+                self.assertEqual(self.client.table.records, {})
+
     async def test_work_that_meets_one_or_two_ends_or_broken_connections_is_served(self) -> None:
         for behaviours in (
             [Behaviour.END, Behaviour.END, Behaviour.ANSWER],
