Count targets that end while they leave, or with bytes that are no answer

Callers' requests were sent on after three servers had ended under them, where the servers had reported that they leave or sent bytes that are no answer as they ended: neither counted.

Cause: an end counted only if the connection was lost and the target was not leaving. Both were meant to spare requests that are cut off at the end of a notice and answers that are garbled, but what a target does as it ends cannot tell who is to blame; that three different ones failed one request in a row can. Each incomplete answer now counts, whatever its ending, but for silence.

Evidence: tests.test_fatal_requests.SentAfterOtherEnds, over real entries and the real ledger.

Two tests asserted the fault (bytes that are no answer, and a target that leaves, do not count). They are replaced by tests that three such targets hold a request back, and that one that leaves is recorded.

--- a/tests/fatal_requests.py
+++ b/tests/fatal_requests.py
@@ -8,7 +8,7 @@
 
 from tests.platform_cluster import HEARTBEAT_S, HOST, Node, PlatformCluster, configuration
 from waxwingglade.base import WaxwinggladeError
-from waxwingglade.standins.registered_server import RegisteredServer, Run
+from waxwingglade.standins.registered_server import Crash, RegisteredServer, Run
 
 MARK = b"ends its server"
 SERVERS = 6
@@ -32,6 +32,9 @@
 
 OK = 200
 
+PATIENCE_S = 10.0
+"""Seconds after which a caller gives up."""
+
 
 class Answer(msgspec.Struct):
     """Answer to one attempt of a caller; status 0 if there was none."""
@@ -55,6 +58,7 @@
         self.store.put("op/config", configuration(4, extra))
         self.ended: list[RegisteredServer] = []
         self.ends_left = sys.maxsize
+        self.crash_kind = Crash.RESET
         self.tasks: set[asyncio.Task] = set()
         for servers in (self.engines, self.notes):
             while len(servers) < SERVERS:
@@ -67,6 +71,7 @@
 
     def _prepare(self, server: RegisteredServer) -> None:
         server.fatal = MARK if self.ends_left else b""
+        server.crash_kind = self.crash_kind
         server.crashed = lambda: self._replace(server)
 
     def _replace(self, server: RegisteredServer) -> None:
@@ -92,6 +97,12 @@
         await asyncio.sleep(EXPIRY_S)
         server.deregister()
 
+    def end_by(self, kind: Crash) -> None:
+        """Let marked requests end servers in one way from now on."""
+        self.crash_kind = kind
+        for server in [*self.engines, *self.notes]:
+            server.crash_kind = kind
+
     def end_at_most(self, ends: int) -> None:
         """Let marked requests end servers again, but only so many."""
         self.ends_left = ends
@@ -115,15 +126,30 @@
         return sorted((run for run in runs if body in run.body), key=lambda run: run.began_at)
 
     async def repeat(
-        self, path: str, body: bytes, times: int, **headers: str | int
+        self,
+        path: str,
+        body: bytes,
+        times: int,
+        patience_s: float = PATIENCE_S,
+        trusts_answers: bool = True,
+        **headers: str | int,
     ) -> list[Answer]:
-        """Send a request as callers repeat it: with new ids, through any entry, after a pause."""
+        """Send a request as callers repeat it: with new ids, through any entry, after a pause.
+
+        A caller that does not trust answers repeats the request after a success, too, as one whose
+        answer may be truncated.
+        """
         answers: list[Answer] = []
         for number in range(times):
             if number:
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
-            answers.append(await self.attempt(self.rng.choice(self.entries), path, body, **headers))
-            if answers[-1].status == OK:
+            entry = self.rng.choice(self.entries)
+            try:
+                async with asyncio.timeout(patience_s):
+                    answers.append(await self.attempt(entry, path, body, **headers))
+            except TimeoutError:
+                answers.append(Answer(0))
+            if trusts_answers and answers[-1].status == OK:
                 break
         return answers
 
--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -16,9 +16,12 @@
 from waxwingglade.ingress.tests.builders import call, target
 from waxwingglade.ledger.messages import MergeFailures
 from waxwingglade.ledger.target_failures import TargetFailures, Trial
-from waxwingglade.standins.registered_server import RegisteredServer
+from waxwingglade.standins.registered_server import Crash, RegisteredServer
 
 HELD = 503
+PATIENCE_S = 1.5
+"""Seconds after which a caller gives up; servers are silent for longer before they are removed."""
+
 SETTLE_S = 0.5
 """Seconds after which an entry has asked a second member."""
 
@@ -110,6 +113,25 @@
         return await asyncio.to_thread(run_process, "held", *arguments)
 
 
+class SentAfterOtherEnds(unittest.IsolatedAsyncioTestCase):
+    async def test_no_server_gets_a_request_however_the_three_before_have_ended(self) -> None:
+        cluster = FatalRequests()
+        self.addAsyncCleanup(cluster.stop)
+        await cluster.start()
+        for kind in (Crash.RESET, Crash.PARTIAL, Crash.GARBLED, Crash.LEAVING):
+            for name, path, times in (("turn", STREAM, 6), ("tool call", CALL, 4)):
+                with self.subTest(f"{name}: {kind.value}"):
+                    await cluster.until(lambda: cluster.recovered)
+                    cluster.end_by(kind)
+                    body = MARK + f"{name} {kind.name}".encode()
+                    headers = program(f"{name[0]}-{kind.name}")
+                    answers = await cluster.repeat(
+                        path, body, times, PATIENCE_S, trusts_answers=False, **headers
+                    )
+                    sent = cluster.fatal_runs(body)
+                    self.assertLessEqual(len(sent), MAX_ENDED, [each.status for each in answers])
+
+
 class StalledMember(unittest.IsolatedAsyncioTestCase):
     async def test_an_entry_learns_of_suspect_requests_while_the_member_it_follows_is_stalled(
         self,
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -78,6 +78,10 @@
     """The target sent bytes that are no answer."""
 
 
+FAILED_ENDINGS = (Ending.LOST, Ending.INVALID)
+"""Endings after which the target counts as failed."""
+
+
 class Effect(Enum):
     """What an attempt changed in what is known of the failures of its request."""
 
@@ -442,7 +446,7 @@
         """Report that the target of the last attempt ended or broke off, unless it did not."""
         target = self.last_target
         assert target is not None
-        if self.records[-1].ending is Ending.LOST and not self.balancer.is_leaving(target):
+        if self.records[-1].ending in FAILED_ENDINGS:
             await self.quarantine.record_break(self.call, target, self.route.name)
             self.records[-1].effect = Effect.FAILED
             self.trial = None
@@ -479,7 +483,7 @@
         given_up = record.verdict is None and connection.in_use
         if given_up or record.ending is Ending.UNRESPONSIVE:
             self.quarantine.record_unanswered(self.call, choice.target, self.route.name)
-        if record.ending is not Ending.LOST:
+        if record.ending not in FAILED_ENDINGS:
             self._withdraw_trial()
 
 
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -347,11 +347,6 @@
         state = self._state(target)
         return state is not None and not state.target.leaving
 
-    def is_leaving(self, target: Target) -> bool:
-        """Return whether an incarnation of a target has reported that it leaves."""
-        state = self._state(target)
-        return state is not None and state.target.leaving
-
     # Outcomes
 
     def _state(self, target: Target) -> TargetState | None:
--- a/waxwingglade/ingress/tests/test_quarantine.py
+++ b/waxwingglade/ingress/tests/test_quarantine.py
@@ -81,6 +81,26 @@
                 self.assertEqual(statuses[-1], HELD)
                 self.assertEqual(set(statuses), {BROKEN, HELD})
 
+    async def test_targets_that_send_bytes_that_are_no_answer_count(self) -> None:
+        await self.start([Behaviour.GARBLE] * 4, max_attempts=1)
+        self.assertEqual(await self.repeat(PLAIN, 5), [BROKEN] * 3 + [HELD] * 2)
+        (record,) = self.client.table.records.values()
+        self.assertEqual((self.arrived, record.failed_targets), (3, 3))
+
+    async def test_a_target_that_breaks_off_while_it_leaves_counts(self) -> None:
+        await self.start([Behaviour.HOLD], entries=1, max_attempts=1, timeout_s=5.0)
+        (only,) = self.targets
+        pending = asyncio.create_task(self.entries[0].call(ONCE, "r1"))
+        await until(lambda: bool(only.arrived), 2.0)
+        self.entries[0].ingress.balancer._usable("notes", set())[0].target = target(
+            only.address, leaving=True
+        )
+        for each in only.writers:
+            each.transport.abort()
+        status, _ = await pending
+        (record,) = self.client.table.records.values()
+        self.assertEqual((status, record.failed_targets), (BROKEN, 1))
+
     async def test_of_copies_at_once_only_as_many_are_sent_as_targets_may_still_end(self) -> None:
         await self.start([Behaviour.END] * 12, entries=3, max_attempts=1)
         self.assertEqual(await self.repeat(PLAIN, 2), [BROKEN] * 2)
@@ -171,24 +191,6 @@
         self.assertEqual(await self.repeat(PLAIN, 1, other), [ANSWERED])
         self.assertEqual(await self.repeat(ONCE, 1), [ANSWERED])
 
-    async def test_bytes_that_are_no_answer_do_not_count(self) -> None:
-        await self.start([Behaviour.GARBLE] * 4, max_attempts=1)
-        self.assertEqual(await self.repeat(PLAIN, 5), [BROKEN] * 5)
-        self.assertEqual(self.client.table.records, {})
-
-    async def test_a_target_that_breaks_off_while_it_leaves_does_not_count(self) -> None:
-        await self.start([Behaviour.HOLD], entries=1, max_attempts=1, timeout_s=5.0)
-        (only,) = self.targets
-        pending = asyncio.create_task(self.entries[0].call(ONCE, "r1"))
-        await until(lambda: bool(only.arrived), 2.0)
-        self.entries[0].ingress.balancer._usable("notes", set())[0].target = target(
-            only.address, leaving=True
-        )
-        for each in only.writers:
-            each.transport.abort()
-        status, _ = await pending
-        self.assertEqual((status, self.client.table.records), (BROKEN, {}))
-
     async def test_requests_without_failures_ask_nobody_and_compute_nothing(self) -> None:
         await self.start([Behaviour.ANSWER], max_attempts=2)
         self.assertEqual(await self.repeat(PLAIN, 4), [ANSWERED] * 4)
--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -30,6 +30,27 @@
     PLAIN_503 = "answers 503 without promising anything"
 
 
+class Crash(Enum):
+    """What a server still does when a request ends it."""
+
+    RESET = "ends all connections at once"
+    PARTIAL = "sends a part of the answer"
+    GARBLED = "sends bytes that are no answer"
+    ERROR = "answers 500"
+    UNFRAMED = "sends an answer without a length, which the end of the connection completes"
+    LEAVING = "reports that it leaves, and runs the request for a while"
+    SILENT = "sends nothing any more, and leaves its connections open"
+
+
+LEAVING_S = 0.7
+"""Seconds for which a server that reported that it leaves still runs the request that ends it."""
+
+LAST_BYTES_S = 0.02
+"""Seconds for which a server that ends still sends its last bytes."""
+
+FOREVER_S = 3600.0
+
+
 class Run(msgspec.Struct, frozen=True):
     """One request that a server ran, with its start in monotonic seconds."""
 
@@ -67,6 +88,8 @@
         Requests whose bodies contain these bytes end the process of the server; empty for none.
     fatal_after_s : float
         Seconds after which such a request ends it.
+    crash_kind : Crash
+        What it still does then.
     crashed : callable
         Called when the process has ended so.
     crashed_at : float or None
@@ -97,6 +120,7 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self.fatal = b""
         self.fatal_after_s = 0.0
+        self.crash_kind = Crash.RESET
         self.crashed: Callable[[], None] = lambda: None
         self.crashed_at: float | None = None
         self.crashed_by = ""
@@ -143,15 +167,21 @@
             writer.transport.abort()
 
     def crash(self, request: str) -> None:
-        """End like a killed process: its port refuses, and its item stays in the store."""
+        """End like a killed process: its port refuses, and its item stays in the store.
+
+        A silent one ends like a machine without power: its connections stay open.
+        """
         if self.crashed_at is not None:
             return
         self.crashed_by = request
         self.crashed_at = time.monotonic()
         assert self.server is not None
         self.server.close()
-        for writer in list(self.writers):
-            writer.transport.abort()
+        if self.crash_kind is Crash.SILENT:
+            self.pause(FOREVER_S)
+        else:
+            for writer in list(self.writers):
+                writer.transport.abort()
         self.crashed()
 
     def pause(self, seconds: float) -> None:
@@ -199,12 +229,31 @@
         try:
             if self.fatal and self.fatal in body:
                 await asyncio.sleep(self.fatal_after_s)
-                self.crash(request)
+                await self._crash_under(writer, request)
                 return False
             return await self._run(writer, request, body)
         finally:
             self.active -= 1
 
+    async def _crash_under(self, writer: asyncio.StreamWriter, request: str) -> None:
+        """End under a request, after the last bytes of its kind of crash."""
+        seal = "X-Waxwingglade-Server-Seal: seal\r\n"
+        head = self._head(200, request) + seal
+        last_bytes = {
+            Crash.PARTIAL: f"{head}Content-Length: 5000\r\n\r\npart".encode(),
+            Crash.GARBLED: b"\x00\x01 no answer \r\n\r\n",
+            Crash.ERROR: self._plain(500, request, b"fatal\n"),
+            Crash.UNFRAMED: f"{head}\r\nid: 1\ndata: x\n\n".encode(),
+        }.get(self.crash_kind)
+        if last_bytes is not None:
+            writer.write(last_bytes)
+            await asyncio.sleep(LAST_BYTES_S)
+        if self.crash_kind is Crash.LEAVING:
+            self.register("draining")
+            await asyncio.sleep(LEAVING_S)
+        self.crash(request)
+        await self._until_resumed()
+
     async def _run(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
         if self.fault is ServerFault.CUT:
             return False
@@ -268,4 +317,4 @@
     return b"%d-%s" % (number, hashlib.sha256(body).hexdigest()[:12].encode())
 
 
-__all__ = ["RegisteredServer", "Run", "ServerFault", "answer_to", "event_data"]
+__all__ = ["Crash", "RegisteredServer", "Run", "ServerFault", "answer_to", "event_data"]
