Count targets that fell silent under a request before they are removed

Callers' requests were sent on after three servers had lost power under them: a server that sends nothing any more counted once its entry left the store, three heartbeats later, and callers that give up after two seconds were back before that.

Cause: a request that was given up was remembered at its entry only, without any effect until its target was removed. It now counts as pending at the ledger's members if nothing arrived from the target on any connection for a while, and is released when the target is heard again. Requests that failed avoid the targets where they did, so that a silent one does not get its request twice.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from waxwingglade.base import TargetId, Verdict
+from waxwingglade.base import TargetId, Verdict, monotonic
 from waxwingglade.follow.model import (
     CallKind,
     IncarnationName,
@@ -58,6 +58,10 @@
 seconds after which callers abandon a stream without events, so that they can retry on a new
 connection in time."""
 
+SILENT_S = 0.5
+"""Seconds without bytes from a target after which it may have ended under a call that is given
+up."""
+
 SERVER_ERRORS = 500
 """Lowest status that reports a failure of the target itself."""
 
@@ -88,6 +92,9 @@
     FAILED = "failed"
     """Its target counts as failed."""
 
+    SUSPECTED = "suspected"
+    """Its target may have ended, which is not yet known."""
+
     CLEARED = "cleared"
     """No earlier failure counts any more."""
 
@@ -318,7 +325,10 @@
 
     def _choose(self) -> tuple[Choice, AttemptRecord]:
         """Return the best remaining target, and the record of a new attempt."""
-        choice = self.balancer.choose(self.service, self.call, self.tried, self.history, self.route)
+        failed_at = self.quarantine.failed_at(self.call)
+        choice = self.balancer.choose(
+            self.service, self.call, self.tried, self.history, self.route, failed_at
+        )
         if choice is None:
             raise NoTarget
         self.last_target = choice.target
@@ -480,12 +490,31 @@
         record.finding = self.pool.finding_of(connection)
         self.pool.release(choice.target.address, connection)
         self.balancer.record_end(choice.target, self.call)
-        given_up = record.verdict is None and connection.in_use
-        if given_up or record.ending is Ending.UNRESPONSIVE:
-            self.quarantine.record_unanswered(self.call, choice.target, self.route.name)
+        self._record_undecided(choice.target, connection, record)
         if record.ending not in FAILED_ENDINGS:
             self._withdraw_trial()
 
+    def _record_undecided(
+        self, target: Target, connection: Http1Connection, record: AttemptRecord
+    ) -> None:
+        """Record that the target may have ended, by what arrived before the end of an attempt."""
+        if record.verdict is Verdict.NOT_RUN or record.ending in FAILED_ENDINGS:
+            return
+        if not connection.in_use:
+            return
+        suspected = self._is_silent(connection, record)
+        self.quarantine.record_undecided(self.call, target, self.route.name, is_suspected=suspected)
+        if suspected:
+            record.effect = Effect.SUSPECTED
+
+    def _is_silent(self, connection: Http1Connection, record: AttemptRecord) -> bool:
+        """Return whether nothing has arrived from the target for a while, on any connection."""
+        silent_s = monotonic() - max(connection.last_received_at, connection.sent_at)
+        if silent_s < SILENT_S and record.ending is not Ending.UNRESPONSIVE:
+            return False
+        recently = monotonic() - silent_s / 2
+        return not self.pool.shows_life(connection.address, recently)
+
 
 def _ending_of(connection: Http1Connection, error: Exception) -> Ending:
     if isinstance(error, Unresponsive):
--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -179,6 +179,7 @@
         avoid: Iterable[TargetId],
         history: History | None = None,
         route: Route | None = None,
+        failed_at: frozenset[IncarnationName] = frozenset(),
     ) -> Choice | None:
         """Return the best target for a call, or None if there is none.
 
@@ -194,11 +195,16 @@
             Where the previous turns of the program ran, if that is known.
         route : Route or None
             Route of the call, if known; programs of one route are of similar length.
+        failed_at : frozenset of IncarnationName
+            Targets that failed the call or may have ended under it; they are used only if there is
+            no other.
         """
         now = self.clock()
         usable = self._usable(service.name, set(avoid))
         if history is not None and history.failed_at is not None:
-            others = [state for state in usable if state.target.incarnation != history.failed_at]
+            failed_at |= {history.failed_at}
+        if failed_at:
+            others = [state for state in usable if state.target.incarnation not in failed_at]
             usable = others or usable
         if not usable:
             return None
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -121,7 +121,9 @@
         self.ledger = LedgerClient(
             self.links, lambda: self.cached_view.view.replicas.members, settings.zone
         )
-        self.quarantine = Quarantine(self.ledger.failures, self.cached_view.suspects)
+        self.quarantine = Quarantine(
+            self.ledger.failures, self.cached_view.suspects, self.pool.shows_life
+        )
         self.follower = FeedFollower(
             self.cached_view,
             self.replicas,
@@ -304,6 +306,7 @@
                 self.follower.discount_stall(delay_s)
             self._check_quorum()
             self.cached_view.drop_expired()
+            self.quarantine.clear_suspicions()
             self.quarantine.remove_expired()
             self.pool.close_expired()
             self.close_idle()
--- a/waxwingglade/ingress/quarantine.py
+++ b/waxwingglade/ingress/quarantine.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections import OrderedDict, deque
+from collections import OrderedDict
 
 import msgspec
 from loguru import logger
@@ -15,11 +15,12 @@
 from waxwingglade.base import Clock, Fingerprint, monotonic, wall
 from waxwingglade.base.tasks import run_detached
 from waxwingglade.decisions.failed_targets import MAX_FAILED_TARGETS
-from waxwingglade.follow.model import Target
+from waxwingglade.follow.model import IncarnationName, Target
 from waxwingglade.follow.suspects import Suspects
 from waxwingglade.ingress.dialect import Call
 from waxwingglade.ingress.fingerprint import fingerprint_of
 from waxwingglade.ingress.refusal import UNAVAILABLE, Refusal
+from waxwingglade.ingress.undecided import ShowsLife, UndecidedSend, UndecidedSends
 from waxwingglade.ledger.failure_client import FailureClient
 from waxwingglade.ledger.target_failures import (
     NO_FAILURES,
@@ -31,11 +32,9 @@
 KNOWN_RETENTION_S = 30.0
 """Seconds for which an entry itself remembers a failed request, in case it reaches no member."""
 
-UNANSWERED_RETENTION_S = 10.0
-"""Seconds for which a request without an answer is remembered for its target.  The entry of a
-target that ended without a word expires within a few seconds."""
+MAX_KNOWN = 2_000
 
-MAX_KNOWN = MAX_UNANSWERED = 2_000
+NOWHERE: frozenset[IncarnationName] = frozenset()
 
 
 class HeldBack(Exception):
@@ -49,15 +48,6 @@
     learned_at: float
 
 
-class Unanswered(msgspec.Struct, frozen=True):
-    """A request that was given up while a target had it."""
-
-    fingerprint: Fingerprint
-    trial: Trial
-    route: str
-    given_up_at: float
-
-
 class Quarantine:
     """The requests that one entry holds back.
 
@@ -67,6 +57,8 @@
         Records failed targets at the members of the ledger.
     suspects : Suspects
         Requests that failed at several targets, as members of the ledger know them.
+    shows_life : callable
+        Whether a target has not ended.
     clock : Clock
         Monotonic seconds.
 
@@ -74,18 +66,24 @@
     ----------
     known : OrderedDict
         Requests that failed at this entry or of which members were asked, the latest last.
-    unanswered : deque of Unanswered
-        Requests that were given up without an answer, the oldest first.
+    undecided : UndecidedSends
+        Sends after which a target may have ended.
     held : int
         Requests that were held back since the start.
     """
 
-    def __init__(self, client: FailureClient, suspects: Suspects, clock: Clock = monotonic) -> None:
+    def __init__(
+        self,
+        client: FailureClient,
+        suspects: Suspects,
+        shows_life: ShowsLife = lambda _address, _since: False,
+        clock: Clock = monotonic,
+    ) -> None:
         self.client = client
         self.suspects = suspects
         self.clock = clock
         self.known: OrderedDict[Fingerprint, KnownRequest] = OrderedDict()
-        self.unanswered: deque[Unanswered] = deque(maxlen=MAX_UNANSWERED)
+        self.undecided = UndecidedSends(shows_life, clock)
         self.held = 0
 
     def fingerprint_if_suspect(self, call: Call) -> Fingerprint | None:
@@ -124,6 +122,11 @@
         fingerprint = self.fingerprint_if_suspect(call)
         return NO_FAILURES if fingerprint is None else self._known_failures(fingerprint)
 
+    def failed_at(self, call: Call) -> frozenset[IncarnationName]:
+        """Return the targets that failed a call or may have ended under it."""
+        fingerprint = self.fingerprint_if_suspect(call)
+        return NOWHERE if fingerprint is None else self._known_failures(fingerprint).targets
+
     def _learn(self, fingerprint: Fingerprint, failures: TargetFailures) -> TargetFailures:
         """Add to what is known of a request, and return all of it."""
         merged = self._known_failures(fingerprint).merged(failures)
@@ -141,7 +144,8 @@
         count = self._failed_targets(fingerprint)
         reason = f"not run: held back: {count} targets ended or broke off under this request"
         if count < MAX_FAILED_TARGETS:
-            return Refusal(UNAVAILABLE, f"{reason}, and others still run it ({fingerprint})")
+            others = "others still run it or may have ended"
+            return Refusal(UNAVAILABLE, f"{reason}, and {others} ({fingerprint})")
         now = wall()
         known = self._known_failures(fingerprint)
         if not known.changed_at:
@@ -231,31 +235,42 @@
         ).info("failures of a request cleared")
         return True
 
-    def record_unanswered(self, call: Call, target: Target, route: str) -> None:
-        """Record that a call was given up before a target, which may have ended, answered it."""
+    def record_undecided(
+        self,
+        call: Call,
+        target: Target,
+        route: str,
+        is_suspected: bool = False,
+    ) -> None:
+        """Record that a target may have ended under a call.
+
+        It counts as failed once it is known to have ended.  If it is suspected, it counts as
+        pending until then.
+        """
         fingerprint = fingerprint_of(call)
-        if fingerprint is not None:
-            trial = Trial(target.incarnation, call.request)
-            self.unanswered.append(Unanswered(fingerprint, trial, route, self.clock()))
+        if fingerprint is None:
+            return
+        send = UndecidedSend(fingerprint, target, call.request, route, self.clock())
+        self.undecided.add(send, is_suspected)
+        if is_suspected:
+            change = TargetFailures((), (send.suspicion,), (), wall(), route)
+            self._learn(fingerprint, change)
+            self.client.report_later(fingerprint, change)
 
     def record_removed(self, targets: list[Target]) -> None:
         """Record targets that are no longer registered; those that did not report it have ended."""
-        self._forget_unanswered()
-        ended = {target.incarnation for target in targets if not target.leaving}
-        for each in self.unanswered if ended else ():
-            if each.trial.target in ended:
-                # The trial of the send itself was withdrawn when it was given up.
-                trial = Trial(each.trial.target, f"{each.trial.request} unanswered")
-                run_detached(self._report(each.fingerprint, each.route, failed=trial))
-
-    def _forget_unanswered(self) -> None:
-        oldest = self.clock() - UNANSWERED_RETENTION_S
-        while self.unanswered and self.unanswered[0].given_up_at < oldest:
-            self.unanswered.popleft()
+        for send in self.undecided.take_ended(targets):
+            run_detached(self._report(send.fingerprint, send.route, failed=send.end))
+
+    def clear_suspicions(self) -> None:
+        """Release the trials of targets that were suspected to have ended, and have not."""
+        for send in self.undecided.take_cleared():
+            change = TargetFailures(released=(send.suspicion,), changed_at=wall())
+            self._learn(send.fingerprint, change)
+            self.client.report_later(send.fingerprint, change)
 
     def remove_expired(self) -> None:
         """Remove what is no longer needed."""
-        self._forget_unanswered()
         oldest = self.clock() - KNOWN_RETENTION_S
         while self.known and next(iter(self.known.values())).learned_at < oldest:
             self.known.popitem(last=False)
--- a/waxwingglade/ledger/target_failures.py
+++ b/waxwingglade/ledger/target_failures.py
@@ -80,10 +80,15 @@
         """Number of targets that ended or broke off under the request."""
         return _count_targets(self.failed)
 
+    @property
+    def targets(self) -> frozenset[IncarnationName]:
+        """Targets that have failed or may still fail."""
+        return frozenset(trial.target for trial in self.failed + self.pending)
+
     @property
     def tried_targets(self) -> int:
         """Number of targets that have failed or may still fail."""
-        return _count_targets(self.failed + self.pending)
+        return len(self.targets)
 
     @property
     def is_held(self) -> bool:
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -168,6 +168,14 @@
             lost=sum(abs(lost_at - broke_at) <= SAME_MOMENT_S for lost_at in lost),
         )
 
+    def shows_life(self, address: str, since: float) -> bool:
+        """Return whether a peer was heard after a moment on any connection."""
+        return any(
+            each.last_received_at > max(since, each.opened_at)
+            for each in self.connections
+            if each.address == address
+        )
+
     def inactivity_of(self, connection: Http1Connection) -> Inactivity:
         """Return how long a connection has received nothing, and how many others have."""
         since = max(connection.last_received_at, connection.sent_at)
