Do not take an answer for innocence that may be the last of its target

Callers' requests were sent on after three servers had ended under them with a whole 500, or with an answer without a length that the end of the connection completed.

Cause: any complete answer cleared all failures of its request, and counted as no failure itself. But a server that answers 500 and is gone a moment later has ended, and the end of a connection completes an answer without a length whether the server meant it or not. Such an answer now clears nothing, and its target counts as pending until a connection to it proves open 0.1 s later or it is heard again; if it is removed within ten seconds, it has failed.

--- a/tests/test_fatal_requests.py
+++ b/tests/test_fatal_requests.py
@@ -118,7 +118,7 @@
         cluster = FatalRequests()
         self.addAsyncCleanup(cluster.stop)
         await cluster.start()
-        for kind in set(Crash) - {Crash.ERROR, Crash.UNFRAMED}:
+        for kind in Crash:
             for name, path, times in (("turn", STREAM, 6), ("tool call", CALL, 4)):
                 with self.subTest(f"{name}: {kind.value}"):
                     await cluster.until(lambda: cluster.recovered)
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -465,7 +465,9 @@
     def record_answer(self, head: Head) -> None:
         """Record that an answer is complete."""
         self.trial = None
-        if self.quarantine.record_answer(self.call):
+        if not _may_precede_end(head.connection, head.response.status) and (
+            self.quarantine.record_answer(self.call)
+        ):
             head.record.effect = Effect.CLEARED
         head.record.verdict = Verdict.RAN
         head.record.seconds = round(self.balancer.clock() - head.sent_at, 4)
@@ -500,10 +502,13 @@
         """Record that the target may have ended, by what arrived before the end of an attempt."""
         if record.verdict is Verdict.NOT_RUN or record.ending in FAILED_ENDINGS:
             return
-        if not connection.in_use:
+        answered = not connection.in_use
+        if answered and not _may_precede_end(connection, record.status):
             return
-        suspected = self._is_silent(connection, record)
-        self.quarantine.record_undecided(self.call, target, self.route.name, is_suspected=suspected)
+        suspected = answered or self._is_silent(connection, record)
+        self.quarantine.record_undecided(
+            self.call, target, self.route.name, is_silent=not answered, is_suspected=suspected
+        )
         if suspected:
             record.effect = Effect.SUSPECTED
 
@@ -513,7 +518,12 @@
         if silent_s < SILENT_S and record.ending is not Ending.UNRESPONSIVE:
             return False
         recently = monotonic() - silent_s / 2
-        return not self.pool.shows_life(connection.address, recently)
+        return not self.pool.shows_life(connection.address, recently, is_silent=True)
+
+
+def _may_precede_end(connection: Http1Connection, status: int) -> bool:
+    """Return whether a target that ends may have sent a complete answer as its last one."""
+    return status >= SERVER_ERRORS or connection.unframed
 
 
 def _ending_of(connection: Http1Connection, error: Exception) -> Ending:
--- a/waxwingglade/ingress/quarantine.py
+++ b/waxwingglade/ingress/quarantine.py
@@ -76,7 +76,7 @@
         self,
         client: FailureClient,
         suspects: Suspects,
-        shows_life: ShowsLife = lambda _address, _since: False,
+        shows_life: ShowsLife = lambda _address, _since, _is_silent: False,
         clock: Clock = monotonic,
     ) -> None:
         self.client = client
@@ -240,6 +240,7 @@
         call: Call,
         target: Target,
         route: str,
+        is_silent: bool = True,
         is_suspected: bool = False,
     ) -> None:
         """Record that a target may have ended under a call.
@@ -250,7 +251,7 @@
         fingerprint = fingerprint_of(call)
         if fingerprint is None:
             return
-        send = UndecidedSend(fingerprint, target, call.request, route, self.clock())
+        send = UndecidedSend(fingerprint, target, call.request, route, self.clock(), is_silent)
         self.undecided.add(send, is_suspected)
         if is_suspected:
             change = TargetFailures((), (send.suspicion,), (), wall(), route)
--- a/waxwingglade/ingress/tests/entry_builders.py
+++ b/waxwingglade/ingress/tests/entry_builders.py
@@ -59,6 +59,7 @@
     EVENTS = "answers with a whole stream"
     EVENT_AND_END = "answers with one event, and ends the stream when it may proceed"
     ERROR = "answers 500"
+    ERROR_AND_END = "answers 500, and ends with its socket and all connections"
     CUT = "closes the connection without an answer"
     GARBLE = "sends bytes that are no answer"
     END = "ends, with its socket and all connections"
@@ -136,7 +137,10 @@
             writer.transport.abort()
         if self.behaviour is Behaviour.GARBLE:
             writer.write(b"no answer\r\n\r\n")
-        if self.behaviour is Behaviour.END:
+        if self.behaviour is Behaviour.ERROR_AND_END:
+            writer.write(f"HTTP/1.1 500 No\r\n{SEALED}Content-Length: 2\r\n\r\nno".encode())
+            await asyncio.sleep(0)
+        if self.behaviour in (Behaviour.END, Behaviour.ERROR_AND_END):
             self.ended_at = self.ended_at or time.monotonic()
             self.stop()
             for each in self.writers:
--- a/waxwingglade/ingress/tests/test_quarantine.py
+++ b/waxwingglade/ingress/tests/test_quarantine.py
@@ -19,7 +19,7 @@
 )
 from waxwingglade.transport import HttpResponse
 
-ANSWERED, BROKEN, HELD, TIMED_OUT = 200, 502, 503, 504
+ANSWERED, FAILED, BROKEN, HELD, TIMED_OUT = 200, 500, 502, 503, 504
 
 
 class EntriesTest(unittest.IsolatedAsyncioTestCase):
@@ -169,6 +169,29 @@
         self.assertEqual(self.client.table.records, {})
 
 
+class DoubtfulAnswers(EntriesTest):
+    async def test_no_call_is_sent_on_after_three_targets_ended_with_an_error(self) -> None:
+        await self.start([Behaviour.ERROR_AND_END] * 5, max_attempts=1)
+        statuses = await self.repeat(ONCE, 5, ("X-Waxwingglade-Session-Id", "s"))
+        self.assertEqual((self.arrived, statuses), (3, [FAILED] * 3 + [HELD] * 2))
+
+    async def test_a_target_that_is_still_connected_after_an_error_has_not_ended(self) -> None:
+        await self.start([Behaviour.ERROR], entries=1, max_attempts=1)
+        self.assertEqual(await self.repeat(ONCE, 1), [FAILED])
+        (record,) = self.client.table.records.values()
+        self.assertEqual(len(record.pending), 1)
+        await until(lambda: not self.client.table.get(*self.client.table.records).pending, 2.0)
+
+    async def test_an_error_clears_no_earlier_failure(self) -> None:
+        await self.start([Behaviour.CUT] * 2, entries=1, max_attempts=1)
+        self.assertEqual(await self.repeat(ONCE, 1), [BROKEN])
+        for each in self.targets:
+            each.behaviour = Behaviour.ERROR
+        self.assertEqual((await self.entries[0].call(ONCE, "last"))[0], FAILED)
+        (record,) = self.client.table.records.values()
+        self.assertEqual(record.failed_targets, 1)
+
+
 class ServedRequests(EntriesTest):
     async def test_an_answered_request_does_not_count_against_a_target_that_vanishes(self) -> None:
         for path, behaviour in (
--- a/waxwingglade/ingress/undecided.py
+++ b/waxwingglade/ingress/undecided.py
@@ -1,7 +1,8 @@
 """Sends after which a target may have ended, until it is known whether it has.
 
-A target that sends nothing may have ended or be slow.  It is heard again if it runs, and is removed
-from the list of targets some seconds later if it has ended.
+A target that sends nothing may have ended or be slow, and one that answers with an error, or ends
+its answer by closing the connection, may have ended right after.  The target is heard again if it
+runs, and is removed from the list of targets some seconds later if it has ended.
 """
 
 from collections import deque
@@ -17,10 +18,14 @@
 """Seconds for which a send is undecided.  The entry of a target that ended without a word expires
 within a few seconds."""
 
+SETTLE_S = 0.1
+"""Seconds after which a target that is still connected has not ended with its answer."""
+
 MAX_UNDECIDED = 2_000
 
-ShowsLife = Callable[[str, float], bool]
-"""Returns whether the peer of an address was heard after a moment."""
+ShowsLife = Callable[[str, float, bool], bool]
+"""Returns whether the peer of an address was heard after a moment or, unless the last argument says
+that it may be silent, is connected."""
 
 
 class UndecidedSend(msgspec.Struct, frozen=True):
@@ -32,6 +37,8 @@
         Id of the attempt of the caller.
     since : float
         When it ended, in monotonic seconds.
+    is_silent : bool
+        Whether the target had sent nothing for a while.
     """
 
     fingerprint: Fingerprint
@@ -39,6 +46,7 @@
     request: str
     route: str
     since: float
+    is_silent: bool = True
 
     @property
     def suspicion(self) -> Trial:
@@ -105,9 +113,11 @@
         return cleared
 
     def _is_cleared(self, send: UndecidedSend, now: float) -> bool:
+        if now < send.since + SETTLE_S:
+            return False
         if now > send.since + RETENTION_S:
             return True
-        return self.shows_life(send.target.address, send.since)
+        return self.shows_life(send.target.address, send.since, send.is_silent)
 
     def _forget(self) -> None:
         oldest = self.clock() - RETENTION_S
--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -82,6 +82,8 @@
     must_close : bool
         Whether the connection is not used again, for instance because bytes arrived that belong to
         no request.
+    unframed : bool
+        Whether only the end of the connection ended the last response, which may be truncated.
     idle_since : float
         When the last response was read to its end, in monotonic seconds.
     opened_at, last_received_at, sent_at : float
@@ -110,6 +112,7 @@
         self.in_use = False
         self.sent = False
         self.must_close = False
+        self.unframed = False
         self.idle_since = 0.0
         self.opened_at = 0.0
         self.last_received_at = 0.0
@@ -348,7 +351,7 @@
                     f"a response to another request of more than {MAX_SKIPPED_BYTES} bytes",
                     self.sent,
                 )
-        if event is ResponseEnd.CLOSING:
+        if event is not ResponseEnd.KEEP_ALIVE:
             raise ConnectionBroken("closed after a response to another request", self.sent)
 
     def _has_no_body(self) -> bool:
@@ -358,13 +361,14 @@
         """Prepare for another request, if the connection can be reused."""
         self.in_use = False
         self.sent = False
+        self.unframed = end is ResponseEnd.UNFRAMED
         self.idle_since = monotonic()
         unsent = self.transport is not None and self.transport.get_write_buffer_size() > 0
         more = self.parser.has_more or self.chunks
         # Bytes after a complete response belong to no request.  A target that answers before it has
         # read the request's body must not find another request in place of the rest.
         self.must_close = bool(
-            more or unsent or self.close_after_response or end is ResponseEnd.CLOSING
+            more or unsent or self.close_after_response or end is not ResponseEnd.KEEP_ALIVE
         )
 
 
--- a/waxwingglade/transport/parser.py
+++ b/waxwingglade/transport/parser.py
@@ -27,6 +27,7 @@
 
     KEEP_ALIVE = "another may follow on its connection"
     CLOSING = "it is the last one of its connection"
+    UNFRAMED = "only the end of its connection ended it"
 
 
 Event = HttpResponse | bytes | ResponseEnd
@@ -71,7 +72,7 @@
         if self.error is not None:
             return
         if self.head is not None and _ends_with_connection(self.head):
-            self._record_end(ResponseEnd.CLOSING)
+            self._record_end(ResponseEnd.UNFRAMED)
         self.error = "the connection has ended"
 
     def take(self) -> Event | None:
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -168,10 +168,14 @@
             lost=sum(abs(lost_at - broke_at) <= SAME_MOMENT_S for lost_at in lost),
         )
 
-    def shows_life(self, address: str, since: float) -> bool:
-        """Return whether a peer was heard after a moment on any connection."""
+    def shows_life(self, address: str, since: float, is_silent: bool) -> bool:
+        """Return whether a peer has not ended at a moment.
+
+        It was heard after the moment on any connection or, unless it may be silent, a connection to
+        it is open.
+        """
         return any(
-            each.last_received_at > max(since, each.opened_at)
+            each.last_received_at > max(since, each.opened_at) or not (is_silent or each.ended)
             for each in self.connections
             if each.address == address
         )
