Suspect a target that fell silent for a second, though it is heard again

Callers' requests could still be sent to a fourth server: a server that sent nothing for 0.2 s was given up, was heard again on another connection, and ended under the request half a second later.

Cause: being heard was taken as proof that the target had outlived the request, which it may still have been running; and one that had reported that it leaves counted for nothing when it was removed. The suspicion now lasts a second at least, and a target that was not heard since and is removed has ended, whether it was leaving or not.

The new test of SilentTargets fails without the change, in both cases. The two tests that were to show that suspicions are cleared waited for it without asserting it, and do now.

--- a/waxwingglade/ingress/tests/test_quarantine.py
+++ b/waxwingglade/ingress/tests/test_quarantine.py
@@ -17,6 +17,7 @@
     FakeTarget,
     until,
 )
+from waxwingglade.ingress.undecided import SILENT_SETTLE_S
 from waxwingglade.transport import HttpResponse
 
 ANSWERED, FAILED, BROKEN, HELD, TIMED_OUT = 200, 500, 502, 503, 504
@@ -52,6 +53,15 @@
         head.body = await connection.read_body(1_000)
         return head
 
+    async def clears_suspicion(self) -> bool:
+        """Return whether the first entry clears a suspicion once it may."""
+
+        def is_cleared() -> bool:
+            self.entries[0].ingress.quarantine.clear_suspicions()
+            return not any(record.pending for record in self.client.table.records.values())
+
+        return await until(is_cleared, SILENT_SETTLE_S + 0.5)
+
     @property
     def ended(self) -> int:
         """Number of targets that ended under a request."""
@@ -153,8 +163,23 @@
         (record,) = self.client.table.records.values()
         self.assertEqual(len(record.pending), 1)
         only.behaviour = Behaviour.ANSWER
+        await asyncio.sleep(SILENT_SETTLE_S)
         self.assertEqual((await entry.call(PLAIN, "r2"))[0], ANSWERED)
-        await until(lambda: not self.client.table.get(*self.client.table.records).pending, 2.0)
+        self.assertTrue(await self.clears_suspicion())
+
+    async def test_a_target_that_is_heard_for_a_moment_and_then_removed_has_ended(self) -> None:
+        for leaving in (False, True):
+            with self.subTest(leaving=leaving):
+                await self.start([Behaviour.HOLD], entries=1, max_attempts=1, timeout_s=0.6)
+                (only,), (entry,) = self.targets, self.entries
+                self.assertEqual((await entry.call(ONCE, "r1"))[0], TIMED_OUT)
+                only.behaviour = Behaviour.ANSWER
+                self.assertEqual((await entry.call(PLAIN, "r2"))[0], ANSWERED)
+                self.assertFalse(await self.clears_suspicion())
+                entry.ingress.quarantine.record_removed([target(only.address, leaving=leaving)])
+                await asyncio.sleep(0)
+                (record,) = self.client.table.records.values()
+                self.assertEqual(record.failed_targets, 1)
 
     async def test_a_target_that_is_heard_meanwhile_is_not_suspected(self) -> None:
         await self.start([Behaviour.HOLD], entries=1, max_attempts=1, timeout_s=0.6)
@@ -180,7 +205,7 @@
         self.assertEqual(await self.repeat(ONCE, 1), [FAILED])
         (record,) = self.client.table.records.values()
         self.assertEqual(len(record.pending), 1)
-        await until(lambda: not self.client.table.get(*self.client.table.records).pending, 2.0)
+        self.assertTrue(await self.clears_suspicion())
 
     async def test_an_error_clears_no_earlier_failure(self) -> None:
         await self.start([Behaviour.CUT] * 2, entries=1, max_attempts=1)
--- a/waxwingglade/ingress/undecided.py
+++ b/waxwingglade/ingress/undecided.py
@@ -18,9 +18,13 @@
 """Seconds for which a send is undecided.  The entry of a target that ended without a word expires
 within a few seconds."""
 
-SETTLE_S = 0.1
+ANSWERED_SETTLE_S = 0.1
 """Seconds after which a target that is still connected has not ended with its answer."""
 
+SILENT_SETTLE_S = 1.0
+"""Seconds after which a target that was silent and is heard again has not ended.  Until then it may
+still run a request that was given up, and end under it."""
+
 MAX_UNDECIDED = 2_000
 
 ShowsLife = Callable[[str, float, bool], bool]
@@ -90,15 +94,21 @@
             self.suspected.append(send)
 
     def take_ended(self, removed: list[Target]) -> list[UndecidedSend]:
-        """Remove and return the sends to targets that were removed without having left."""
+        """Remove and return the sends to targets that ended.
+
+        They were removed without having left, or while they were suspected.
+        """
         self._forget()
-        ended = {target.incarnation for target in removed if not target.leaving}
-        if not ended:
+        if not removed:
             return []
-        taken, others = _partition(self.sends, lambda send: send.target.incarnation in ended)
-        self.sends = deque(others, maxlen=MAX_UNDECIDED)
-        self.suspected = [send for send in self.suspected if send.target.incarnation not in ended]
-        return taken
+        gone = {target.incarnation for target in removed}
+        ended = {target.incarnation for target in removed if not target.leaving}
+        taken, self.suspected = _partition(
+            self.suspected, lambda send: send.target.incarnation in gone
+        )
+        others, rest = _partition(self.sends, lambda send: send.target.incarnation in ended)
+        self.sends = deque(rest, maxlen=MAX_UNDECIDED)
+        return taken + [send for send in others if send not in taken]
 
     def take_cleared(self) -> list[UndecidedSend]:
         """Return the sends that were suspected and are no longer.
@@ -113,11 +123,12 @@
         return cleared
 
     def _is_cleared(self, send: UndecidedSend, now: float) -> bool:
-        if now < send.since + SETTLE_S:
-            return False
         if now > send.since + RETENTION_S:
             return True
-        return self.shows_life(send.target.address, send.since, send.is_silent)
+        settled_at = send.since + (SILENT_SETTLE_S if send.is_silent else ANSWERED_SETTLE_S)
+        if now < settled_at:
+            return False
+        return self.shows_life(send.target.address, settled_at, send.is_silent)
 
     def _forget(self) -> None:
         oldest = self.clock() - RETENTION_S
@@ -136,4 +147,4 @@
     return matching, others
 
 
-__all__ = ["MAX_UNDECIDED", "ShowsLife", "UndecidedSend", "UndecidedSends"]
+__all__ = ["MAX_UNDECIDED", "SILENT_SETTLE_S", "ShowsLife", "UndecidedSend", "UndecidedSends"]
--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -98,6 +98,8 @@
         Id of the request that ended it.
     paused_until : float
         When it goes on after a pause, in monotonic seconds.
+    stopped : asyncio.Event
+        Set once it was stopped.
     stretch : callable or None
         Returns how many times longer than usual its work takes at present, which it reports; None
         if it always takes as long and nothing is reported.
@@ -125,6 +127,7 @@
         self.crashed_at: float | None = None
         self.crashed_by = ""
         self.paused_until = 0.0
+        self.stopped = asyncio.Event()
         self.stretch: Callable[[], float] | None = None
 
     async def start(self, host: str = "127.0.0.1") -> None:
@@ -160,6 +163,7 @@
 
     async def stop(self) -> None:
         """Deregister, and stop without finishing requests."""
+        self.stopped.set()
         self.deregister()
         assert self.server is not None
         self.server.close()
@@ -190,7 +194,9 @@
 
     async def _until_resumed(self) -> None:
         while (left_s := self.paused_until - time.monotonic()) > 0:
-            await asyncio.sleep(left_s)
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.stopped.wait(), left_s)
+                raise ConnectionAbortedError("the server was stopped while it was paused")
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
