Let servers of the soak end in several ways under a request

The soak found no ends but resets, as its servers ended in no other way, and excused each end beside any fault of the entry or the server, so that the incident passed it. Only faults that hide an end (a killed or paused entry, a cut to the server, silent links) excuse it now.

A short seeded run is part of the tests.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,6 +8,7 @@
 import msgspec
 import typer
 
+from tests.soak.fatal_requests import VISIBLE_CRASHES
 from tests.soak.kinds import (
     EARLIER_KINDS,
     FIRST_KINDS,
@@ -57,6 +58,9 @@
     fatal: Annotated[
         int, typer.Option(help="callers at a time whose requests end the servers that run them")
     ] = 2,
+    endings: Annotated[
+        bool, typer.Option(help="requests end servers in several ways, not only by a reset")
+    ] = False,
     leaving: Annotated[
         bool, typer.Option(help="only servers that leave, and a store that refuses some processes")
     ] = False,
@@ -112,6 +116,8 @@
         size = msgspec.structs.replace(
             PAUSED_SIZE, seconds=seconds, entries=max(entries, PAUSED_SIZE.entries)
         )
+    if endings:
+        size = msgspec.structs.replace(size, crash_kinds=VISIBLE_CRASHES)
     if uneven:
         size = msgspec.structs.replace(size, uneven=True)
     if leaving:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -5,7 +5,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -15,7 +15,7 @@
 from tests.soak.endless_bytes import EndlessAnswer, EndlessKind, send_without_end
 from waxwingglade.platform.registry import REPLICAS_KEY
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
-from waxwingglade.standins.registered_server import RegisteredServer
+from waxwingglade.standins.registered_server import Crash, RegisteredServer
 
 CALLERS = 200
 """Relay number of the callers; nodes are numbered from 0."""
@@ -111,6 +111,12 @@
         if self.heartbeats is not None:
             self.heartbeats.cancel()
 
+    def register(self, state: str) -> None:
+        """Write the entry in the store; a server that leaves does not renew it."""
+        if state == "draining":
+            self.stop_heartbeats()
+        super().register(state)
+
     def crash(self, request: str) -> None:
         """End like a killed process; its entry expires later."""
         self.stop_heartbeats()
@@ -169,6 +175,8 @@
         Interval in seconds at which servers renew their entries; 0 if they never do.
     fatal : bytes
         Requests whose bodies contain these bytes end the servers that run them; empty for none.
+    crash_kinds : sequence of Crash
+        How servers may end so.
 
     Attributes
     ----------
@@ -193,7 +201,9 @@
         accounts: Accounts | None = None,
         heartbeat_s: float = 0.0,
         fatal: bytes = b"",
+        crash_kinds: Sequence[Crash] = (Crash.RESET,),
     ) -> None:
+        self.crash_kinds = crash_kinds
         self.accounts = accounts
         self.fatal = fatal
         self.heartbeat_s = heartbeat_s
@@ -252,7 +262,7 @@
             task.cancel()
         await self.relays.close()
         await self.stop()
-        for server in self.left_servers:
+        for server in [*self.left_servers, *self.crashed_servers]:
             await server.stop()
 
     def nodes(self) -> list[Node]:
@@ -284,6 +294,7 @@
         relay = await self.relays.add(number, port, source=CALLERS)
         server.advertised = f"{ADDRESS}:{relay}"
         server.fatal = self.fatal
+        server.crash_kind = self.rng.choice(self.crash_kinds)
         server.crashed = lambda: self._replace_crashed(server, relay)
         server.register("ready")
         if isinstance(server, SoakServer):
--- a/tests/soak/fatal_requests.py
+++ b/tests/soak/fatal_requests.py
@@ -12,13 +12,19 @@
 from tests.platform_cluster import CALL, STREAM, Node
 from tests.soak.cluster import SoakServer
 from tests.soak.interrupted_turns import is_majority_lost
-from tests.soak.kinds import FaultOccurrence
+from tests.soak.kinds import FaultKind, FaultOccurrence
 from tests.soak.workload import Attempt, Callers
-from waxwingglade.standins.registered_server import Run
+from waxwingglade.standins.registered_server import Crash, Run
 
 HELD = b"ended or broke off under this request"
 """Part of the answer to a request that is held back."""
 
+VISIBLE_CRASHES = tuple(kind for kind in Crash if kind is not Crash.UNFRAMED)
+"""Ways in which servers end so that callers do not take an answer for complete, and come back."""
+
+PATIENCE_S = 2.0
+"""Seconds after which a caller gives up."""
+
 FINAL_STATUSES = (200, 400, 401, 402, 403, 404, 413)
 """Statuses after which callers do not repeat a request."""
 
@@ -42,6 +48,15 @@
 REPORT_S = 0.3
 """Seconds after an end within which a fault may keep the entry from recording it."""
 
+HIDING_KINDS = (
+    FaultKind.KILL_ENTRY,
+    FaultKind.KILL_ALL,
+    FaultKind.PAUSE_ENTRY,
+    FaultKind.SERVER_LINK,
+    FaultKind.SILENT_LINKS,
+)
+"""Faults that may keep the entry from seeing an end of a server, or from recording it."""
+
 RECORDED_S = 0.5
 """Seconds after which an end is recorded, so that no copy that a caller then sends is passed on."""
 
@@ -118,7 +133,9 @@
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
             for _ in range(1 + RETRIES[path]):
                 entry = self.rng.choice(entries)
-                attempt = await self.callers.send(path, work.body, None, program, budget, entry)
+                attempt = await self.callers.send(
+                    path, work.body, None, program, budget, entry, patience_s=PATIENCE_S
+                )
                 work.requests.add(attempt.request)
                 if attempt.status in FINAL_STATUSES:
                     return
@@ -143,8 +160,8 @@
 ) -> list[str]:
     """Return the requests that were sent on after three servers had ended, over all their ids.
 
-    An end does not count while a fault affects the entry, the server or a majority of the ledger:
-    the entry may not have seen or recorded it.
+    An end does not count while one of `HIDING_KINDS` affects the entry or the server, or the
+    majority of the ledger is lost: the entry may not have seen or recorded it.
 
     Parameters
     ----------
@@ -201,7 +218,11 @@
     end: End, attempt: Attempt, occurrences: Sequence[FaultOccurrence], ledgers: Sequence[str]
 ) -> bool:
     """Return whether a fault may have kept the entry from seeing or recording an end."""
-    overlapping = [each for each in occurrences if each.is_active(end.at, end.at + REPORT_S)]
+    overlapping = [
+        each
+        for each in occurrences
+        if each.kind in HIDING_KINDS and each.is_active(end.at, end.at + REPORT_S)
+    ]
     if any(each.affects(attempt.entry) or each.affects(end.server) for each in overlapping):
         return True
     return _lacks_ledger(end.at, end.at + REPORT_S, occurrences, ledgers)
@@ -227,4 +248,12 @@
     ]
 
 
-__all__ = ["MARK", "End", "FatalCallers", "FatalWork", "check_fatal_requests", "ends_of"]
+__all__ = [
+    "MARK",
+    "VISIBLE_CRASHES",
+    "End",
+    "FatalCallers",
+    "FatalWork",
+    "check_fatal_requests",
+    "ends_of",
+]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,7 +29,7 @@
 from tests.soak.sub_agents import SubAgents
 from tests.soak.supervisor import Supervisor
 from tests.soak.workload import NO_ANSWER, Attempt, Callers
-from waxwingglade.standins.registered_server import Run
+from waxwingglade.standins.registered_server import Crash, Run
 
 RECOVERY_S = 15.0
 """Seconds after the last fault within which every entry has to serve turns again."""
@@ -62,6 +62,8 @@
         Duration in seconds of a flush of a ledger process; 0 to use the machine's disk.
     fatal : int
         Number of concurrent callers whose requests end servers; it changes the run of a seed.
+    crash_kinds : tuple of Crash
+        How these servers may end; several kinds change the run of a seed.
     single : int
         Number of concurrent callers whose calls may be sent to one server only; it changes the run
         of a seed.
@@ -93,6 +95,7 @@
     sub_agents: int = 2
     flush_s: float = 0.001
     fatal: int = 2
+    crash_kinds: tuple[Crash, ...] = (Crash.RESET,)
     single: int = 0
     accounts: bool = False
     pressing: int = 0
@@ -151,7 +154,15 @@
     """
     accounts = Accounts(random.Random(seed + 3_000_000)) if size.accounts else None
     mark = MARK if size.fatal else b""
-    cluster = SoakCluster(size.entries, size.spares, size.flush_s, accounts, size.heartbeat_s, mark)
+    cluster = SoakCluster(
+        size.entries,
+        size.spares,
+        size.flush_s,
+        accounts,
+        size.heartbeat_s,
+        mark,
+        size.crash_kinds,
+    )
     cluster.uneven = size.uneven
     try:
         await cluster.open()
--- a/tests/soak/test_fatal_requests.py
+++ b/tests/soak/test_fatal_requests.py
@@ -3,8 +3,17 @@
 import unittest
 from pathlib import Path
 
+import msgspec
+
 from tests.platform_cluster import STREAM
-from tests.soak.fatal_requests import HELD, MARK, End, FatalWork, check_fatal_requests
+from tests.soak.fatal_requests import (
+    HELD,
+    MARK,
+    VISIBLE_CRASHES,
+    End,
+    FatalWork,
+    check_fatal_requests,
+)
 from tests.soak.kinds import EVERYWHERE, FaultKind, FaultOccurrence
 from tests.soak.run import Size, soak
 from tests.soak.workload import Attempt
@@ -34,6 +43,12 @@
         self.assertEqual(outcome.violations, [])
         self.assertGreater(outcome.ended, 5)
 
+    async def test_no_request_is_sent_on_however_three_servers_ended(self) -> None:
+        size = msgspec.structs.replace(SHORT, crash_kinds=VISIBLE_CRASHES)
+        outcome = await soak(SEED, size, ARTIFACTS)
+        self.assertEqual(outcome.violations, [])
+        self.assertGreater(outcome.ended, 5)
+
 
 class Histories(unittest.TestCase):
     def check(
@@ -78,6 +93,11 @@
             (FaultKind.KILL_ENTRY, "front-1"),
             (FaultKind.SERVER_LINK, "i-9"),
             (FaultKind.HUP, "front-0"),
+            (FaultKind.STOP_ENTRY, "front-0"),
+            (FaultKind.STORE_LINK, "front-0"),
+            (FaultKind.CALLER_LINK, "front-0"),
+            (FaultKind.SERVER_FAULT, "i-1"),
+            (FaultKind.SERVER_LEAVES, "i-1"),
         ):
             with self.subTest(kind=kind):
                 fault = FaultOccurrence(kind, where, second_at - 0.1, second_at + 0.1)
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -142,8 +142,12 @@
         budget: int = 0,
         entry: Node | None = None,
         account: str = FREE,
+        patience_s: float = REQUEST_TIMEOUT_S,
     ) -> Attempt:
-        """Send a request to an entry, by default a random one, and record the answer."""
+        """Send a request to an entry, by default a random one, and record the answer.
+
+        The caller gives up after `patience_s` seconds.
+        """
         entry = entry or self.rng.choice(self.cluster.entries)
         attempt = Attempt(
             f"r{next(self.numbers)}",
@@ -160,7 +164,7 @@
             attempt.key = self.cluster.accounts.draw_key(account)
         self.attempts.append(attempt)
         try:
-            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+            async with asyncio.timeout(patience_s):
                 await self._exchange(entry, attempt)
         except (WaxwinggladeError, TimeoutError):
             pass
