Take the silence of an attempt from its record, and have tests know responses without a length

Three tests of time limits failed since attempts read the times of their connection, which their stand-in does not have; the silence of an attempt that is given up is now in its log line, too, and comes from where that of broken ones does. Their stand-in has a target with a name, as trials are sorted. A test of the parser expects the new end of a response without a length.

--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -514,7 +514,8 @@
 
     def _is_silent(self, connection: Http1Connection, record: AttemptRecord) -> bool:
         """Return whether nothing has arrived from the target for a while, on any connection."""
-        silent_s = monotonic() - max(connection.last_received_at, connection.sent_at)
+        record.inactivity = record.inactivity or self.pool.inactivity_of(connection)
+        silent_s = record.inactivity.seconds
         if silent_s < SILENT_S and record.ending is not Ending.UNRESPONSIVE:
             return False
         recently = monotonic() - silent_s / 2
--- a/waxwingglade/ingress/tests/test_wait_limits.py
+++ b/waxwingglade/ingress/tests/test_wait_limits.py
@@ -8,7 +8,7 @@
 from waxwingglade.follow.model import CallKind
 from waxwingglade.ingress.attempt import Attempts, MayHaveRun
 from waxwingglade.ingress.send_grants import SendGrants
-from waxwingglade.ingress.tests.builders import call, quarantine
+from waxwingglade.ingress.tests.builders import call, quarantine, target
 from waxwingglade.transport import ConnectionBroken, Inactivity, Siblings, Unresponsive, WaitLimits
 
 
@@ -47,6 +47,10 @@
         """Return that nothing arrived on any connection."""
         return Inactivity(0.0, 0)
 
+    def shows_life(self, _address: str, _since: float, is_silent: bool) -> bool:
+        """Return that nothing was heard."""
+        return not is_silent
+
 
 class WaitLimitTest(unittest.IsolatedAsyncioTestCase):
     async def ends(
@@ -62,7 +66,9 @@
             rank=0,
         )
         balancer = mock.Mock(clock=lambda: 0.0)
-        balancer.choose.return_value = mock.Mock(load=0.0, load_age_s=0.0, prefill_tokens=0)
+        balancer.choose.return_value = mock.Mock(
+            target=target("i-1"), load=0.0, load_age_s=0.0, prefill_tokens=0
+        )
         pool: Any = FailingPool(errors)
         attempts = Attempts(
             mock.Mock(),
--- a/waxwingglade/transport/tests/test_parser.py
+++ b/waxwingglade/transport/tests/test_parser.py
@@ -75,7 +75,7 @@
     def test_a_response_without_a_length_ends_with_the_connection(self, at: list[int]) -> None:
         self.assertEqual(read(WITHOUT_LENGTH, at, False), ([], ""))
         complete, _ = read(WITHOUT_LENGTH, at, True)
-        self.assertEqual(complete, [(200, b"hello", ResponseEnd.CLOSING)])
+        self.assertEqual(complete, [(200, b"hello", ResponseEnd.UNFRAMED)])
 
     @given(st.sampled_from((WITH_LENGTH, CHUNKED, CLOSING, HTTP_1_0)), st.data(), split_points)
     def test_a_truncated_response_is_not_complete(
