Let the soak count ends whose entry is killed meanwhile

An end under an entry that is killed before it reports it has no other witness, which the check excuses.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,7 +8,7 @@
 import msgspec
 import typer
 
-from tests.soak.fatal_requests import VISIBLE_CRASHES
+from tests.soak.fatal_requests import HIDING_KINDS, KILLING_KINDS, VISIBLE_CRASHES
 from tests.soak.kinds import (
     EARLIER_KINDS,
     FIRST_KINDS,
@@ -61,6 +61,9 @@
     endings: Annotated[
         bool, typer.Option(help="requests end servers in several ways, not only by a reset")
     ] = False,
+    killed: Annotated[
+        bool, typer.Option(help="ends of servers count although their entry is killed meanwhile")
+    ] = False,
     leaving: Annotated[
         bool, typer.Option(help="only servers that leave, and a store that refuses some processes")
     ] = False,
@@ -99,7 +102,8 @@
     The seeds of earlier failures run twice each, with and without restarts of processes that end by
     themselves.
     """
-    size = Size(seconds, entries, programs, sub_agents=swarms, fatal=fatal)
+    hiding = tuple(kind for kind in HIDING_KINDS if not (killed and kind in KILLING_KINDS))
+    size = Size(seconds, entries, programs, sub_agents=swarms, fatal=fatal, hiding=hiding)
     if machine_disk:
         size = msgspec.structs.replace(size, flush_s=0.0)
     if accounts or limits:
--- a/tests/soak/fatal_requests.py
+++ b/tests/soak/fatal_requests.py
@@ -48,9 +48,11 @@
 REPORT_S = 0.3
 """Seconds after an end within which a fault may keep the entry from recording it."""
 
+KILLING_KINDS = (FaultKind.KILL_ENTRY, FaultKind.KILL_ALL)
+"""Faults that may end the only process that knows of an end of a server."""
+
 HIDING_KINDS = (
-    FaultKind.KILL_ENTRY,
-    FaultKind.KILL_ALL,
+    *KILLING_KINDS,
     FaultKind.PAUSE_ENTRY,
     FaultKind.SERVER_LINK,
     FaultKind.SILENT_LINKS,
@@ -157,10 +159,11 @@
     ends: Sequence[End],
     occurrences: Sequence[FaultOccurrence],
     ledgers: Sequence[str],
+    hiding: Sequence[FaultKind] = HIDING_KINDS,
 ) -> list[str]:
     """Return the requests that were sent on after three servers had ended, over all their ids.
 
-    An end does not count while one of `HIDING_KINDS` affects the entry or the server, or the
+    An end does not count while one of the `hiding` faults affects the entry or the server, or the
     majority of the ledger is lost: the entry may not have seen or recorded it.
 
     Parameters
@@ -182,7 +185,7 @@
             end
             for end in sorted(ends, key=lambda each: each.at)
             if end.request in work.requests
-            and not _is_excused(end, by_id[end.request], occurrences, ledgers)
+            and not _is_excused(end, by_id[end.request], occurrences, ledgers, hiding)
         ]
         if len(counted) < MAX_ENDED:
             continue
@@ -215,13 +218,17 @@
 
 
 def _is_excused(
-    end: End, attempt: Attempt, occurrences: Sequence[FaultOccurrence], ledgers: Sequence[str]
+    end: End,
+    attempt: Attempt,
+    occurrences: Sequence[FaultOccurrence],
+    ledgers: Sequence[str],
+    hiding: Sequence[FaultKind],
 ) -> bool:
     """Return whether a fault may have kept the entry from seeing or recording an end."""
     overlapping = [
         each
         for each in occurrences
-        if each.kind in HIDING_KINDS and each.is_active(end.at, end.at + REPORT_S)
+        if each.kind in hiding and each.is_active(end.at, end.at + REPORT_S)
     ]
     if any(each.affects(attempt.entry) or each.affects(end.server) for each in overlapping):
         return True
@@ -249,6 +256,8 @@
 
 
 __all__ = [
+    "HIDING_KINDS",
+    "KILLING_KINDS",
     "MARK",
     "VISIBLE_CRASHES",
     "End",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -4,6 +4,7 @@
 import json
 import random
 import time
+from collections.abc import Sequence
 from pathlib import Path
 
 import msgspec
@@ -15,6 +16,7 @@
 from tests.soak.cluster import SoakCluster
 from tests.soak.endless_bytes import check_endless_answers
 from tests.soak.fatal_requests import (
+    HIDING_KINDS,
     MARK,
     FatalCallers,
     FatalWork,
@@ -64,6 +66,8 @@
         Number of concurrent callers whose requests end servers; it changes the run of a seed.
     crash_kinds : tuple of Crash
         How these servers may end; several kinds change the run of a seed.
+    hiding : tuple of FaultKind
+        Faults that excuse an end of a server which nobody recorded.
     single : int
         Number of concurrent callers whose calls may be sent to one server only; it changes the run
         of a seed.
@@ -96,6 +100,7 @@
     flush_s: float = 0.001
     fatal: int = 2
     crash_kinds: tuple[Crash, ...] = (Crash.RESET,)
+    hiding: tuple[FaultKind, ...] = HIDING_KINDS
     single: int = 0
     accounts: bool = False
     pressing: int = 0
@@ -194,7 +199,7 @@
         await asyncio.sleep(LATE_RUNS_S)
         await supervisor.stop()
         faults.stop()
-        violations += _check_histories(cluster, callers, faults, fatal.works)
+        violations += _check_histories(cluster, callers, faults, fatal.works, size.hiding)
         violations += supervisor.violations
         if violations and artifacts is not None:
             _save_artifacts(artifacts / str(seed), cluster, callers, faults, violations)
@@ -265,7 +270,11 @@
 
 
 def _check_histories(
-    cluster: SoakCluster, callers: Callers, faults: Faults, works: list[FatalWork]
+    cluster: SoakCluster,
+    callers: Callers,
+    faults: Faults,
+    works: list[FatalWork],
+    hiding: Sequence[FaultKind],
 ) -> list[str]:
     runs = _runs(cluster)
     violations = check(callers.attempts, runs)
@@ -293,7 +302,7 @@
     )
     ends = ends_of(cluster.all_servers())
     violations += check_fatal_requests(
-        works, callers.attempts, runs, ends, faults.occurrences, ledgers
+        works, callers.attempts, runs, ends, faults.occurrences, ledgers, hiding
     )
     for node in cluster.nodes():
         violations += _check_process(node)
