--- a/waxwingglade/ingress/tests/test_quarantine.py
+++ b/waxwingglade/ingress/tests/test_quarantine.py
@@ -215,6 +215,7 @@
         (only,), (entry,) = self.targets, self.entries
         slow = asyncio.create_task(entry.call(ONCE, "r1"))
         await until(lambda: bool(only.arrived), 2.0)
+        await asyncio.sleep(0.05)  # The target reads its behaviour after the request has arrived.
         only.behaviour = Behaviour.ANSWER
         for number in range(5):
             await asyncio.sleep(0.1)
