Decide in one place whether a target is silent, and report changes of failures in one

No caller sees a difference.

ConnectionPool.is_silent, Quarantine._report_later, dict.fromkeys and the timeout of the call serve instead. Bounds, checks and assertions are as they were; the stand-in of the pool in test_wait_limits answers the new question the way it answered the old one.

--- a/tests/fatal_requests.py
+++ b/tests/fatal_requests.py
@@ -144,19 +144,22 @@
             if number:
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
             entry = self.rng.choice(self.entries)
-            try:
-                async with asyncio.timeout(patience_s):
-                    answers.append(await self.attempt(entry, path, body, **headers))
-            except TimeoutError:
-                answers.append(Answer(0))
+            answers.append(await self.attempt(entry, path, body, patience_s, **headers))
             if trusts_answers and answers[-1].status == OK:
                 break
         return answers
 
-    async def attempt(self, entry: Node, path: str, body: bytes, **headers: str | int) -> Answer:
+    async def attempt(
+        self,
+        entry: Node,
+        path: str,
+        body: bytes,
+        patience_s: float = PATIENCE_S,
+        **headers: str | int,
+    ) -> Answer:
         """Send a request once, with a new id."""
         try:
-            response = await self.call(entry, "POST", path, body, **headers)
+            response = await self.call(entry, "POST", path, body, patience_s, **headers)
         except (WaxwinggladeError, TimeoutError):
             return Answer(0)
         return Answer(response.status, response.body.decode())
--- a/waxwingglade/ingress/attempt.py
+++ b/waxwingglade/ingress/attempt.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from waxwingglade.base import TargetId, Verdict, monotonic
+from waxwingglade.base import TargetId, Verdict
 from waxwingglade.follow.model import (
     CallKind,
     IncarnationName,
@@ -507,8 +507,11 @@
         answered = not connection.in_use
         if answered and not _may_precede_end(connection, record.status):
             return
+        if not answered:
+            record.inactivity = record.inactivity or self.pool.inactivity_of(connection)
+        silent_s = 0.0 if record.ending is Ending.UNRESPONSIVE else SILENT_S
         suspected = record.effect is not Effect.SUSPECTED and (
-            answered or self._is_silent(connection, record)
+            answered or self.pool.is_silent(connection, silent_s)
         )
         self.quarantine.record_undecided(
             self.call, target, self.route.name, is_silent=not answered, is_suspected=suspected
@@ -522,23 +525,9 @@
         assert target is not None
         if record.effect is not None or connection.paused:
             return
-        now = monotonic()
-        silent_s = now - max(connection.last_received_at, connection.sent_at)
-        if silent_s < LAST_RESPONSE_TIMEOUT_S:
-            return
-        if self.pool.shows_life(connection.address, now - silent_s / 2, is_silent=True):
-            return
-        self.quarantine.record_undecided(self.call, target, self.route.name, is_suspected=True)
-        record.effect = Effect.SUSPECTED
-
-    def _is_silent(self, connection: Http1Connection, record: AttemptRecord) -> bool:
-        """Return whether nothing has arrived from the target for a while, on any connection."""
-        record.inactivity = record.inactivity or self.pool.inactivity_of(connection)
-        silent_s = record.inactivity.seconds
-        if silent_s < SILENT_S and record.ending is not Ending.UNRESPONSIVE:
-            return False
-        recently = monotonic() - silent_s / 2
-        return not self.pool.shows_life(connection.address, recently, is_silent=True)
+        if self.pool.is_silent(connection, LAST_RESPONSE_TIMEOUT_S):
+            self.quarantine.record_undecided(self.call, target, self.route.name, is_suspected=True)
+            record.effect = Effect.SUSPECTED
 
 
 def _may_precede_end(connection: Http1Connection, status: int) -> bool:
--- a/waxwingglade/ingress/quarantine.py
+++ b/waxwingglade/ingress/quarantine.py
@@ -196,8 +196,7 @@
         fingerprint = fingerprint_of(call)
         assert fingerprint is not None
         change = TargetFailures(released=(trial,), changed_at=wall())
-        self._learn(fingerprint, change)
-        self.client.report_later(fingerprint, change)
+        self._report_later(fingerprint, change)
 
     async def record_break(self, call: Call, target: Target, route: str) -> None:
         """Record that a target ended or broke off under a call.
@@ -229,6 +228,11 @@
             )
         return record
 
+    def _report_later(self, fingerprint: Fingerprint, change: TargetFailures) -> None:
+        """Record a change here, and at the members without waiting for them."""
+        self._learn(fingerprint, change)
+        self.client.report_later(fingerprint, change)
+
     def record_answer(self, call: Call) -> bool:
         """Record that a target answered a call completely, so that it does not end its targets.
 
@@ -268,8 +272,7 @@
         self.undecided.add(send, is_suspected)
         if is_suspected:
             change = TargetFailures((), (send.suspicion,), (), wall(), route)
-            self._learn(fingerprint, change)
-            self.client.report_later(fingerprint, change)
+            self._report_later(fingerprint, change)
 
     def record_removed(self, targets: list[Target]) -> None:
         """Record targets that are no longer registered; those that did not report it have ended."""
@@ -285,8 +288,7 @@
         """Release the trials of targets that were suspected to have ended, and have not."""
         for send in self.undecided.take_cleared():
             change = TargetFailures(released=(send.suspicion,), changed_at=wall())
-            self._learn(send.fingerprint, change)
-            self.client.report_later(send.fingerprint, change)
+            self._report_later(send.fingerprint, change)
 
     def remove_expired(self) -> None:
         """Remove what is no longer needed."""
--- a/waxwingglade/ingress/tests/test_wait_limits.py
+++ b/waxwingglade/ingress/tests/test_wait_limits.py
@@ -47,9 +47,9 @@
         """Return that nothing arrived on any connection."""
         return Inactivity(0.0, 0)
 
-    def shows_life(self, _address: str, _since: float, is_silent: bool) -> bool:
+    def is_silent(self, _connection: Any, _at_least_s: float) -> bool:
         """Return that nothing was heard."""
-        return not is_silent
+        return True
 
 
 class WaitLimitTest(unittest.IsolatedAsyncioTestCase):
--- a/waxwingglade/ingress/undecided.py
+++ b/waxwingglade/ingress/undecided.py
@@ -114,7 +114,7 @@
         )
         others, rest = _partition(self.sends, lambda send: send.target.incarnation in ended)
         self.sends = deque(rest, maxlen=MAX_UNDECIDED)
-        return taken + [send for send in others if send not in taken]
+        return list(dict.fromkeys(taken + others))
 
     def take_cleared(self) -> list[UndecidedSend]:
         """Return the sends that were suspected and are no longer.
--- a/waxwingglade/ledger/target_failures.py
+++ b/waxwingglade/ledger/target_failures.py
@@ -5,8 +5,6 @@
 missed some changes is completed later.
 """
 
-from collections.abc import Iterable
-
 import msgspec
 import xxhash
 
@@ -78,7 +76,7 @@
     @property
     def failed_targets(self) -> int:
         """Number of targets that ended or broke off under the request."""
-        return _count_targets(self.failed)
+        return len({trial.target for trial in self.failed})
 
     @property
     def targets(self) -> frozenset[IncarnationName]:
@@ -127,10 +125,6 @@
 NO_FAILURES = TargetFailures()
 
 
-def _count_targets(trials: Iterable[Trial]) -> int:
-    return len({trial.target for trial in trials})
-
-
 class FailureTable:
     """The records of one process, bounded in number and in time.
 
--- a/waxwingglade/transport/pool.py
+++ b/waxwingglade/transport/pool.py
@@ -180,6 +180,18 @@
             if each.address == address
         )
 
+    def is_silent(self, connection: Http1Connection, at_least_s: float) -> bool:
+        """Return whether the peer of a connection in use has sent nothing for a while.
+
+        Nothing arrived on this connection for `at_least_s` seconds or longer, and nothing on any
+        other one in the second half of that time.
+        """
+        now = monotonic()
+        silent_s = now - max(connection.last_received_at, connection.sent_at)
+        if silent_s < at_least_s:
+            return False
+        return not self.shows_life(connection.address, now - silent_s / 2, is_silent=True)
+
     def inactivity_of(self, connection: Http1Connection) -> Inactivity:
         """Return how long a connection has received nothing, and how many others have."""
         since = max(connection.last_received_at, connection.sent_at)
