--- a/review/6/case.py
+++ b/review/6/case.py
@@ -14,7 +14,7 @@
 
 DARK_S = 1.0
 AGAIN_AFTER_S = 0.1
-"""Seconds from the machine's conditional write, which makes it a member again, to the second loss."""
+"""Seconds from the conditional write that makes the machine a member again to the second loss."""
 
 RECOVERY_S = 12.0
 TRIES_S = 8.0
