--- a/review/cluster.py
+++ b/review/cluster.py
@@ -15,7 +15,7 @@
 platform_cluster.STARTER = ROOT / "target" / "waxwingglade"
 """The program that the deploy file builds and starts."""
 
-LONGEST_RUN_S = 100.0
+LONGEST_RUN_S = 116.0
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit statuses: the rule held, the rule was broken, the case could not run."""
 
