Show which changes of the store a process has seen

Logs and metrics could not tell a store at rest from one whose changes a process has missed, nor two lists of targets of one revision apart.

--- a/waxwingglade/follow/model.py
+++ b/waxwingglade/follow/model.py
@@ -3,6 +3,7 @@
 All types are immutable and are sent between processes in this form.
 """
 
+import zlib
 from collections.abc import Set
 from enum import Enum
 from typing import NewType
@@ -332,6 +333,12 @@
     revision: Revision = Revision(0)
     targets: tuple[Target, ...] = ()
 
+    @property
+    def checksum(self) -> int:
+        """Checksum of the targets, the same in all processes that have the same ones."""
+        targets = sorted(self.targets, key=lambda target: target.target)
+        return zlib.crc32(msgspec.msgpack.encode(targets))
+
 
 class View(msgspec.Struct, frozen=True):
     """A process's view of the platform's state; each part is replaced only by a newer one.
--- a/waxwingglade/follow/store.py
+++ b/waxwingglade/follow/store.py
@@ -53,6 +53,18 @@
     revision: Revision
 
 
+def contiguous_until(after: Revision, events: Listing) -> Revision:
+    """Return the revision up to which the events of all keys after a revision are complete.
+
+    Each change of the store has a revision of its own, one above that of the change before.
+    """
+    revisions = {item.revision for item in events.items}
+    until = after
+    while until + 1 in revisions:
+        until = Revision(until + 1)
+    return until
+
+
 class Store(Protocol):
     """The calls of the platform's key-value store that this system uses.
 
@@ -95,4 +107,12 @@
         """
 
 
-__all__ = ["WATCH_MARGIN_S", "HistoryCompacted", "Item", "Listing", "Store", "StoreUnavailable"]
+__all__ = [
+    "WATCH_MARGIN_S",
+    "HistoryCompacted",
+    "Item",
+    "Listing",
+    "Store",
+    "StoreUnavailable",
+    "contiguous_until",
+]
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -30,6 +30,7 @@
     Listing,
     Store,
     StoreUnavailable,
+    contiguous_until,
 )
 from waxwingglade.follow.targets import RegisteredTargets
 
@@ -124,6 +125,12 @@
         When the store answered for the first time, or after failed calls; -inf before.
     was_unavailable : bool
         Whether calls have failed since the last answer, or there was none yet.
+    revision : Revision
+        Revision up to which the answers of the store were applied.
+    changed_at : float
+        When an answer last had content, that is, a listing or events; -inf before.
+    gaps : int
+        Number of answers without the events of all revisions that they covered.
     undecodable : bool
         Whether the configuration in the store can't be decoded.  Then no call makes the view
         complete.
@@ -160,6 +167,9 @@
         self.recovered_at = float("-inf")
         self.in_outage = False
         self.was_unavailable = True
+        self.revision = Revision(0)
+        self.changed_at = float("-inf")
+        self.gaps = 0
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -180,6 +190,11 @@
             return float("-inf")
         return self.store_confirmed_at
 
+    @property
+    def content_age_s(self) -> float:
+        """Seconds since an answer of the store last had content."""
+        return self.clock() - self.changed_at
+
     @property
     def complete_until(self) -> float:
         """Time up to which the view is complete; -inf until a configuration was decoded."""
@@ -222,16 +237,30 @@
         # An answer after the timeout of the watch was delayed in this process, for example while
         # the VM was stalled, so it confirms the view only as of the request.
         self._record_answer(now if now - asked_at < wait_s + WATCH_MARGIN_S else asked_at)
+        self._check_continuity(revision, events)
         self._apply(events, False)
         self._record_complete(asked_at)
         return max(revision, events.revision)
 
+    def _check_continuity(self, after: Revision, events: Listing) -> None:
+        """Log an answer that lacks events of revisions that it covers."""
+        complete = contiguous_until(after, events)
+        if complete == events.revision:
+            return
+        self.gaps += 1
+        logger.bind(after=after, complete=complete, revision=events.revision).warning(
+            "changes missing in an answer of the store"
+        )
+
     def _record_complete(self, asked_at: float) -> None:
         if not self.undecodable:
             self.store_complete_until = asked_at
 
     def _apply(self, listing: Listing, complete: bool) -> None:
         """Apply all items, or the changed ones."""
+        self.revision = max(self.revision, listing.revision)
+        if complete or listing.items:
+            self.changed_at = self.clock()
         parts: dict[str, list[Item]] = {
             prefix: [] for prefix in (self.keys.operators, self.keys.own, self.keys.targets)
         }
@@ -333,7 +362,8 @@
         if view is self.view:
             return
         if view.version != self.view.version:
-            logger.bind(version=view.version, before=self.view.version).info("configuration read")
+            fields = {"before": self.view.version, "revision": view.configuration_revision}
+            logger.bind(version=view.version, **fields).info("configuration read")
         if view.replicas.epoch != self.view.replicas.epoch:
             members = [member.vm for member in view.replicas.members]
             logger.bind(epoch=view.replicas.epoch, members=members).info("ledger members read")
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -124,6 +124,7 @@
             "view_age_seconds": min(ingress.cached_view.age_s, LONGEST_AGE_S),
             "view_incomplete_seconds": min(ingress.cached_view.incomplete_s, LONGEST_AGE_S),
             "targets_revision": float(ingress.cached_view.view.targets.revision),
+            "targets_checksum": float(ingress.cached_view.view.targets.checksum),
             "ledger_epoch": float(ingress.cached_view.view.replicas.epoch),
             "ledger_reached": float(ingress.reaches_ledger),
             "ready": float(ingress.ready),
