List all keys again where an answer of the store lacks changes that it covers

Callers got 404 on routes that had been added, and targets that were leaving got requests, for good and without a warning: a follower continued from the revision that an answer named, whether the answer had the events up to it or not, and called its view current. Changes that one answer lacked were lost.

Each change of the store has a revision of its own and the watch covers all keys, so events that don't reach the revision of their answer are a contradiction. Such an answer confirms nothing now, none of its events is applied, and all keys are listed at once; so no list of targets is published that has a later change without an earlier one. The watch that completes a listing of several pages is checked the same way. For a watch that shows neither changes nor their revisions, a listing replaces a watch once in about 20 waits. The alternative, to continue from the last event seen, costs no call, but gets nothing while the store withholds the events, and loses changes whose history is dropped.

--- a/waxwingglade/follow/store.py
+++ b/waxwingglade/follow/store.py
@@ -86,6 +86,8 @@
         ------
         HistoryCompacted
             If the store dropped changes that were made while the items were read.
+        StoreUnavailable
+            If it did not show these changes.
         """
 
     async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -86,6 +86,12 @@
         Whether calls fail.
     unresponsive_key : str or None
         Key whose watches get no events, do not end in time and finally fail.
+    hidden : set of int
+        Revisions whose events no watch returns, although its revision covers them.
+    listings, watches : int
+        Number of calls.
+    frozen_revision : int or None
+        Revision beyond which watches show nothing, not even that there is a later one.
     """
 
     def __init__(self) -> None:
@@ -95,6 +101,9 @@
         self.oldest = 0
         self.unavailable = False
         self.unresponsive_key: str | None = None
+        self.hidden: set[int] = set()
+        self.listings = self.watches = 0
+        self.frozen_revision: int | None = None
         self.calls: Counter[str] = Counter()
 
     def put(self, key: str, value: bytes | None) -> None:
@@ -124,12 +133,14 @@
 
     async def list(self, prefix: str) -> Listing:
         """Return the items below a prefix."""
+        self.listings += 1
         self._call()
         items = tuple(item for key, item in self.items.items() if key.startswith(prefix))
         return Listing(items, Revision(self.revision))
 
     async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
         """Return events after a revision, after a short wait."""
+        self.watches += 1
         await asyncio.sleep(SHORT_S)
         self._call()
         if self.unresponsive_key is not None and self.unresponsive_key.startswith(prefix):
@@ -137,10 +148,15 @@
             raise StoreUnavailable("no answer", may_have_run=False)
         if after < self.oldest:
             raise HistoryCompacted(prefix)
+        current = self.revision if self.frozen_revision is None else self.frozen_revision
         events = [
-            item for item in self.history if item.revision > after and item.key.startswith(prefix)
+            item
+            for item in self.history
+            if after < item.revision <= current
+            and item.key.startswith(prefix)
+            and item.revision not in self.hidden
         ]
-        return Listing(tuple(events), Revision(self.revision))
+        return Listing(tuple(events), Revision(current))
 
     async def compare_and_swap(self, key: str, revision: Revision, value: bytes) -> Item | None:
         """Write an item if it is still at a revision."""
--- /dev/null
+++ b/waxwingglade/follow/tests/test_missed_changes.py
@@ -0,0 +1,80 @@
+"""A follower gets each change of the store, also one that its watches do not show."""
+
+import unittest
+from unittest import mock
+
+from waxwingglade.follow.tests.builders import (
+    FollowingProcess,
+    MemoryStore,
+    quick_pauses,
+    until,
+)
+
+
+class MissedChangesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.enterContext(quick_pauses())
+        self.now = 1000.0
+        self.store = MemoryStore()
+        self.store.put("op/config", b'{"version": 4}')
+        for target in ("a", "b"):
+            self.store.put(f"targets/{target}", b"ready")
+        self.process = FollowingProcess(self.store, lambda: self.now)
+        self.watcher = self.process.watcher
+        self.watcher.start()
+        self.addAsyncCleanup(self.watcher.stop)
+        await until(lambda: self.watcher.view.version == 4)
+
+    def hide_next_changes(self, number: int) -> None:
+        """Let no watch show the next changes."""
+        self.store.hidden |= {self.store.revision + 1 + each for each in range(number)}
+
+    def leaving(self) -> set[str]:
+        """Return the names of the targets that the process knows to leave."""
+        targets = self.process.cached_view.targets_in_use.targets
+        return {target.target for target in targets if target.leaving}
+
+    async def test_a_change_without_its_event_is_not_lost(self) -> None:
+        self.hide_next_changes(2)
+        self.store.put("op/config", b'{"version": 9}')
+        self.store.put("targets/a", b"leaving")
+        await until(lambda: self.watcher.view.version == 9 and self.leaving() == {"a"})
+
+    async def test_a_change_without_its_event_is_not_hidden_by_a_later_one(self) -> None:
+        """No list of targets is published that has the later change only."""
+        self.hide_next_changes(1)
+        published = []
+        self.process.cached_view.listeners.append(lambda _: published.append(self.leaving()))
+        self.store.put("targets/a", b"leaving")
+        self.store.put("targets/b", b"leaving")
+        await until(lambda: self.leaving() == {"a", "b"})
+        self.assertNotIn({"b"}, published)
+
+    async def test_a_removal_without_its_event_is_not_lost(self) -> None:
+        self.hide_next_changes(1)
+        self.store.put("targets/a", None)
+        await until(lambda: self.process.names() == {"b"})
+
+    async def test_an_answer_without_its_events_confirms_nothing(self) -> None:
+        await self.watcher.stop()
+        before = self.watcher.complete_until, self.watcher.confirmed_at
+        self.now += 1.0
+        after = self.watcher.revision
+        self.hide_next_changes(1)
+        self.store.put("op/config", b'{"version": 9}')
+        with (
+            mock.patch.object(self.store, "list", side_effect=ConnectionError),
+            self.assertRaises(ConnectionError),
+        ):
+            await self.watcher._step(after)
+        self.assertEqual(before, (self.watcher.complete_until, self.watcher.confirmed_at))
+
+    async def test_a_watch_that_shows_nothing_any_more_does_not_hide_changes_for_good(self) -> None:
+        self.store.frozen_revision = self.store.revision
+        self.store.put("op/config", b'{"version": 9}')
+        self.now += 60.0
+        await until(lambda: self.watcher.view.version == 9)
+
+    async def test_a_store_at_rest_is_listed_only_at_intervals(self) -> None:
+        await until(lambda: self.store.watches > 20)
+        self.assertEqual(1, self.store.listings)
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -4,6 +4,10 @@
 of key, a watch that no longer received events would remain unnoticed for the length of its wait,
 while the answers of the others made the view seem current.  A pause between watches limits the
 number of calls; each watch returns the changes since the previous one.
+
+An answer confirms the view only if its events reach the revision that it covers.  Otherwise the
+store has changes that it did not show, and all keys are listed.  A listing also replaces a watch
+now and then, in case that a watch shows neither changes nor their revisions.
 """
 
 import asyncio
@@ -45,6 +49,9 @@
 """Seconds that a watch waits in a process whose view others follow.  Its answer also shows that the
 store is reachable."""
 
+LISTING_WAITS = 20
+"""Waits of a watch after which all keys are listed again, on average."""
+
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
 """Seconds between failed calls, doubled up to the longest, because failed calls are priced, too.  A
@@ -129,6 +136,8 @@
         Revision up to which the answers of the store were applied.
     changed_at : float
         When an answer last had content, that is, a listing or events; -inf before.
+    list_again_at : float
+        When all keys are listed instead of the next watch.
     gaps : int
         Number of answers without the events of all revisions that they covered.
     undecodable : bool
@@ -170,6 +179,7 @@
         self.revision = Revision(0)
         self.changed_at = float("-inf")
         self.gaps = 0
+        self.list_again_at = float("-inf")
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
@@ -203,7 +213,7 @@
         return self.store_complete_until
 
     async def _follow(self) -> None:
-        """Update the view without end: by a listing, then by watches from its revision."""
+        """Update the view without end: by a listing, then mostly by watches from its revision."""
         revision: Revision | None = None
         pause_s = FIRST_PAUSE_S
         while True:
@@ -225,32 +235,40 @@
 
     async def _step(self, revision: Revision | None) -> Revision:
         asked_at = self.clock()
-        if revision is None:
-            listing = await self.store.list(EVERYTHING)
-            self._record_answer(asked_at)
-            self._apply(listing, True)
-            self._record_complete(asked_at)
-            return listing.revision
         wait_s = self.wait_s()
+        if revision is None or asked_at >= self.list_again_at:
+            return await self._list()
         events = await self.store.watch(EVERYTHING, revision, wait_s)
+        if not self._is_continuous(revision, events):
+            return await self._list()
         now = self.clock()
         # An answer after the timeout of the watch was delayed in this process, for example while
         # the VM was stalled, so it confirms the view only as of the request.
         self._record_answer(now if now - asked_at < wait_s + WATCH_MARGIN_S else asked_at)
-        self._check_continuity(revision, events)
         self._apply(events, False)
         self._record_complete(asked_at)
-        return max(revision, events.revision)
+        return events.revision
 
-    def _check_continuity(self, after: Revision, events: Listing) -> None:
-        """Log an answer that lacks events of revisions that it covers."""
+    async def _list(self) -> Revision:
+        asked_at = self.clock()
+        listing = await self.store.list(EVERYTHING)
+        spread = 0.5 + random.random()
+        self.list_again_at = asked_at + LISTING_WAITS * self.wait_s() * spread
+        self._record_answer(asked_at)
+        self._apply(listing, True)
+        self._record_complete(asked_at)
+        return listing.revision
+
+    def _is_continuous(self, after: Revision, events: Listing) -> bool:
+        """Return whether an answer has the events of all revisions that it covers."""
         complete = contiguous_until(after, events)
         if complete == events.revision:
-            return
+            return True
         self.gaps += 1
         logger.bind(after=after, complete=complete, revision=events.revision).warning(
             "changes missing in an answer of the store"
         )
+        return False
 
     def _record_complete(self, asked_at: float) -> None:
         if not self.undecodable:
@@ -298,7 +316,10 @@
 
     def _apply_operator_items(self, items: list[Item], complete: bool) -> None:
         if complete:
-            self.retiring = {}
+            present = {item.key.removeprefix(self.keys.retire) for item in items}
+            self.retiring = {
+                vm: revision for vm, revision in self.retiring.items() if vm in present
+            }
         for item in items:
             if item.key == self.keys.configuration:
                 self._apply_configuration(item)
@@ -308,6 +329,9 @@
     def _apply_configuration(self, item: Item) -> None:
         if item.value is None:
             return
+        if item.revision == self.view.configuration_revision:
+            self.undecodable = False
+            return
         try:
             configuration = self.keys.decode_configuration(item.value)
         except FormatError as error:
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -16,6 +16,7 @@
     Item,
     Listing,
     StoreUnavailable,
+    contiguous_until,
 )
 from waxwingglade.transport import (
     ConnectionBroken,
@@ -37,6 +38,9 @@
 PAGE_LIMIT = 1000
 """Greatest number of pages of one listing, in case the store never reports the last page."""
 
+LISTING_ATTEMPTS = 3
+"""Attempts at a listing whose pages differ in revision, before the call counts as failed."""
+
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
 _COMPACTED = 410
@@ -123,7 +127,17 @@
         ------
         HistoryCompacted
             If the store dropped changes that were made while the pages were read.
+        StoreUnavailable
+            If it did not show these changes.
         """
+        for _ in range(LISTING_ATTEMPTS):
+            listing = await self._list_once(prefix)
+            if listing is not None:
+                return listing
+        raise StoreUnavailable("changes missing between the pages of a listing", may_have_run=False)
+
+    async def _list_once(self, prefix: str) -> Listing | None:
+        """Return all items below a prefix; None if changes between the pages were not shown."""
         items: list[Item] = []
         revisions: list[Revision] = []
         path = f"/v1/kv-range?path_prefix={quote(prefix, safe='')}"
@@ -139,7 +153,10 @@
         if revisions[-1] == revisions[0]:
             return Listing(tuple(items), revisions[0])
         # Later pages may have changes that the earlier ones lack.
-        return _updated(items, await self.watch(prefix, revisions[0], 0.0))
+        changes = await self.watch("", revisions[0], 0.0)
+        if contiguous_until(revisions[0], changes) != changes.revision:
+            return None
+        return _updated(items, changes, prefix)
 
     async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
         """Return the events after a revision; raise `HistoryCompacted` if they were dropped."""
@@ -230,10 +247,12 @@
         raise StoreUnavailable(f"invalid answer: {error}", may_have_run=False) from error
 
 
-def _updated(items: list[Item], changes: Listing) -> Listing:
-    """Return items after some changes, as of the revision of the changes."""
+def _updated(items: list[Item], changes: Listing, prefix: str) -> Listing:
+    """Return items below a prefix after some changes, as of the revision of the changes."""
     current = {item.key: item for item in items}
     for change in changes.items:
+        if not change.key.startswith(prefix):
+            continue
         if change.value is None:
             current.pop(change.key, None)
         else:
--- a/waxwingglade/standins/metadata_store.py
+++ b/waxwingglade/standins/metadata_store.py
@@ -39,6 +39,10 @@
         Current fault.
     refusals : list of Refusal
         Callers whose calls are refused at present.
+    hidden : set of int
+        Revisions whose events no watch returns, although its revision covers them.
+    hides_changes : bool
+        Whether the revisions of new changes become hidden.
     """
 
     def __init__(self) -> None:
@@ -49,6 +53,8 @@
         self.changed = asyncio.Event()
         self.fault = StoreFault.NONE
         self.refusals: list[Refusal] = []
+        self.hidden: set[int] = set()
+        self.hides_changes = False
         self.calls = 0
         self.server: HTTPServer | None = None
         self.address = ""
@@ -129,11 +135,15 @@
         return [
             event
             for event in self.history
-            if event["revision"] > after and event["key"].startswith(prefix)
+            if event["revision"] > after
+            and event["key"].startswith(prefix)
+            and event["revision"] not in self.hidden
         ]
 
     def _record(self, event: dict[str, Any]) -> None:
         self.history.append(event)
+        if self.hides_changes:
+            self.hidden.add(self.revision)
         self._wake_watches()
 
     def _wake_watches(self) -> None:
