Reject entries of the store that can't be carried or computed with

One entry of another writer ended the task that follows the store in every process for good: nested arrays raise RecursionError and a port of 5,000 digits ValueError, which nobody expected. Routes that were added later got 404, leaving targets got requests. A number of 401 digits was accepted; then no answer of a feed could be serialised, and each request that met the target ended without an answer.

The boundary raises FormatError whatever is wrong with a value, with the value shortened, and numbers have ranges that messages can carry. So the entry costs nothing but itself, as others that are invalid do already.

--- a/waxwingglade/platform/registry.py
+++ b/waxwingglade/platform/registry.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 from enum import Enum
-from typing import Annotated
+from typing import Annotated, TypeVar
 
 import msgspec
 
@@ -46,12 +46,26 @@
 """Callers abandon a stream after this many times its latency objective, or this many times its
 target gap between events, whichever is longer, but not before the minimum."""
 
+LARGEST = 2**63 - 1
+"""Greatest number in an entry that messages between processes carry."""
+
+MOST_SLOTS = 2**31 - 1
+"""Greatest number of slots of one target, so that messages carry the sum over all targets."""
+
+SHOWN_CHARACTERS = 80
+"""Characters of an invalid value that an error shows."""
+
+Wire = TypeVar("Wire")
 _Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
+_Integer = Annotated[int, msgspec.Meta(ge=-LARGEST, le=LARGEST)]
+_Number = Annotated[float, msgspec.Meta(ge=-LARGEST, le=LARGEST)]
+_NotNegative = Annotated[float, msgspec.Meta(ge=0, le=LARGEST)]
 
 
 class _Split(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: _Number = 1.0
 
 
 class _Route(msgspec.Struct):
@@ -59,15 +73,15 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = DEFAULT_TIMEOUT_MS
-    target_latency_ms: float = 0.0
-    target_gap_ms: float = 0.0
-    priority: int = 0
+    timeout_ms: _Number = DEFAULT_TIMEOUT_MS
+    target_latency_ms: _Number = 0.0
+    target_gap_ms: _Number = 0.0
+    priority: _Integer = 0
     service: str | None = None
     traffic_split: list[_Split] = []
-    max_attempts: int = 1
+    max_attempts: _Integer = 1
     retain: bool = False
-    retention_s: float = 0.0
+    retention_s: _Number = 0.0
     sticky: bool = False
     resumable: bool = False
     public: bool = False
@@ -78,24 +92,24 @@
 
 
 class _Engine(msgspec.Struct):
-    slots: int = 1
-    kv_capacity: int = 0
-    stride: int = 1
-    pin_ms: float = 0.0
+    slots: _Integer = 1
+    kv_capacity: _Integer = 0
+    stride: _Integer = 1
+    pin_ms: _Number = 0.0
 
 
 class _Service(msgspec.Struct):
     name: str
-    max_conns: int = 0
+    max_conns: _Integer = 0
     engine: _Engine | None = None
     health_path: str | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: _Integer = 16 * 1024
+    max_body_bytes: _Integer = 4 * 1024 * 1024
+    header_timeout_ms: _Number = 3_000.0
+    idle_timeout_ms: _Number = 15_000.0
 
 
 class _Tenant(msgspec.Struct):
@@ -103,13 +117,13 @@
 
     name: _Name
     api_keys: list[str] | None = None
-    priority: int | None = None
-    rate_per_s: float | None = None
-    burst: float | None = None
+    priority: _Integer | None = None
+    rate_per_s: _Number | None = None
+    burst: _Number | None = None
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: _Integer
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = _Limits()
@@ -132,11 +146,11 @@
     address: str
     zone: _Name
     version: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: _Slots
     state: _State
-    cold_left_ms: Annotated[float, msgspec.Meta(ge=0)]
+    cold_left_ms: _NotNegative
     seq: int
-    born: int | None = None
+    born: _Integer | None = None
 
 
 class _RetireOrder(msgspec.Struct):
@@ -147,12 +161,23 @@
 _target_decoder = msgspec.json.Decoder(_TargetEntry)
 
 
+def _decoded(decoder: msgspec.json.Decoder[Wire], what: str, value: bytes) -> Wire:
+    """Decode a value of the store; raise `FormatError` whatever is wrong with it."""
+    try:
+        return decoder.decode(value)
+    except RecursionError as error:
+        raise FormatError(f"{what}: {len(value)} bytes are nested too deeply") from error
+    except ValueError as error:
+        raise FormatError(f"{what}: {_shortened(str(error))}") from error
+
+
+def _shortened(text: str) -> str:
+    return text if len(text) <= SHOWN_CHARACTERS else f"{text[:SHOWN_CHARACTERS]}..."
+
+
 def decode_configuration(value: bytes) -> Configuration:
     """Decode the operators' configuration; raise `FormatError` if it is invalid."""
-    try:
-        wire = _configuration_decoder.decode(value)
-    except msgspec.DecodeError as error:
-        raise FormatError(f"configuration: {error}") from error
+    wire = _decoded(_configuration_decoder, "configuration", value)
     return Configuration(
         ConfigVersion(wire.version),
         tuple(_route(route) for route in wire.routes),
@@ -227,12 +252,9 @@
 
 def decode_target(key: str, value: bytes) -> Target:
     """Decode a target's entry; raise `FormatError` if it is invalid."""
-    try:
-        wire = _target_decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise FormatError(f"{key}: {error}") from error
+    wire = _decoded(_target_decoder, key, value)
     if not _is_address(wire.address):
-        raise FormatError(f"{key}: {wire.address!r} is not IP:PORT")
+        raise FormatError(f"{key}: {_shortened(wire.address)!r} is not IP:PORT")
     return Target(
         TargetId(key.removeprefix(TARGETS_PREFIX)),
         ServiceName(wire.service),
@@ -252,7 +274,8 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) <= LAST_PORT
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(LAST_PORT))
+    return is_number and 0 < int(port) <= LAST_PORT
 
 
 __all__ = [
