Go on watching the store after a listing at intervals that failed

A process whose listing at intervals failed got no change of the store any more until a listing succeeded, although the store served its watches: the time of the next listing was set only after a listing that succeeded, so each further call was a listing, too. It is set before the call now. A first listing, or one after missing changes, is still repeated at once, since there is no revision to go on from, or the watch misses them again.

The test failed before (TimeoutError: version 9 was not read within 5 s, while watches would have shown it), and passes now.

--- a/waxwingglade/follow/tests/test_missed_changes.py
+++ b/waxwingglade/follow/tests/test_missed_changes.py
@@ -3,6 +3,7 @@
 import unittest
 from unittest import mock
 
+from waxwingglade.follow.store import StoreUnavailable
 from waxwingglade.follow.tests.builders import (
     FollowingProcess,
     MemoryStore,
@@ -78,3 +79,11 @@
     async def test_a_store_at_rest_is_listed_only_at_intervals(self) -> None:
         await until(lambda: self.store.watches > 20)
         self.assertEqual(1, self.store.listings)
+
+    async def test_a_failing_listing_at_intervals_does_not_stop_the_watches(self) -> None:
+        unavailable = StoreUnavailable("no answer", may_have_run=False)
+        with mock.patch.object(self.store, "list", side_effect=unavailable) as listing:
+            self.now += 60.0
+            await until(lambda: listing.called)
+            self.store.put("op/config", b'{"version": 9}')
+            await until(lambda: self.watcher.view.version == 9)
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -251,9 +251,10 @@
 
     async def _list(self) -> Revision:
         asked_at = self.clock()
-        listing = await self.store.list(EVERYTHING)
         spread = 0.5 + random.random()
+        # Set before the call, so that watches continue after a listing that failed.
         self.list_again_at = asked_at + LISTING_WAITS * self.wait_s() * spread
+        listing = await self.store.list(EVERYTHING)
         self._record_answer(asked_at)
         self._apply(listing, True)
         self._record_complete(asked_at)
