Don't take a listing that ends early for a whole one

A listing whose page was empty although more follow, or that had more pages than the limit, counted as whole: what lacked in it was dropped from the view of the store, so targets in use would be removed and orders to retire a VM forgotten, and the view was called current. Such a listing counts as failed now, as any other answer that can't be right, and is repeated after a pause.

The test failed before: StoreUnavailable not raised.

--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -128,7 +128,7 @@
         HistoryCompacted
             If the store dropped changes that were made while the pages were read.
         StoreUnavailable
-            If it did not show these changes.
+            If it did not show these changes, or not all items.
         """
         for _ in range(LISTING_ATTEMPTS):
             listing = await self._list_once(prefix)
@@ -147,9 +147,13 @@
             page = _decoded(response, _Page)
             items += [_item(item) for item in page.items]
             revisions.append(Revision(page.current_rev))
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 break
+            if not page.items:
+                raise StoreUnavailable("empty page before the end of a listing", may_have_run=False)
             after = f"&after={quote(page.items[-1].key, safe='')}"
+        else:
+            raise StoreUnavailable(f"over {PAGE_LIMIT} pages in a listing", may_have_run=False)
         if revisions[-1] == revisions[0]:
             return Listing(tuple(items), revisions[0])
         # Later pages may have changes that the earlier ones lack.
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -4,12 +4,24 @@
 from typing import Any
 from unittest import mock
 
-from waxwingglade.follow.store import HistoryCompacted, StoreUnavailable
+import msgspec
+
+from waxwingglade.follow.store import HistoryCompacted, Listing, StoreUnavailable
 from waxwingglade.platform.store import PlatformStore
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
 from waxwingglade.transport import HttpResponse
 
 
+def item(key: str, revision: int) -> dict[str, Any]:
+    """Return an item as the store sends it."""
+    return {"key": key, "revision": revision, "value": ""}
+
+
+def page(revision: int, has_more: bool, *items: dict[str, Any]) -> dict[str, Any]:
+    """Return a page of a listing as the store sends it."""
+    return {"items": items, "has_more": has_more, "current_rev": revision}
+
+
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.standin = MetadataStore()
@@ -83,6 +95,22 @@
         values = {item.key: item.value for item in listing.items}
         self.assertEqual(values, {key: self.standin.value(key) for key in self.standin.items})
 
+    async def list_answers(self, *answers: dict[str, Any]) -> Listing:
+        """Return the listing of a store that gives these answers."""
+        calls = [HttpResponse(200, [], msgspec.json.encode(answer)) for answer in answers]
+        with mock.patch.object(self.store, "_call", side_effect=calls):
+            return await self.store.list("")
+
+    async def test_a_listing_that_ends_early_is_a_failure(self) -> None:
+        pages = [page(3, True, item("a", 1)), page(3, True)]
+        with self.assertRaises(StoreUnavailable):
+            await self.list_answers(*pages)
+        with (
+            mock.patch("waxwingglade.platform.store.PAGE_LIMIT", 1),
+            self.assertRaises(StoreUnavailable),
+        ):
+            await self.list_answers(*pages)
+
     async def test_a_watch_after_a_compaction(self) -> None:
         self.standin.put("servers/a", {})
         self.standin.compact()
