Complete a listing from the oldest to the newest revision of its pages

What changed between them was read from a watch after the first page, if the last page had another revision. Two answers left changes out, and the listing was called whole all the same: a watch that was older than a later page, and a page older than the first one. The first gives a list of targets that has a later change without an earlier one; the second lacks changes up to the revision of the listing, which no watch shows again. The watch begins at the oldest page now and has to reach the newest one, or the pages are read again.

--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -154,11 +154,12 @@
             after = f"&after={quote(page.items[-1].key, safe='')}"
         else:
             raise StoreUnavailable(f"over {PAGE_LIMIT} pages in a listing", may_have_run=False)
-        if revisions[-1] == revisions[0]:
-            return Listing(tuple(items), revisions[0])
-        # Later pages may have changes that the earlier ones lack.
-        changes = await self.watch("", revisions[0], 0.0)
-        if contiguous_until(revisions[0], changes) != changes.revision:
+        first, last = min(revisions), max(revisions)
+        if first == last:
+            return Listing(tuple(items), first)
+        # Some pages may have changes that others lack.
+        changes = await self.watch("", first, 0.0)
+        if changes.revision < last or contiguous_until(first, changes) != changes.revision:
             return None
         return _updated(items, changes, prefix)
 
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -3,6 +3,7 @@
 import unittest
 from typing import Any
 from unittest import mock
+from urllib.parse import parse_qs
 
 import msgspec
 
@@ -22,6 +23,11 @@
     return {"items": items, "has_more": has_more, "current_rev": revision}
 
 
+def events(revision: int, *items: dict[str, Any]) -> dict[str, Any]:
+    """Return the answer of a watch as the store sends it."""
+    return {"events": items, "current_rev": revision}
+
+
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.standin = MetadataStore()
@@ -97,8 +103,17 @@
 
     async def list_answers(self, *answers: dict[str, Any]) -> Listing:
         """Return the listing of a store that gives these answers."""
-        calls = [HttpResponse(200, [], msgspec.json.encode(answer)) for answer in answers]
-        with mock.patch.object(self.store, "_call", side_effect=calls):
+        left = list(answers)
+
+        async def call(_purpose: str, _method: str, path: str, *_: Any) -> HttpResponse:
+            answer = left.pop(0)
+            if "events" in answer:
+                after = int(parse_qs(path)["after"][0])
+                known = [each for each in answer["events"] if each["revision"] > after]
+                answer = answer | {"events": known}
+            return HttpResponse(200, [], msgspec.json.encode(answer))
+
+        with mock.patch.object(self.store, "_call", call):
             return await self.store.list("")
 
     async def test_a_listing_that_ends_early_is_a_failure(self) -> None:
@@ -111,6 +126,25 @@
         ):
             await self.list_answers(*pages)
 
+    async def test_a_listing_has_no_later_change_without_an_earlier_one(self) -> None:
+        """The watch between the pages is older than the second page."""
+        pages = [page(10, True, item("a", 1)), page(12, False, item("b", 12))]
+        later = [page(12, True, item("a", 11)), page(12, False, item("b", 12))]
+        listing = await self.list_answers(*pages, events(10), *later)
+        self.assertEqual({"a": 11, "b": 12}, {each.key: each.revision for each in listing.items})
+
+    async def test_a_listing_has_the_changes_that_an_old_page_lacks(self) -> None:
+        for revisions in ((10, 8, 10), (10, 9, 8)):
+            pages = [
+                page(revision, number < 2, item(f"{number}", 1))
+                for number, revision in enumerate(revisions)
+            ]
+            changes = [item("1", 9), item("2", 10)]
+            with self.subTest(revisions=revisions):
+                listing = await self.list_answers(*pages, events(10, *changes))
+                found = {each.key: each.revision for each in listing.items}
+                self.assertEqual({"0": 1, "1": 9, "2": 10}, found)
+
     async def test_a_watch_after_a_compaction(self) -> None:
         self.standin.put("servers/a", {})
         self.standin.compact()
