Don't apply a listing of the store that is older than an answer before it

A listing that was older than the view replaced newer state with older one: orders to retire a VM were forgotten until the next watch, and targets were rebuilt from it. The view was called complete up to the call all the same, also where the watch just before had named a revision that the listing did not reach, so that a revoked key would pass for longer than promised. Such a listing counts as failed now; nothing of it is applied.

A store that goes back for good is reported as lost until it is ahead again, instead of being followed without its changes of targets, which no process would take at their lower revisions.

Both tests failed before: the order was gone ('vm' not found in {}), and the view was complete up to 1001.0 instead of 1000.0 s.

--- a/waxwingglade/follow/tests/test_missed_changes.py
+++ b/waxwingglade/follow/tests/test_missed_changes.py
@@ -1,5 +1,6 @@
 """A follower gets each change of the store, also one that its watches do not show."""
 
+import contextlib
 import unittest
 from unittest import mock
 
@@ -80,6 +81,35 @@
         await until(lambda: self.store.watches > 20)
         self.assertEqual(1, self.store.listings)
 
+    async def test_an_old_listing_does_not_replace_newer_state(self) -> None:
+        older = await self.store.list("")
+        self.store.put("op/retire/vm", b"{}")
+        await until(lambda: "vm" in self.watcher.retiring)
+        await self.watcher.stop()
+        before = self.watcher.complete_until
+        self.now += 60.0
+        with (
+            mock.patch.object(self.store, "list", return_value=older),
+            contextlib.suppress(StoreUnavailable),
+        ):
+            await self.watcher._step(self.watcher.revision)
+        self.assertIn("vm", self.watcher.retiring)
+        self.assertEqual(before, self.watcher.complete_until)
+
+    async def test_a_listing_without_the_changes_that_a_watch_lacked_confirms_nothing(self) -> None:
+        await self.watcher.stop()
+        older = await self.store.list("")
+        self.hide_next_changes(1)
+        self.store.put("op/config", b'{"version": 9}')
+        before = self.watcher.complete_until
+        self.now += 1.0
+        with (
+            mock.patch.object(self.store, "list", return_value=older),
+            contextlib.suppress(StoreUnavailable),
+        ):
+            await self.watcher._step(self.watcher.revision)
+        self.assertEqual(before, self.watcher.complete_until)
+
     async def test_a_failing_listing_at_intervals_does_not_stop_the_watches(self) -> None:
         unavailable = StoreUnavailable("no answer", may_have_run=False)
         with mock.patch.object(self.store, "list", side_effect=unavailable) as listing:
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -134,6 +134,8 @@
         Whether calls have failed since the last answer, or there was none yet.
     revision : Revision
         Revision up to which the answers of the store were applied.
+    newest_revision : Revision
+        Highest revision that an answer has named.  An older listing lacks changes.
     changed_at : float
         When an answer last had content, that is, a listing or events; -inf before.
     list_again_at : float
@@ -177,6 +179,7 @@
         self.in_outage = False
         self.was_unavailable = True
         self.revision = Revision(0)
+        self.newest_revision = Revision(0)
         self.changed_at = float("-inf")
         self.gaps = 0
         self.list_again_at = float("-inf")
@@ -239,6 +242,7 @@
         if revision is None or asked_at >= self.list_again_at:
             return await self._list()
         events = await self.store.watch(EVERYTHING, revision, wait_s)
+        self.newest_revision = max(self.newest_revision, events.revision)
         if not self._is_continuous(revision, events):
             return await self._list()
         now = self.clock()
@@ -255,6 +259,13 @@
         # Set before the call, so that watches continue after a listing that failed.
         self.list_again_at = asked_at + LISTING_WAITS * self.wait_s() * spread
         listing = await self.store.list(EVERYTHING)
+        if listing.revision < self.newest_revision:
+            raise StoreUnavailable(
+                f"listing at revision {listing.revision} after an answer at revision"
+                f" {self.newest_revision}",
+                may_have_run=False,
+            )
+        self.newest_revision = listing.revision
         self._record_answer(asked_at)
         self._apply(listing, True)
         self._record_complete(asked_at)
