Pause before a listing that outlasted the history of the store

A listing of several pages fails if the store drops the changes made while the pages were read. Nothing paused before the next one, so a store that keeps little history and changes all the time would get listings without end, all of them priced and counted toward its rate limit. A second listing in a row waits now as long as a watch does.

The test failed before: 1341 listings in 0.2 s of an in-memory store, where 20 are allowed.

--- a/waxwingglade/follow/tests/test_missed_changes.py
+++ b/waxwingglade/follow/tests/test_missed_changes.py
@@ -1,11 +1,13 @@
 """A follower gets each change of the store, also one that its watches do not show."""
 
+import asyncio
 import contextlib
 import unittest
 from unittest import mock
 
-from waxwingglade.follow.store import StoreUnavailable
+from waxwingglade.follow.store import HistoryCompacted, Listing, StoreUnavailable
 from waxwingglade.follow.tests.builders import (
+    SHORT_S,
     FollowingProcess,
     MemoryStore,
     quick_pauses,
@@ -77,6 +79,21 @@
         self.now += 60.0
         await until(lambda: self.watcher.view.version == 9)
 
+    async def test_listings_that_outlast_the_history_are_not_repeated_at_once(self) -> None:
+        await self.watcher.stop()
+        listings = 0
+
+        async def outlast_history(_prefix: str) -> Listing:
+            nonlocal listings
+            listings += 1
+            await asyncio.sleep(0)
+            raise HistoryCompacted("")
+
+        with mock.patch.object(self.store, "list", outlast_history):
+            self.watcher.start()
+            await asyncio.sleep(20 * SHORT_S)
+        self.assertLessEqual(listings, 20)
+
     async def test_a_store_at_rest_is_listed_only_at_intervals(self) -> None:
         await until(lambda: self.store.watches > 20)
         self.assertEqual(1, self.store.listings)
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -225,6 +225,8 @@
                 revision = await self._step(revision)
             except HistoryCompacted as error:
                 logger.info("history compacted by the store, listing all keys again: {}", error)
+                if revision is None:
+                    await asyncio.sleep(WATCH_INTERVAL_S)
                 revision = None
                 continue
             except StoreUnavailable as error:
