Replace a list of targets by another one of the same revision

A list that lacked a change stayed in use for good, next to a right one of the same revision: neither the process's next listing of the store nor another source replaced it, because both ask only whether a revision is higher. While processes of the earlier code run beside new ones, an entry can get such a list from one that missed a change, so a target that is leaving would get requests until the next change of any target.

A list that differs at the same revision is taken now from the source that was read last, the store or a process. Followers send the checksum of their targets for this; processes of the earlier code ignore it, and send nothing at the same revision, so their lists replace none. Such a list is sent at the end of a wait, not at once: if two versions encode targets differently, their lists differ for good.

Two tests failed before: a target that the first listing lacked was missing after the second, and the leaving target stayed in use after an answer of the second source. The third guards the wait; it failed with an answer at once when tried so.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -206,6 +206,8 @@
         )
 
     def _has_updates(self, view: View, message: Follow) -> bool:
+        # A list of the same revision is sent at the end of the wait: if processes of two versions
+        # encode targets differently, their lists never become the same.
         return (
             view.configuration is not None
             or view.targets.revision > message.targets_revision
@@ -327,6 +329,7 @@
             wait_s,
             view.configuration_revision,
             self.cached_view.suspects.checksum() if self.wants_suspects else None,
+            view.targets.checksum,
         )
         asked_at = self.cached_view.clock()
         try:
--- a/waxwingglade/follow/messages.py
+++ b/waxwingglade/follow/messages.py
@@ -17,6 +17,8 @@
     ----------
     suspects : int or None
         Checksum of the sender's list of suspect requests; None if it needs no list.
+    targets_checksum : int or None
+        Checksum of the sender's targets; None if it takes no other list of the same revision.
     """
 
     version: ConfigVersion
@@ -25,6 +27,7 @@
     wait_s: float
     configuration_revision: Revision = Revision(0)
     suspects: int | None = None
+    targets_checksum: int | None = None
 
     def updates_in(self, view: View) -> View:
         """Return a view without the parts that the sender already has."""
@@ -32,10 +35,15 @@
         newer = (view.version, view.configuration_revision) > known
         return View(
             view.configuration if newer else None,
-            view.targets if view.targets.revision > self.targets_revision else TargetList(),
+            view.targets if self._lacks(view.targets) else TargetList(),
             view.replicas if view.replicas.epoch >= self.epoch else ReplicaSet(),
         )
 
+    def _lacks(self, targets: TargetList) -> bool:
+        if targets.revision != self.targets_revision or self.targets_checksum is None:
+            return targets.revision > self.targets_revision
+        return targets.checksum != self.targets_checksum
+
 
 class Followed(Message):
     """The updates that a process has for a follower.
--- a/waxwingglade/follow/model.py
+++ b/waxwingglade/follow/model.py
@@ -6,6 +6,7 @@
 import zlib
 from collections.abc import Set
 from enum import Enum
+from functools import cached_property
 from typing import NewType
 
 import msgspec
@@ -327,21 +328,30 @@
     return members - members // 2
 
 
-class TargetList(msgspec.Struct, frozen=True):
+class TargetList(msgspec.Struct, frozen=True, dict=True):
     """All registered targets, as of a revision of the store."""
 
     revision: Revision = Revision(0)
     targets: tuple[Target, ...] = ()
 
-    @property
+    @cached_property
     def checksum(self) -> int:
         """Checksum of the targets, the same in all processes that have the same ones."""
         targets = sorted(self.targets, key=lambda target: target.target)
         return zlib.crc32(msgspec.msgpack.encode(targets))
 
+    def replaces(self, other: "TargetList") -> bool:
+        """Return whether this list is newer, or differs from another one of the same revision.
+
+        Of two such lists one lacks a change, so the one that was read later is used.
+        """
+        if self.revision != other.revision or self is other:
+            return self.revision > other.revision
+        return self.checksum != other.checksum
+
 
 class View(msgspec.Struct, frozen=True):
-    """A process's view of the platform's state; each part is replaced only by a newer one.
+    """A process's view of the platform's state; no part is replaced by an older one.
 
     Parameters
     ----------
@@ -363,12 +373,12 @@
         return self.configuration.version if self.configuration else ConfigVersion(0)
 
     def merged(self, other: "View") -> "View":
-        """Return a view with the newer of each part; this view itself if no part is newer."""
+        """Return a view with the newer of each part; this view itself if no part is replaced."""
         configuration = self.configuration
         if other.configuration is not None and other.configuration.supersedes(configuration):
             configuration = other.configuration
         targets = self.targets
-        if other.targets.revision > targets.revision:
+        if other.targets.replaces(targets):
             targets = other.targets
         replicas = self.replicas
         newer = (other.replicas.epoch, other.replicas.settled)
--- a/waxwingglade/follow/tests/test_missed_changes.py
+++ b/waxwingglade/follow/tests/test_missed_changes.py
@@ -5,11 +5,16 @@
 import unittest
 from unittest import mock
 
+from waxwingglade.base import ConfigVersion, ZoneId
+from waxwingglade.follow.feed import CachedView, FeedFollower
+from waxwingglade.follow.messages import Follow, Followed
+from waxwingglade.follow.model import Replica, Revision, TargetList, View
 from waxwingglade.follow.store import HistoryCompacted, Listing, StoreUnavailable
 from waxwingglade.follow.tests.builders import (
     SHORT_S,
     FollowingProcess,
     MemoryStore,
+    decode_target,
     quick_pauses,
     until,
 )
@@ -134,3 +139,43 @@
             await until(lambda: listing.called)
             self.store.put("op/config", b'{"version": 9}')
             await until(lambda: self.watcher.view.version == 9)
+
+    async def test_a_target_that_a_listing_lacked_is_added_at_the_same_revision(self) -> None:
+        await self.watcher.stop()
+        process = FollowingProcess(self.store, lambda: self.now)
+        whole = await self.store.list("")
+        partial = Listing(whole.items[:-1], whole.revision)
+        for listing in (partial, whole):
+            with mock.patch.object(self.store, "list", return_value=listing):
+                await process.watcher._list()
+        self.assertEqual({"a", "b"}, process.names())
+
+
+class OtherSourceTest(unittest.IsolatedAsyncioTestCase):
+    """A process follows a source that missed a change, and then another one."""
+
+    async def test_a_list_of_the_same_revision_replaces_one_that_lacks_a_change(self) -> None:
+        missed, whole, follower = (CachedView(lambda: 100.0) for _ in range(3))
+        states = {missed: b"ready", whole: b"leaving"}
+        for source, state in states.items():
+            targets = (decode_target("targets/b", b"ready"), decode_target("targets/a", state))
+            source.merge(View(targets=TargetList(Revision(8), targets)), 100.0)
+        sources = {"missed": missed, "whole": whole}
+
+        async def ask(address: str, message: Follow, _timeout_s: float) -> Followed:
+            return await sources[address].answer(message)
+
+        feed = FeedFollower(follower, list, ask)
+        for address in sources:
+            await feed._ask(Replica("disk", "vm", address, ZoneId("zone")))
+        leaving = {each.target for each in follower.view.targets.targets if each.leaving}
+        self.assertEqual({"a"}, leaving)
+
+    async def test_lists_that_differ_for_good_are_not_exchanged_without_pause(self) -> None:
+        """Processes of two versions may decode or encode targets differently."""
+        source = CachedView()
+        targets = (decode_target("targets/a", b"ready"),)
+        source.merge(View(targets=TargetList(Revision(8), targets)), 100.0)
+        message = Follow(ConfigVersion(0), Revision(8), 0, 60.0, targets_checksum=1)
+        with self.assertRaises(TimeoutError):
+            await asyncio.wait_for(source.answer(message), SHORT_S)
