--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -134,6 +134,8 @@
         Whether calls have failed since the last answer, or there was none yet.
     revision : Revision
         Revision up to which the answers of the store were applied.
+    newest_revision : Revision
+        Highest revision that an answer has named.  An older listing lacks changes.
     changed_at : float
         When an answer last had content, that is, a listing or events; -inf before.
     list_again_at : float
@@ -177,6 +179,7 @@
         self.in_outage = False
         self.was_unavailable = True
         self.revision = Revision(0)
+        self.newest_revision = Revision(0)
         self.changed_at = float("-inf")
         self.gaps = 0
         self.list_again_at = float("-inf")
@@ -222,6 +225,8 @@
                 revision = await self._step(revision)
             except HistoryCompacted as error:
                 logger.info("history compacted by the store, listing all keys again: {}", error)
+                if revision is None:
+                    await asyncio.sleep(WATCH_INTERVAL_S)
                 revision = None
                 continue
             except StoreUnavailable as error:
@@ -239,6 +244,7 @@
         if revision is None or asked_at >= self.list_again_at:
             return await self._list()
         events = await self.store.watch(EVERYTHING, revision, wait_s)
+        self.newest_revision = max(self.newest_revision, events.revision)
         if not self._is_continuous(revision, events):
             return await self._list()
         now = self.clock()
@@ -251,9 +257,17 @@
 
     async def _list(self) -> Revision:
         asked_at = self.clock()
-        listing = await self.store.list(EVERYTHING)
         spread = 0.5 + random.random()
+        # Set before the call, so that watches continue after a listing that failed.
         self.list_again_at = asked_at + LISTING_WAITS * self.wait_s() * spread
+        listing = await self.store.list(EVERYTHING)
+        if listing.revision < self.newest_revision:
+            raise StoreUnavailable(
+                f"listing at revision {listing.revision} after an answer at revision"
+                f" {self.newest_revision}",
+                may_have_run=False,
+            )
+        self.newest_revision = listing.revision
         self._record_answer(asked_at)
         self._apply(listing, True)
         self._record_complete(asked_at)
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -128,7 +128,7 @@
         HistoryCompacted
             If the store dropped changes that were made while the pages were read.
         StoreUnavailable
-            If it did not show these changes.
+            If it did not show these changes, or not all items.
         """
         for _ in range(LISTING_ATTEMPTS):
             listing = await self._list_once(prefix)
@@ -147,14 +147,19 @@
             page = _decoded(response, _Page)
             items += [_item(item) for item in page.items]
             revisions.append(Revision(page.current_rev))
-            if not page.has_more or not page.items:
+            if not page.has_more:
                 break
+            if not page.items:
+                raise StoreUnavailable("empty page before the end of a listing", may_have_run=False)
             after = f"&after={quote(page.items[-1].key, safe='')}"
-        if revisions[-1] == revisions[0]:
-            return Listing(tuple(items), revisions[0])
-        # Later pages may have changes that the earlier ones lack.
-        changes = await self.watch("", revisions[0], 0.0)
-        if contiguous_until(revisions[0], changes) != changes.revision:
+        else:
+            raise StoreUnavailable(f"over {PAGE_LIMIT} pages in a listing", may_have_run=False)
+        first, last = min(revisions), max(revisions)
+        if first == last:
+            return Listing(tuple(items), first)
+        # Some pages may have changes that others lack.
+        changes = await self.watch("", first, 0.0)
+        if changes.revision < last or contiguous_until(first, changes) != changes.revision:
             return None
         return _updated(items, changes, prefix)
 
