Reject names in the store that no header can carry

A target registered under a key with a character outside Latin-1 or with a line break was accepted, and so was a client account of such a name. Both are sent to targets as header values: each request that met the target or came from the account ended by an exception while its head was encoded.

Names are now checked where the values are decoded, with a length, so that whatever is accepted can be put into a header and a line of the log. Errors leave out the middle of a long value instead of its end, which has the path.

The fuzz tests of the registry now draw keys, and values with an odd part at any depth. They check that whatever decodes is carried by messages between processes and serves requests.

--- a/tests/fuzz/test_registry.py
+++ b/tests/fuzz/test_registry.py
@@ -1,62 +1,95 @@
-"""Arbitrary values in the platform's store under the key of a server."""
+"""Arbitrary values in the platform's store under the keys of servers and of the configuration."""
 
 import unittest
 
-import hypothesis.strategies as st
 import msgspec
-from hypothesis import given
+from hypothesis import given, settings
 
-from tests.fuzz.builders import FIXED, damaged, json_values
-from waxwingglade.base import FormatError
-from waxwingglade.follow.model import Revision, Target
+from tests.fuzz.builders import FIXED
+from tests.fuzz.stored_values import TARGET, configuration_values, target_keys, target_values
+from waxwingglade.base import FormatError, monotonic
+from waxwingglade.follow.messages import Followed
+from waxwingglade.follow.model import Configuration, Revision, Target, TargetList, View
 from waxwingglade.follow.store import Item
 from waxwingglade.follow.targets import RegisteredTargets
-from waxwingglade.platform.registry import decode_target
+from waxwingglade.ingress.dialect import Call, RequestId, Send
+from waxwingglade.ingress.routes import RouteTable
+from waxwingglade.ingress.target_state import TargetState
+from waxwingglade.ledger.messages import LedgerMessage
+from waxwingglade.platform.headers import target_headers
+from waxwingglade.platform.registry import decode_configuration, decode_target
+from waxwingglade.transport import HttpRequest
+from waxwingglade.transport.links import Codec
 
-VALID_FIELDS = {
-    "service": "engines",
-    "address": "10.0.0.1:8080",
-    "zone": "zone-a",
-    "version": "v1",
-    "slots": 8,
-    "state": "ready",
-    "cold_left_ms": 0,
-    "seq": 4,
-    "born": 1_700_000_000_000,
-}
-ENTRY = msgspec.json.encode(VALID_FIELDS)
-with_replaced_field = st.builds(
-    lambda name, value: msgspec.json.encode({**VALID_FIELDS, name: value}),
-    st.sampled_from(sorted(VALID_FIELDS)),
-    json_values,
-)
-entries = (
-    st.binary(max_size=80)
-    | json_values.map(msgspec.json.encode)
-    | with_replaced_field
-    | damaged(ENTRY)
-)
+MORE = settings(FIXED, max_examples=600)
+ENTRY = msgspec.json.encode(TARGET)
+LONGEST_ERROR = 400
+"""Characters of the longest error, however long the invalid value is."""
 
 
 class RegistryEntries(unittest.TestCase):
-    def check(self, target: Target) -> None:
-        """Check that a target has a valid address, slots, a service and a zone."""
+    def check_carried(self, view: View) -> None:
+        """Check that a view arrives unchanged at the processes that follow this one."""
+        codec = Codec(LedgerMessage)
+        self.assertEqual(
+            (1, Followed(view, 0.0)), codec.decode(codec.encode(1, Followed(view, 0.0)))
+        )
+        self.assertEqual(view, msgspec.json.decode(msgspec.json.encode(view), type=View))
+
+    def check_target(self, target: Target) -> None:
+        """Check that a target has a valid address, and that requests can be sent to it."""
         host, _, port = target.address.rpartition(":")
         self.assertEqual(len(host.split(".")), 4)
         self.assertIn(int(port), range(1, 65_536))
-        self.assertGreater(target.slots, 0)
         self.assertTrue(target.service and target.zone)
+        self.check_carried(View(targets=TargetList(Revision(1), (target,) * 3)))
+        state = TargetState(target, monotonic)
+        self.assertGreater(float(state.slots), 0)
+        self.assertGreaterEqual(state.as_engine(1.0, 1.0, 1.0).slots, 1)
+        self.check_headers(Send(target.target, 1.0))
 
-    @FIXED
-    @given(entries)
-    def test_an_entry_names_a_target_to_use_or_none(self, value):
+    def check_headers(self, send: Send, account: str | None = None) -> None:
+        """Check that a request with the headers of a sending can be encoded."""
+        call = Call(RequestId("r"), "GET", "/", "shop.example", [])
+        call.account = account
+        encoded = HttpRequest("GET", "/", target_headers(call, send)).encode().decode("latin-1")
+        for name in {send.target, account} - {None}:
+            self.assertIn(f": {name}\r\n", encoded)
+
+    def check_configuration(self, configuration: Configuration) -> None:
+        """Check that requests can be matched to the routes of a configuration."""
+        self.check_carried(View(configuration))
+        table = RouteTable(configuration)
+        for route in configuration.routes:
+            table.match(route.host, route.prefix)
+            self.assertIn(
+                table.service_for(route, "key"), [share.service for share in route.shares]
+            )
+        for account in configuration.accounts or ():
+            self.check_headers(Send("i-1", 1.0), account.name)
+
+    @MORE
+    @given(target_keys, target_values)
+    def test_an_entry_names_a_target_to_use_or_none(self, key, value):
         try:
-            self.check(decode_target("servers/i-1", value))
-        except FormatError:
-            return
+            target = decode_target(key, value)
+        except FormatError as error:
+            self.assertLess(len(str(error)), LONGEST_ERROR)
+        else:
+            self.check_target(target)
+
+    @MORE
+    @given(configuration_values)
+    def test_a_configuration_is_usable_or_rejected(self, value):
+        try:
+            configuration = decode_configuration(value)
+        except FormatError as error:
+            self.assertLess(len(str(error)), LONGEST_ERROR)
+        else:
+            self.check_configuration(configuration)
 
     @FIXED
-    @given(entries)
+    @given(target_values)
     def test_an_entry_that_names_none_takes_its_target_and_no_other(self, value):
         registered = RegisteredTargets(decode_target)
         sound = [Item(f"servers/{name}", ENTRY, Revision(1)) for name in ("a", "b")]
--- a/waxwingglade/platform/registry.py
+++ b/waxwingglade/platform/registry.py
@@ -1,6 +1,7 @@
 """Decode the entries that operators and targets write to the store."""
 
 import ipaddress
+import re
 from enum import Enum
 from typing import Annotated, TypeVar
 
@@ -52,11 +53,22 @@
 MOST_SLOTS = 2**31 - 1
 """Greatest number of slots of one target, so that messages carry the sum over all targets."""
 
-SHOWN_CHARACTERS = 80
-"""Characters of an invalid value that an error shows."""
+SHOWN_CHARACTERS = 160
+"""Characters of an invalid value, or of what is wrong with it, that an error shows."""
+
+NAME_CHARACTERS = 200
+"""Length of the longest name, which is that of the longest key of the store."""
+
+LINE = r"\A[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
+"""Pattern of a text without line breaks and other control characters."""
+
+HEADER_VALUE = r"\A[!-~\xa1-\xff]([ -~\xa0-\xff]*[!-~\xa1-\xff])?\Z"
+"""Pattern of a text that the value of a header carries unchanged."""
 
 Wire = TypeVar("Wire")
-_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Text = Annotated[str, msgspec.Meta(max_length=NAME_CHARACTERS, pattern=LINE)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_CHARACTERS, pattern=LINE)]
+_HeaderName = Annotated[str, msgspec.Meta(max_length=NAME_CHARACTERS, pattern=HEADER_VALUE)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
 _Integer = Annotated[int, msgspec.Meta(ge=-LARGEST, le=LARGEST)]
 _Number = Annotated[float, msgspec.Meta(ge=-LARGEST, le=LARGEST)]
@@ -64,12 +76,12 @@
 
 
 class _Split(msgspec.Struct):
-    service: str
+    service: _Text
     weight: _Number = 1.0
 
 
 class _Route(msgspec.Struct):
-    name: str
+    name: _Text
     host: str
     path_prefix: str
     kind: str
@@ -77,7 +89,7 @@
     target_latency_ms: _Number = 0.0
     target_gap_ms: _Number = 0.0
     priority: _Integer = 0
-    service: str | None = None
+    service: _Text | None = None
     traffic_split: list[_Split] = []
     max_attempts: _Integer = 1
     retain: bool = False
@@ -99,7 +111,7 @@
 
 
 class _Service(msgspec.Struct):
-    name: str
+    name: _Text
     max_conns: _Integer = 0
     engine: _Engine | None = None
     health_path: str | None = None
@@ -115,7 +127,7 @@
 class _Tenant(msgspec.Struct):
     """A client account; a key that is not a string or a limit that is not a number is rejected."""
 
-    name: _Name
+    name: _HeaderName
     api_keys: list[str] | None = None
     priority: _Integer | None = None
     rate_per_s: _Number | None = None
@@ -172,7 +184,9 @@
 
 
 def _shortened(text: str) -> str:
-    return text if len(text) <= SHOWN_CHARACTERS else f"{text[:SHOWN_CHARACTERS]}..."
+    """Return a text with its middle left out if it is long; errors of msgspec end with the path."""
+    half = SHOWN_CHARACTERS // 2
+    return text if len(text) <= SHOWN_CHARACTERS else f"{text[:half]}...{text[-half:]}"
 
 
 def decode_configuration(value: bytes) -> Configuration:
@@ -252,11 +266,14 @@
 
 def decode_target(key: str, value: bytes) -> Target:
     """Decode a target's entry; raise `FormatError` if it is invalid."""
-    wire = _decoded(_target_decoder, key, value)
+    target = key.removeprefix(TARGETS_PREFIX)
+    if len(target) > NAME_CHARACTERS or re.search(HEADER_VALUE, target) is None:
+        raise FormatError(f"{_shortened(key)!r} has a name that no header can carry")
+    wire = _decoded(_target_decoder, _shortened(key), value)
     if not _is_address(wire.address):
-        raise FormatError(f"{key}: {_shortened(wire.address)!r} is not IP:PORT")
+        raise FormatError(f"{_shortened(key)}: {_shortened(wire.address)!r} is not IP:PORT")
     return Target(
-        TargetId(key.removeprefix(TARGETS_PREFIX)),
+        TargetId(target),
         ServiceName(wire.service),
         wire.address,
         ZoneId(wire.zone),
