Decode each item of the store on its own

One item that can't be read cost all others. In an answer of the store, a value that is no base64 or no text failed the whole listing or watch, so that the process had no change any more; text outside ASCII and any exception of a decoder other than FormatError even ended the task that follows the store. Ledger members with an epoch beyond 64 bits were accepted, although no message can carry them, and members that are nested too deeply or aren't text ended the task.

The store's client now decodes the items of an answer one by one. An invalid one keeps its key and its revision, which the check for missing changes needs, and says what is wrong. One ItemDecoder rejects the invalid items of all kinds of keys, whatever their decoder raises: a target is not used, the last valid configuration and members stay in force. An item is logged when it becomes invalid and when the reason changes, as rewriting it must not fill the log. The test of that counted the calls of a logger in the module that logged before; it now compares the lines themselves.

--- a/tests/fuzz/test_registry.py
+++ b/tests/fuzz/test_registry.py
@@ -8,6 +8,7 @@
 from tests.fuzz.builders import FIXED
 from tests.fuzz.stored_values import TARGET, configuration_values, target_keys, target_values
 from waxwingglade.base import FormatError, monotonic
+from waxwingglade.follow.items import ItemDecoder
 from waxwingglade.follow.messages import Followed
 from waxwingglade.follow.model import Configuration, Revision, Target, TargetList, View
 from waxwingglade.follow.store import Item
@@ -91,7 +92,7 @@
     @FIXED
     @given(target_values)
     def test_an_entry_that_names_none_takes_its_target_and_no_other(self, value):
-        registered = RegisteredTargets(decode_target)
+        registered = RegisteredTargets(decode_target, ItemDecoder())
         sound = [Item(f"servers/{name}", ENTRY, Revision(1)) for name in ("a", "b")]
         registered.apply(sound, Revision(1), complete=True)
         registered.apply([Item("servers/b", value, Revision(2))], Revision(2), complete=False)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -30,6 +30,12 @@
 }
 
 
+DAMAGED = ("abc", "\u00e4\u00e4\u00e4\u00e4", 7, [[]])
+"""Values of items that can't be read as base64."""
+
+ODD_NAMES = ("", "\u0100", "a\r\nX: 1", "x" * 5000)
+
+
 class OddEntries(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.cluster = PlatformCluster()
@@ -39,6 +45,11 @@
     async def test_odd_entries_keep_no_change_from_any_process(self) -> None:
         for number, value in enumerate(ODD.values()):
             self.cluster.store.put_bytes(f"servers/odd-{number}", value)
+        for name in ODD_NAMES:
+            self.cluster.store.put_bytes(f"servers/{name}", json.dumps(SOUND).encode())
+        for number, value in enumerate(DAMAGED):
+            self.cluster.store.put_damaged(f"servers/damaged-{number}", value=value)
+            self.cluster.store.put_damaged(f"other/{number}", value=value)
         await asyncio.sleep(1.0)
         change_everything(self.cluster)
         await asyncio.sleep(APPLY_S)
--- a/waxwingglade/base/__init__.py
+++ b/waxwingglade/base/__init__.py
@@ -1,7 +1,7 @@
 """Basic types of the package: identifiers, verdicts, exceptions and clocks."""
 
 from waxwingglade.base.clock import Clock, monotonic, wall
-from waxwingglade.base.errors import FormatError, SettingsError, WaxwinggladeError
+from waxwingglade.base.errors import FormatError, SettingsError, WaxwinggladeError, shortened
 from waxwingglade.base.ids import (
     CallId,
     ClassName,
@@ -79,5 +79,6 @@
     "new_nonce",
     "not_run",
     "ran",
+    "shortened",
     "wall",
 ]
--- a/waxwingglade/follow/model.py
+++ b/waxwingglade/follow/model.py
@@ -6,13 +6,16 @@
 import zlib
 from collections.abc import Set
 from enum import Enum
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
 from waxwingglade.base import ConfigVersion, TargetId, ZoneId
 from waxwingglade.base.credentials import KeyDigest
 
+LAST_REVISION = 2**63 - 1
+"""Greatest revision and epoch, which all messages between processes can carry."""
+
 RouteName = NewType("RouteName", str)
 ServiceName = NewType("ServiceName", str)
 Revision = NewType("Revision", int)
@@ -276,7 +279,7 @@
         Disk of the member that the last change added; empty if it removed one.
     """
 
-    epoch: int = 0
+    epoch: Annotated[int, msgspec.Meta(ge=0, le=LAST_REVISION)] = 0
     members: tuple[Replica, ...] = ()
     settled: bool = False
     joining: str = ""
@@ -388,6 +391,7 @@
 
 __all__ = [
     "EMPTY_VIEW",
+    "LAST_REVISION",
     "CallKind",
     "ClientAccount",
     "ClientAccountId",
--- a/waxwingglade/follow/store.py
+++ b/waxwingglade/follow/store.py
@@ -39,11 +39,29 @@
 
 
 class Item(msgspec.Struct, frozen=True):
-    """A key of the store; `value` is None in an event that reports its removal."""
+    """A key of the store.
+
+    Parameters
+    ----------
+    key : str
+        Key; empty if it can't be read.
+    value : bytes or None
+        Value; None in an event that reports the removal of the key, or if it can't be read.
+    revision : Revision
+        Revision that wrote or removed it; 0 if it can't be read.
+    error : str
+        Why the item can't be read; empty otherwise.
+    """
 
     key: str
     value: bytes | None
     revision: Revision
+    error: str = ""
+
+    @property
+    def removed(self) -> bool:
+        """Whether this is an event that reports the removal of the key."""
+        return self.value is None and not self.error
 
 
 class Listing(msgspec.Struct, frozen=True):
--- a/waxwingglade/follow/tests/test_following.py
+++ b/waxwingglade/follow/tests/test_following.py
@@ -7,6 +7,7 @@
 from unittest import mock
 
 import msgspec
+from loguru import logger
 
 from waxwingglade.base import ConfigVersion, ZoneId
 from waxwingglade.follow.feed import FRESH_S, SOURCE_PAUSE_S, CachedView, FeedFollower
@@ -88,11 +89,13 @@
 
     async def test_an_invalid_target_entry_leaves_the_others(self) -> None:
         """The invalid entry is logged once, however often it is written."""
-        with mock.patch("waxwingglade.follow.targets.logger.warning") as warned:
-            for _ in range(3):
-                self.store.put("targets/b", b"\xff\xfe")
-                await until(lambda: self.names() == {"a"})
-        self.assertEqual(warned.call_count, 1)
+        lines: list[str] = []
+        sink = logger.add(lambda line: lines.append(line.record["message"]), level="WARNING")
+        self.addCleanup(logger.remove, sink)
+        for _ in range(3):
+            self.store.put("targets/b", b"\xff\xfe")
+            await until(lambda: self.names() == {"a"})
+        self.assertEqual(["invalid target entry"], lines)
         self.store.put("targets/b", b"ready")
         await until(lambda: self.names() == {"a", "b"})
 
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -17,8 +17,9 @@
 import msgspec
 from loguru import logger
 
-from waxwingglade.base import Clock, FormatError, monotonic
+from waxwingglade.base import Clock, monotonic
 from waxwingglade.base.tasks import start_task
+from waxwingglade.follow.items import ItemDecoder
 from waxwingglade.follow.model import (
     EMPTY_VIEW,
     Configuration,
@@ -140,9 +141,8 @@
         When all keys are listed instead of the next watch.
     gaps : int
         Number of answers without the events of all revisions that they covered.
-    undecodable : bool
-        Whether the configuration in the store can't be decoded.  Then no call makes the view
-        complete.
+    decoder : ItemDecoder
+        Decodes the items, and knows which of them are invalid.
     retiring : dict
         VMs that operators want to retire, with the revision of the order.
     candidates : dict
@@ -167,12 +167,12 @@
         self.view = EMPTY_VIEW
         self.store_confirmed_at = float("-inf")
         self.store_complete_until = float("-inf")
-        self.undecodable = False
         self.retiring: dict[str, Revision] = {}
         self.candidates: dict[str, Candidate] = {}
         self.replicas_revision = Revision(0)
         self.replicas_known = asyncio.Event()
-        self.targets = RegisteredTargets(keys.decode_target)
+        self.decoder = ItemDecoder()
+        self.targets = RegisteredTargets(keys.decode_target, self.decoder)
         self.recovered_at = float("-inf")
         self.in_outage = False
         self.was_unavailable = True
@@ -205,6 +205,11 @@
         """Seconds since an answer of the store last had content."""
         return self.clock() - self.changed_at
 
+    @property
+    def undecodable(self) -> bool:
+        """Whether the configuration in the store is invalid, so that no call completes the view."""
+        return self.keys.configuration in self.decoder.rejected
+
     @property
     def complete_until(self) -> float:
         """Time up to which the view is complete; -inf until a configuration was decoded."""
@@ -279,10 +284,14 @@
         self.revision = max(self.revision, listing.revision)
         if complete or listing.items:
             self.changed_at = self.clock()
+        if complete:
+            self.decoder.keep_only(item.key for item in listing.items)
         parts: dict[str, list[Item]] = {
             prefix: [] for prefix in (self.keys.operators, self.keys.own, self.keys.targets)
         }
         for item in listing.items:
+            if item.removed:
+                self.decoder.accept(item.key)
             for prefix, items in parts.items():
                 if item.key.startswith(prefix):
                     items.append(item)
@@ -327,24 +336,21 @@
                 self._apply_retirement(item)
 
     def _apply_configuration(self, item: Item) -> None:
-        if item.value is None:
+        if item.removed:
             return
-        if item.revision == self.view.configuration_revision:
-            self.undecodable = False
+        if not item.error and item.revision == self.view.configuration_revision:
+            self.decoder.accept(item.key)
             return
-        try:
-            configuration = self.keys.decode_configuration(item.value)
-        except FormatError as error:
-            logger.error("invalid configuration at revision {}: {}", item.revision, error)
-            self.undecodable = True
+        decode = self.keys.decode_configuration
+        configuration = self.decoder.decode(item, "configuration", decode, "ERROR")
+        if configuration is None:
             return
-        self.undecodable = False
         configuration = msgspec.structs.replace(configuration, revision=item.revision)
         self._replace(self.view.merged(View(configuration)))
 
     def _apply_retirement(self, item: Item) -> None:
         vm = item.key.removeprefix(self.keys.retire)
-        if item.value is None:
+        if item.removed:
             self.retiring.pop(vm, None)
             return
         if vm not in self.retiring:
@@ -356,7 +362,7 @@
 
     def _apply_own_items(self, items: list[Item]) -> None:
         for item in items:
-            if item.key == self.keys.replicas and item.value is not None:
+            if item.key == self.keys.replicas:
                 self.apply_replicas(item)
             elif item.key.startswith(self.keys.candidates):
                 self.apply_candidate(item)
@@ -365,19 +371,19 @@
     def apply_candidate(self, item: Item) -> None:
         """Record the replica that is about to join; ignore a revision that is already recorded."""
         known = self.candidates.get(item.key)
-        if item.value is None or (known is not None and item.revision <= known.revision):
+        if item.removed or (known is not None and item.revision <= known.revision):
+            return
+        disk = self.decoder.decode(item, "candidate for the ledger's members", decode_disk)
+        if disk is None:
             return
-        disk = item.value.decode("utf-8", "replace")
         self.candidates[item.key] = Candidate(disk, item.revision, self.clock())
 
     def apply_replicas(self, item: Item) -> None:
         """Update the view from the key of the ledger's members."""
-        if item.value is None or item.revision < self.replicas_revision:
+        if item.removed or (item.revision < self.replicas_revision and not item.error):
             return
-        try:
-            replicas = msgspec.json.decode(item.value, type=ReplicaSet)
-        except msgspec.DecodeError as error:
-            logger.error("invalid ledger members at revision {}: {}", item.revision, error)
+        replicas = self.decoder.decode(item, "ledger members", decode_replicas, "ERROR")
+        if replicas is None:
             return
         self.replicas_revision = item.revision
         self._replace(self.view.merged(View(replicas=replicas)))
@@ -395,4 +401,14 @@
         self.changed()
 
 
+def decode_replicas(value: bytes) -> ReplicaSet:
+    """Decode the ledger's members; any exception that this raises says that they are invalid."""
+    return msgspec.json.decode(value, type=ReplicaSet)
+
+
+def decode_disk(value: bytes) -> str:
+    """Decode the name of the disk of a candidate."""
+    return value.decode("utf-8", "replace")
+
+
 __all__ = ["Candidate", "Keys", "Watcher"]
--- a/waxwingglade/platform/registry.py
+++ b/waxwingglade/platform/registry.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId
+from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId, shortened
 from waxwingglade.base.credentials import digest_of
 from waxwingglade.follow.model import (
     CallKind,
@@ -53,9 +53,6 @@
 MOST_SLOTS = 2**31 - 1
 """Greatest number of slots of one target, so that messages carry the sum over all targets."""
 
-SHOWN_CHARACTERS = 160
-"""Characters of an invalid value, or of what is wrong with it, that an error shows."""
-
 NAME_CHARACTERS = 200
 """Length of the longest name, which is that of the longest key of the store."""
 
@@ -180,13 +177,7 @@
     except RecursionError as error:
         raise FormatError(f"{what}: {len(value)} bytes are nested too deeply") from error
     except ValueError as error:
-        raise FormatError(f"{what}: {_shortened(str(error))}") from error
-
-
-def _shortened(text: str) -> str:
-    """Return a text with its middle left out if it is long; errors of msgspec end with the path."""
-    half = SHOWN_CHARACTERS // 2
-    return text if len(text) <= SHOWN_CHARACTERS else f"{text[:half]}...{text[-half:]}"
+        raise FormatError(f"{what}: {shortened(str(error))}") from error
 
 
 def decode_configuration(value: bytes) -> Configuration:
@@ -268,10 +259,10 @@
     """Decode a target's entry; raise `FormatError` if it is invalid."""
     target = key.removeprefix(TARGETS_PREFIX)
     if len(target) > NAME_CHARACTERS or re.search(HEADER_VALUE, target) is None:
-        raise FormatError(f"{_shortened(key)!r} has a name that no header can carry")
-    wire = _decoded(_target_decoder, _shortened(key), value)
+        raise FormatError(f"{shortened(key)!r} has a name that no header can carry")
+    wire = _decoded(_target_decoder, shortened(key), value)
     if not _is_address(wire.address):
-        raise FormatError(f"{_shortened(key)}: {_shortened(wire.address)!r} is not IP:PORT")
+        raise FormatError(f"{shortened(key)}: {shortened(wire.address)!r} is not IP:PORT")
     return Target(
         TargetId(target),
         ServiceName(wire.service),
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import base64
-import binascii
 from collections import Counter
-from typing import TypeVar
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote
 
 import msgspec
 
-from waxwingglade.follow.model import Revision
+from waxwingglade.base import shortened
+from waxwingglade.follow.model import LAST_REVISION, Revision
 from waxwingglade.follow.store import (
     WATCH_MARGIN_S,
     HistoryCompacted,
@@ -52,25 +52,29 @@
 
 
 Wire = TypeVar("Wire")
+_Revision = Annotated[int, msgspec.Meta(ge=0, le=LAST_REVISION)]
 
 
 class _WireItem(msgspec.Struct):
     key: str
-    revision: int
+    revision: _Revision
     value: str | None = None
     deleted: bool = False
-    current_rev: int = 0
 
 
 class _Page(msgspec.Struct):
-    items: list[_WireItem]
+    """A page of a listing; its items are decoded one by one, as one may be invalid."""
+
+    items: list[msgspec.Raw]
     has_more: bool
-    current_rev: int
+    current_rev: _Revision
 
 
 class _Events(msgspec.Struct):
-    events: list[_WireItem]
-    current_rev: int
+    """The answer to a watch; its events are decoded one by one, as one may be invalid."""
+
+    events: list[msgspec.Raw]
+    current_rev: _Revision
 
 
 class _Expected(msgspec.Struct):
@@ -90,10 +94,6 @@
     remove: list[str] = []
 
 
-class _Refusal(msgspec.Struct):
-    items: list[_WireItem | None] = []
-
-
 class PlatformStore:
     """The platform's store, with the interface of `waxwingglade.follow.store.Store`.
 
@@ -118,7 +118,10 @@
         response = await self._call("read", "GET", f"/v1/kv-key?key={quote(key, safe='')}")
         if response.status == _NOT_FOUND:
             return None
-        return _item(_decoded(response, _WireItem))
+        item = _item(_decoded(response, msgspec.Raw))
+        if item.key != key:
+            raise StoreUnavailable(f"answered with the key {item.key!r}", may_have_run=False)
+        return item
 
     async def list(self, prefix: str) -> Listing:
         """Return all items below a prefix as of one revision.
@@ -149,7 +152,9 @@
             revisions.append(Revision(page.current_rev))
             if not page.has_more or not page.items:
                 break
-            after = f"&after={quote(page.items[-1].key, safe='')}"
+            if not items[-1].key:
+                raise StoreUnavailable("a page ends with an invalid key", may_have_run=False)
+            after = f"&after={quote(items[-1].key, safe='')}"
         if revisions[-1] == revisions[0]:
             return Listing(tuple(items), revisions[0])
         # Later pages may have changes that the earlier ones lack.
@@ -243,8 +248,9 @@
         raise StoreUnavailable(f"status {response.status} for a read", may_have_run=False)
     try:
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError as error:
-        raise StoreUnavailable(f"invalid answer: {error}", may_have_run=False) from error
+    except (ValueError, RecursionError) as error:
+        reason = f"invalid answer: {shortened(str(error))}"
+        raise StoreUnavailable(reason, may_have_run=False) from error
 
 
 def _updated(items: list[Item], changes: Listing, prefix: str) -> Listing:
@@ -253,21 +259,32 @@
     for change in changes.items:
         if not change.key.startswith(prefix):
             continue
-        if change.value is None:
+        if change.removed:
             current.pop(change.key, None)
         else:
             current[change.key] = change
     return Listing(tuple(current.values()), changes.revision)
 
 
-def _item(wire: _WireItem) -> Item:
+def _item(raw: msgspec.Raw) -> Item:
+    """Decode an item; one that is invalid keeps its key and its revision if they can be read."""
     try:
-        value = None if wire.deleted or wire.value is None else base64.b64decode(wire.value)
-    except binascii.Error as error:
-        raise StoreUnavailable(
-            f"invalid value of {wire.key}: {error}", may_have_run=False
-        ) from error
+        wire = msgspec.json.decode(raw, type=_WireItem)
+        present = not wire.deleted and wire.value is not None
+        value = base64.b64decode(wire.value, validate=True) if present else None
+    except (ValueError, RecursionError) as error:
+        revision = Revision(_field(raw, "revision", _Revision, 0))
+        return Item(_field(raw, "key", str, ""), None, revision, shortened(str(error)))
     return Item(wire.key, value, Revision(wire.revision))
 
 
+def _field(raw: msgspec.Raw, name: str, kind: Any, default: Wire) -> Wire:
+    """Return one field of an item, whatever the others are, or a default if it is invalid."""
+    try:
+        fields = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+        return msgspec.json.decode(fields[name], type=kind)
+    except (KeyError, ValueError, RecursionError):
+        return default
+
+
 __all__ = ["PlatformStore"]
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -4,11 +4,22 @@
 from typing import Any
 from unittest import mock
 
-from waxwingglade.follow.store import HistoryCompacted, StoreUnavailable
+from waxwingglade.follow.store import HistoryCompacted, StoreUnavailable, contiguous_until
 from waxwingglade.platform.store import PlatformStore
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
 from waxwingglade.transport import HttpResponse
 
+INVALID_FIELDS: dict[str, dict[str, Any]] = {
+    "no base64": {"value": "abc"},
+    "text": {"value": "\u00e4\u00e4\u00e4\u00e4"},
+    "number": {"value": 7},
+    "nested": {"value": [[{}]]},
+    "text revision": {"revision": "7"},
+    "large revision": {"revision": 10**400},
+    "negative revision": {"revision": -1},
+}
+"""Fields with which an item can't be decoded."""
+
 
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -89,6 +100,47 @@
         with self.assertRaises(HistoryCompacted):
             await self.store.watch("servers/", 0, 0.1)
 
+    def put_invalid(self) -> dict[str, int]:
+        """Write items that can't be decoded; return the revisions that can be read from them."""
+        revisions = {}
+        for name, fields in INVALID_FIELDS.items():
+            revision = self.standin.put_damaged(f"servers/{name}", **fields)
+            revisions[f"servers/{name}"] = 0 if "revision" in fields else revision
+        return revisions
+
+    async def test_an_invalid_item_takes_no_other_from_a_listing_or_a_watch(self) -> None:
+        start = self.standin.put("servers/sound", {})
+        revisions = self.put_invalid()
+        last = self.standin.put("servers/later", {})
+        self.enterContext(
+            mock.patch.object(self.standin, "events", lambda *_: list(self.standin.history))
+        )
+        for listing in (
+            await self.store.list("servers/"),
+            await self.store.watch("servers/", start - 1, 1.0),
+        ):
+            found = {item.key: item for item in listing.items}
+            self.assertEqual(last, listing.revision)
+            for key in ("servers/sound", "servers/later"):
+                self.assertEqual((b"{}", ""), (found[key].value, found[key].error))
+            for key, revision in revisions.items():
+                item = found[key]
+                self.assertEqual((None, revision, False), (item.value, item.revision, item.removed))
+                self.assertTrue(0 < len(item.error) < 200, item.error)
+
+    async def test_the_revisions_of_invalid_items_leave_no_gap(self) -> None:
+        start = self.standin.put("servers/sound", {})
+        for name in ("no base64", "text"):
+            self.standin.put_damaged(f"servers/{name}", **INVALID_FIELDS[name])
+        events = await self.store.watch("", start, 1.0)
+        self.assertEqual(self.standin.revision, contiguous_until(start, events))
+
+    async def test_an_invalid_item_is_read_with_what_is_wrong(self) -> None:
+        self.put_invalid()
+        item = await self.store.read("servers/text")
+        self.assertFalse(item.removed)
+        self.assertIn("ASCII", item.error)
+
     async def test_calls_are_counted_by_purpose(self) -> None:
         await self.store.list("servers/")
         await self.store.read("own/a")
@@ -96,7 +148,16 @@
 
     async def test_an_invalid_answer_is_a_failure_like_others(self) -> None:
         """Any other error would end the watcher, which then receives no more changes."""
-        for status, body in ((200, b"<html>"), (404, b""), (412, b"{}")):
+        deep = b'{"events": ' + b"[" * 5000
+        large = b'{"events": [], "current_rev": ' + b"9" * 5000 + b"}"
+        for status, body in (
+            (200, b"<html>"),
+            (404, b""),
+            (412, b"{}"),
+            (200, deep),
+            (200, large),
+            (200, b'{"events": [], "current_rev": -1}'),
+        ):
             answer = HttpResponse(status, [], body)
             with (
                 self.subTest(status=status),
--- a/waxwingglade/standins/metadata_store.py
+++ b/waxwingglade/standins/metadata_store.py
@@ -113,6 +113,12 @@
         statuses = (each.status for each in self.refusals if address in each.addresses)
         return next(statuses, None)
 
+    def put_damaged(self, key: str, **fields: Any) -> int:
+        """Write an item that is shown with other values of some fields; return its revision."""
+        revision = self.put(key, {})
+        self.items[key] = self.history[-1] = {**self.items[key], **fields}
+        return revision
+
     def remove(self, key: str) -> None:
         """Remove an item."""
         if self.items.pop(key, None) is None:
