Pause between readings of invalid ledger members

While the ledger's members in the store were invalid, an entry that knew none read them again at once, without end: calls of the store are priced, and their number is limited for all processes together. The loop paused only if there was no answer. It now pauses unless the members are known.

The new test failed on the code before (28 calls in 0.3 s at 10 ms each, less than 5 expected) and passes.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -295,8 +295,8 @@
             if item is not None:
                 reader.apply_replicas(item)
                 self.cached_view.merge(reader.view, float("-inf"))
-                continue
-            await asyncio.sleep(MEMBERS_RETRY_S * (0.5 + random.random()))
+            if not self.cached_view.view.replicas.members:
+                await asyncio.sleep(MEMBERS_RETRY_S * (0.5 + random.random()))
 
     async def _check_forever(self) -> None:
         lost_at: float | None = None
