--- a/waxwingglade/platform/registry.py
+++ b/waxwingglade/platform/registry.py
@@ -1,12 +1,13 @@
 """Decode the entries that operators and targets write to the store."""
 
 import ipaddress
+import re
 from enum import Enum
 from typing import Annotated, TypeVar
 
 import msgspec
 
-from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId
+from waxwingglade.base import ConfigVersion, FormatError, TargetId, ZoneId, shortened
 from waxwingglade.base.credentials import digest_of
 from waxwingglade.follow.model import (
     CallKind,
@@ -52,11 +53,18 @@
 MOST_SLOTS = 2**31 - 1
 """Greatest number of slots of one target, so that messages carry the sum over all targets."""
 
-SHOWN_CHARACTERS = 80
-"""Characters of an invalid value that an error shows."""
+NAME_CHARACTERS = 200
+"""Length of the longest name, which is that of the longest key of the store."""
+
+LINE = r"\A[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
+"""Pattern of a text without line breaks and other control characters."""
+
+HEADER_VALUE = r"\A[!-~\xa1-\xff]([ -~\xa0-\xff]*[!-~\xa1-\xff])?\Z"
+"""Pattern of a text that the value of a header carries unchanged."""
 
 Wire = TypeVar("Wire")
-_Name = Annotated[str, msgspec.Meta(min_length=1)]
+_Name = Annotated[str, msgspec.Meta(min_length=1, max_length=NAME_CHARACTERS, pattern=LINE)]
+_HeaderName = Annotated[str, msgspec.Meta(max_length=NAME_CHARACTERS, pattern=HEADER_VALUE)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MOST_SLOTS)]
 _Integer = Annotated[int, msgspec.Meta(ge=-LARGEST, le=LARGEST)]
 _Number = Annotated[float, msgspec.Meta(ge=-LARGEST, le=LARGEST)]
@@ -115,7 +123,7 @@
 class _Tenant(msgspec.Struct):
     """A client account; a key that is not a string or a limit that is not a number is rejected."""
 
-    name: _Name
+    name: _HeaderName
     api_keys: list[str] | None = None
     priority: _Integer | None = None
     rate_per_s: _Number | None = None
@@ -168,11 +176,7 @@
     except RecursionError as error:
         raise FormatError(f"{what}: {len(value)} bytes are nested too deeply") from error
     except ValueError as error:
-        raise FormatError(f"{what}: {_shortened(str(error))}") from error
-
-
-def _shortened(text: str) -> str:
-    return text if len(text) <= SHOWN_CHARACTERS else f"{text[:SHOWN_CHARACTERS]}..."
+        raise FormatError(f"{what}: {shortened(str(error))}") from error
 
 
 def decode_configuration(value: bytes) -> Configuration:
@@ -252,11 +256,14 @@
 
 def decode_target(key: str, value: bytes) -> Target:
     """Decode a target's entry; raise `FormatError` if it is invalid."""
-    wire = _decoded(_target_decoder, key, value)
+    target = key.removeprefix(TARGETS_PREFIX)
+    if len(target) > NAME_CHARACTERS or re.search(HEADER_VALUE, target) is None:
+        raise FormatError(f"{shortened(key)!r} has a name that no header can carry")
+    wire = _decoded(_target_decoder, shortened(key), value)
     if not _is_address(wire.address):
-        raise FormatError(f"{key}: {_shortened(wire.address)!r} is not IP:PORT")
+        raise FormatError(f"{shortened(key)}: {shortened(wire.address)!r} is not IP:PORT")
     return Target(
-        TargetId(key.removeprefix(TARGETS_PREFIX)),
+        TargetId(target),
         ServiceName(wire.service),
         wire.address,
         ZoneId(wire.zone),
