--- a/waxwingglade/follow/tests/test_missed_changes.py
+++ b/waxwingglade/follow/tests/test_missed_changes.py
@@ -140,6 +140,19 @@
             self.store.put("op/config", b'{"version": 9}')
             await until(lambda: self.watcher.view.version == 9)
 
+    async def test_a_revision_that_no_listing_confirms_does_not_end_the_following(self) -> None:
+        await self.watcher.stop()
+        await self.watcher._list()
+        wrong = Listing((), Revision(10**12))
+        with (
+            mock.patch.object(self.store, "watch", return_value=wrong),
+            self.assertRaises(StoreUnavailable),
+        ):
+            await self.watcher._step(self.watcher.revision)
+        self.store.put("op/config", b'{"version": 9}')
+        self.watcher.start()
+        await until(lambda: self.watcher.view.version == 9)
+
     async def test_a_target_that_a_listing_lacked_is_added_at_the_same_revision(self) -> None:
         await self.watcher.stop()
         process = FollowingProcess(self.store, lambda: self.now)
