Run followers again that fail in a way that nobody foresaw

Callers saw 404 on routes that had been added, and targets that were leaving got requests, at processes that stayed ready. An exception other than those that a follower names (RecursionError and ValueError of a decoder were seen) ended the task that follows the store or another process. `start_task` logged that, and nothing else noticed: the process kept its last view for good.

`run_forever` runs such a task again after a pause, logs each failure with its trace, and counts it in `task_failures_total` of entries and ledger processes. The three followers use it. A run of the watcher begins with a listing, so it needs nothing of the one that failed. An answer that can't be applied must not confirm the view, or it would count as current while nothing is applied; the confirmation is withdrawn. The other two followers ask their next source.

--- a/waxwingglade/base/tasks.py
+++ b/waxwingglade/base/tasks.py
@@ -1,11 +1,25 @@
 """Background tasks whose failures are always logged."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections import Counter
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from loguru import logger
 
+from waxwingglade.base import monotonic
+
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+"""Seconds between a failure of a task and its next run, doubled up to the longest.  Changes must be
+in force after two seconds, also after a failure."""
+
+RAN_WELL_S = 10.0
+"""Seconds without a failure after which the first pause applies again."""
+
+failures: Counter[tuple[str]] = Counter()
+"""Failures of the tasks of `run_forever` in this process; the label is the coroutine's name."""
+
 _detached: set[asyncio.Task] = set()
 
 
@@ -35,3 +49,57 @@
     if task.cancelled() or task.exception() is None:
         return
     logger.opt(exception=task.exception()).error("task {} failed", task.get_coro().__qualname__)
+
+
+def run_forever(make_coroutine: Callable[[], Coroutine[Any, Any, None]]) -> asyncio.Task:
+    """Run a task that has to last as long as its owner, and run it again whenever it fails.
+
+    Each failure is logged and counted in `failures`.  The task ends when it is cancelled, or when
+    its coroutine returns.
+
+    Parameters
+    ----------
+    make_coroutine : callable
+        Returns a new coroutine for each run.  The coroutine must be able to start with whatever
+        state the previous run left.
+
+    Returns
+    -------
+    asyncio.Task
+        The task; the caller has to hold a reference to it.
+    """
+    return start_task(_run_again(make_coroutine))
+
+
+async def _run_again(make_coroutine: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    pause_s = FIRST_PAUSE_S
+    while True:
+        coroutine = make_coroutine()
+        started_at = monotonic()
+        try:
+            return await coroutine
+        except asyncio.CancelledError as cancelled:
+            if _is_cancelled():
+                raise
+            # Something that the coroutine awaited was cancelled, rather than this task.
+            error: BaseException = cancelled
+        except Exception as failure:
+            error = failure
+        if monotonic() - started_at >= RAN_WELL_S:
+            pause_s = FIRST_PAUSE_S
+        _record_failure(coroutine.__qualname__, error, pause_s)
+        del coroutine, error
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
+
+
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
+def _record_failure(name: str, error: BaseException, pause_s: float) -> None:
+    failures[name,] += 1
+    logger.bind(task=name, pause_s=pause_s).opt(exception=error).error(
+        "task failed, will be run again"
+    )
--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, Fingerprint, WaxwinggladeError, ZoneId, monotonic
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever
 from waxwingglade.follow.messages import Follow, Followed, FollowSuspects, SuspectList
 from waxwingglade.follow.model import EMPTY_VIEW, Replica, TargetList, View
 from waxwingglade.follow.retention import Retention
@@ -270,7 +270,7 @@
 
     def start(self) -> None:
         """Start following."""
-        self.task = start_task(self._follow())
+        self.task = run_forever(self._follow_or_change_source)
 
     async def stop(self) -> None:
         """Stop following."""
@@ -293,6 +293,15 @@
         """Subtract a stall of this process from the time since a majority was reported."""
         self.quorum_at = min(self.cached_view.clock(), self.quorum_at + seconds)
 
+    async def _follow_or_change_source(self) -> None:
+        """Follow the sources; after a failure the next one is asked first."""
+        try:
+            await self._follow()
+        except Exception:
+            self.tried += 1
+            self.source_current = False
+            raise
+
     async def _follow(self) -> None:
         while True:
             if not self.needed():
--- a/waxwingglade/follow/suspects.py
+++ b/waxwingglade/follow/suspects.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from waxwingglade.base import Clock, Fingerprint, WaxwinggladeError, monotonic
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever, start_task
 from waxwingglade.follow.messages import FollowSuspects, SuspectList
 from waxwingglade.follow.model import Replica
 
@@ -120,12 +120,13 @@
         self.clock = clock
         self.last_exchange = Exchanged()
         self.failed_at = float("-inf")
+        self.failures = 0
         self.refreshing: asyncio.Task | None = None
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
         """Start following."""
-        self.task = start_task(self._follow())
+        self.task = run_forever(self._follow_or_discard)
 
     async def stop(self) -> None:
         """Stop following."""
@@ -167,16 +168,26 @@
             asking = list(pending)
         self.failed_at = self.clock()
 
+    async def _follow_or_discard(self) -> None:
+        """Follow the sources; after a failure the next one is asked first."""
+        try:
+            await self._follow()
+        except Exception:
+            self._discard()
+            raise
+
     async def _follow(self) -> None:
-        failures = 0
         while True:
             sources = self.sources()
-            if not sources or not await self._update(sources[failures % len(sources)], WAIT_S):
-                failures += 1
-                # Requests that were released meanwhile must not stay on an old list.
-                self.suspects.replace({}, self.SECOND)
+            if not sources or not await self._update(sources[self.failures % len(sources)], WAIT_S):
+                self._discard()
                 await asyncio.sleep(SOURCE_PAUSE_S)
 
+    def _discard(self) -> None:
+        """Discard the list, as requests that are released meanwhile must not stay on it."""
+        self.failures += 1
+        self.suspects.replace({}, self.SECOND)
+
     async def _update(self, source: Replica, wait_s: float) -> bool:
         """Ask a source for its list; return whether it has answered."""
         message = FollowSuspects(self.suspects.checksum(self.SECOND), wait_s)
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -18,7 +18,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, FormatError, monotonic
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever
 from waxwingglade.follow.model import (
     EMPTY_VIEW,
     Configuration,
@@ -184,7 +184,7 @@
 
     def start(self) -> None:
         """Start following."""
-        self.task = start_task(self._follow())
+        self.task = run_forever(self._follow_or_withdraw)
 
     async def stop(self) -> None:
         """Stop following."""
@@ -212,6 +212,14 @@
             return float("-inf")
         return self.store_complete_until
 
+    async def _follow_or_withdraw(self) -> None:
+        """Follow the store; a failure withdraws the confirmation of an answer not fully applied."""
+        try:
+            await self._follow()
+        except Exception:
+            self.store_confirmed_at = min(self.store_confirmed_at, self.store_complete_until)
+            raise
+
     async def _follow(self) -> None:
         """Update the view without end: by a listing, then mostly by watches from its revision."""
         revision: Revision | None = None
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -11,6 +11,7 @@
     render_page,
     state_gauge,
 )
+from waxwingglade.base.tasks import failures
 from waxwingglade.follow.feed import LONGEST_AGE_S
 from waxwingglade.transport import Finding
 
@@ -66,6 +67,10 @@
         )
         self.reserve = self._time("reserve_seconds", "Waiting for the ledger to begin a turn.")
         self.keep = self._time("keep_seconds", "Waiting for the ledger to keep a turn.")
+        self.task_failures = self._count(
+            "task_failures_total", "Failures of tasks that were run again.", "task"
+        )
+        self.task_failures.counts = failures
         self.buffered_metrics = (
             self.requests,
             self.by_account,
@@ -79,6 +84,7 @@
             self.first_event,
             self.reserve,
             self.keep,
+            self.task_failures,
         )
 
     def _count(self, name: str, text: str, *labels: str) -> BufferedCounter:
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -8,6 +8,7 @@
     render_page,
     state_gauge,
 )
+from waxwingglade.base.tasks import failures
 from waxwingglade.follow.feed import LONGEST_AGE_S
 
 if TYPE_CHECKING:
@@ -35,6 +36,10 @@
             "Requests of client accounts with a limit, by account and answer.",
             ("account", "answer"),
         )
+        self.task_failures = BufferedCounter(
+            PREFIX + "task_failures_total", "Failures of tasks that were run again.", ("task",)
+        )
+        self.task_failures.counts = failures
 
     def record(self, request: str, answer: str, seconds: float) -> None:
         """Count one answer."""
@@ -76,7 +81,8 @@
         self.quota_answers.counts = node.quotas.usage.answers
         facts = {name: float(value) for name, value in values.items()}
         state = state_gauge(PREFIX + "state", "What the process holds and believes.", facts)
-        return render_page((self.answers, self.seconds, self.quota_answers, state))
+        buffered = (self.answers, self.seconds, self.quota_answers, self.task_failures)
+        return render_page((*buffered, state))
 
 
 __all__ = ["LedgerMetrics"]
