Keep a failed listener of a view from stopping the others

A listener that raised ended the call of the others and the task that had received the view, which had replaced the old one by then. Nothing called the listener again until the next change. At an entry one listener took over routes and targets: with a configuration that couldn't be used it also kept targets that had left.

Each listener is now called by itself. One that fails is logged, counted and called again by the periodic check of its process until it has taken the view. Routes and targets of an entry are separate listeners, and an entry and the limits of a ledger process count a configuration as taken over only at the end, so that the call after a failure does the rest.

--- a/waxwingglade/base/tasks.py
+++ b/waxwingglade/base/tasks.py
@@ -18,7 +18,7 @@
 """Seconds without a failure after which the first pause applies again."""
 
 failures: Counter[tuple[str]] = Counter()
-"""Failures of the tasks of `run_forever` in this process; the label is the coroutine's name."""
+"""Failures of `record_failure` in this process; the label is the name of the function."""
 
 _detached: set[asyncio.Task] = set()
 
@@ -87,7 +87,7 @@
             error = failure
         if monotonic() - started_at >= RAN_WELL_S:
             pause_s = FIRST_PAUSE_S
-        _record_failure(coroutine.__qualname__, error, pause_s)
+        record_failure("task failed, will be run again", coroutine.__qualname__, error, pause_s)
         del coroutine, error
         await asyncio.sleep(pause_s)
         pause_s = min(2 * pause_s, LONGEST_PAUSE_S)
@@ -98,8 +98,19 @@
     return task is not None and task.cancelling() > 0
 
 
-def _record_failure(name: str, error: BaseException, pause_s: float) -> None:
+def record_failure(event: str, name: str, error: BaseException, pause_s: float) -> None:
+    """Log and count a failure of a task or callback that is tried again.
+
+    Parameters
+    ----------
+    event : str
+        Event of the log line.
+    name : str
+        Qualified name of the function that failed.
+    error : BaseException
+        The failure.
+    pause_s : float
+        Seconds until the next try.
+    """
     failures[name,] += 1
-    logger.bind(task=name, pause_s=pause_s).opt(exception=error).error(
-        "task failed, will be run again"
-    )
+    logger.bind(task=name, pause_s=pause_s).opt(exception=error).error(event)
--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, Fingerprint, WaxwinggladeError, ZoneId, monotonic
-from waxwingglade.base.tasks import run_forever
+from waxwingglade.base.tasks import record_failure, run_forever
 from waxwingglade.follow.messages import Follow, Followed, FollowSuspects, SuspectList
 from waxwingglade.follow.model import EMPTY_VIEW, Replica, TargetList, View
 from waxwingglade.follow.retention import Retention
@@ -42,6 +42,9 @@
 HEARTBEAT_S = 1.0
 """Usual interval in seconds at which targets renew their entries in the store."""
 
+LISTENER_RETRY_S = 0.5
+"""Seconds after which a listener of a view that failed is called again."""
+
 STORE = "store"
 """Source of a change that this process read from the store itself."""
 
@@ -70,6 +73,10 @@
         Targets that are not registered but remain in use.
     suspects : Suspects
         Suspect requests, as this process or its source knows them.
+    listeners : list of callable
+        Called with each new view.  One that fails is called again until it has taken the view.
+    pending : list of callable
+        Listeners that have not taken the current view.
     """
 
     def __init__(self, clock: Clock = monotonic, heartbeat_s: float = HEARTBEAT_S) -> None:
@@ -80,6 +87,8 @@
         self.confirmed_at = float("-inf")
         self.complete_until = float("-inf")
         self.listeners: list[Callable[[View], None]] = []
+        self.pending: list[Callable[[View], None]] = []
+        self.listeners_called_at = float("-inf")
         self.updated = asyncio.Event()
         self.suspects_updated = asyncio.Event()
 
@@ -144,7 +153,7 @@
                 version=merged.version, before=before.version, age_s=round(self.age_s, 2)
             ).info("configuration in force")
         self.notify()
-        self._call_listeners()
+        self._call_listeners(self.listeners)
 
     def update_suspects(self, failed: dict[Fingerprint, int]) -> None:
         """Replace the list of suspect requests, and notify followers of a change."""
@@ -153,15 +162,32 @@
             self.notify_suspects()
 
     def drop_expired(self) -> None:
-        """Drop retained targets that did not register again, unless the store is away again."""
+        """Drop retained targets that did not register again, unless the store is away again.
+
+        Listeners that failed are called again.
+        """
+        if self.pending and self.clock() - self.listeners_called_at >= LISTENER_RETRY_S:
+            self._call_listeners(self.pending)
         before = self.targets_in_use
         if self.fresh and self.retention.expire():
             self._log_targets(before, STORE)
-            self._call_listeners()
+            self._call_listeners(self.listeners)
 
-    def _call_listeners(self) -> None:
-        for listener in self.listeners:
-            listener(self.view)
+    def _call_listeners(self, listeners: list[Callable[[View], None]]) -> None:
+        """Call listeners with the current view; one that fails does not affect the others."""
+        self.pending = []
+        self.listeners_called_at = self.clock()
+        for listener in listeners:
+            try:
+                listener(self.view)
+            except Exception as error:
+                self.pending.append(listener)
+                record_failure(
+                    "view not used, will be tried again",
+                    listener.__qualname__,
+                    error,
+                    LISTENER_RETRY_S,
+                )
 
     def _log_targets(self, before: TargetList, source: str) -> None:
         """Log how the targets in use have changed."""
--- a/waxwingglade/follow/tests/test_failed_followers.py
+++ b/waxwingglade/follow/tests/test_failed_followers.py
@@ -6,7 +6,7 @@
 from unittest import mock
 
 from waxwingglade.base import ConfigVersion, Fingerprint, ZoneId
-from waxwingglade.follow.feed import CachedView, FeedFollower
+from waxwingglade.follow.feed import LISTENER_RETRY_S, CachedView, FeedFollower
 from waxwingglade.follow.messages import Follow, Followed, SuspectList
 from waxwingglade.follow.model import Configuration, Replica, View
 from waxwingglade.follow.suspects import Exchanged, SuspectFollower, Suspects
@@ -62,6 +62,30 @@
         await until(lambda: self.watcher.confirmed_at == self.now)
 
 
+class ListenerFailure(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.now = 1000.0
+        self.view = CachedView(lambda: self.now)
+        self.taken: list[int] = []
+        self.failing = mock.Mock(side_effect=[ZeroDivisionError, None], __qualname__="listener")
+        self.view.listeners += [self.failing, lambda view: self.taken.append(view.version)]
+
+    def _publish(self, version: int) -> None:
+        self.view.merge(View(Configuration(ConfigVersion(version), (), ())), self.now)
+
+    async def test_a_listener_that_fails_does_not_keep_the_view_from_others(self) -> None:
+        self._publish(4)
+        self.assertEqual([4], self.taken)
+
+    async def test_a_listener_that_failed_is_called_again_without_a_change(self) -> None:
+        self._publish(4)
+        self.now += LISTENER_RETRY_S
+        for _ in range(2):
+            self.view.drop_expired()
+        self.assertEqual([4, 4], [each.args[0].version for each in self.failing.call_args_list])
+        self.assertEqual([4], self.taken)
+
+
 class FeedFailure(unittest.IsolatedAsyncioTestCase):
     async def test_another_source_is_asked_after_an_answer_that_can_not_be_applied(self) -> None:
         own, asked = CachedView(), []
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -115,7 +115,7 @@
         self.context = zmq.Context()
         self.links = Links(self.context, self.codec)
         self.cached_view = CachedView(heartbeat_s=settings.target_heartbeat_s)
-        self.cached_view.listeners.append(self._view_changed)
+        self.cached_view.listeners += [self._use_configuration, self._use_targets]
         self.balancer = Balancer(settings.zone)
         self.pool = ConnectionPool(settings.connect_timeout_s)
         self.ledger = LedgerClient(
@@ -262,12 +262,15 @@
         """Return the members that this entry does not follow, the nearest first."""
         return [each for each in self.replicas() if each.address != self.follower.source]
 
-    def _view_changed(self, view: View) -> None:
+    def _use_configuration(self, view: View) -> None:
         if view.configuration is not None and (
             self.table is None or view.configuration.supersedes(self.table.configuration)
         ):
-            self.table = RouteTable(view.configuration)
+            table = RouteTable(view.configuration)
             self._use_limits(view.configuration.limits)
+            self.table = table
+
+    def _use_targets(self, _view: View) -> None:
         removed = self.balancer.update(self.cached_view.targets_in_use)
         for target in removed:
             self.pool.close_idle(target.address)
--- a/waxwingglade/ingress/metrics.py
+++ b/waxwingglade/ingress/metrics.py
@@ -68,7 +68,7 @@
         self.reserve = self._time("reserve_seconds", "Waiting for the ledger to begin a turn.")
         self.keep = self._time("keep_seconds", "Waiting for the ledger to keep a turn.")
         self.task_failures = self._count(
-            "task_failures_total", "Failures of tasks that were run again.", "task"
+            "task_failures_total", "Failures of tasks that were tried again.", "task"
         )
         self.task_failures.counts = failures
         self.buffered_metrics = (
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -37,7 +37,7 @@
             ("account", "answer"),
         )
         self.task_failures = BufferedCounter(
-            PREFIX + "task_failures_total", "Failures of tasks that were run again.", ("task",)
+            PREFIX + "task_failures_total", "Failures of tasks that were tried again.", ("task",)
         )
         self.task_failures.counts = failures
 
--- a/waxwingglade/ledger/quotas.py
+++ b/waxwingglade/ledger/quotas.py
@@ -214,7 +214,6 @@
         configuration = view.configuration
         if configuration is None or configuration is self.configuration:
             return
-        self.configuration = configuration
         newer = {
             client: limit
             for client, limit in self.limits.items()
@@ -222,6 +221,7 @@
         }
         accounts = reversed(configuration.accounts or ())
         self.limits = {each.name: AccountLimit.of(each, configuration) for each in accounts} | newer
+        self.configuration = configuration
 
     def _store_counting(self, now: float) -> None:
         """Store whether this process has been a member for long enough to grant its share."""
