Run the periodic tasks of a ledger process again after a failure

A ledger process stayed up and was counted as a member after one of its periodic tasks had ended by an exception that it doesn't handle. Without `_update_forever` its followers got neither changes nor the state of the majority; without `Membership.run` it took part in no change of members; without `ping_forever` others took it for gone; without `sweep_forever` its disk filled up.

`run_forever` runs each of them again.

--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -20,7 +20,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, WaxwinggladeError, monotonic
-from waxwingglade.base.tasks import run_detached, start_task
+from waxwingglade.base.tasks import run_detached, run_forever
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.follow.store import Store
@@ -328,7 +328,7 @@
 
     async def _read_from_members(self, replicas: ReplicaSet) -> None:
         """Read the data of the members while a claim keeps other replicas from doing so."""
-        renewing = start_task(self.candidacy.renew_forever())
+        renewing = run_forever(self.candidacy.renew_forever)
         try:
             await catch_up(self.replica, replicas, self.ask, self.observe_replicas)
         except WaxwinggladeError:
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -15,7 +15,7 @@
 from waxwingglade.base import WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.logs import Sampler
 from waxwingglade.base.loop_delay import LoopDelay
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever, start_task
 from waxwingglade.decisions.quota import QuotaRules
 from waxwingglade.follow.feed import (
     FRESH_S,
@@ -228,11 +228,11 @@
         self.watcher.start()
         self.follower.start()
         self.tasks = [
-            start_task(self.membership.ping_forever()),
-            start_task(self.membership.run()),
-            start_task(self.replica.sweep_forever()),
-            start_task(self._close_idle_links()),
-            start_task(self._update_forever()),
+            run_forever(self.membership.ping_forever),
+            run_forever(self.membership.run),
+            run_forever(self.replica.sweep_forever),
+            run_forever(self._close_idle_links),
+            run_forever(self._update_forever),
         ]
         logger.bind(vm=self.own.vm, disk=self.own.disk, endpoint=self.own.address).info("started")
 
--- /dev/null
+++ b/waxwingglade/ledger/tests/test_failed_tasks.py
@@ -0,0 +1,71 @@
+"""A ledger process whose tasks fail once, in a way that nobody foresaw."""
+
+import asyncio
+import tempfile
+import time
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from waxwingglade.base import ZoneId
+from waxwingglade.base.tests.failing import failing_once
+from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.ledger.node import LedgerNode, LedgerSettings
+
+IN_STEP_S = 2.0
+"""Seconds after which a process must be in step again."""
+
+
+class FailedTasks(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        for name in ("replica.SWEEP_INTERVAL_S", "node.LINK_IDLE_S"):
+            self.enterContext(mock.patch(f"waxwingglade.ledger.{name}", 0.05))
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        settings = LedgerSettings(
+            "vm", ZoneId("z"), "tcp://127.0.0.1:*", Path(folder.name), 3, 3, ""
+        )
+        self.store = MemoryStore()
+        self.store.put("op/config", b'{"version": 4}')
+        self.node = LedgerNode(settings, self.store, KEYS)
+        await self.node.start()
+        self.addAsyncCleanup(self.node.stop)
+        await self.in_step(lambda: self.node.cached_view.view.version == 4)
+        await self.in_step(lambda: self.node.replica.replicas.settled)
+
+    async def in_step(self, condition: Callable[[], Any]) -> None:
+        """Wait until a condition holds, for as long as a process may be out of step."""
+        end_at = time.monotonic() + IN_STEP_S
+        while not condition():
+            self.assertLess(time.monotonic(), end_at, "the process is still out of step")
+            await asyncio.sleep(0.01)
+
+    async def test_each_task_goes_on_after_a_failure(self) -> None:
+        node = self.node
+        steps = [
+            (node.watcher, "_step"),
+            (node.quotas, "record_state"),
+            (node.load_board, "update"),
+            (node.membership, "_check"),
+            (node.replica, "forget_expired"),
+            (node.links, "close_idle_except"),
+        ]
+        for owner, name in steps:
+            with self.subTest(name), failing_once(owner, name) as called:
+                await self.in_step(lambda: called.call_count >= 3)
+
+    async def test_a_change_is_in_force_in_time_although_taking_it_over_failed(self) -> None:
+        with failing_once(self.node.watcher.targets, "apply") as applied:
+            self.store.put("op/config", b'{"version": 5}')
+            self.store.put("targets/a", b"leaving")
+            await self.in_step(lambda: applied.call_count > 1)
+        await self.in_step(lambda: self.node.cached_view.view.version == 5)
+        await self.in_step(lambda: self.node.cached_view.view.targets.targets)
+
+    async def test_the_metrics_page_counts_failures_by_task(self) -> None:
+        with failing_once(self.node.quotas, "record_state") as called:
+            await self.in_step(lambda: called.call_count > 1)
+        page = str(self.node.metrics.text(self.node))
+        self.assertIn('task_failures_total{task="LedgerNode._update_forever"}', page)
