Count a candidate whose reading fails unexpectedly as failed

A replica that reads the members' data in order to join keeps the claim of its zone, and steps back after several failures. Only `WaxwinggladeError` counted as one, so that a replica that always failed otherwise, now that its task is run again, would have kept all others of its zone from joining.

On the code before, test_a_candidate_that_fails_while_it_reads_counts_as_failed failed (record_failure called 0 times).

--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -331,7 +331,7 @@
         renewing = run_forever(self.candidacy.renew_forever)
         try:
             await catch_up(self.replica, replicas, self.ask, self.observe_replicas)
-        except WaxwinggladeError:
+        except Exception:
             self.candidacy.record_failure()
             raise
         finally:
--- a/waxwingglade/ledger/tests/test_failed_tasks.py
+++ b/waxwingglade/ledger/tests/test_failed_tasks.py
@@ -11,7 +11,9 @@
 
 from waxwingglade.base import ZoneId
 from waxwingglade.base.tests.failing import failing_once
+from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.ledger.membership import Membership
 from waxwingglade.ledger.node import LedgerNode, LedgerSettings
 
 IN_STEP_S = 2.0
@@ -69,3 +71,16 @@
             await self.in_step(lambda: called.call_count > 1)
         page = str(self.node.metrics.text(self.node))
         self.assertIn('task_failures_total{task="LedgerNode._update_forever"}', page)
+
+
+class FailedJoin(unittest.IsolatedAsyncioTestCase):
+    async def test_a_candidate_that_fails_while_it_reads_counts_as_failed(self) -> None:
+        """Guards against a candidate that keeps all others of its zone from joining."""
+        candidacy = mock.Mock(renew_forever=asyncio.Event().wait)
+        membership = mock.Mock(candidacy=candidacy)
+        failing = mock.AsyncMock(side_effect=RecursionError)
+        self.enterContext(mock.patch("waxwingglade.ledger.membership.catch_up", failing))
+        with self.assertRaises(RecursionError):
+            await Membership._read_from_members(membership, ReplicaSet())
+        candidacy.record_failure.assert_called_once()
+        candidacy.record_success.assert_not_called()
