--- a/waxwingglade/ledger/journal.py
+++ b/waxwingglade/ledger/journal.py
@@ -18,7 +18,7 @@
 import xxhash
 from loguru import logger
 
-from waxwingglade.base import monotonic
+from waxwingglade.base import WaxwinggladeError, monotonic
 from waxwingglade.base.tasks import start_task
 from waxwingglade.ledger.disk_thread import DiskThread
 
@@ -50,6 +50,10 @@
     length: int
 
 
+class JournalFailed(WaxwinggladeError):
+    """A record is not known to be durable, and no later one will be."""
+
+
 class Journal:
     """The journal in one data folder.
 
@@ -66,6 +70,9 @@
         Bytes written since the start.
     longest_flush_s : float
         Duration of the slowest flush since the start, in seconds.
+    failure : JournalFailed or None
+        Why all records are refused.  After an unforeseen exception it is not known what was
+        written, and what the process has in memory is not what a restart would read.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -83,6 +90,8 @@
         self.flushes = 0
         self.longest_flush_s = 0.0
         self.failing = False
+        self.failure: JournalFailed | None = None
+        self.writing: list[tuple[bytes, asyncio.Future[Place]]] = []
         self.has_partial_write = False
         self.closed = threading.Event()
 
@@ -131,11 +140,13 @@
 
     def start(self) -> None:
         """Start to write appended records."""
-        self.writer = start_task(self._write_groups())
+        self.writer = start_task(self._write_or_refuse())
 
     def append(self, content: bytes, within_s: float = 0.0) -> "asyncio.Future[Place]":
         """Append a record to the next group; the future is done once the record is durable.
 
+        The future fails with `JournalFailed` if the journal has failed.
+
         Parameters
         ----------
         within_s : float
@@ -144,6 +155,9 @@
         """
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Place] = loop.create_future()
+        if self.failure is not None:
+            _refuse(future, self.failure)
+            return future
         self.pending.append((content, future))
         if within_s:
             loop.call_later(within_s, self.wake.set)
@@ -159,6 +173,17 @@
             await asyncio.gather(self.writer, return_exceptions=True)
         self.thread.stop()
 
+    async def _write_or_refuse(self) -> None:
+        """Write groups; after an unforeseen exception refuse all records, also later ones."""
+        try:
+            await self._write_groups()
+        except Exception as error:
+            logger.opt(exception=error).error("journal failed")
+            self.failure = JournalFailed(f"the journal failed: {error!r}")
+            for _, future in self.writing + self.pending:
+                _refuse(future, self.failure)
+            self.writing, self.pending = [], []
+
     async def _write_groups(self) -> None:
         while True:
             await self.wake.wait()
@@ -167,14 +192,15 @@
             for _ in range(GROUP_ITERATIONS):
                 await asyncio.sleep(0)
             self.wake.clear()
-            group, self.pending = self.pending, []
-            if not group:
+            self.writing, self.pending = self.pending, []
+            if not self.writing:
                 continue
-            contents = [content for content, _ in group]
+            contents = [content for content, _ in self.writing]
             places = await self.thread.run(partial(self._write_until_done, contents))
-            for (_, future), place in zip(group, places, strict=True):
+            for (_, future), place in zip(self.writing, places, strict=True):
                 if not future.done():
                     future.set_result(place)
+            self.writing = []
 
     def _write_until_done(self, contents: list[bytes]) -> list[Place]:
         """Write and flush a group; after an error truncate the file and retry."""
@@ -268,6 +294,13 @@
         return self.folder / f"{number:08d}{_SUFFIX}"
 
 
+def _refuse(future: "asyncio.Future[Place]", failure: JournalFailed) -> None:
+    if not future.done():
+        future.set_exception(failure)
+        # Not every record is waited for.
+        future.exception()
+
+
 def _checksum(segment: int, offset: int, content: bytes) -> int:
     """Return a checksum of the content and its location."""
     return xxhash.xxh32_intdigest(content, seed=(segment * 1_000_003 + offset) & 0xFFFFFFFF)
@@ -305,4 +338,4 @@
         os.close(handle)
 
 
-__all__ = ["Journal", "Place"]
+__all__ = ["Journal", "JournalFailed", "Place"]
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -188,9 +188,9 @@
     # Pings
 
     async def ping_forever(self) -> None:
-        """Ping the other members periodically."""
+        """Ping the other members periodically, unless the journal has failed."""
         loop = asyncio.get_running_loop()
-        while True:
+        while self.replica.journal.failure is None:
             for member in self.replicas.members:
                 if member.disk != self.own.disk:
                     # A ping that fails at once must not keep the next ones from being sent.
@@ -241,7 +241,9 @@
 
     @property
     def quorum(self) -> bool:
-        """Whether a majority of the members has answered recently."""
+        """Whether a majority of the members has answered recently, and the journal works."""
+        if self.replica.journal.failure is not None:
+            return False
         members = self.replicas.members
         seen = [member for member in members if self.unresponsive_s(member) < QUORUM_S]
         return bool(members) and len(seen) >= self.replicas.majority
@@ -281,8 +283,8 @@
     # Changes
 
     async def run(self) -> None:
-        """Check periodically whether the set must change."""
-        while True:
+        """Check periodically whether the set must change, unless the journal has failed."""
+        while self.replica.journal.failure is None:
             try:
                 await self._check()
                 self.last_reason = ""
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -74,6 +74,7 @@
             "disk_flushes": journal.flushes,
             "disk_longest_flush_seconds": journal.longest_flush_s,
             "disk_failing": journal.failing,
+            "journal_failed": journal.failure is not None,
             "loop_delay_seconds": node.loop_delay.longest_s,
         }
         for purpose, calls in node.store.calls.items():
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -345,8 +345,8 @@
         if not isinstance(message, Ping):
             return None
         asked_at = monotonic()
-        if self.stopping:
-            return self._record(message, Unavailable("the process stops"), asked_at)
+        if (unavailable := self._unavailable()) is not None:
+            return self._record(message, unavailable, asked_at)
         return self._record(message, self.membership.answer_ping(message), asked_at)
 
     async def answer(self, message: Any) -> Any:
@@ -356,8 +356,8 @@
             logger.warning("{} is not a request", type(message).__name__)
             return None
         asked_at = monotonic()
-        if self.stopping:
-            return self._record(message, Unavailable("the process stops"), asked_at)
+        if (unavailable := self._unavailable()) is not None:
+            return self._record(message, unavailable, asked_at)
         kind = type(message)
         if self.in_progress[kind] >= MAX_CONCURRENT.get(kind, sys.maxsize):
             self._log_busy(message)
@@ -371,6 +371,13 @@
             self.in_progress[kind] -= 1
         return self._record(message, answer, asked_at)
 
+    def _unavailable(self) -> Unavailable | None:
+        """Return the refusal of all requests, or None if they can be answered."""
+        if self.stopping:
+            return Unavailable("the process stops")
+        failure = self.replica.journal.failure
+        return None if failure is None else Unavailable(str(failure))
+
     def _log_busy(self, message: BeginTurn | EndTurn) -> None:
         """Log a refusal at a limited rate; the entry logs every refused request itself."""
         if self.refusals.allows():
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -241,7 +241,15 @@
             await asyncio.shield(self.members_written)
 
     async def handle(self, message: ReplicaRequest) -> Any:
-        """Answer a request of a coordinator or of another replica."""
+        """Answer a request of a coordinator or of another replica.
+
+        Raises
+        ------
+        JournalFailed
+            If the journal has failed: what is in memory may not be durable.
+        """
+        if self.journal.failure is not None:
+            raise self.journal.failure
         return await self.handlers[type(message)](message)
 
     def _write(self, record: Any) -> "asyncio.Future[Place]":
@@ -498,6 +506,8 @@
         """Remove expired data, and segments without other data, periodically."""
         while True:
             await asyncio.sleep(SWEEP_INTERVAL_S)
+            if self.journal.failure is not None:
+                return
             self.forget_expired()
             self.record_clock()
             await self._drop_segments()
--- a/waxwingglade/ledger/tests/test_failed_tasks.py
+++ b/waxwingglade/ledger/tests/test_failed_tasks.py
@@ -9,11 +9,12 @@
 from typing import Any
 from unittest import mock
 
-from waxwingglade.base import ZoneId
+from waxwingglade.base import ProgramId, ZoneId
 from waxwingglade.base.tests.failing import failing_once
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
 from waxwingglade.ledger.membership import Membership
+from waxwingglade.ledger.messages import BeginTurn, Ping, TurnId, Unavailable
 from waxwingglade.ledger.node import LedgerNode, LedgerSettings
 
 IN_STEP_S = 2.0
@@ -66,6 +67,20 @@
         await self.in_step(lambda: self.node.cached_view.view.version == 5)
         await self.in_step(lambda: self.node.cached_view.view.targets.targets)
 
+    async def test_a_process_whose_journal_failed_rejects_at_once_and_is_no_member_to_others(
+        self,
+    ) -> None:
+        node = self.node
+        begin = BeginTurn(TurnId("t"), ProgramId("p"), 40, 100)
+        ping = Ping(node.replica.replicas.epoch, "other")
+        with mock.patch.object(node.replica.journal, "_flush", side_effect=ZeroDivisionError):
+            async with asyncio.timeout(IN_STEP_S):
+                self.assertIsInstance(await node.answer(begin), Unavailable)
+        self.assertIsInstance(await node.answer(begin), Unavailable)
+        self.assertIsInstance(node.answer_at_once(ping), Unavailable)
+        self.assertFalse(node.membership.quorum)
+        await self.in_step(lambda: sum(task.done() for task in node.tasks) == 3)
+
     async def test_the_metrics_page_counts_failures_by_task(self) -> None:
         with failing_once(self.node.quotas, "record_state") as called:
             await self.in_step(lambda: called.call_count > 1)
--- a/waxwingglade/ledger/tests/test_journal.py
+++ b/waxwingglade/ledger/tests/test_journal.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from unittest import mock
 
-from waxwingglade.ledger.journal import SLOW_FLUSH_S, Journal
+from waxwingglade.ledger.journal import SLOW_FLUSH_S, Journal, JournalFailed
 from waxwingglade.ledger.tests.log_capture import logged_lines
 
 
@@ -108,6 +108,19 @@
         self.assertGreaterEqual(lines[0]["seconds"], SLOW_FLUSH_S)
         self.assertGreaterEqual(journal.longest_flush_s, SLOW_FLUSH_S)
 
+    async def test_an_unforeseen_failure_refuses_all_records_and_acknowledges_none(self) -> None:
+        """Guards against callers that wait for ever, and against memory that is not durable."""
+        journal = await self._written(b"before")
+        with mock.patch.object(journal, "_flush", side_effect=ZeroDivisionError):
+            writing = journal.append(b"failed")
+            while not journal.writing:
+                await asyncio.sleep(0)
+            waiting = journal.append(b"waiting")
+            async with asyncio.timeout(2.0):
+                outcomes = await asyncio.gather(writing, waiting, return_exceptions=True)
+        outcomes += await asyncio.gather(journal.append(b"later"), return_exceptions=True)
+        self.assertEqual([JournalFailed] * 3, [type(each) for each in outcomes])
+
     async def test_a_failed_write_is_retried(self) -> None:
         journal, _ = await self._opened()
         real = os.fdatasync
