Report loads on after an unforeseen failure of a report

An entry reports its loads while requests last, each report arming the next. One that raised armed nothing, so that other entries counted its requests as ended until the next request came or ended, and a member whose answer couldn't be recorded remained the one that is told.

The next report is now due before one is sent, and after a failed question another one is due at the usual interval.

On the code before, test_requests_are_reported_after_an_unforeseen_failure failed on both event loops (no second question in 5 s).

--- a/waxwingglade/ingress/load_exchange.py
+++ b/waxwingglade/ingress/load_exchange.py
@@ -163,8 +163,8 @@
         if self.asks or is_answer_old or self.hub is None:
             self.asking = start_task(self._ask(loads))
             return
-        self.tell(self.hub.address, ReportLoad(self.entry, loads))
         self._report_while_needed(loads)
+        self.tell(self.hub.address, ReportLoad(self.entry, loads))
 
     def _report_while_needed(self, loads: Loads) -> None:
         """Report again at once if something has changed, and later while requests last."""
@@ -181,6 +181,10 @@
                 self._check_lost("no member answers")
             else:
                 await self._ask_member(member, loads)
+        except Exception:
+            self.asking, self.hub = None, None
+            self._report_in(REPORT_INTERVAL_S)
+            raise
         finally:
             self.asking = None
         self._report_while_needed(loads)
--- a/waxwingglade/ingress/tests/test_load_exchange.py
+++ b/waxwingglade/ingress/tests/test_load_exchange.py
@@ -6,6 +6,7 @@
 
 from waxwingglade.base import WaxwinggladeError, ZoneId
 from waxwingglade.base.tests.daemon_loop import OnDaemonLoop
+from waxwingglade.base.tests.failing import failing_once
 from waxwingglade.decisions.load_hubs import hub_order
 from waxwingglade.decisions.load_sums import LEARNING_S
 from waxwingglade.decisions.shared_load import EntryLoad, TargetLoad
@@ -102,6 +103,15 @@
         self.now += SHARED_LOAD_FRESH_S + 0.01
         self.assertEqual("a", self.choose())
 
+    async def test_requests_are_reported_after_an_unforeseen_failure(self) -> None:
+        self.share()
+        with failing_once(self.balancer, "record_shared"):
+            self.balancer.record_sent(target("a"), call())
+            self.assertTrue(await until(lambda: len(self.asked) >= 2, WAIT_S))
+        with failing_once(self.exchange, "tell"):
+            sent = len(self.sent)
+            self.assertTrue(await until(lambda: len(self.sent) > sent, WAIT_S))
+
     async def test_requests_are_reported_while_they_last(self) -> None:
         self.share()
         for _ in range(2):
