Run the periodic tasks of an entry again after a failure

An entry stayed ready after its periodic checks had ended by an exception that they don't handle: no connection was closed when it was idle, no suspected target was cleared, a majority that was lost showed only late, and the store was never followed when no ledger process could be.

`run_forever` runs both tasks again. Their state is in the entry: the time since which no source is usable has moved there, so that a failure doesn't restart the wait. Sources are checked before the checks that do not concern them, since one of these that always fails would otherwise keep the store from being used.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -14,7 +14,7 @@
 from tornado.netutil import bind_sockets
 
 from waxwingglade.base.loop_delay import STALL_S, LoopDelay
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever, start_task
 from waxwingglade.decisions.returns import return_after_s
 from waxwingglade.follow.feed import (
     LONGEST_AGE_S,
@@ -147,6 +147,7 @@
             lambda address, message: self.links.to(address).tell(message),
         )
         self.watcher: Watcher | None = None
+        self.sources_lost_at: float | None = None
         self.table: RouteTable | None = None
         self.draining = False
         self.accepts_requests = True
@@ -170,7 +171,7 @@
         self.pages += serve_metrics(self.settings.metrics, lambda: self.metrics.text(self))
         self.follower.start()
         self.suspect_follower.start()
-        self.tasks = [start_task(self._find_replicas()), start_task(self._check_forever())]
+        self.tasks = [run_forever(self._find_replicas), run_forever(self._check_forever)]
         logger.bind(vm=self.settings.vm, callers=self.settings.callers).info("started")
 
     def _listen(self, delegate: HTTPServerConnectionDelegate, address: str) -> HTTPServer:
@@ -302,13 +303,14 @@
             await asyncio.sleep(MEMBERS_RETRY_S * (0.5 + random.random()))
 
     async def _check_forever(self) -> None:
-        lost_at: float | None = None
         while True:
             await self.loop_delay.sleep(CHECK_INTERVAL_S)
             if (delay_s := self.loop_delay.delays[-1]) >= STALL_S:
                 self.follower.discount_stall(delay_s)
             self._check_quorum()
             self.cached_view.drop_expired()
+            # Comes before the checks without which the entry still learns of changes.
+            await self._check_sources()
             self.quarantine.suspect_silent()
             self.quarantine.clear_suspicions()
             self.quarantine.remove_expired()
@@ -318,14 +320,17 @@
             self.links.close_idle_except(
                 {member.address for member in self.cached_view.view.replicas.members}, LINK_IDLE_S
             )
-            if not self.follower.exhausted:
-                lost_at = None
-                await self._stop_watcher()
-                continue
-            lost_at = lost_at or time.monotonic()
-            lost_s = time.monotonic() - lost_at
-            if lost_s > STORE_FALLBACK_DELAY_S or self._is_outdated or self.watcher is not None:
-                self._use_watcher()
+
+    async def _check_sources(self) -> None:
+        """Follow the store while no replica is usable as a source."""
+        if not self.follower.exhausted:
+            self.sources_lost_at = None
+            await self._stop_watcher()
+            return
+        self.sources_lost_at = self.sources_lost_at or time.monotonic()
+        lost_s = time.monotonic() - self.sources_lost_at
+        if lost_s > STORE_FALLBACK_DELAY_S or self._is_outdated or self.watcher is not None:
+            self._use_watcher()
 
     @property
     def _is_outdated(self) -> bool:
