Withhold changes of the store in the soak, with odd entries and cut heads

The soak had no fault in which a store that answers shows no changes, none of an entry that can't be read, and none of a head that ends early, so it could not find that callers got 404 on added routes and that targets which had left got requests.

Changes are made during each. An added route has to be served everywhere, and a target that left gets nothing, 2 s after the store accepted it, plus the time for which it withheld the change; a complete 200 that lacks bytes is a violation whatever its id. The excuses of other faults are as before, and other runs draw the same kinds.

--- a/tests/prove/relay.py
+++ b/tests/prove/relay.py
@@ -6,6 +6,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
@@ -19,6 +21,10 @@
 """Number by which relays identify the store; entries are numbered from 0."""
 
 
+LINGER_0_S = struct.pack("ii", 1, 0)
+"""Value of the socket option SO_LINGER with which a close is a reset."""
+
+
 class LinkFault(Enum):
     """How a relay disturbs connections."""
 
@@ -44,6 +50,8 @@
     ----------
     blackhole_next : bool
         Whether the next connection is blackholed as soon as it is opened.
+    passes_resets : bool
+        Whether a reset by one end reaches the other end as a reset, not as a close.
     """
 
     def __init__(self, pids: Callable[[], dict[int, int]]) -> None:
@@ -54,6 +62,7 @@
         self.open: dict[tuple[int, int], set[asyncio.StreamWriter]] = {}
         self.blackholed: set[asyncio.StreamWriter] = set()
         self.blackhole_next = False
+        self.passes_resets = False
         self.tasks: set[asyncio.Task] = set()
 
     async def add(
@@ -166,7 +175,7 @@
     async def _pump(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: tuple[int, int]
     ) -> None:
-        with contextlib.suppress(OSError):
+        try:
             while data := await reader.read(CHUNK_BYTES):
                 while self.link_faults.get(direction) is LinkFault.STALL:
                     await self.changed.wait()
@@ -175,6 +184,11 @@
                 if writer not in self.blackholed:
                     writer.write(data)
                     await writer.drain()
+        except ConnectionResetError:
+            if self.passes_resets:
+                close_by_reset(writer)
+        except OSError:
+            pass
         if writer in self.blackholed:
             await asyncio.get_running_loop().create_future()
 
@@ -187,6 +201,12 @@
         return None
 
 
+def close_by_reset(writer: asyncio.StreamWriter) -> None:
+    """Let a connection be closed by a reset, which discards what its peer has not read."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_0_S)
+
+
 def _inode_of(port: int) -> str:
     """Return the inode of the local socket that has a port, or an empty string."""
     table = Path("/proc/net/tcp").read_bytes()
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,13 +10,14 @@
 
 from tests.soak.fatal_requests import HIDING_KINDS, KILLING_KINDS, VISIBLE_CRASHES
 from tests.soak.kinds import (
+    ACCOUNT_KINDS,
     EARLIER_KINDS,
     FIRST_KINDS,
+    GAP_KINDS,
     LEAVING_KINDS,
     LEDGER_KINDS,
     LIMIT_KINDS,
     PAUSE_KINDS,
-    FaultKind,
 )
 from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
 from tests.soak.run import FAULT_FREE_SIZE, Size, soak
@@ -86,6 +87,13 @@
         bool,
         typer.Option(help="servers differ in speed and report the stretch of their VMs"),
     ] = False,
+    store_gaps: Annotated[
+        bool,
+        typer.Option(
+            help="the store withholds changes, has odd entries, and servers cut the heads of "
+            "answers"
+        ),
+    ] = False,
     pressing: Annotated[
         int, typer.Option(help="callers at a time that keep the account with a limit at it")
     ] = 8,
@@ -112,7 +120,7 @@
             accounts=True,
             pressing=pressing,
             lost_share=LOST_SHARE,
-            kinds=tuple(FaultKind),
+            kinds=ACCOUNT_KINDS,
         )
     if limits:
         size = msgspec.structs.replace(size, kinds=LIMIT_KINDS, faults_per_s=LIMIT_FAULTS_PER_S)
@@ -124,8 +132,8 @@
         size = msgspec.structs.replace(size, crash_kinds=VISIBLE_CRASHES)
     if uneven:
         size = msgspec.structs.replace(size, uneven=True)
-    if leaving:
-        size = msgspec.structs.replace(size, kinds=LEAVING_KINDS)
+    if leaving or store_gaps:
+        size = msgspec.structs.replace(size, kinds=GAP_KINDS if store_gaps else LEAVING_KINDS)
     if ledger:
         size = LEDGER_SIZE
     if quiet:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -27,7 +27,7 @@
     ]
     for attempt in attempts:
         violations += _check_runs(attempt, runs_by_request[attempt.request])
-        if attempt.status == 200 and attempt.whole:
+        if attempt.status == 200 and (attempt.whole or attempt.framed):
             violations += _check_answer(attempt, attempts_by_request)
         violations += _check_prompt(attempt, runs_by_request[attempt.request], attempts_by_request)
         if attempt.status == 404:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -12,6 +12,7 @@
 from tests.platform_cluster import Node, PlatformCluster
 from tests.prove.relay import ADDRESS, STORE, Relays
 from tests.soak.accounts import BOUNDS, FREE, Accounts
+from tests.soak.cut_heads import HeadCut, send_cut
 from tests.soak.endless_bytes import EndlessAnswer, EndlessKind, send_without_end
 from waxwingglade.platform.registry import REPLICAS_KEY
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
@@ -65,6 +66,8 @@
         Whether it sends them slowly.
     endless_answers : list of EndlessAnswer
         Such answers that ended.
+    head_cut : HeadCut or None
+        Where it closes in the head of an answer.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self.endless: EndlessKind | None = None
         self.endless_is_slow = False
         self.endless_answers: list[EndlessAnswer] = []
+        self.head_cut: HeadCut | None = None
         self.heartbeats: asyncio.Task | None = None
 
     def send_heartbeats(self, heartbeat_s: float) -> None:
@@ -139,6 +143,10 @@
             )
             self.endless_answers.append(answer)
             return False
+        if self.head_cut is not None:
+            await self._work()
+            await send_cut(writer, self.head_cut, self._answer_head(request, body))
+            return False
         completed = await super()._run(writer, request, body)
         if completed:
             self.completed_at[request] = time.monotonic()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -135,12 +135,14 @@
         for task in self.start_tasks.copy():
             task.cancel()
 
-    def _begin(self, kind: FaultKind, *where: str) -> FaultOccurrence:
+    def begin(self, kind: FaultKind, *where: str) -> FaultOccurrence:
+        """Record that a fault begins at processes or servers."""
         occurrence = FaultOccurrence(kind, " ".join(where), time.monotonic())
         self.occurrences.append(occurrence)
         return occurrence
 
-    def _end(self, occurrence: FaultOccurrence) -> None:
+    def end(self, occurrence: FaultOccurrence) -> None:
+        """Record that a fault ends."""
         occurrence.ended_at = time.monotonic()
 
     def _start(self, occurrence: FaultOccurrence, *nodes: Node) -> None:
@@ -165,27 +167,27 @@
     async def _kill_entry(self, lasts_s: float) -> None:
         entry = self.rng.choice(self.cluster.entries)
         async with self._lock(entry):
-            occurrence = self._begin(FaultKind.KILL_ENTRY, entry.name)
+            occurrence = self.begin(FaultKind.KILL_ENTRY, entry.name)
             entry.kill()
             await asyncio.sleep(lasts_s / 3)
             self._start(occurrence, entry)
-            self._end(occurrence)
+            self.end(occurrence)
 
     async def _pause_entry(self, lasts_s: float) -> None:
         entry = self.rng.choice(self.cluster.entries)
         async with self._lock(entry):
-            occurrence = self._begin(FaultKind.PAUSE_ENTRY, entry.name)
+            occurrence = self.begin(FaultKind.PAUSE_ENTRY, entry.name)
             entry.signal(signal.SIGSTOP)
             await asyncio.sleep(lasts_s)
             entry.signal(signal.SIGCONT)
-            self._end(occurrence)
+            self.end(occurrence)
 
     async def _stop_entry(self, _lasts_s: float) -> None:
         entry = self.rng.choice(self.cluster.entries)
         async with self._lock(entry):
-            occurrence = self._begin(FaultKind.STOP_ENTRY, entry.name)
+            occurrence = self.begin(FaultKind.STOP_ENTRY, entry.name)
             await self._stop(entry)
-            self._end(occurrence)
+            self.end(occurrence)
             self._start(occurrence, entry)
 
     async def _stop(self, node: Node) -> None:
@@ -207,7 +209,7 @@
     async def _send_sighup(self, _lasts_s: float) -> None:
         node = self.rng.choice(self.cluster.nodes())
         async with self._lock(node):
-            self._end(self._begin(FaultKind.HUP, node.name))
+            self.end(self.begin(FaultKind.HUP, node.name))
             node.signal(signal.SIGHUP)
 
     # Ledger processes, one at a time: the ledger does not tolerate more failures
@@ -215,7 +217,7 @@
     async def _fail_ledger(self, kind: FaultKind) -> None:
         node = self.rng.choice(self.cluster.ledgers)
         async with self.ledger_lock, self._lock(node):
-            occurrence = self._begin(kind, node.name)
+            occurrence = self.begin(kind, node.name)
             if kind is FaultKind.STOP_LEDGER:
                 await self._stop(node)
             else:
@@ -226,36 +228,36 @@
                 append_incomplete_write(node.folder / "data", self.rng)
             self._start(occurrence, node)
             await self._until_all_members()
-            self._end(occurrence)
+            self.end(occurrence)
 
     async def _wipe_series(self, _lasts_s: float) -> None:
         """Wipe one disk after the other, each as soon as the ledger has all members again."""
         async with self.ledger_lock:
             for node in self.rng.sample(self.cluster.ledgers, len(self.cluster.ledgers)):
                 async with self._lock(node):
-                    occurrence = self._begin(FaultKind.WIPE_SERIES, node.name)
+                    occurrence = self.begin(FaultKind.WIPE_SERIES, node.name)
                     node.kill()
                     wipe(node.folder / "data")
                     self._start(occurrence, node)
                     await self._until_all_members()
-                    self._end(occurrence)
+                    self.end(occurrence)
 
     async def _retire_ledger(self, _lasts_s: float) -> None:
         """Retire a member until it is removed; it may become a spare again afterwards."""
         async with self.ledger_lock:
             leaving = self.rng.choice(sorted(self.cluster.members()) or ["nobody"])
-            occurrence = self._begin(FaultKind.EMPTY_LEDGER, leaving)
+            occurrence = self.begin(FaultKind.EMPTY_LEDGER, leaving)
             self.cluster.store.put(f"{RETIRE_PREFIX}{leaving}", {})
             await self._until(lambda: leaving not in self.cluster.members())
             self.cluster.store.remove(f"{RETIRE_PREFIX}{leaving}")
             await self._until_all_members()
-            self._end(occurrence)
+            self.end(occurrence)
 
     async def _stall_ledgers(self, lasts_s: float) -> None:
         """Stall ledger processes briefly, each at its own random times."""
-        occurrence = self._begin(FaultKind.FALTER_LEDGERS, EVERYWHERE)
+        occurrence = self.begin(FaultKind.FALTER_LEDGERS, EVERYWHERE)
         await asyncio.gather(*(self._stall(node, lasts_s) for node in self.cluster.ledgers))
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _stall(self, node: Node, lasts_s: float) -> None:
         end_at = time.monotonic() + lasts_s
@@ -272,12 +274,12 @@
     async def _pause_ledger(self, lasts_s: float) -> None:
         node = self.rng.choice(self.cluster.ledgers)
         async with self.ledger_lock, self._lock(node):
-            occurrence = self._begin(FaultKind.PAUSE_LEDGER, node.name)
+            occurrence = self.begin(FaultKind.PAUSE_LEDGER, node.name)
             node.signal(signal.SIGSTOP)
             await asyncio.sleep(lasts_s)
             node.signal(signal.SIGCONT)
             await self._until_all_members()
-            self._end(occurrence)
+            self.end(occurrence)
 
     async def _kill_all(self, lasts_s: float) -> None:
         await self._kill_together(FaultKind.KILL_ALL, self.cluster.nodes(), EVERYWHERE, lasts_s)
@@ -298,7 +300,7 @@
             locks = [self._lock(node) for node in nodes]
             for lock in locks:
                 await lock.acquire()
-            occurrence = self._begin(kind, where)
+            occurrence = self.begin(kind, where)
             for node in nodes:
                 node.kill()
             await asyncio.sleep(lasts_s / 3)
@@ -306,7 +308,7 @@
             for lock in locks:
                 lock.release()
             await self._until_all_members()
-            self._end(occurrence)
+            self.end(occurrence)
 
     async def _until_all_members(self) -> None:
         """Wait until the ledger has its three members with their current disks."""
@@ -323,42 +325,42 @@
     # The store
 
     async def _store(self, kind: FaultKind, fault: StoreFault, lasts_s: float) -> None:
-        occurrence = self._begin(kind, "store")
+        occurrence = self.begin(kind, "store")
         self.cluster.store.fault = fault
         await asyncio.sleep(lasts_s)
         self.cluster.store.fault = StoreFault.NONE
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _store_refuses(self, lasts_s: float) -> None:
         """Refuse some processes for moments, while the store serves the others and the servers."""
         count = self.rng.randint(1, len(self.cluster.nodes()) // 2)
         nodes = self.rng.sample(self.cluster.nodes(), count)
         for _ in range(self.rng.randint(1, 3)):
-            occurrence = self._begin(FaultKind.STORE_REFUSES, *(node.name for node in nodes))
+            occurrence = self.begin(FaultKind.STORE_REFUSES, *(node.name for node in nodes))
             refusal = self.cluster.store.refuse(
                 {self.cluster.store_address(node.name) for node in nodes},
                 self.rng.choice(REFUSAL_STATUSES),
             )
             await asyncio.sleep(self.rng.random() * lasts_s / 2)
             self.cluster.store.refusals.remove(refusal)
-            self._end(occurrence)
+            self.end(occurrence)
             await asyncio.sleep(self.rng.random() * lasts_s / 2)
 
     async def _compact(self, _lasts_s: float) -> None:
-        self._end(self._begin(FaultKind.STORE_COMPACT, "store"))
+        self.end(self.begin(FaultKind.STORE_COMPACT, "store"))
         self.cluster.store.compact()
 
     # Connections
 
     async def _store_link(self, lasts_s: float) -> None:
         nodes = self.rng.sample(self.cluster.nodes(), 2)
-        occurrence = self._begin(FaultKind.STORE_LINK, *(node.name for node in nodes))
+        occurrence = self.begin(FaultKind.STORE_LINK, *(node.name for node in nodes))
         for node in nodes:
             self._disrupt(self.cluster.number_of(node), STORE)
         await asyncio.sleep(lasts_s)
         for node in nodes:
             self.cluster.relays.heal(self.cluster.number_of(node))
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _caller_link(self, lasts_s: float) -> None:
         entry = self.rng.choice(self.cluster.entries)
@@ -372,23 +374,23 @@
         await self._disrupt_link(FaultKind.SERVER_LINK, server.name, number, lasts_s)
 
     async def _disrupt_link(self, kind: FaultKind, where: str, number: int, lasts_s: float) -> None:
-        occurrence = self._begin(kind, where)
+        occurrence = self.begin(kind, where)
         self._disrupt(CALLERS, number)
         await asyncio.sleep(lasts_s)
         self.cluster.relays.heal(number)
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _blackhole(self, _lasts_s: float) -> None:
         """Blackhole the open connections of one process, or all open connections to the store."""
         nodes = self.rng.choice([self.cluster.nodes(), [self.rng.choice(self.cluster.nodes())]])
         where = nodes[0].name if len(nodes) == 1 else EVERYWHERE
-        occurrence = self._begin(FaultKind.SILENT_LINKS, where)
+        occurrence = self.begin(FaultKind.SILENT_LINKS, where)
         for node in nodes:
             self.cluster.relays.blackhole(self.cluster.number_of(node), STORE)
         if len(nodes) == 1:
             self.cluster.relays.blackhole(CALLERS, self.cluster.number_of(nodes[0]))
         await asyncio.sleep(BLACKHOLE_S)
-        self._end(occurrence)
+        self.end(occurrence)
 
     def _disrupt(self, source: int, target: int) -> None:
         """Disrupt the connections between two relay numbers, in one or both directions."""
@@ -401,28 +403,28 @@
 
     async def _server_fault(self, lasts_s: float) -> None:
         server = self.rng.choice([*self.cluster.engines, *self.cluster.notes])
-        occurrence = self._begin(FaultKind.SERVER_FAULT, server.name)
+        occurrence = self.begin(FaultKind.SERVER_FAULT, server.name)
         server.fault = self.rng.choice(list(ServerFault))
         await asyncio.sleep(lasts_s)
         server.fault = ServerFault.NONE
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _server_leaves(self, _lasts_s: float) -> None:
-        self._end(self._begin(FaultKind.SERVER_LEAVES, "store"))
+        self.end(self.begin(FaultKind.SERVER_LEAVES, "store"))
         await self.cluster.replace_server(self.rng)
 
     async def _servers_deregister(self, lasts_s: float) -> None:
         """Let servers leave in a series without reporting it, and serve on for seconds."""
-        occurrence = self._begin(FaultKind.SERVER_DEREGISTERS, "store")
+        occurrence = self.begin(FaultKind.SERVER_DEREGISTERS, "store")
         for _ in range(self.rng.randint(1, 3)):
             leaving = await self.cluster.replace_server(self.rng, reports=False)
             if leaving is not None:
                 self.cluster.exit_later(leaving, self.rng.uniform(*SERVES_ON_S))
             await asyncio.sleep(self.rng.random() * lasts_s / 3)
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _configure(self, _lasts_s: float) -> None:
-        self._end(self._begin(FaultKind.CONFIGURE, "store"))
+        self.end(self.begin(FaultKind.CONFIGURE, "store"))
         self.version += self.rng.randint(1, 5)
         path = f"/new{self.version}/"
         route = {"name": path, "host": HOST, "path_prefix": path, "kind": "safe"}
@@ -432,7 +434,7 @@
     async def _revoke(self, _lasts_s: float) -> None:
         accounts = self.cluster.accounts
         assert accounts is not None
-        self._end(self._begin(FaultKind.REVOKE, "store"))
+        self.end(self.begin(FaultKind.REVOKE, "store"))
         self.version += self.rng.randint(1, 5)
         accounts.replace_key()
         self._write_configuration()
@@ -441,23 +443,23 @@
         """Change the limit of the limited account in a series."""
         accounts = self.cluster.accounts
         assert accounts is not None
-        occurrence = self._begin(FaultKind.CHANGE_LIMIT, "store")
+        occurrence = self.begin(FaultKind.CHANGE_LIMIT, "store")
         for _ in range(self.rng.randint(1, 3)):
             self.version += self.rng.randint(1, 5)
             replaced = accounts.change_limit()
             self._write_configuration()
             replaced.until_at = time.monotonic()
             await asyncio.sleep(self.rng.random() * lasts_s)
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _lose_answers(self, lasts_s: float) -> None:
         """Let all servers lose a share of their answers."""
-        occurrence = self._begin(FaultKind.ANSWERS_LOST, "servers")
+        occurrence = self.begin(FaultKind.ANSWERS_LOST, "servers")
         share = self.rng.uniform(*LOST_SHARE)
         self.cluster.lost_shares.append(share)
         await asyncio.sleep(2 * lasts_s)
         self.cluster.lost_shares.remove(share)
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _pause_servers(self, lasts_s: float) -> None:
         """Pause sound servers one after the other; each rests between two pauses."""
@@ -471,7 +473,7 @@
             ]
             if servers:
                 server = self.rng.choice(servers)
-                occurrence = self._begin(FaultKind.SERVER_PAUSES, server.name)
+                occurrence = self.begin(FaultKind.SERVER_PAUSES, server.name)
                 server.pause(self.rng.uniform(*PAUSE_S))
                 occurrence.ended_at = server.paused_until
             await asyncio.sleep(self.rng.uniform(0.1, 0.6))
@@ -483,17 +485,17 @@
         if len(sound) < 2:
             return
         server = self.rng.choice(sound)
-        occurrence = self._begin(FaultKind.ENDLESS_BYTES, server.name)
+        occurrence = self.begin(FaultKind.ENDLESS_BYTES, server.name)
         server.endless_is_slow = self.rng.random() < 0.5
         server.endless = self.rng.choice(list(EndlessKind))
         await asyncio.sleep(lasts_s / 2)
         server.endless = None
-        self._end(occurrence)
+        self.end(occurrence)
 
     async def _change_routes(self, lasts_s: float) -> None:
         """Change the time limits in a series."""
         for _ in range(self.rng.randint(1, 4)):
-            self._end(self._begin(FaultKind.CHANGE_ROUTES, "store"))
+            self.end(self.begin(FaultKind.CHANGE_ROUTES, "store"))
             self.version += self.rng.randint(1, 5)
             self.longer_ms = self.rng.randrange(int(1000 * MAX_LONGER_S))
             self.idle_timeout_ms = self.rng.randint(*IDLE_TIMEOUTS_MS)
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -41,6 +41,11 @@
     SERVER_PAUSES = "a sound server sends nothing for a second or two, and goes on"
     ENDLESS_BYTES = "a server sends bytes that are no answer without end"
     CHANGE_ROUTES = "time limits of routes and idle connections change"
+    HIDDEN_CHANGES = "watches of the store show no changes, and answer at the end of their wait"
+    SILENT_WATCHES = "watches of the store get no answer, are cut, and the history is dropped"
+    CUT_LISTINGS = "listings of the store are cut midway"
+    ODD_ENTRIES = "another writer leaves odd entries among those of the servers"
+    CUT_HEADS = "a server closes in the middle of the head of its answer"
 
 
 EVERYWHERE = "everywhere"
@@ -51,6 +56,9 @@
 EARLIER_KINDS = tuple(FaultKind)[:24]
 """Kinds that existed when later seeds failed, all of them possible if callers need no keys."""
 
+ACCOUNT_KINDS = tuple(FaultKind)[:33]
+"""Kinds of runs with accounts; further kinds change the run of a seed."""
+
 LEAVING_KINDS = (
     FaultKind.SERVER_LEAVES,
     FaultKind.SERVER_DEREGISTERS,
@@ -97,6 +105,34 @@
 """Pauses of sound servers, mostly beside planned work."""
 
 
+WITHHOLDING_KINDS = (
+    FaultKind.HIDDEN_CHANGES,
+    FaultKind.SILENT_WATCHES,
+    FaultKind.CUT_LISTINGS,
+)
+"""Faults during which the store shows no changes."""
+
+GAP_KINDS = (
+    *(FaultKind.HIDDEN_CHANGES, FaultKind.ODD_ENTRIES) * 3,
+    *(FaultKind.SILENT_WATCHES, FaultKind.CUT_LISTINGS, FaultKind.CUT_HEADS) * 2,
+    FaultKind.CONFIGURE,
+    FaultKind.SERVER_LEAVES,
+    FaultKind.SERVER_DEREGISTERS,
+    FaultKind.STORE_COMPACT,
+    FaultKind.STORE_REFUSES,
+    FaultKind.STORE_LINK,
+    FaultKind.HUP,
+    FaultKind.STOP_ENTRY,
+    FaultKind.KILL_ENTRY,
+    FaultKind.KILL_LEDGER,
+    FaultKind.STOP_LEDGER,
+    FaultKind.PAUSE_LEDGER,
+    FaultKind.RESTART_MACHINES,
+    FaultKind.KILL_ALL,
+)
+"""Changes that the store withholds, odd entries and cut heads, beside some of the other kinds."""
+
+
 class FaultOccurrence(msgspec.Struct):
     """One occurrence of a fault.
 
@@ -130,14 +166,17 @@
 
 
 __all__ = [
+    "ACCOUNT_KINDS",
     "EARLIER_KINDS",
     "EVERYWHERE",
     "FIRST_KINDS",
+    "GAP_KINDS",
     "LEAVING_KINDS",
     "LEDGER_KINDS",
     "LIMIT_KINDS",
     "PAUSE_KINDS",
     "USUAL_KINDS",
+    "WITHHOLDING_KINDS",
     "FaultKind",
     "FaultOccurrence",
 ]
--- a/tests/soak/leaving_targets.py
+++ b/tests/soak/leaving_targets.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 
+from tests.soak.gap_allowance import allowance_s
 from tests.soak.kinds import EVERYWHERE, FaultKind, FaultOccurrence
 from waxwingglade.standins.registered_server import Run
 
@@ -41,6 +42,8 @@
 ) -> list[str]:
     """Return what a server ran too long after it had left, unless a fault excuses it.
 
+    The store may withhold that it leaves for a while, which prolongs the time by that while only.
+
     Parameters
     ----------
     server : str
@@ -56,22 +59,13 @@
     ledgers : iterable of str
         Names of the ledger processes.
     """
-    refusals = [fault for fault in faults if fault.kind is FaultKind.STORE_REFUSES]
-    relevant = [
-        fault
-        for fault in faults
-        if fault.kind in STORE_FAULTS
-        and fault.overlaps(left_at - EXCUSED_BEFORE_S, left_at + EXCUSED_AFTER_S)
-    ]
+    limit_s = DRAIN_DETECTION_S + allowance_s(faults, left_at, DRAIN_DETECTION_S)
+    ledgers = tuple(ledgers)
     violations = []
     for run in runs:
         entry = entries.get(run.request, "")
         late_s = run.began_at - left_at
-        if late_s <= DRAIN_DETECTION_S:
-            continue
-        if any(_excuses(fault, entry, left_at, run.began_at) for fault in relevant):
-            continue
-        if _refused_at_once(refusals, {entry, *ledgers}, run.began_at):
+        if late_s <= limit_s or is_excused(entry, left_at, run.began_at, faults, ledgers):
             continue
         violations.append(
             f"{run.request} from {entry} ran at {server} {late_s:.2f} s after it had left"
@@ -79,6 +73,26 @@
     return violations
 
 
+def is_excused(
+    entry: str,
+    changed_at: float,
+    seen_at: float,
+    faults: Sequence[FaultOccurrence],
+    ledgers: Iterable[str],
+) -> bool:
+    """Return whether faults kept an entry from learning of a change of the store by `seen_at`."""
+    relevant = [
+        fault
+        for fault in faults
+        if fault.kind in STORE_FAULTS
+        and fault.overlaps(changed_at - EXCUSED_BEFORE_S, changed_at + EXCUSED_AFTER_S)
+    ]
+    if any(_excuses(fault, entry, changed_at, seen_at) for fault in relevant):
+        return True
+    refusals = [fault for fault in faults if fault.kind is FaultKind.STORE_REFUSES]
+    return _refused_at_once(refusals, {entry, *ledgers}, seen_at)
+
+
 def _excuses(fault: FaultOccurrence, entry: str, left_at: float, began_at: float) -> bool:
     """Return whether a fault kept an entry, or what it depends on, from learning in time.
 
@@ -106,4 +120,4 @@
     return False
 
 
-__all__ = ["DRAIN_DETECTION_S", "check_left"]
+__all__ = ["DRAIN_DETECTION_S", "ENTRY_PREFIX", "check_left", "is_excused"]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,6 +28,7 @@
 from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind
 from tests.soak.leaving_targets import check_left
 from tests.soak.single_sendings import SingleCallers, check_single_sendings, put_routes
+from tests.soak.store_gaps import Probe, StoreGaps, check_added_routes
 from tests.soak.sub_agents import SubAgents
 from tests.soak.supervisor import Supervisor
 from tests.soak.workload import NO_ANSWER, Attempt, Callers
@@ -176,6 +177,7 @@
         sub_agents = SubAgents(callers, random.Random(seed + 2_000_000))
         fatal = FatalCallers(callers, random.Random(seed + 4_000_000))
         faults = Faults(cluster, random.Random(seed + 1_000_000), size.kinds)
+        gaps = StoreGaps(faults, callers, random.Random(seed + 6_000_000))
         if size.single:
             await put_routes(cluster, callers, faults)
         single = SingleCallers(callers, random.Random(seed + 5_000_000))
@@ -188,6 +190,7 @@
             single.run(size.single),
         )
         await faults.run(size.seconds, size.faults_per_s)
+        await gaps.wait()
         cluster.lost_shares.remove(size.lost_share)
         if accounts is not None:
             accounts.only_current = True
@@ -199,7 +202,9 @@
         await asyncio.sleep(LATE_RUNS_S)
         await supervisor.stop()
         faults.stop()
-        violations += _check_histories(cluster, callers, faults, fatal.works, size.hiding)
+        violations += _check_histories(
+            cluster, callers, faults, fatal.works, size.hiding, gaps.probes
+        )
         violations += supervisor.violations
         if violations and artifacts is not None:
             _save_artifacts(artifacts / str(seed), cluster, callers, faults, violations)
@@ -275,6 +280,7 @@
     faults: Faults,
     works: list[FatalWork],
     hiding: Sequence[FaultKind],
+    probes: Sequence[Probe],
 ) -> list[str]:
     runs = _runs(cluster)
     violations = check(callers.attempts, runs)
@@ -287,6 +293,7 @@
         violations += check_left(
             server.name, server.left_at, server.runs, entries, faults.occurrences, ledgers
         )
+    violations += check_added_routes(probes, faults.occurrences, ledgers)
     violations += _check_graceful_stops(callers, faults, {run.request for run in runs})
     completions = {
         request: Completion(server.name, at)
--- a/tests/soak/workload.py
+++ b/tests/soak/workload.py
@@ -35,7 +35,9 @@
     status : int
         Status of the answer; 0 if there was none.
     whole : bool
-        Whether the answer was complete.
+        Whether the answer was complete and has the id of the request.
+    framed : bool
+        Whether the answer was complete, whatever its id.
     events : int
         Number of complete events received.
     account, key : str
@@ -56,6 +58,7 @@
     ended_at: float = 0.0
     account: str = ""
     key: str = ""
+    framed: bool = False
 
     @property
     def events(self) -> int:
@@ -179,6 +182,7 @@
             attempt.status = head.status
             while (piece := await connection.read_piece()) is not None:
                 attempt.answer += piece
+            attempt.framed = True
             attempt.whole = _has_own_id(head, attempt)
         except BaseException:
             connection.close()
--- a/waxwingglade/standins/metadata_store.py
+++ b/waxwingglade/standins/metadata_store.py
@@ -11,6 +11,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
+PAGE_ITEMS = 50
+
 
 class StoreFault(Enum):
     """Fault of the store."""
@@ -21,6 +23,13 @@
     LOST_ANSWERS = "lost answers"
 
 
+class ListingCut(Enum):
+    """Where the connection of a listing closes."""
+
+    BODY = "in the body of its first page"
+    LATER_PAGE = "instead of the answer for its second page"
+
+
 class Refusal(msgspec.Struct, eq=False):
     """Addresses of the store at which it refuses all calls, and the status of the refusals."""
 
@@ -43,6 +52,14 @@
         Revisions whose events no watch returns, although its revision covers them.
     hides_changes : bool
         Whether the revisions of new changes become hidden.
+    silences_watches : bool
+        Whether watches get no answer, not even at the end of their wait.
+    listing_cut : ListingCut or None
+        Where listings are cut.
+    page_items : int
+        Number of items on a page of a listing.
+    watches : set
+        Watches that wait.
     """
 
     def __init__(self) -> None:
@@ -55,6 +72,10 @@
         self.refusals: list[Refusal] = []
         self.hidden: set[int] = set()
         self.hides_changes = False
+        self.silences_watches = False
+        self.listing_cut: ListingCut | None = None
+        self.page_items = PAGE_ITEMS
+        self.watches: set[_Watch] = set()
         self.calls = 0
         self.server: HTTPServer | None = None
         self.address = ""
@@ -88,11 +109,15 @@
 
     def put_bytes(self, key: str, value: bytes) -> int:
         """Write an item."""
+        return self.put_text(key, base64.b64encode(value).decode())
+
+    def put_text(self, key: str, text: str) -> int:
+        """Write an item with the text of its value as the store sends it, valid base64 or not."""
         self.revision += 1
         old = self.items.get(key)
         item = {
             "key": key,
-            "value": base64.b64encode(value).decode(),
+            "value": text,
             "revision": self.revision,
             "created": old["created"] if old else self.revision,
             "lease_id": 0,
@@ -130,6 +155,13 @@
         self.history.clear()
         self.compacted_revision = self.revision
 
+    def cut_watches(self) -> None:
+        """Close the connections of all watches, and answer later ones again."""
+        self.silences_watches = False
+        for watch in self.watches:
+            watch.close()
+        self._wake_watches()
+
     def events(self, prefix: str, after: int) -> list[dict[str, Any]]:
         """Return the changes below a prefix after a revision."""
         return [
@@ -172,6 +204,10 @@
             self.answer(status, {})
         return status is not None
 
+    def close(self) -> None:
+        """Close the connection."""
+        self.request.connection.stream.close()
+
     def answer(self, status: int, body: Any) -> None:
         self.set_status(status)
         self.finish(body)
@@ -187,15 +223,25 @@
 
 
 class _Range(_Handler):
-    PAGE = 50
-
-    def get(self) -> None:
+    async def get(self) -> None:
         prefix = self.get_argument("path_prefix")
         after = self.get_argument("after", "")
         keys = sorted(key for key in self.store.items if key.startswith(prefix) and key > after)
-        items = [self.store.items[key] for key in keys[: self.PAGE]]
-        more = len(keys) > self.PAGE
-        self.answer(200, {"items": items, "has_more": more, "current_rev": self.store.revision})
+        items = [self.store.items[key] for key in keys[: self.store.page_items]]
+        more = len(keys) > self.store.page_items
+        page = {"items": items, "has_more": more, "current_rev": self.store.revision}
+        if self.store.listing_cut is ListingCut.BODY:
+            await self._cut_in_body(json.dumps(page).encode())
+        elif self.store.listing_cut is ListingCut.LATER_PAGE and after:
+            self.close()
+        else:
+            self.answer(200, page)
+
+    async def _cut_in_body(self, body: bytes) -> None:
+        self.set_header("Content-Length", len(body))
+        self.write(body[: len(body) // 2])
+        await self.flush()
+        self.close()
 
 
 class _Watch(_Handler):
@@ -203,7 +249,19 @@
         prefix = self.get_argument("path_prefix")
         after = int(self.get_argument("after"))
         end_at = asyncio.get_running_loop().time() + int(self.get_argument("wait_ms")) / 1000
+        self.store.watches.add(self)
+        try:
+            await self._watch(prefix, after, end_at)
+        finally:
+            self.store.watches.discard(self)
+
+    async def _watch(self, prefix: str, after: int, end_at: float) -> None:
         while True:
+            if self.request.connection.stream.closed():
+                return
+            if self.store.silences_watches:
+                await self.store.changed.wait()
+                continue
             if after < self.store.compacted_revision:
                 self.answer(410, {})
                 return
@@ -237,9 +295,9 @@
         for key in body.get("remove", []):
             self.store.remove(key)
         if self.store.fault is StoreFault.LOST_ANSWERS:
-            self.request.connection.stream.close()
+            self.close()
             return
         self.answer(200, {"revision": self.store.revision})
 
 
-__all__ = ["MetadataStore", "StoreFault"]
+__all__ = ["PAGE_ITEMS", "ListingCut", "MetadataStore", "StoreFault"]
--- a/waxwingglade/standins/registered_server.py
+++ b/waxwingglade/standins/registered_server.py
@@ -280,9 +280,7 @@
         await asyncio.sleep(self.event_s * (self.stretch() if self.stretch else 1.0))
 
     async def _stream(self, writer: asyncio.StreamWriter, request: str, body: bytes) -> bool:
-        head = self._head(200, request) + "X-Waxwingglade-Server-Seal: seal\r\n"
-        head += "Content-Type: text/event-stream\r\n"
-        writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
+        writer.write(self._stream_head(request))
         for number in range(1, self.events + 1):
             await self._work()
             await self._until_resumed()
@@ -296,6 +294,18 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    def _answer_head(self, request: str, body: bytes) -> bytes:
+        """Return the head of the answer to a request."""
+        if self.events:
+            return self._stream_head(request)
+        head, end, _ = self._plain(200, request, answer_to(body)).partition(b"\r\n\r\n")
+        return head + end
+
+    def _stream_head(self, request: str) -> bytes:
+        head = self._head(200, request) + "X-Waxwingglade-Server-Seal: seal\r\n"
+        head += "Content-Type: text/event-stream\r\n"
+        return (head + "Transfer-Encoding: chunked\r\n\r\n").encode()
+
     def _head(self, status: int, request: str) -> str:
         stretch = f",{100 * self.stretch():.0f}" if self.stretch else ""
         return (
