Fail requests of the HTTP client whose answer's head is cut off

A server that closed its connection in order after the status line and before the end of the head counted as one that had answered: with its status, those headers that had arrived, and an empty body. So an order, a cancellation, a release and an import of a cache that an engine had not answered were successes, an export returned an empty cache, and a status such as 400 or 429 told callers of the store that nothing had run. A cut interim answer was a final one.

libcurl reports success then, unless a length has arrived, and nothing checked that the head was complete. Now an exchange has an answer only once the empty line after a final head has arrived; libcurl passes on no body before it. Otherwise the request may have run.

--- a/waxwingglade/connection/http.py
+++ b/waxwingglade/connection/http.py
@@ -5,6 +5,10 @@
 
 Notes
 -----
+libcurl reports success with an empty body if the connection is closed in order within the head of
+an answer, unless the part that arrived states a length.  `Exchange` therefore checks that the empty
+line after the final head was received.
+
 libcurl retries a request by itself, even a POST, if a reused connection is closed before the first
 byte of the answer.  `Exchange` allows this only for requests that are marked as repeatable; for all
 others the second attempt is stopped before its first byte.
@@ -34,6 +38,7 @@
 
 RETRY_AFTER_HEADER = "retry-after"
 END_OF_BODY = b""
+EMPTY_LINES = ("\r\n", "\n")
 READ_GRACE_S = 0.05
 CLOSE_TIMEOUT_S = 2.0
 MAX_ERROR_BYTES = 65_536
@@ -151,6 +156,7 @@
         self.status = 0
         self.headers: dict[str, str] = {}
         self.header_bytes = 0
+        self.head_complete = False
         self.used_grace = False
         self.turn_ends_at = 0.0
         self.pieces: asyncio.Queue[bytes] = asyncio.Queue()
@@ -205,6 +211,11 @@
         if line.startswith("HTTP/"):
             self.status = int(line.split()[1])
             return
+        # libcurl also passes on an unfinished line at the end of the connection.
+        if line in EMPTY_LINES:
+            # Interim answers, which have lower statuses, are followed by the final one.
+            self.head_complete = self.status >= HTTPStatus.OK
+            return
         name, colon, value = line.partition(":")
         if colon:
             self.headers[name.strip().lower()] = value.strip()
@@ -306,10 +317,12 @@
     def failure(self) -> Failure | None:
         """Return the failure of a finished exchange without a complete answer, or None."""
         error = self.future.exception()
-        if error is None:
+        if error is None and self.head_complete:
             return None
-        message = f"{self.request.method} {self.request.url}: {error}"
-        return Failure(self.verdict(), _error_code(error), message)
+        code = ErrorCode.UNAVAILABLE if error is None else _error_code(error)
+        reason = error or "the connection was closed within the head of the answer"
+        message = f"{self.request.method} {self.request.url}: {reason}"
+        return Failure(self.verdict(), code, message)
 
     def verdict(self) -> Verdict:
         """Return whether any byte of the request may have been sent.
