Bound the doubling of ejections and pauses before it overflows

After 1,026 failures in a row a target ended the requests that it failed: their callers' connections closed without an answer, and their places at the target were not given back (1, 2 and 3 in flight after three such calls). The ejection doubled without limit before its bound was applied, and 2**1024 can't be converted to a float (OverflowError). The ejection by all entries computes the same from the failures that other entries share. The base product's ejections had it too, and so had the pauses of the store client, with which watches wait between their attempts for as long as a store is down.

One function doubles a duration with a bounded exponent, at all four places.

Found by cutting some 1,000 answers in a row at an entry. Four tests, one of them extended, raised OverflowError before and pass. 97 tests of choices, broken attempts, health, dispatch and the store client pass.

--- a/waxwingglade/connection/store_backoff.py
+++ b/waxwingglade/connection/store_backoff.py
@@ -2,6 +2,8 @@
 
 import random
 
+from waxwingglade.base.doubling import doubled_s
+
 FIRST_PAUSE_S = 0.05
 
 
@@ -11,4 +13,4 @@
     The pause doubles with each repeat up to `longest_s`, and is then shortened by a random part of
     up to one half.
     """
-    return min(longest_s, FIRST_PAUSE_S * 2.0**repeat) * random.uniform(0.5, 1.0)
+    return doubled_s(FIRST_PAUSE_S, repeat, longest_s) * random.uniform(0.5, 1.0)
--- a/waxwingglade/connection/tests/test_store_limits.py
+++ b/waxwingglade/connection/tests/test_store_limits.py
@@ -129,7 +129,7 @@
         self.assertEqual(await self.take_all(), 0, "later calls wait for them")
 
     def test_pauses_grow_up_to_a_limit(self) -> None:
-        for repeat, longest_s in ((0, 0.05), (3, 0.4), (20, 5.0)):
+        for repeat, longest_s in ((0, 0.05), (3, 0.4), (20, 5.0), (2_000, 5.0)):
             pauses = [backoff_s(repeat, 5.0) for _ in range(20)]
             self.assertTrue(all(longest_s / 2 <= pause <= longest_s for pause in pauses), pauses)
             self.assertGreater(len(set(pauses)), 1)
--- a/waxwingglade/decisions/ejection.py
+++ b/waxwingglade/decisions/ejection.py
@@ -1,6 +1,7 @@
 """Temporary exclusion of failed targets from new work."""
 
 from waxwingglade.base import Clock
+from waxwingglade.base.doubling import doubled_s
 
 FAILURES_TO_EJECT = 2
 """Consecutive failures after which a target is ejected; one may be due to the connection."""
@@ -51,7 +52,7 @@
         if self.failures < FAILURES_TO_EJECT:
             return
         doublings = self.failures - FAILURES_TO_EJECT
-        self.until = self.clock() + min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
+        self.until = self.clock() + doubled_s(FIRST_EJECTION_S, doublings, MAX_EJECTION_S)
 
 
 def is_ejected_by_all(failures: int, age_s: float) -> bool:
@@ -70,7 +71,7 @@
     if failures < SHARED_FAILURES_TO_EJECT:
         return False
     doublings = failures - SHARED_FAILURES_TO_EJECT
-    return age_s < min(MAX_SHARED_EJECTION_S, FIRST_EJECTION_S * 2**doublings)
+    return age_s < doubled_s(FIRST_EJECTION_S, doublings, MAX_SHARED_EJECTION_S)
 
 
 __all__ = ["Ejection", "is_ejected_by_all"]
--- a/waxwingglade/decisions/health.py
+++ b/waxwingglade/decisions/health.py
@@ -3,6 +3,7 @@
 import statistics
 
 from waxwingglade.base import ErrorCode, Failure
+from waxwingglade.base.doubling import doubled_s
 from waxwingglade.decisions.targets import TargetTable, TargetView
 from waxwingglade.decisions.work import Pool
 
@@ -66,7 +67,7 @@
     if not table.usable(view) or not may_eject(table, view):
         return False
     settings = table.settings
-    length = min(settings.eject_max_s, settings.eject_s * 2**view.ejections)
+    length = doubled_s(settings.eject_s, view.ejections, settings.eject_max_s)
     view.ejections += 1
     view.failures = 0
     view.samples = 0
--- a/waxwingglade/decisions/tests/test_health.py
+++ b/waxwingglade/decisions/tests/test_health.py
@@ -53,6 +53,12 @@
         self.fail(self.views[0], DRAINING, times=1)
         self.assertTrue(self.views[0].leaving)
 
+    def test_target_that_never_succeeds_is_ejected_again(self) -> None:
+        view = self.views[0]
+        view.ejections = 2_000
+        self.fail(view)
+        self.assertEqual(self.usable(), 5)
+
     def test_ejected_target_starts_slowly_and_each_ejection_is_longer(self) -> None:
         view = self.views[0]
         self.fail(view)
--- a/waxwingglade/ingress/tests/test_broken_attempts.py
+++ b/waxwingglade/ingress/tests/test_broken_attempts.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from waxwingglade.ingress.fingerprint import fingerprint_of
-from waxwingglade.ingress.tests.builders import call
+from waxwingglade.ingress.tests.builders import call, target
 from waxwingglade.ingress.tests.entry_builders import PLAIN, Behaviour, EntryUnderTest, FakeTarget
 from waxwingglade.ledger.target_failures import SHARED_PREFIX
 
@@ -43,6 +43,12 @@
         self.assertEqual((attempt["ending"], attempt["siblings_lost"]), ("lost", 1))
         self.assertNotIn("siblings_open", attempt)
 
+    async def test_a_target_that_failed_very_often_still_gets_its_callers_an_answer(self) -> None:
+        for _ in range(2_000):
+            self.entry.ingress.balancer.record_failure(target(self.target.address))
+        attempt = await self.break_off(Behaviour.CUT)
+        self.assertEqual(attempt["ending"], "lost")
+
     async def test_repeats_under_other_ids_share_a_fingerprint(self) -> None:
         self.target.behaviour = Behaviour.CUT
         for request in ("r1", "r2"):
--- a/waxwingglade/ingress/tests/test_choices.py
+++ b/waxwingglade/ingress/tests/test_choices.py
@@ -4,6 +4,7 @@
 from collections import Counter
 
 from waxwingglade.base import TargetId, ZoneId
+from waxwingglade.decisions.ejection import is_ejected_by_all
 from waxwingglade.follow.model import IncarnationName, ServiceName, Share
 from waxwingglade.ingress.balance import Balancer, History
 from waxwingglade.ingress.dialect import LoadStamp
@@ -116,6 +117,14 @@
         chosen = {self.balancer.choose(NOTES, call(str(n)), []).target.target for n in range(20)}
         self.assertEqual(chosen, {"a", "b"})
 
+    def test_a_target_that_never_succeeds_does_not_end_its_requests(self) -> None:
+        self.balancer.update(targets(target("a"), target("b")))
+        for _ in range(2_000):
+            self.balancer.record_failure(target("a"))
+        self.assertEqual(self.balancer.choose(NOTES, call(), []).target.target, "b")
+        self.assertTrue(is_ejected_by_all(2_000, age_s=1.0))
+        self.assertFalse(is_ejected_by_all(2_000, age_s=3.0))
+
     def test_entries_agree_on_where_a_program_goes(self) -> None:
         engines = [target(f"e{n}", "engines", slots=16) for n in range(6)]
         other = Balancer(ZoneId("zone-a"), lambda: self.now)
