Don't let a watch confirm a view that an answer before it contradicts

After an answer that lacked changes, and a listing that failed, a watch at the earlier revision and without events called the view complete, although the store had named a later revision. A revoked key would pass for longer than promised. A watch has to reach the highest revision that an answer has named; otherwise all keys are listed. The line about missing changes names this revision.

--- a/waxwingglade/follow/tests/test_missed_changes.py
+++ b/waxwingglade/follow/tests/test_missed_changes.py
@@ -132,6 +132,21 @@
             await self.watcher._step(self.watcher.revision)
         self.assertEqual(before, self.watcher.complete_until)
 
+    async def test_a_watch_older_than_an_answer_before_it_confirms_nothing(self) -> None:
+        """The listing between the two watches fails."""
+        await self.watcher.stop()
+        before, after = self.watcher.complete_until, self.watcher.revision
+        self.now += 1.0
+        self.hide_next_changes(1)
+        self.store.put("op/config", b'{"version": 9}')
+        unavailable = StoreUnavailable("no answer", may_have_run=False)
+        with mock.patch.object(self.store, "list", side_effect=unavailable):
+            for revision in (None, after):
+                self.store.frozen_revision = revision
+                with contextlib.suppress(StoreUnavailable):
+                    await self.watcher._step(after)
+        self.assertEqual(before, self.watcher.complete_until)
+
     async def test_a_failing_listing_at_intervals_does_not_stop_the_watches(self) -> None:
         unavailable = StoreUnavailable("no answer", may_have_run=False)
         with mock.patch.object(self.store, "list", side_effect=unavailable) as listing:
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -135,7 +135,7 @@
     revision : Revision
         Revision up to which the answers of the store were applied.
     newest_revision : Revision
-        Highest revision that an answer has named.  An older listing lacks changes.
+        Highest revision that an answer has named.  An older answer lacks changes.
     changed_at : float
         When an answer last had content, that is, a listing or events; -inf before.
     list_again_at : float
@@ -274,12 +274,12 @@
         return listing.revision
 
     def _is_continuous(self, after: Revision, events: Listing) -> bool:
-        """Return whether an answer has the events of all revisions that it covers."""
+        """Return whether an answer has all events up to the newest revision that is known."""
         complete = contiguous_until(after, events)
-        if complete == events.revision:
+        if complete == events.revision >= self.newest_revision:
             return True
         self.gaps += 1
-        logger.bind(after=after, complete=complete, revision=events.revision).warning(
+        logger.bind(after=after, complete=complete, revision=self.newest_revision).warning(
             "changes missing in an answer of the store"
         )
         return False
