Test answers of targets and of the store that end early

An answer that ends anywhere before its end must reach neither a caller nor the ledger as whole, however it is framed, and in whatever way its connection ends. No fault was found there: an answer without a length that ends in order is whole, as only that ends it.

--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -1,13 +1,24 @@
 """Tests of the store's client with a stand-in: conditions, lost answers, compaction, pages."""
 
+import asyncio
 import unittest
+from collections.abc import Awaitable, Callable
 from typing import Any
 from unittest import mock
 
+from waxwingglade.follow.model import Revision
 from waxwingglade.follow.store import HistoryCompacted, StoreUnavailable
 from waxwingglade.platform.store import PlatformStore
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
 from waxwingglade.transport import HttpResponse
+from waxwingglade.transport.tests.cut_builders import Answer, Cut, CutServer, Ending, answers
+
+FIN = Ending.FIN
+LISTING = (
+    b'{"items":[{"key":"servers/a","revision":1,"value":"e30="},'
+    b'{"key":"servers/b","revision":2,"value":"e30="}],"has_more":false,"current_rev":2}'
+)
+EVENTS = b'{"events":[{"key":"servers/a","revision":2,"deleted":true}],"current_rev":2}'
 
 
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
@@ -104,3 +115,42 @@
                 self.assertRaises(StoreUnavailable),
             ):
                 await self.store.watch("servers/", 0, 0.1)
+
+
+class CutAnswers(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        # The debug mode of the loop records a stack for each callback, most of the time taken here.
+        asyncio.get_running_loop().set_debug(False)
+
+    async def check(self, answer: Answer, cut: Cut, call: Callable[..., Awaitable[Any]]) -> None:
+        """Make a call that is answered with a cut answer, and check that it fails."""
+        async with CutServer(cut) as server:
+            store = PlatformStore(server.address)
+            with self.assertRaises(StoreUnavailable) as caught:
+                await call(store)
+            await store.close()
+            self.assertTrue(caught.exception.may_have_run or answer.is_whole(len(cut.data), FIN))
+
+    async def test_a_cut_listing_is_a_failed_call(self) -> None:
+        """Guards against keys that count as removed since the answer ended before them."""
+        for answer in answers(LISTING):
+            for size in answer.cuts(others=4)[:-1]:
+                for ending in Ending:
+                    with self.subTest(framing=answer.name, size=size, ending=ending):
+                        cut = Cut(answer.data[:size], ending)
+                        await self.check(answer, cut, lambda store: store.list("servers/"))
+
+    async def test_a_cut_watch_is_a_failed_call(self) -> None:
+        for answer in answers(EVENTS):
+            for size in answer.cuts(others=4)[:-1]:
+                with self.subTest(framing=answer.name, size=size):
+                    cut = Cut(answer.data[:size], bytewise=True)
+                    await self.check(answer, cut, lambda store: store.watch("", Revision(1), 0.1))
+
+    async def test_an_absent_key_is_not_told_by_a_cut_head(self) -> None:
+        for answer in answers(b"{}", status=b"404 Not Found"):
+            for size in answer.cuts(others=4):
+                if size < answer.body_at:
+                    with self.subTest(framing=answer.name, size=size):
+                        cut = Cut(answer.data[:size])
+                        await self.check(answer, cut, lambda store: store.read("key"))
--- a/waxwingglade/transport/tests/test_probe.py
+++ b/waxwingglade/transport/tests/test_probe.py
@@ -6,9 +6,16 @@
 
 from waxwingglade.base.tests.daemon_loop import OnDaemonLoop
 from waxwingglade.transport import ConnectionPool, Finding, HttpRequest, Unresponsive, WaitLimits
-from waxwingglade.transport.http1 import Http1Connection
+from waxwingglade.transport.http1 import Http1Connection, open_connection
 from waxwingglade.transport.liveness import PROBE_LEAD_S
-from waxwingglade.transport.probe import ANSWER_TIMEOUT_S, SPREAD_S, ProbeResult, probe
+from waxwingglade.transport.probe import (
+    ANSWER_TIMEOUT_S,
+    SPREAD_S,
+    ProbeResult,
+    _is_answered,
+    probe,
+)
+from waxwingglade.transport.tests.cut_builders import Cut, CutServer, answers
 
 REQUEST = HttpRequest("GET", "/", [("Host", "h")])
 HEALTH = HttpRequest("GET", "/health", [("Host", "h")])
@@ -134,6 +141,18 @@
         result, _ = await probe(witness, HEALTH, 1.0)
         self.assertEqual(result.finding, Finding.UNANSWERED)
 
+    async def test_a_new_connection_that_ends_within_a_head_is_not_answered(self) -> None:
+        """Guards against open connections that count as dead after a part of an answer."""
+        for answer in answers(b"ok"):
+            for size in answer.cuts(others=2):
+                if size >= answer.body_at:
+                    continue
+                with self.subTest(framing=answer.name, size=size):
+                    async with CutServer(Cut(answer.data[:size])) as server:
+                        connection = await open_connection(server.address, 1.0)
+                        self.assertFalse(await _is_answered(connection, HEALTH))
+                        connection.close()
+
     def test_a_connection_opened_after_the_others_last_worked_may_be_alive(self) -> None:
         result = ProbeResult(Finding.DEAD, worked_at=5.0)
         self.assertTrue(result.is_dead(opened_at=4.0))
