Raise an error for a stream of an entry that is cut off

`ApiClient.stream` ended without an error when the connection of an entry ended within the answer, so the events received so far looked like all of them: it never asked whether the exchange had failed. It raises ConnectionError now, as `ApiClient.send` does.

--- a/waxwingglade/connection/api_client.py
+++ b/waxwingglade/connection/api_client.py
@@ -64,7 +64,13 @@
         return await send(self.http, self._request(method, path, body, headers))
 
     async def stream(self, method: str, path: str, body: Any = None) -> AsyncIterator[Any]:
-        """Send a request and yield the decoded events of the streamed answer."""
+        """Send a request and yield the decoded events of the streamed answer.
+
+        Raises
+        ------
+        ConnectionError
+            If the answer is not complete.
+        """
         request = self._request(method, path, body, {"Accept": "text/event-stream"})
         exchange = Exchange(self.http, request)
         rest = b""
@@ -74,6 +80,8 @@
                 for line in lines:
                     if line.startswith(EVENT_PREFIX):
                         yield msgspec.json.decode(line.removeprefix(EVENT_PREFIX))
+            if failure := exchange.failure():
+                raise ConnectionError(failure.message)
         finally:
             exchange.abort()
 
--- a/waxwingglade/connection/tests/test_cut_answers.py
+++ b/waxwingglade/connection/tests/test_cut_answers.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from typing import Any
 
 from waxwingglade.base import Outcome, ProgramId, Verdict
 from waxwingglade.connection import (
@@ -25,6 +26,7 @@
     send_order,
     stream_completion,
 )
+from waxwingglade.connection.api_client import ApiClient
 from waxwingglade.connection.http import HttpRequest, send
 from waxwingglade.connection.store import StoreClient
 from waxwingglade.connection.tests.store_builders import store_settings
@@ -157,6 +159,21 @@
                     if isinstance(last, EngineDone):
                         self.assertIn(DONE, answer.data[:size].replace(b"\r\n", b""))
 
+    async def test_a_cut_stream_of_an_entry_is_not_taken_as_complete(self) -> None:
+        body = b'data: {"type": "delta"}\n\ndata: {"type": "done"}\n\n'
+        for answer in framed_answers(body):
+            for size in answer.cuts(others=3):
+                with self.subTest(framing=answer.name, size=size):
+                    events: list[Any] = []
+                    async with cut_by(Cut(answer.data[:size])) as (client, server):
+                        stream = ApiClient(client, server.url, "token").stream("GET", "/events")
+                        if size == len(answer.data):
+                            events = [event async for event in stream]
+                            self.assertEqual(len(events), 2)
+                            continue
+                        with self.assertRaises(ConnectionError):
+                            events += [event async for event in stream]
+
 
 if __name__ == "__main__":
     unittest.main()
