--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -183,6 +183,7 @@
         self.newest_revision = Revision(0)
         self.changed_at = float("-inf")
         self.gaps = 0
+        self.in_gap = False
         self.list_again_at = float("-inf")
         self.task: asyncio.Task | None = None
 
@@ -291,11 +292,14 @@
         """Return whether an answer has all events up to the newest revision that is known."""
         complete = contiguous_until(after, events)
         if complete == events.revision >= self.newest_revision:
+            self.in_gap = False
             return True
         self.gaps += 1
-        logger.bind(after=after, complete=complete, revision=self.newest_revision).warning(
-            "changes missing in an answer of the store"
-        )
+        if not self.in_gap:
+            logger.bind(after=after, complete=complete, revision=self.newest_revision).warning(
+                "changes missing in an answer of the store"
+            )
+        self.in_gap = True
         return False
 
     def _record_complete(self, asked_at: float) -> None:
