Answer the requests that follow one that fails at once

Requests of one iteration of the event loop share a message, and messages are read until none is left, as the descriptor of a socket signals only new ones. A request whose immediate answer raised ended both: the others in its message got no answer, and messages behind it stayed unread until the next one came. Their senders waited until they timed out.

Each request in a message is now begun by itself, and a message that fails schedules the next reading.

--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -184,7 +184,13 @@
             return
         # This check before each message costs less than an exception when there is none.
         while (events := self.socket.get(EVENTS)) & POLLIN:
-            self.received(self._receive_message())
+            frames = self._receive_message()
+            try:
+                self.received(frames)
+            except Exception:
+                # The descriptor signals only new messages, not those that are left.
+                self._schedule_receive()
+                raise
             if self.socket.closed:
                 return
         if events & POLLOUT:
@@ -263,17 +269,23 @@
         sender, *requests = frames
         for frame in requests:
             try:
-                number, body = self.codec.decode(frame)
+                self._begin_answer(sender, frame)
             except msgspec.DecodeError as error:
                 logger.warning("message ignored: {}", error)
-                continue
-            answer = self.answer_at_once(body)
-            if answer is not None:
-                self._send(sender, number, answer)
-                continue
-            task = asyncio.create_task(self._answer(sender, number, body))
-            self.running.add(task)
-            task.add_done_callback(self._ended)
+            except Exception:
+                # The other requests in the message may be those of other callers.
+                logger.exception("request not answered")
+
+    def _begin_answer(self, sender: bytes, frame: bytes) -> None:
+        """Answer a request, or start a task that does."""
+        number, body = self.codec.decode(frame)
+        answer = self.answer_at_once(body)
+        if answer is not None:
+            self._send(sender, number, answer)
+            return
+        task = asyncio.create_task(self._answer(sender, number, body))
+        self.running.add(task)
+        task.add_done_callback(self._ended)
 
     def _ended(self, task: asyncio.Task) -> None:
         self.running.discard(task)
--- a/waxwingglade/transport/tests/test_links.py
+++ b/waxwingglade/transport/tests/test_links.py
@@ -11,6 +11,7 @@
 
 from tests.ports import ReservedPorts
 from waxwingglade.base.tests.daemon_loop import OnDaemonLoop
+from waxwingglade.base.tests.failing import failing_once
 from waxwingglade.transport.links import (
     RECONNECT_WAIT_S,
     Codec,
@@ -92,6 +93,27 @@
         self.assertEqual(answered, Pong(2))
         self.assertEqual(self.links.to(self.address).pending, {})
 
+    async def test_a_request_that_fails_at_once_affects_no_other_in_its_message(self) -> None:
+        await self.ask(Ping(0))
+        with failing_once(self.server, "answer_at_once"):
+            failed, answered = await self.ask(Ping(1), Ping(2), timeout_s=0.5)
+        self.assertIsInstance(failed, LinkFailed)
+        self.assertEqual(answered, Pong(2))
+
+    async def test_a_message_that_fails_leaves_none_unread(self) -> None:
+        await self.ask(Ping(0))
+        link = self.links.to(self.address)
+        with failing_once(self.server.link_socket, "received") as received:
+            failed = link.post(Ping(1), 0.5)
+            await asyncio.sleep(0)
+            answered = link.post(Ping(2), 0.5)
+            await asyncio.sleep(0)
+            time.sleep(0.1)
+            outcomes = await asyncio.gather(failed, answered, return_exceptions=True)
+        self.assertEqual(2, received.call_count)
+        self.assertIsInstance(outcomes[0], LinkFailed)
+        self.assertEqual(outcomes[1], Pong(2))
+
     async def test_a_message_without_an_answer_replaces_the_one_before(self) -> None:
         arrived: list[Ping] = []
 
