Run the lasting tasks of the base product's processes again

A process went on without a task that ended by an exception that it doesn't handle: the socket of peers was no longer read, no heartbeats were sent to a peer or to all, calls that waited for a target were not checked again, a holder of a log got no records, or the head of the configuration was no longer read.

`run_forever` runs these tasks again, and `Entry.keep_running` those that last as long as the process, some of which handled exceptions only within a step. Each can start with what is left: readers keep nothing between frames, and a sender of records starts from the first one, which its holder answers with the length that it has.

They cover the reader of a peer's requests, the choice of peers, the poll of the head and the check of waiting calls; the other tasks have none.

--- a/waxwingglade/connection/peer.py
+++ b/waxwingglade/connection/peer.py
@@ -24,7 +24,7 @@
     not_run,
 )
 from waxwingglade.base.logs import Sampler
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever, start_task
 from waxwingglade.base.verdict import Failure, Verdict
 from waxwingglade.connection.peer_messages import (
     PROTOCOL_VERSION,
@@ -106,7 +106,7 @@
             self.socket.bind(f"tcp://{address}:{port}")
         else:
             port = self.socket.bind_to_random_port(f"tcp://{address}")
-        self.reader = start_task(self._read())
+        self.reader = run_forever(self._read)
         return f"tcp://{address}:{port}"
 
     async def stop(self) -> None:
@@ -180,7 +180,7 @@
         self.request_numbers = itertools.count(1)
         self.pending: dict[int, asyncio.Queue[Envelope]] = {}
         self.ignored = IgnoredMessages(f"answers of {address}")
-        self.reader = start_task(self._read())
+        self.reader = run_forever(self._read)
         self.last_used_at = monotonic()
         self.bytes_sent = 0
         self.bytes_received = 0
--- a/waxwingglade/decisions/dispatch.py
+++ b/waxwingglade/decisions/dispatch.py
@@ -16,6 +16,7 @@
     Verdict,
     not_run,
 )
+from waxwingglade.base.tasks import run_forever
 from waxwingglade.decisions import health
 from waxwingglade.decisions.output_length import OutputLengthTracker
 from waxwingglade.decisions.pause import PauseDecision, PauseTracker
@@ -267,7 +268,7 @@
         ticket.answer = asyncio.get_running_loop().create_future()
         self._prefer(ticket, choice)
         if self.watcher is None:
-            self.watcher = asyncio.create_task(self._watch())
+            self.watcher = run_forever(self._watch)
         try:
             return await self._await_answer(ticket, ticket.answer)
         except asyncio.CancelledError:
--- a/waxwingglade/process/configuration.py
+++ b/waxwingglade/process/configuration.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from waxwingglade.base import ConfigVersion, EntryRef, LogId
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever
 from waxwingglade.connection.peer_messages import ConfigSnapshot, FetchConfig
 from waxwingglade.process.config_store import ConfigStoreClient
 from waxwingglade.process.entry import Entry
@@ -70,12 +70,12 @@
 
     def start(self) -> None:
         """Start the tasks that follow the store, delete its old records and save a copy on disk."""
-        self.entry.spawn(self._do_duties())
-        self.entry.spawn(self._clean_up())
+        self.entry.keep_running(self._do_duties)
+        self.entry.keep_running(self._clean_up)
         folder = self.entry.settings.data_folder
         if folder is not None:
             Path(folder).mkdir(parents=True, exist_ok=True)
-            self.entry.spawn(maintain_copy(self.active, Path(folder)))
+            self.entry.keep_running(maintain_copy, self.active, Path(folder))
 
     def stop(self) -> None:
         """Save the version in force, which may be newer than the last copy on disk."""
@@ -165,7 +165,7 @@
         try:
             while True:
                 if self.is_watcher() and watching is None:
-                    watching = start_task(self._watch())
+                    watching = run_forever(self._watch)
                 elif not self.is_watcher() and watching is not None:
                     await _cancel(watching)
                     watching = None
--- a/waxwingglade/process/daemon.py
+++ b/waxwingglade/process/daemon.py
@@ -83,13 +83,13 @@
     def _start_tasks(self) -> None:
         """Start the background tasks of the entry."""
         entry = self.entry
-        entry.spawn(maintain_logs(entry))
-        entry.spawn(release_ended(entry))
-        entry.spawn(expire_programs(entry))
-        entry.spawn(sample_loads(entry))
-        entry.spawn(sweep_caches(entry))
-        entry.spawn(watch_vms(entry))
-        entry.spawn(give_orders(entry))
+        entry.keep_running(maintain_logs, entry)
+        entry.keep_running(release_ended, entry)
+        entry.keep_running(expire_programs, entry)
+        entry.keep_running(sample_loads, entry)
+        entry.keep_running(sweep_caches, entry)
+        entry.keep_running(watch_vms, entry)
+        entry.keep_running(give_orders, entry)
 
     def _serve_callers(self, peer_server: PeerServer, sockets: list[socket]) -> None:
         """Begin to serve callers on sockets that are already bound."""
--- a/waxwingglade/process/duties/controller.py
+++ b/waxwingglade/process/duties/controller.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from waxwingglade.base import ErrorCode, Failure, Outcome, TargetId, Verdict
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever, start_task
 from waxwingglade.connection.engine_control import read_state, send_order
 from waxwingglade.connection.engine_events import EngineOrder, EngineState, OrderKind
 from waxwingglade.connection.http import HttpClient
@@ -84,7 +84,7 @@
 
     async def run(self, should_continue: Callable[[], bool] = lambda: True) -> None:
         """Give orders until the term is lost or `should_continue` returns False."""
-        tasks = [start_task(self._follow_desired())]
+        tasks = [run_forever(self._follow_desired)]
         tasks += [start_task(self._manage_target(each)) for each in self.managed]
         if any(not each.settings.honours_fencing for each in self.managed):
             tasks.append(start_task(self.term.wait_out()))
--- a/waxwingglade/process/entry.py
+++ b/waxwingglade/process/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 from collections.abc import Callable, Coroutine
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -27,7 +28,7 @@
     new_nonce,
     wall,
 )
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever, start_task
 from waxwingglade.connection.http import HttpClient
 from waxwingglade.connection.peer import PeerLinks
 from waxwingglade.connection.peer_messages import Fenced, SealCopy, SealedCopy, TargetReport
@@ -213,7 +214,15 @@
 
     def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
         """Run a coroutine as a task that is cancelled when the process stops."""
-        task = start_task(coroutine)
+        return self._track(start_task(coroutine))
+
+    def keep_running(
+        self, function: Callable[..., Coroutine[Any, Any, None]], *args: Any
+    ) -> asyncio.Task:
+        """Run a coroutine function until the process stops, again whenever it fails."""
+        return self._track(run_forever(partial(function, *args)))
+
+    def _track(self, task: asyncio.Task) -> asyncio.Task:
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         return task
--- a/waxwingglade/process/members.py
+++ b/waxwingglade/process/members.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 from collections.abc import Callable
+from functools import partial
 
 import msgspec
 import xxhash
@@ -21,7 +22,7 @@
     ZoneId,
     monotonic,
 )
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever
 from waxwingglade.connection.peer import PeerLinks
 from waxwingglade.connection.peer_messages import EntryState, Heartbeat, HeartbeatReply
 from waxwingglade.process.watching import WatchedPeers, choose_watched
@@ -226,7 +227,7 @@
         self.on_config_digest = on_config_digest
         self.partners = partners
         self.tasks: dict[str, asyncio.Task] = {}
-        self.supervisor = start_task(self._supervise())
+        self.supervisor = run_forever(self._supervise)
 
     async def stop(self) -> None:
         """Cancel all tasks."""
@@ -270,7 +271,7 @@
         while True:
             addresses = self._addresses()
             for address in addresses - self.tasks.keys():
-                self.tasks[address] = start_task(self._send_heartbeats(address))
+                self.tasks[address] = run_forever(partial(self._send_heartbeats, address))
             for address in self.tasks.keys() - addresses:
                 self.tasks.pop(address).cancel()
             await self.links.close_idle(IDLE_LINK_S)
--- a/waxwingglade/process/owned_log.py
+++ b/waxwingglade/process/owned_log.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from functools import partial
 
 from loguru import logger
 
@@ -25,7 +26,7 @@
     may_have_run,
     not_run,
 )
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever, start_task
 from waxwingglade.connection.peer import PeerLinks
 from waxwingglade.connection.peer_messages import (
     Appended,
@@ -290,7 +291,7 @@
         self.last_opening += 1
         self.opening_of[holder.incarnation] = self.last_opening
         self.wake_events[holder.incarnation] = asyncio.Event()
-        self.senders[holder.incarnation] = start_task(self._send_to(holder))
+        self.senders[holder.incarnation] = run_forever(partial(self._send_to, holder))
 
     def _stop_sender(self, holder: EntryRef) -> None:
         task = self.senders.pop(holder.incarnation, None)
--- a/waxwingglade/version/following.py
+++ b/waxwingglade/version/following.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from functools import partial
 
 from loguru import logger
 
@@ -18,6 +19,7 @@
     Outcome,
     wall,
 )
+from waxwingglade.base.tasks import run_forever
 from waxwingglade.version.active import ActiveConfig, Source
 from waxwingglade.version.approval import unusable_rules
 from waxwingglade.version.config_store import ConfigStore, Head, SnapshotRef
@@ -82,7 +84,7 @@
 
 async def follow_store(config_store: ConfigStore, active: ActiveConfig) -> None:
     """Put each new version of the store in force, until cancelled."""
-    polling = asyncio.create_task(_poll_head(config_store, active))
+    polling = run_forever(partial(_poll_head, config_store, active))
     try:
         while True:
             await _watch_once(config_store, active)
