Confine values and frames that a link can't carry to themselves

A value beyond 64 bits in one answer cost others: the exception left the callback that reads the socket, and the remaining requests of the message were dropped without an answer. A frame that is nested too deeply did the same at either end, as only DecodeError was expected. A request that could not be encoded raised OverflowError, and an address that is no endpoint raised ZMQError and left a socket that kept the context from ending; callers expect LinkFailed.

The codec raises FormatError for whatever is wrong with a frame or a value. An answer, a request or a message that can't be encoded is dropped alone, and an exception of a handler is logged for its request.

--- a/waxwingglade/transport/links.py
+++ b/waxwingglade/transport/links.py
@@ -19,7 +19,7 @@
 import zmq
 from loguru import logger
 
-from waxwingglade.base import WaxwinggladeError
+from waxwingglade.base import FormatError, WaxwinggladeError, shortened
 from waxwingglade.base.tasks import log_failure
 
 # Plain integers, since operations on enumerations of the library cost more than the calls that use
@@ -92,12 +92,18 @@
         self.decoder = msgspec.msgpack.Decoder(tuple[int, message_type])
 
     def encode(self, number: int, body: Any) -> bytes:
-        """Return the frame of a message."""
-        return self.encoder.encode((number, body))
+        """Return the frame of a message; raise `FormatError` if a value can't be carried."""
+        try:
+            return self.encoder.encode((number, body))
+        except (TypeError, ValueError, OverflowError, RecursionError) as error:
+            raise FormatError(f"{type(body).__name__}: {shortened(str(error))}") from error
 
     def decode(self, frame: bytes) -> tuple[int, Any]:
-        """Return number and body; raises `msgspec.DecodeError` if the frame is not valid."""
-        return self.decoder.decode(frame)
+        """Return number and body; raise `FormatError` if the frame is not valid."""
+        try:
+            return self.decoder.decode(frame)
+        except (ValueError, OverflowError, RecursionError) as error:
+            raise FormatError(f"{len(frame)} bytes: {shortened(str(error))}") from error
 
 
 class LinkSocket:
@@ -264,16 +270,23 @@
         for frame in requests:
             try:
                 number, body = self.codec.decode(frame)
-            except msgspec.DecodeError as error:
+            except FormatError as error:
                 logger.warning("message ignored: {}", error)
                 continue
-            answer = self.answer_at_once(body)
-            if answer is not None:
-                self._send(sender, number, answer)
-                continue
-            task = asyncio.create_task(self._answer(sender, number, body))
-            self.running.add(task)
-            task.add_done_callback(self._ended)
+            try:
+                self._start_answer(sender, number, body)
+            # The other requests of the message, and the messages after it, are answered anyway.
+            except Exception as error:
+                logger.opt(exception=error).error("{} not answered", type(body).__name__)
+
+    def _start_answer(self, sender: bytes, number: int, body: Any) -> None:
+        answer = self.answer_at_once(body)
+        if answer is not None:
+            self._send(sender, number, answer)
+            return
+        task = asyncio.create_task(self._answer(sender, number, body))
+        self.running.add(task)
+        task.add_done_callback(self._ended)
 
     def _ended(self, task: asyncio.Task) -> None:
         self.running.discard(task)
@@ -286,9 +299,10 @@
 
     def _send(self, sender: bytes, number: int, answer: Any) -> None:
         """Send an answer with the others of this iteration of the event loop."""
+        frame = self.codec.encode(number, answer)
         if not self.answers:
             asyncio.get_running_loop().call_soon(self._flush)
-        self.answers.setdefault(sender, []).append(self.codec.encode(number, answer))
+        self.answers.setdefault(sender, []).append(frame)
 
     def _flush(self) -> None:
         """Send the answers of this iteration of the event loop, as one message to each peer."""
@@ -337,7 +351,11 @@
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
-        socket.connect(address)
+        try:
+            socket.connect(address)
+        except (zmq.ZMQError, ValueError):
+            socket.close()
+            raise
         self.link_socket.start()
         self.request_numbers = itertools.count(1)
         self.pending: dict[int, asyncio.Future[Any]] = {}
@@ -359,9 +377,9 @@
     def post(self, body: Any, timeout_s: float) -> asyncio.Future[Any]:
         """Send a request and return the future of its answer.
 
-        The future fails with `LinkFailed` if the peer is not connected, if it does not answer in
-        time, or if the connection is lost before the answer.  While the first connection is being
-        opened, the request waits for it.
+        The future fails with `LinkFailed` if the request can't be encoded, if the peer is not
+        connected, if it does not answer in time, or if the connection is lost before the answer.
+        While the first connection is being opened, the request waits for it.
         """
         loop = self.link_socket.loop
         future: asyncio.Future[Any] = loop.create_future()
@@ -370,9 +388,14 @@
             return future
         self.last_used_at = loop.time()
         number = next(self.request_numbers)
+        try:
+            frame = self.codec.encode(number, body)
+        except FormatError as error:
+            future.set_exception(LinkFailed(f"request not encoded: {error}", sent=False))
+            return future
         if not self.unsent:
             loop.call_soon(self._flush)
-        self.unsent[number] = self.codec.encode(number, body)
+        self.unsent[number] = frame
         timer = loop.call_later(timeout_s, self._expire, number)
         self.pending[number] = future
         if self.lost:
@@ -393,7 +416,11 @@
         """
         loop = self.link_socket.loop
         self.last_used_at = loop.time()
-        self.untold = self.codec.encode(TOLD, body)
+        try:
+            self.untold = self.codec.encode(TOLD, body)
+        except FormatError as error:
+            logger.error("message to {} not encoded: {}", self.address, error)
+            return
         loop.call_soon(self._flush)
 
     def _expire(self, number: int) -> None:
@@ -442,7 +469,7 @@
         for frame in frames:
             try:
                 number, body = self.codec.decode(frame)
-            except msgspec.DecodeError as error:
+            except FormatError as error:
                 logger.warning("answer from {} ignored: {}", self.address, error)
                 continue
             future = self.pending.get(number)
@@ -464,10 +491,18 @@
 
         After `close` a new connection is closed at once, since an open one would block the end of
         the context.
+
+        Raises
+        ------
+        LinkFailed
+            If the address is no endpoint.
         """
         link = self.links.get(address)
         if link is None:
-            link = Link(self.context, self.codec, address)
+            try:
+                link = Link(self.context, self.codec, address)
+            except (zmq.ZMQError, ValueError) as error:
+                raise LinkFailed(f"no endpoint: {shortened(str(error))}", sent=False) from error
             self.links[address] = link
             if self.closed:
                 link.close()
--- a/waxwingglade/transport/tests/test_links.py
+++ b/waxwingglade/transport/tests/test_links.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 import unittest
+from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 from unittest import mock
 
@@ -40,6 +42,20 @@
     number: int
 
 
+LARGE = 10**400
+LARGE_ANSWER = 7
+"""Number of a request whose answer no message can carry."""
+
+
+def answer_now(handler: Callable[[Ping], Coroutine[Any, Any, Pong]], message: Ping) -> Pong:
+    """Return the answer of a handler that waits for nothing."""
+    try:
+        handler(message).send(None)
+    except StopIteration as stop:
+        return stop.value
+    raise AssertionError("the handler waits")
+
+
 async def answer(message: Ping) -> Pong | None:
     """Answer a request after its delay, or not at all."""
     if message.delay_s < 0:
@@ -131,6 +147,34 @@
         with self.assertRaises(LinkFailed):
             await link.request(Ping(2), 20.0)
 
+    async def test_a_value_that_no_message_can_carry_costs_only_its_own_answer(self) -> None:
+        async def answer_large(message: Ping) -> Pong:
+            return Pong(LARGE if message.number == LARGE_ANSWER else message.number)
+
+        for name in ("handler", "answer_at_once"):
+            own = answer_large if name == "handler" else partial(answer_now, answer_large)
+            with self.subTest(name=name), mock.patch.object(self.server, name, own):
+                failed, *answers = await self.ask(
+                    Ping(LARGE_ANSWER), Ping(1), Ping(2), timeout_s=1.0
+                )
+                self.assertIsInstance(failed, LinkFailed)
+                self.assertEqual([Pong(1), Pong(2)], answers)
+
+    async def test_a_request_that_no_message_can_carry_fails_alone(self) -> None:
+        failed, answered = await self.ask(Ping(LARGE), Ping(1))
+        self.assertIsInstance(failed, LinkFailed)
+        self.assertFalse(failed.sent)
+        self.assertEqual(Pong(1), answered)
+        link = self.links.to(self.address)
+        link.tell(Ping(LARGE))
+        self.assertEqual(({}, {}, None), (link.unsent, link.pending, link.untold))
+
+    async def test_an_address_that_is_no_endpoint_fails_like_an_unreachable_peer(self) -> None:
+        for address in ("address", "", "tcp://a\0b", "x" * 5000):
+            with self.subTest(address=address[:9]), self.assertRaises(LinkFailed) as caught:
+                self.links.to(address)
+            self.assertLess(len(str(caught.exception)), 300)
+
     async def lose_peer(self) -> None:
         """Stop the peer after one answer, and wait until the loss is detected."""
         await self.ask(Ping(0))
