Withhold changes of the store from some processes only in the soak

The store withheld changes from all processes or from none, so no run had processes that follow others with another view than their own: a follower that takes the list of another process could not be caught with a list that lacks changes.

Half of the gaps hide their changes from the watches of some processes only. Such a process counts as sound for all other checks. Tests show that silent watches, cut listings, blind watches and resets within a head reach their callers as such.

--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -160,7 +160,7 @@
 
     def affects(self, name: str) -> bool:
         """Return whether a process or server, or one of its links, is affected."""
-        if self.kind in (FaultKind.HUP, FaultKind.SERVER_PAUSES):
+        if self.kind in (FaultKind.HUP, FaultKind.SERVER_PAUSES, *WITHHOLDING_KINDS):
             return False
         return self.where == EVERYWHERE or name in self.where.split()
 
--- a/tests/soak/store_gaps.py
+++ b/tests/soak/store_gaps.py
@@ -181,8 +181,13 @@
                 await asyncio.sleep(self.rng.uniform(*PAUSE_S))
 
     async def _hide_changes(self) -> None:
-        occurrence = self.faults.begin(FaultKind.HIDDEN_CHANGES, "store")
+        """Hide changes from all watches, or from those of some processes."""
+        nodes = self.cluster.nodes()
+        blind = self.rng.choice([[], self.rng.sample(nodes, self.rng.randrange(1, len(nodes)))])
+        names = [node.name for node in blind] or ["store"]
+        occurrence = self.faults.begin(FaultKind.HIDDEN_CHANGES, *names)
         ending = self.rng.choice(list(Ending))
+        self.store.blind = {self.cluster.store_address(node.name) for node in blind}
         self.store.hides_changes = True
         await self._change_within(self.rng.uniform(*GAP_S))
         self.store.hides_changes = False
@@ -190,6 +195,7 @@
             self.store.compact()
         if ending is Ending.KEPT:
             self.store.hidden.clear()
+            self.store.hidden_from.clear()
         self.faults.end(occurrence)
 
     async def _silence_watches(self) -> None:
--- a/tests/soak/test_store_gaps.py
+++ b/tests/soak/test_store_gaps.py
@@ -1,19 +1,22 @@
 """Short soak runs in which the store withholds changes, and tests of their checks."""
 
+import asyncio
 import unittest
 from pathlib import Path
 
 import msgspec
 
 from tests.platform_cluster import CALL
+from tests.prove.relay import ADDRESS, Relays
 from tests.soak.checks import check
-from tests.soak.cut_heads import HeadCut, Place
+from tests.soak.cut_heads import HeadCut, Place, send_cut
 from tests.soak.gap_allowance import allowance_s
 from tests.soak.kinds import EVERYWHERE, FaultKind, FaultOccurrence
 from tests.soak.leaving_targets import DRAIN_DETECTION_S, check_left
 from tests.soak.run import Size, soak
 from tests.soak.store_gaps import APPLY_S, MISSING, SERVED, Probe, check_added_routes
 from tests.soak.workload import Attempt
+from waxwingglade.standins.metadata_store import ListingCut, MetadataStore
 from waxwingglade.standins.registered_server import Run, answer_to
 
 ARTIFACTS = Path("runs/soak")
@@ -82,6 +85,9 @@
                 violations = self.check_probe(MISSING, fault(kind, where))
                 self.assertEqual(len(violations), expected)
 
+    def test_processes_that_learn_of_no_changes_excuse_no_interruption(self) -> None:
+        self.assertFalse(fault(FaultKind.HIDDEN_CHANGES, "front-0 storage-1").affects("front-0"))
+
     def test_a_request_after_the_gap_and_the_bound_is_late(self) -> None:
         for late_s, expected in ((0.4, 0), (0.6, 1)):
             began_at = CHANGED_AT + DRAIN_DETECTION_S + late_s
@@ -104,6 +110,78 @@
         return check_added_routes([probe], faults, LEDGERS)
 
 
+class StandIns(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = MetadataStore()
+        self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+
+    async def ask(self, path: str) -> bytes:
+        """Return the complete answer of the store to one call."""
+        reader, writer = await asyncio.open_connection(*self.store.address.split(":"))
+        head = f"GET {path} HTTP/1.1\r\nHost: {self.store.address}\r\nConnection: close\r\n\r\n"
+        writer.write(head.encode())
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+    async def test_a_silent_watch_gets_nothing_until_it_is_cut(self) -> None:
+        self.store.silences_watches = True
+        watch = asyncio.create_task(self.ask("/v1/kv-watch?path_prefix=&after=0&wait_ms=10"))
+        await asyncio.sleep(0.1)
+        self.store.put("a", 1)
+        await asyncio.sleep(0.1)
+        self.assertFalse(watch.done())
+        self.store.cut_watches()
+        self.assertEqual(await watch, b"")
+
+    async def test_a_listing_is_cut_in_its_body_or_between_its_pages(self) -> None:
+        for key in ("a", "b"):
+            self.store.put(key, 1)
+        listing = "/v1/kv-range?path_prefix="
+        self.store.listing_cut = ListingCut.BODY
+        head, _, body = (await self.ask(listing)).partition(b"\r\n\r\n")
+        self.assertNotIn(b"Content-Length: %d\r\n" % len(body), head)
+        self.assertGreater(len(body), 0)
+        self.store.listing_cut, self.store.page_items = ListingCut.LATER_PAGE, 1
+        self.assertIn(b'"has_more": true', await self.ask(listing))
+        self.assertEqual(await self.ask(listing + "&after=a"), b"")
+
+    async def test_changes_are_hidden_from_the_blind_only(self) -> None:
+        watch = "/v1/kv-watch?path_prefix=&after=0&wait_ms=10"
+        self.store.hides_changes = True
+        self.store.blind = {"another"}
+        self.store.put("a", 1)
+        self.assertIn(b'"key": "a"', await self.ask(watch))
+        self.store.blind = {self.store.address}
+        self.store.put("b", 1)
+        self.assertNotIn(b'"key": "b"', await self.ask(watch))
+
+    async def test_a_reset_within_a_head_passes_a_relay_as_a_reset(self) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(100)
+            await send_cut(writer, HeadCut(Place.BLANK_LINE, 0.0, resets), HEAD)
+            writer.close()
+
+        server = await asyncio.start_server(serve, ADDRESS, 0)
+        self.addCleanup(server.close)
+        relays = Relays(dict)
+        self.addAsyncCleanup(relays.close)
+        relays.passes_resets = True
+        port = await relays.add(1, server.sockets[0].getsockname()[1], source=0)
+        for resets in (False, True):
+            reader, writer = await asyncio.open_connection(ADDRESS, port)
+            writer.write(b"asks")
+            self.assertEqual(await reader.readexactly(len(HEAD) - 2), HEAD[:-2])
+            if resets:
+                with self.assertRaises(ConnectionResetError):
+                    await reader.read()
+            else:
+                self.assertEqual(await reader.read(), b"")
+            writer.close()
+
+
 class HeadCuts(unittest.TestCase):
     def test_each_cut_ends_within_its_part_of_the_head(self) -> None:
         lines_end = len(HEAD) - 2
--- a/waxwingglade/standins/metadata_store.py
+++ b/waxwingglade/standins/metadata_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+from collections import defaultdict
 from enum import Enum
 from typing import Any
 
@@ -52,6 +53,10 @@
         Revisions whose events no watch returns, although its revision covers them.
     hides_changes : bool
         Whether the revisions of new changes become hidden.
+    hidden_from : dict
+        Revisions whose events are not returned to the watches at an address.
+    blind : set of str
+        Addresses at which new changes become hidden; empty for all of them.
     silences_watches : bool
         Whether watches get no answer, not even at the end of their wait.
     listing_cut : ListingCut or None
@@ -72,6 +77,8 @@
         self.refusals: list[Refusal] = []
         self.hidden: set[int] = set()
         self.hides_changes = False
+        self.hidden_from: defaultdict[str, set[int]] = defaultdict(set)
+        self.blind: set[str] = set()
         self.silences_watches = False
         self.listing_cut: ListingCut | None = None
         self.page_items = PAGE_ITEMS
@@ -174,8 +181,10 @@
 
     def _record(self, event: dict[str, Any]) -> None:
         self.history.append(event)
-        if self.hides_changes:
+        if self.hides_changes and not self.blind:
             self.hidden.add(self.revision)
+        for address in self.blind if self.hides_changes else ():
+            self.hidden_from[address].add(self.revision)
         self._wake_watches()
 
     def _wake_watches(self) -> None:
@@ -267,7 +276,12 @@
                 return
             if self.refuse():
                 return
-            events = self.store.events(prefix, after)
+            hidden = self.store.hidden_from[self.request.headers.get("Host", "")]
+            events = [
+                event
+                for event in self.store.events(prefix, after)
+                if event["revision"] not in hidden
+            ]
             remaining_s = end_at - asyncio.get_running_loop().time()
             if events or remaining_s <= 0:
                 break
