--- a/waxwingglade/follow/model.py
+++ b/waxwingglade/follow/model.py
@@ -6,13 +6,17 @@
 import zlib
 from collections.abc import Set
 from enum import Enum
-from typing import NewType
+from functools import cached_property
+from typing import Annotated, NewType
 
 import msgspec
 
 from waxwingglade.base import ConfigVersion, TargetId, ZoneId
 from waxwingglade.base.credentials import KeyDigest
 
+LAST_REVISION = 2**63 - 1
+"""Greatest revision and epoch, which all messages between processes can carry."""
+
 RouteName = NewType("RouteName", str)
 ServiceName = NewType("ServiceName", str)
 Revision = NewType("Revision", int)
@@ -276,7 +280,7 @@
         Disk of the member that the last change added; empty if it removed one.
     """
 
-    epoch: int = 0
+    epoch: Annotated[int, msgspec.Meta(ge=0, le=LAST_REVISION)] = 0
     members: tuple[Replica, ...] = ()
     settled: bool = False
     joining: str = ""
@@ -327,21 +331,30 @@
     return members - members // 2
 
 
-class TargetList(msgspec.Struct, frozen=True):
+class TargetList(msgspec.Struct, frozen=True, dict=True):
     """All registered targets, as of a revision of the store."""
 
     revision: Revision = Revision(0)
     targets: tuple[Target, ...] = ()
 
-    @property
+    @cached_property
     def checksum(self) -> int:
         """Checksum of the targets, the same in all processes that have the same ones."""
         targets = sorted(self.targets, key=lambda target: target.target)
         return zlib.crc32(msgspec.msgpack.encode(targets))
 
+    def replaces(self, other: "TargetList") -> bool:
+        """Return whether this list is newer, or differs from another one of the same revision.
+
+        Of two such lists one lacks a change, so the one that was read later is used.
+        """
+        if self.revision != other.revision or self is other:
+            return self.revision > other.revision
+        return self.checksum != other.checksum
+
 
 class View(msgspec.Struct, frozen=True):
-    """A process's view of the platform's state; each part is replaced only by a newer one.
+    """A process's view of the platform's state; no part is replaced by an older one.
 
     Parameters
     ----------
@@ -363,12 +376,12 @@
         return self.configuration.version if self.configuration else ConfigVersion(0)
 
     def merged(self, other: "View") -> "View":
-        """Return a view with the newer of each part; this view itself if no part is newer."""
+        """Return a view with the newer of each part; this view itself if no part is replaced."""
         configuration = self.configuration
         if other.configuration is not None and other.configuration.supersedes(configuration):
             configuration = other.configuration
         targets = self.targets
-        if other.targets.revision > targets.revision:
+        if other.targets.replaces(targets):
             targets = other.targets
         replicas = self.replicas
         newer = (other.replicas.epoch, other.replicas.settled)
@@ -388,6 +401,7 @@
 
 __all__ = [
     "EMPTY_VIEW",
+    "LAST_REVISION",
     "CallKind",
     "ClientAccount",
     "ClientAccountId",
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -14,7 +14,7 @@
 from tornado.netutil import bind_sockets
 
 from waxwingglade.base.loop_delay import STALL_S, LoopDelay
-from waxwingglade.base.tasks import start_task
+from waxwingglade.base.tasks import run_forever, start_task
 from waxwingglade.decisions.returns import return_after_s
 from waxwingglade.follow.feed import (
     LONGEST_AGE_S,
@@ -115,7 +115,7 @@
         self.context = zmq.Context()
         self.links = Links(self.context, self.codec)
         self.cached_view = CachedView(heartbeat_s=settings.target_heartbeat_s)
-        self.cached_view.listeners.append(self._view_changed)
+        self.cached_view.listeners += [self._use_configuration, self._use_targets]
         self.balancer = Balancer(settings.zone)
         self.pool = ConnectionPool(settings.connect_timeout_s)
         self.ledger = LedgerClient(
@@ -147,6 +147,7 @@
             lambda address, message: self.links.to(address).tell(message),
         )
         self.watcher: Watcher | None = None
+        self.sources_lost_at: float | None = None
         self.table: RouteTable | None = None
         self.draining = False
         self.accepts_requests = True
@@ -170,7 +171,7 @@
         self.pages += serve_metrics(self.settings.metrics, lambda: self.metrics.text(self))
         self.follower.start()
         self.suspect_follower.start()
-        self.tasks = [start_task(self._find_replicas()), start_task(self._check_forever())]
+        self.tasks = [run_forever(self._find_replicas), run_forever(self._check_forever)]
         logger.bind(vm=self.settings.vm, callers=self.settings.callers).info("started")
 
     def _listen(self, delegate: HTTPServerConnectionDelegate, address: str) -> HTTPServer:
@@ -262,12 +263,15 @@
         """Return the members that this entry does not follow, the nearest first."""
         return [each for each in self.replicas() if each.address != self.follower.source]
 
-    def _view_changed(self, view: View) -> None:
+    def _use_configuration(self, view: View) -> None:
         if view.configuration is not None and (
             self.table is None or view.configuration.supersedes(self.table.configuration)
         ):
-            self.table = RouteTable(view.configuration)
+            table = RouteTable(view.configuration)
             self._use_limits(view.configuration.limits)
+            self.table = table
+
+    def _use_targets(self, _view: View) -> None:
         removed = self.balancer.update(self.cached_view.targets_in_use)
         for target in removed:
             self.pool.close_idle(target.address)
@@ -295,17 +299,18 @@
             if item is not None:
                 reader.apply_replicas(item)
                 self.cached_view.merge(reader.view, float("-inf"))
-                continue
-            await asyncio.sleep(MEMBERS_RETRY_S * (0.5 + random.random()))
+            if not self.cached_view.view.replicas.members:
+                await asyncio.sleep(MEMBERS_RETRY_S * (0.5 + random.random()))
 
     async def _check_forever(self) -> None:
-        lost_at: float | None = None
         while True:
             await self.loop_delay.sleep(CHECK_INTERVAL_S)
             if (delay_s := self.loop_delay.delays[-1]) >= STALL_S:
                 self.follower.discount_stall(delay_s)
             self._check_quorum()
             self.cached_view.drop_expired()
+            # Comes before the checks without which the entry still learns of changes.
+            await self._check_sources()
             self.quarantine.suspect_silent()
             self.quarantine.clear_suspicions()
             self.quarantine.remove_expired()
@@ -315,14 +320,17 @@
             self.links.close_idle_except(
                 {member.address for member in self.cached_view.view.replicas.members}, LINK_IDLE_S
             )
-            if not self.follower.exhausted:
-                lost_at = None
-                await self._stop_watcher()
-                continue
-            lost_at = lost_at or time.monotonic()
-            lost_s = time.monotonic() - lost_at
-            if lost_s > STORE_FALLBACK_DELAY_S or self._is_outdated or self.watcher is not None:
-                self._use_watcher()
+
+    async def _check_sources(self) -> None:
+        """Follow the store while no replica is usable as a source."""
+        if not self.follower.exhausted:
+            self.sources_lost_at = None
+            await self._stop_watcher()
+            return
+        self.sources_lost_at = self.sources_lost_at or time.monotonic()
+        lost_s = time.monotonic() - self.sources_lost_at
+        if lost_s > STORE_FALLBACK_DELAY_S or self._is_outdated or self.watcher is not None:
+            self._use_watcher()
 
     @property
     def _is_outdated(self) -> bool:
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -3,12 +3,46 @@
 import unittest
 from typing import Any
 from unittest import mock
+from urllib.parse import parse_qs
 
-from waxwingglade.follow.store import HistoryCompacted, StoreUnavailable
+import msgspec
+
+from waxwingglade.follow.store import (
+    HistoryCompacted,
+    Listing,
+    StoreUnavailable,
+    contiguous_until,
+)
 from waxwingglade.platform.store import PlatformStore
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
 from waxwingglade.transport import HttpResponse
 
+INVALID_FIELDS: dict[str, dict[str, Any]] = {
+    "no base64": {"value": "abc"},
+    "text": {"value": "\u00e4\u00e4\u00e4\u00e4"},
+    "number": {"value": 7},
+    "nested": {"value": [[{}]]},
+    "text revision": {"revision": "7"},
+    "large revision": {"revision": 10**400},
+    "negative revision": {"revision": -1},
+}
+"""Fields with which an item can't be decoded."""
+
+
+def item(key: str, revision: int) -> dict[str, Any]:
+    """Return an item as the store sends it."""
+    return {"key": key, "revision": revision, "value": ""}
+
+
+def page(revision: int, has_more: bool, *items: dict[str, Any]) -> dict[str, Any]:
+    """Return a page of a listing as the store sends it."""
+    return {"items": items, "has_more": has_more, "current_rev": revision}
+
+
+def events(revision: int, *items: dict[str, Any]) -> dict[str, Any]:
+    """Return the answer of a watch as the store sends it."""
+    return {"events": items, "current_rev": revision}
+
 
 class PlatformStoreTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -83,12 +117,97 @@
         values = {item.key: item.value for item in listing.items}
         self.assertEqual(values, {key: self.standin.value(key) for key in self.standin.items})
 
+    async def list_answers(self, *answers: dict[str, Any]) -> Listing:
+        """Return the listing of a store that gives these answers."""
+        left = list(answers)
+
+        async def call(_purpose: str, _method: str, path: str, *_: Any) -> HttpResponse:
+            answer = left.pop(0)
+            if "events" in answer:
+                after = int(parse_qs(path)["after"][0])
+                known = [each for each in answer["events"] if each["revision"] > after]
+                answer = answer | {"events": known}
+            return HttpResponse(200, [], msgspec.json.encode(answer))
+
+        with mock.patch.object(self.store, "_call", call):
+            return await self.store.list("")
+
+    async def test_a_listing_that_ends_early_is_a_failure(self) -> None:
+        pages = [page(3, True, item("a", 1)), page(3, True)]
+        with self.assertRaises(StoreUnavailable):
+            await self.list_answers(*pages)
+        with (
+            mock.patch("waxwingglade.platform.store.PAGE_LIMIT", 1),
+            self.assertRaises(StoreUnavailable),
+        ):
+            await self.list_answers(*pages)
+
+    async def test_a_listing_has_no_later_change_without_an_earlier_one(self) -> None:
+        """The watch between the pages is older than the second page."""
+        pages = [page(10, True, item("a", 1)), page(12, False, item("b", 12))]
+        later = [page(12, True, item("a", 11)), page(12, False, item("b", 12))]
+        listing = await self.list_answers(*pages, events(10), *later)
+        self.assertEqual({"a": 11, "b": 12}, {each.key: each.revision for each in listing.items})
+
+    async def test_a_listing_has_the_changes_that_an_old_page_lacks(self) -> None:
+        for revisions in ((10, 8, 10), (10, 9, 8)):
+            pages = [
+                page(revision, number < 2, item(f"{number}", 1))
+                for number, revision in enumerate(revisions)
+            ]
+            changes = [item("1", 9), item("2", 10)]
+            with self.subTest(revisions=revisions):
+                listing = await self.list_answers(*pages, events(10, *changes))
+                found = {each.key: each.revision for each in listing.items}
+                self.assertEqual({"0": 1, "1": 9, "2": 10}, found)
+
     async def test_a_watch_after_a_compaction(self) -> None:
         self.standin.put("servers/a", {})
         self.standin.compact()
         with self.assertRaises(HistoryCompacted):
             await self.store.watch("servers/", 0, 0.1)
 
+    def put_invalid(self) -> dict[str, int]:
+        """Write items that can't be decoded; return the revisions that can be read from them."""
+        revisions = {}
+        for name, fields in INVALID_FIELDS.items():
+            revision = self.standin.put_damaged(f"servers/{name}", **fields)
+            revisions[f"servers/{name}"] = 0 if "revision" in fields else revision
+        return revisions
+
+    async def test_an_invalid_item_takes_no_other_from_a_listing_or_a_watch(self) -> None:
+        start = self.standin.put("servers/sound", {})
+        revisions = self.put_invalid()
+        last = self.standin.put("servers/later", {})
+        self.enterContext(
+            mock.patch.object(self.standin, "events", lambda *_: list(self.standin.history))
+        )
+        for listing in (
+            await self.store.list("servers/"),
+            await self.store.watch("servers/", start - 1, 1.0),
+        ):
+            found = {item.key: item for item in listing.items}
+            self.assertEqual(last, listing.revision)
+            for key in ("servers/sound", "servers/later"):
+                self.assertEqual((b"{}", ""), (found[key].value, found[key].error))
+            for key, revision in revisions.items():
+                item = found[key]
+                self.assertEqual((None, revision, False), (item.value, item.revision, item.removed))
+                self.assertTrue(0 < len(item.error) < 200, item.error)
+
+    async def test_the_revisions_of_invalid_items_leave_no_gap(self) -> None:
+        start = self.standin.put("servers/sound", {})
+        for name in ("no base64", "text"):
+            self.standin.put_damaged(f"servers/{name}", **INVALID_FIELDS[name])
+        events = await self.store.watch("", start, 1.0)
+        self.assertEqual(self.standin.revision, contiguous_until(start, events))
+
+    async def test_an_invalid_item_is_read_with_what_is_wrong(self) -> None:
+        self.put_invalid()
+        item = await self.store.read("servers/text")
+        self.assertFalse(item.removed)
+        self.assertIn("ASCII", item.error)
+
     async def test_calls_are_counted_by_purpose(self) -> None:
         await self.store.list("servers/")
         await self.store.read("own/a")
@@ -96,7 +215,16 @@
 
     async def test_an_invalid_answer_is_a_failure_like_others(self) -> None:
         """Any other error would end the watcher, which then receives no more changes."""
-        for status, body in ((200, b"<html>"), (404, b""), (412, b"{}")):
+        deep = b'{"events": ' + b"[" * 5000
+        large = b'{"events": [], "current_rev": ' + b"9" * 5000 + b"}"
+        for status, body in (
+            (200, b"<html>"),
+            (404, b""),
+            (412, b"{}"),
+            (200, deep),
+            (200, large),
+            (200, b'{"events": [], "current_rev": -1}'),
+        ):
             answer = HttpResponse(status, [], body)
             with (
                 self.subTest(status=status),
