Ignore a reported load that can't be computed with

A load of 400 digits in the header of a target's answer was accepted, and each estimate of the load of this target raised OverflowError from then on, in the choice of a target for a request. Such a header is now ignored, like others that are invalid, and so are negative figures.

It was not tried with real processes.

--- a/waxwingglade/platform/headers.py
+++ b/waxwingglade/platform/headers.py
@@ -42,6 +42,9 @@
 USUAL_STRETCH = 100
 """Reported by a target on whose VM work takes as long as usual."""
 
+LARGEST_LOAD = 2**31 - 1
+"""Greatest number of requests that a target can report."""
+
 _HOP_BY_HOP = {
     "connection",
     "keep-alive",
@@ -180,6 +183,8 @@
         running, waiting, slots = (int(figure) for figure in figures[:3])
     except ValueError:
         return None
+    if max(running, waiting, slots) > LARGEST_LOAD or min(running, waiting, slots) < 0:
+        return None
     return LoadStamp(running, waiting, slots, _stretch(figures[3]) if len(figures) > 3 else None)
 
 
