--- a/tests/fuzz/test_registry.py
+++ b/tests/fuzz/test_registry.py
@@ -42,6 +42,7 @@
         host, _, port = target.address.rpartition(":")
         self.assertEqual(len(host.split(".")), 4)
         self.assertIn(int(port), range(1, 65_536))
+        self.assertGreater(target.slots, 0)
         self.assertTrue(target.service and target.zone)
         self.check_carried(View(targets=TargetList(Revision(1), (target,) * 3)))
         state = TargetState(target, monotonic)
