Let a server of the soak cut a head though its cuts end meanwhile

A server whose cuts ended while it worked on a request raised AttributeError and left the connection open, so that its caller waited without an answer: it read the cut after its work. It keeps the cut that it had when the work began. The new test timed out on the code before and passes.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -143,9 +143,9 @@
             )
             self.endless_answers.append(answer)
             return False
-        if self.head_cut is not None:
+        if (cut := self.head_cut) is not None:
             await self._work()
-            await send_cut(writer, self.head_cut, self._answer_head(request, body))
+            await send_cut(writer, cut, self._answer_head(request, body))
             return False
         completed = await super()._run(writer, request, body)
         if completed:
--- a/tests/soak/test_store_gaps.py
+++ b/tests/soak/test_store_gaps.py
@@ -9,6 +9,7 @@
 from tests.platform_cluster import CALL
 from tests.prove.relay import ADDRESS, Relays
 from tests.soak.checks import check
+from tests.soak.cluster import SoakServer
 from tests.soak.cut_heads import HeadCut, Place, send_cut
 from tests.soak.gap_allowance import allowance_s
 from tests.soak.kinds import EVERYWHERE, FaultKind, FaultOccurrence
@@ -182,6 +183,22 @@
             writer.close()
 
 
+class ServersThatCut(unittest.IsolatedAsyncioTestCase):
+    async def test_a_head_is_cut_though_cuts_end_while_the_request_runs(self) -> None:
+        server = SoakServer(MetadataStore(), "notes", event_s=0.05)
+        await server.listen()
+        server.head_cut = HeadCut(Place.BLANK_LINE, 0.0, resets=False)
+        reader, writer = await asyncio.open_connection(*server.address.split(":"))
+        writer.write(b"POST / HTTP/1.1\r\n\r\n")
+        asyncio.get_running_loop().call_later(0.01, setattr, server, "head_cut", None)
+        async with asyncio.timeout(1.0):
+            head = await reader.read()
+        self.assertTrue(head.startswith(b"HTTP/1.1 200") and not head.endswith(b"\r\n\r\n"))
+        writer.close()
+        assert server.server is not None
+        server.server.close()
+
+
 class HeadCuts(unittest.TestCase):
     def test_each_cut_ends_within_its_part_of_the_head(self) -> None:
         lines_end = len(HEAD) - 2
