--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -43,6 +43,7 @@
     count: Annotated[int, typer.Option(help="how many seeds")] = 10,
     seconds: Annotated[float, typer.Option(help="seconds of faults in each run")] = 12.0,
     entries: Annotated[int, typer.Option(help="entries")] = 3,
+    spares: Annotated[int, typer.Option(help="ledger processes beside the three members")] = 1,
     programs: Annotated[int, typer.Option(help="programs at a time")] = 6,
     swarms: Annotated[int, typer.Option(help="programs with sub-agents at a time")] = 2,
     regressions: Annotated[bool, typer.Option(help="only the seeds that once failed")] = False,
@@ -111,7 +112,15 @@
     themselves.
     """
     hiding = tuple(kind for kind in HIDING_KINDS if not (killed and kind in KILLING_KINDS))
-    size = Size(seconds, entries, programs, sub_agents=swarms, fatal=fatal, hiding=hiding)
+    size = Size(
+        seconds,
+        entries,
+        programs,
+        spares=spares,
+        sub_agents=swarms,
+        fatal=fatal,
+        hiding=hiding,
+    )
     if machine_disk:
         size = msgspec.structs.replace(size, flush_s=0.0)
     if accounts or limits:
