--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -137,7 +137,7 @@
         Revision up to which the answers of the store were applied.
     newest_revision : Revision
         Highest revision that an answer has named since the last listing, or the revision of that
-        listing.  An older listing lacks changes.
+        listing.  An older answer lacks changes.
     changed_at : float
         When an answer last had content, that is, a listing or events; -inf before.
     list_again_at : float
@@ -183,6 +183,7 @@
         self.newest_revision = Revision(0)
         self.changed_at = float("-inf")
         self.gaps = 0
+        self.in_gap = False
         self.list_again_at = float("-inf")
         self.task: asyncio.Task | None = None
 
@@ -288,14 +289,17 @@
         return listing.revision
 
     def _is_continuous(self, after: Revision, events: Listing) -> bool:
-        """Return whether an answer has the events of all revisions that it covers."""
+        """Return whether an answer has all events up to the newest revision that is known."""
         complete = contiguous_until(after, events)
-        if complete == events.revision:
+        if complete == events.revision >= self.newest_revision:
+            self.in_gap = False
             return True
         self.gaps += 1
-        logger.bind(after=after, complete=complete, revision=events.revision).warning(
-            "changes missing in an answer of the store"
-        )
+        if not self.in_gap:
+            logger.bind(after=after, complete=complete, revision=self.newest_revision).warning(
+                "changes missing in an answer of the store"
+            )
+        self.in_gap = True
         return False
 
     def _record_complete(self, asked_at: float) -> None:
