--- a/waxwingglade/ledger/tests/concurrent_agents.py
+++ b/waxwingglade/ledger/tests/concurrent_agents.py
@@ -57,6 +57,7 @@
 
     def __init__(self, disk: str) -> None:
         self.disk = disk
+        self.failure = None
         self.pending: list[asyncio.Future[Place]] = []
         self.flushing: asyncio.Task[None] | None = None
 
