Build the odd entries of the tests from one sound entry

The test of odd entries at real processes and the soak each had a copy of the same sound entry and of the same large number. The test takes them from the soak's builders now; its entries and assertions are unchanged. The test passes, formatter and linter are clean; the whole suite was not run on it.

--- a/tests/soak/odd_entries.py
+++ b/tests/soak/odd_entries.py
@@ -34,4 +34,4 @@
 }
 """Texts of their values as the store sends them."""
 
-__all__ = ["ODD_TEXTS"]
+__all__ = ["HUGE", "ODD_TEXTS", "SOUND"]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -6,19 +6,7 @@
 
 from tests.missed_changes import APPLY_S, change_everything, check_changes
 from tests.platform_cluster import PlatformCluster
-
-SOUND = {
-    "version": "v1",
-    "cold_left_ms": 0,
-    "seq": 1,
-    "service": "notes",
-    "address": "127.0.0.1:9",
-    "zone": "zone-a",
-    "slots": 4,
-    "state": "ready",
-    "born": 1,
-}
-HUGE = 10**400
+from tests.soak.odd_entries import HUGE, SOUND
 
 ODD = {
     "deep": b'{"note":' + b"[" * 1500,
@@ -29,7 +17,6 @@
     "port out of range": json.dumps({**SOUND, "address": "127.0.0.1:70000"}).encode(),
 }
 
-
 DAMAGED = ("abc", "\u00e4\u00e4\u00e4\u00e4", 7, [[]])
 """Values of items that can't be read as base64."""
 
