Hold the stand-in of the platform's store to the documented limits

The stand-in took keys and values of any length, transactions of any number of entries, writes to the keys of operators and servers, and any number of calls a second, and put large items on one page. The platform's store does none of that, so a write that it rejects each time went unnoticed in all tests.

Calls over HTTP now have the limits of the documentation: 200 bytes a key, 1 MiB a value, 32 entries a transaction, 403 below op/ and servers/, 2,000 reads and 400 writes a second, 30 s of wait, and about 1 MB a page. What a test writes by the methods of the stand-in has none, since another writer may leave anything there.

--- a/waxwingglade/standins/metadata_store.py
+++ b/waxwingglade/standins/metadata_store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import json
-from collections import defaultdict
+from collections import Counter, defaultdict
 from enum import Enum
 from typing import Any
 
@@ -13,6 +13,23 @@
 from tornado.web import Application, RequestHandler
 
 PAGE_ITEMS = 50
+PAGE_BYTES = 1_000_000
+"""Size of a page of a listing from which on it takes no further item."""
+
+MAX_KEY_BYTES = 200
+MAX_VALUE_BYTES = 1024 * 1024
+MAX_TRANSACTION_ROWS = 32
+MAX_WAIT_MS = 30_000
+READS_PER_S, WRITES_PER_S = 2000, 400
+"""Calls that the store of a small deployment serves in a second, from all processes together."""
+
+RESERVED_PREFIXES = ("op/", "servers/")
+"""Prefixes of keys that only operators and servers write."""
+
+
+def current_second() -> int:
+    """Return the present second of the event loop."""
+    return int(asyncio.get_running_loop().time())
 
 
 class StoreFault(Enum):
@@ -41,6 +58,9 @@
 class MetadataStore:
     """Items in memory, with an HTTP server.
 
+    Calls over HTTP are held to the documented limits.  The methods of this class are not, so that a
+    test can write whatever another writer might.
+
     Attributes
     ----------
     calls : int
@@ -63,6 +83,8 @@
         Where listings are cut.
     page_items : int
         Number of items on a page of a listing.
+    calls_in_second : Counter
+        Reads and writes in the present second of the event loop.
     watches : set
         Watches that wait.
     """
@@ -82,6 +104,8 @@
         self.silences_watches = False
         self.listing_cut: ListingCut | None = None
         self.page_items = PAGE_ITEMS
+        self.calls_in_second: Counter[str] = Counter()
+        self.second = 0
         self.watches: set[_Watch] = set()
         self.calls = 0
         self.server: HTTPServer | None = None
@@ -110,6 +134,16 @@
         self.server.stop()
         await self.server.close_all_connections()
 
+    def exceeds_rate(self, method: str) -> bool:
+        """Count a call, and return whether it is one too many in this second."""
+        second = current_second()
+        if second != self.second:
+            self.second = second
+            self.calls_in_second.clear()
+        self.calls_in_second[method] += 1
+        limit = WRITES_PER_S if method == "POST" else READS_PER_S
+        return self.calls_in_second[method] > limit
+
     def put(self, key: str, value: Any) -> int:
         """Write a JSON value, as the operator or a server does."""
         return self.put_bytes(key, json.dumps(value).encode())
@@ -206,6 +240,9 @@
         self.store.calls += 1
         if self.refuse():
             return
+        if self.store.exceeds_rate(self.request.method or ""):
+            self.answer(429, {})
+            return
         if self.store.fault is StoreFault.BUSY:
             self.set_status(503)
             self.finish()
@@ -242,8 +279,8 @@
         prefix = self.get_argument("path_prefix")
         after = self.get_argument("after", "")
         keys = sorted(key for key in self.store.items if key.startswith(prefix) and key > after)
-        items = [self.store.items[key] for key in keys[: self.store.page_items]]
-        more = len(keys) > self.store.page_items
+        items = self._first_items(keys)
+        more = len(keys) > len(items)
         page = {"items": items, "has_more": more, "current_rev": self.store.revision}
         if self.store.listing_cut is ListingCut.BODY:
             await self._cut_in_body(json.dumps(page).encode())
@@ -252,6 +289,17 @@
         else:
             self.answer(200, page)
 
+    def _first_items(self, keys: list[str]) -> list[dict[str, Any]]:
+        """Return the items of a page that begins with the first key."""
+        items: list[dict[str, Any]] = []
+        size = 0
+        for key in keys[: self.store.page_items]:
+            items.append(self.store.items[key])
+            size += len(json.dumps(items[-1]))
+            if size >= PAGE_BYTES:
+                break
+        return items
+
     async def _cut_in_body(self, body: bytes) -> None:
         self.set_header("Content-Length", len(body))
         self.write(body[: len(body) // 2])
@@ -263,6 +311,9 @@
     async def get(self) -> None:
         prefix = self.get_argument("path_prefix")
         after = int(self.get_argument("after"))
+        if int(self.get_argument("wait_ms")) > MAX_WAIT_MS:
+            self.answer(400, {"error": f"wait_ms exceeds {MAX_WAIT_MS}"})
+            return
         end_at = asyncio.get_running_loop().time() + int(self.get_argument("wait_ms")) / 1000
         self.store.watches.add(self)
         try:
@@ -302,6 +353,10 @@
 class _Txn(_Handler):
     def post(self) -> None:
         body = json.loads(self.request.body)
+        if (rejected := _why_rejected(body)) is not None:
+            status, error = rejected
+            self.answer(status, {"error": error})
+            return
         expected = body.get("expected_rev", [])
         current = [self.store.items.get(row["key"]) for row in expected]
         if any(
@@ -320,4 +375,25 @@
         self.answer(200, {"revision": self.store.revision})
 
 
-__all__ = ["PAGE_ITEMS", "ListingCut", "MetadataStore", "StoreFault"]
+def _why_rejected(body: dict[str, Any]) -> tuple[int, str] | None:
+    """Return the status and error for a transaction that exceeds a limit, None if it is valid."""
+    expected, writes = body.get("expected_rev", []), body["writes"]
+    removed = body.get("remove", [])
+    rows = len(expected) + len(writes) + len(removed)
+    if rows > MAX_TRANSACTION_ROWS:
+        return 400, f"{rows} entries exceed {MAX_TRANSACTION_ROWS}"
+    written = [row["key"] for row in writes] + removed
+    for key in written + [row["key"] for row in expected]:
+        if len(key.encode()) > MAX_KEY_BYTES:
+            return 400, f"a key of {len(key.encode())} bytes exceeds {MAX_KEY_BYTES}"
+    for key in written:
+        if key.startswith(RESERVED_PREFIXES):
+            return 403, f"{key!r} is written by operators and servers only"
+    for row in writes:
+        size = len(base64.b64decode(row["value"]))
+        if size > MAX_VALUE_BYTES:
+            return 400, f"{row['key']!r}: {size} bytes exceed {MAX_VALUE_BYTES}"
+    return None
+
+
+__all__ = ["MAX_KEY_BYTES", "PAGE_ITEMS", "ListingCut", "MetadataStore", "StoreFault"]
