Report each retiring VM on its own

Operators saw no state for any VM that they had ordered to retire after one whose name makes a status key longer than the 200 bytes of the store, so VMs that held nothing stayed and were paid for.

The leading member wrote the states one after the other; the first write that failed ended the pass, and each later pass failed at the same order. The only line was "members not changed" at INFO, without the VM.

Each state is written on its own now. A warning names the VM, the length of the key and the reason.

--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -20,6 +20,11 @@
 DAMAGED = ("abc", "\u00e4\u00e4\u00e4\u00e4", 7, [[]])
 """Values of items that can't be read as base64."""
 
+LONG_VM = "a" * 188
+"""Name whose order has a valid key, and whose state has not."""
+
+NOT_REPORTED = "state of a retiring VM not reported"
+
 ODD_NAMES = ("", "\u0100", "a\r\nX: 1", "x" * 5000)
 
 
@@ -30,6 +35,7 @@
         await self.cluster.start()
 
     async def test_odd_entries_keep_no_change_from_any_process(self) -> None:
+        """Guards against an entry of another writer that ends the task that follows the store."""
         for number, value in enumerate(ODD.values()):
             self.cluster.store.put_bytes(f"servers/odd-{number}", value)
         for name in ODD_NAMES:
@@ -45,3 +51,18 @@
             self.assertIsNone(node.process.poll(), node.name)
             errors = [line for line in node.logs() if line["level"] == "ERROR"]
             self.assertEqual([], errors, node.name)
+
+    async def test_an_order_that_can_not_be_reported_keeps_no_other_from_being_reported(
+        self,
+    ) -> None:
+        """Guards against VMs that stay although they hold nothing, as their states are missing."""
+        self.cluster.store.put(f"op/retire/{LONG_VM}", {"deadline_s": 5})
+        await asyncio.sleep(1.0)
+        self.cluster.store.put("op/retire/storage-gone", {"deadline_s": 5})
+        state = b'{"state":"completed"}'
+        await self.cluster.until(
+            lambda: self.cluster.store.value("status/retire/storage-gone") == state
+        )
+        lines = [line for node in self.cluster.ledgers for line in node.logs()]
+        rejected = [line for line in lines if line["event"] == NOT_REPORTED]
+        self.assertEqual([(LONG_VM, 202)], [(row["vm"], row["key_bytes"]) for row in rejected])
--- a/waxwingglade/follow/store.py
+++ b/waxwingglade/follow/store.py
@@ -38,6 +38,10 @@
     """The store no longer has the history after the requested revision."""
 
 
+class KeyTooLong(WaxwinggladeError):
+    """A key has more bytes than the store takes; the store was not called."""
+
+
 class Item(msgspec.Struct, frozen=True):
     """A key of the store.
 
@@ -95,7 +99,13 @@
     calls: Counter[str]
 
     async def read(self, key: str) -> Item | None:
-        """Return an item by a linearizable read, or None if the key does not exist."""
+        """Return an item by a linearizable read, or None if the key does not exist.
+
+        Raises
+        ------
+        KeyTooLong
+            If the store takes no such key.
+        """
 
     async def list(self, prefix: str) -> Listing:
         """Return all items below a prefix as of one revision.
@@ -124,6 +134,11 @@
         -------
         Item or None
             None if this write took effect, else the item that the key holds now.
+
+        Raises
+        ------
+        KeyTooLong
+            If the store takes no such key.
         """
 
 
@@ -131,6 +146,7 @@
     "WATCH_MARGIN_S",
     "HistoryCompacted",
     "Item",
+    "KeyTooLong",
     "Listing",
     "Store",
     "StoreUnavailable",
--- a/waxwingglade/follow/tests/builders.py
+++ b/waxwingglade/follow/tests/builders.py
@@ -90,6 +90,8 @@
         Revisions whose events no watch returns, although its revision covers them.
     listings, watches : int
         Number of calls.
+    failing_keys : set of str
+        Keys of which each read and write fails.
     frozen_revision : int or None
         Revision beyond which watches show nothing, not even that there is a later one.
     """
@@ -103,6 +105,7 @@
         self.unresponsive_key: str | None = None
         self.hidden: set[int] = set()
         self.listings = self.watches = 0
+        self.failing_keys: set[str] = set()
         self.frozen_revision: int | None = None
         self.calls: Counter[str] = Counter()
 
@@ -121,14 +124,14 @@
         self.history.clear()
         self.oldest = self.revision
 
-    def _call(self) -> None:
+    def _call(self, key: str = "") -> None:
         self.calls["all"] += 1
-        if self.unavailable:
+        if self.unavailable or key in self.failing_keys:
             raise StoreUnavailable("away", may_have_run=False)
 
     async def read(self, key: str) -> Item | None:
         """Return an item."""
-        self._call()
+        self._call(key)
         return self.items.get(key)
 
     async def list(self, prefix: str) -> Listing:
@@ -160,7 +163,7 @@
 
     async def compare_and_swap(self, key: str, revision: Revision, value: bytes) -> Item | None:
         """Write an item if it is still at a revision."""
-        self._call()
+        self._call(key)
         current = self.items.get(key)
         if (current.revision if current else 0) != revision:
             return current
--- a/waxwingglade/ledger/membership.py
+++ b/waxwingglade/ledger/membership.py
@@ -34,6 +34,7 @@
     Pong,
 )
 from waxwingglade.ledger.replica import Replica
+from waxwingglade.ledger.retirement import RetirementReports, RetirementState
 from waxwingglade.ledger.rounds import Ask, outcome_of
 
 CHECK_INTERVAL_S = 0.25
@@ -84,8 +85,6 @@
 """Shortest delay of the event loop in seconds that counts as a stall of this process; after shorter
 delays answers are still read in time."""
 
-RETIRING, RETIRED = "running", "completed"
-
 
 class Membership:
     """Changes the set of members as machines join, fail and retire.
@@ -140,7 +139,7 @@
         self.wanted = wanted
         self.zones = zones
         self.replicas_key = replicas_key
-        self.status_prefix = status_prefix
+        self.reports = RetirementReports(store, status_prefix, clock)
         self.candidacy = candidacy
         self.clock = clock
         self.overdue_s = overdue_s
@@ -151,7 +150,6 @@
         self.synced: dict[str, int] = {}
         self.without_store: set[str] = set()
         self.synced_epoch = 0
-        self.reported: dict[str, str] = {}
         self.retire_seen_at: dict[str, float] = {}
         self.last_reason = ""
         self.started_at = clock()
@@ -310,7 +308,7 @@
             await self._settle(replicas)
         else:
             await self._prune(replicas)
-            await self._report_retired(replicas)
+            await self._report_retiring(replicas)
 
     async def _join(self, replicas: ReplicaSet) -> None:
         if not replicas.settled or self.own.vm in self.watcher.retiring:
@@ -440,25 +438,17 @@
             return member.disk == self.own.disk
         return False
 
-    async def _report_retired(self, replicas: ReplicaSet) -> None:
+    async def _report_retiring(self, replicas: ReplicaSet) -> None:
+        """Report the retiring VMs that still hold a member, and those that no longer do."""
         if not self._leads():
             return
-        for vm in list(self.watcher.retiring):
-            present = any(member.vm == vm for member in replicas.members)
-            await self._report(vm, RETIRING if present else RETIRED)
-
-    async def _report(self, vm: str, state: str) -> None:
-        if self.reported.get(vm) == state:
-            return
-        key = self.status_prefix + vm
-        value = msgspec.json.encode({"state": state})
-        held = await self.store.read(key)
-        if held is None or held.value != value:
-            revision = held.revision if held is not None else 0
-            if await self.store.compare_and_swap(key, revision, value) is not None:
-                return
-        self.reported[vm] = state
-        logger.bind(vm=vm, state=state).info("state of a retiring VM")
+        holders = {member.vm for member in replicas.members}
+        await self.reports.report(
+            {
+                vm: RetirementState.RUNNING if vm in holders else RetirementState.COMPLETED
+                for vm in self.watcher.retiring
+            }
+        )
 
     async def _change(self, replicas: ReplicaSet, reason: str) -> None:
         """Write a set that follows the one known here, unless another change came first."""
--- a/waxwingglade/ledger/tests/machines.py
+++ b/waxwingglade/ledger/tests/machines.py
@@ -123,7 +123,7 @@
     def __init__(self, store: MemoryStore) -> None:
         self.__dict__ = store.__dict__
 
-    def _call(self) -> None:
+    def _call(self, key: str = "") -> None:
         raise StoreUnavailable("rejected", may_have_run=False)
 
 
--- a/waxwingglade/ledger/tests/test_membership.py
+++ b/waxwingglade/ledger/tests/test_membership.py
@@ -98,6 +98,19 @@
         await self.until(lambda: b"completed" in self.machines.store.items["status/vm-1"].value)
         self.assertEqual(self.machines.vms(), {"vm-0", "vm-2", "vm-9"})
 
+    async def test_an_order_that_can_not_be_reported_keeps_no_other_from_being_reported(
+        self,
+    ) -> None:
+        """Guards against VMs that stay although they hold nothing, as their states are missing."""
+        store = self.machines.store
+        store.failing_keys = {"status/odd-1", "status/odd-2"}
+        for vm in ("odd-1", "odd-2", "vm-1"):
+            store.put(f"op/retire/{vm}", b"{}")
+        await self.until(lambda: "status/vm-1" in store.items)
+        await self.until(lambda: b"completed" in store.items["status/vm-1"].value)
+        store.failing_keys = set()
+        await self.until(lambda: {"status/odd-1", "status/odd-2"} <= set(store.items))
+
     async def test_a_wipe_just_after_a_retirement_without_standby(self) -> None:
         """Two members remain; the disk of one is lost while a new machine joins."""
         await self.keep("vm-0", 1)
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -14,6 +14,7 @@
     WATCH_MARGIN_S,
     HistoryCompacted,
     Item,
+    KeyTooLong,
     Listing,
     StoreUnavailable,
     contiguous_until,
@@ -43,6 +44,9 @@
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
+MAX_KEY_BYTES = 200
+"""Length of the longest key that the store takes."""
+
 _COMPACTED = 410
 _CONFLICT = 412
 _NOT_FOUND = 404
@@ -115,6 +119,7 @@
 
     async def read(self, key: str) -> Item | None:
         """Return an item by a linearizable read, or None if the key does not exist."""
+        _check_key(key)
         response = await self._call("read", "GET", f"/v1/kv-key?key={quote(key, safe='')}")
         if response.status == _NOT_FOUND:
             return None
@@ -182,6 +187,7 @@
 
     async def compare_and_swap(self, key: str, revision: Revision, value: bytes) -> Item | None:
         """Write a key if it is still at `revision`; return None, or else the present item."""
+        _check_key(key)
         text = base64.b64encode(value).decode()
         body = msgspec.json.encode(_Transaction([_Expected(key, revision)], [_Write(key, text)]))
         try:
@@ -247,6 +253,13 @@
         self.pool.close()
 
 
+def _check_key(key: str) -> None:
+    """Raise `KeyTooLong` for a key that the store would reject each time."""
+    size = len(key.encode())
+    if size > MAX_KEY_BYTES:
+        raise KeyTooLong(f"key {shortened(key)!r} has {size} bytes, the limit is {MAX_KEY_BYTES}")
+
+
 def _decoded(response: HttpResponse, kind: type[Wire]) -> Wire:
     """Decode an answer; raise `StoreUnavailable` if it is invalid, so that watchers try again."""
     if response.status != _OK:
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -12,6 +12,7 @@
 from waxwingglade.follow.model import Revision
 from waxwingglade.follow.store import (
     HistoryCompacted,
+    KeyTooLong,
     Listing,
     StoreUnavailable,
     contiguous_until,
@@ -72,6 +73,14 @@
         self.assertEqual(current.value, b"two")
         self.assertIsNone(await self.store.read("own/none"))
 
+    async def test_a_key_that_is_too_long_is_rejected_without_a_call(self) -> None:
+        key = "status/" + "\u00e9" * 97
+        for call in (self.store.read(key), self.store.compare_and_swap(key, 0, b"one")):
+            with self.assertRaisesRegex(KeyTooLong, "201 bytes, the limit is 200"):
+                await call
+        self.assertEqual(0, self.standin.calls)
+        self.assertIsNone(await self.store.compare_and_swap(key[1:], 0, b"one"))
+
     async def test_a_write_whose_answer_was_lost_is_read_back(self) -> None:
         self.standin.fault = StoreFault.LOST_ANSWERS
         self.assertIsNone(await self.store.compare_and_swap("own/a", 0, b"one"))
