Run each step of a periodic task on its own

A step of a ledger process's update, or of an entry's checks, that failed each time kept the steps after it from running for good: followers heard nothing of a lost majority, expired connections stayed open, silent calls were not suspected. Found by reading; no caller has reported it.

The task is run again from its beginning after a failure, and so met the same step. PeriodicSteps runs each step on its own: one that fails is logged, counted under the names of the task and the step, and left out for 0.1 to 0.8 s.

--- a/waxwingglade/base/tasks.py
+++ b/waxwingglade/base/tasks.py
@@ -2,12 +2,12 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, NamedTuple
 
 from loguru import logger
 
-from waxwingglade.base import monotonic
+from waxwingglade.base import Clock, monotonic
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -98,6 +98,64 @@
     return task is not None and task.cancelling() > 0
 
 
+class Pause(NamedTuple):
+    """A pause after a failure: its length in seconds, and when it ends in monotonic seconds."""
+
+    length_s: float
+    ends_at: float
+
+
+class PeriodicSteps:
+    """Runs the steps of a periodic task, so that one that fails keeps no other from running.
+
+    Each failure is logged and counted in `failures`.  A step that failed is left out for a pause,
+    as in `run_forever`.
+
+    Parameters
+    ----------
+    task : str
+        Qualified name of the function that runs the steps.
+    clock : Clock
+        Monotonic seconds.
+
+    Attributes
+    ----------
+    pauses : dict
+        Pauses of the steps whose last run failed, by name.
+    """
+
+    def __init__(self, task: str, clock: Clock = monotonic) -> None:
+        self.task = task
+        self.clock = clock
+        self.pauses: dict[str, Pause] = {}
+
+    async def run(self, name: str, step: Callable[[], Awaitable[None] | None]) -> None:
+        """Run a step, unless it failed a moment ago.
+
+        Parameters
+        ----------
+        name : str
+            Name of the step, for the log and the metrics.
+        step : callable
+            The step, which may return an awaitable.
+        """
+        pause = self.pauses.get(name)
+        if pause is not None and self.clock() < pause.ends_at:
+            return
+        try:
+            awaitable = step()
+            if awaitable is not None:
+                await awaitable
+        except Exception as error:
+            length_s = FIRST_PAUSE_S if pause is None else min(2 * pause.length_s, LONGEST_PAUSE_S)
+            self.pauses[name] = Pause(length_s, self.clock() + length_s)
+            record_failure(
+                "step failed, will be run again", f"{self.task}: {name}", error, length_s
+            )
+        else:
+            self.pauses.pop(name, None)
+
+
 def record_failure(event: str, name: str, error: BaseException, pause_s: float) -> None:
     """Log and count a failure of a task or callback that is tried again.
 
@@ -106,7 +164,7 @@
     event : str
         Event of the log line.
     name : str
-        Qualified name of the function that failed.
+        Qualified name of the function that failed, with the step if it has several.
     error : BaseException
         The failure.
     pause_s : float
--- a/waxwingglade/base/tests/test_tasks.py
+++ b/waxwingglade/base/tests/test_tasks.py
@@ -5,7 +5,13 @@
 from unittest import mock
 
 from waxwingglade.base import tasks
-from waxwingglade.base.tasks import FIRST_PAUSE_S, LONGEST_PAUSE_S, RAN_WELL_S, run_forever
+from waxwingglade.base.tasks import (
+    FIRST_PAUSE_S,
+    LONGEST_PAUSE_S,
+    RAN_WELL_S,
+    PeriodicSteps,
+    run_forever,
+)
 
 EVENT = "task failed, will be run again"
 
@@ -69,3 +75,34 @@
 
         await run_forever(wait_once)
         self.assertEqual([FIRST_PAUSE_S], self.pauses)
+
+
+class PeriodicStepsTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.now = 100.0
+        self.enterContext(mock.patch.object(tasks, "failures", tasks.Counter()))
+        self.steps = PeriodicSteps("Owner.run", lambda: self.now)
+
+    async def runs(self, step: mock.Mock, seconds: float) -> int:
+        """Return how often a step that is due ten times a second is run within some seconds."""
+        step.reset_mock()
+        for _ in range(round(10 * seconds)):
+            await self.steps.run("step", step)
+            self.now += 0.1
+        return step.call_count
+
+    async def test_a_step_that_fails_is_left_out_for_pauses_that_grow_to_a_limit(self) -> None:
+        failing = mock.Mock(side_effect=ZeroDivisionError)
+        self.assertLessEqual(await self.runs(failing, 1.5), 4)
+        self.assertIn(await self.runs(failing, 10 * LONGEST_PAUSE_S), (9, 10))
+        self.assertEqual([("Owner.run: step",)], list(tasks.failures))
+
+    async def test_a_step_that_succeeds_again_is_run_each_time(self) -> None:
+        await self.runs(mock.Mock(side_effect=ZeroDivisionError), 2.0)
+        self.now += LONGEST_PAUSE_S
+        self.assertEqual(20, await self.runs(mock.Mock(return_value=None), 2.0))
+        self.assertEqual({}, self.steps.pauses)
+
+    async def test_the_failure_of_an_awaited_step_is_counted(self) -> None:
+        await self.steps.run("step", mock.AsyncMock(side_effect=ZeroDivisionError))
+        self.assertEqual([1], list(tasks.failures.values()))
--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -14,7 +14,7 @@
 from tornado.netutil import bind_sockets
 
 from waxwingglade.base.loop_delay import STALL_S, LoopDelay
-from waxwingglade.base.tasks import run_forever, start_task
+from waxwingglade.base.tasks import PeriodicSteps, run_forever, start_task
 from waxwingglade.decisions.returns import return_after_s
 from waxwingglade.follow.feed import (
     LONGEST_AGE_S,
@@ -303,23 +303,25 @@
                 await asyncio.sleep(MEMBERS_RETRY_S * (0.5 + random.random()))
 
     async def _check_forever(self) -> None:
+        steps = PeriodicSteps("Ingress._check_forever")
         while True:
             await self.loop_delay.sleep(CHECK_INTERVAL_S)
             if (delay_s := self.loop_delay.delays[-1]) >= STALL_S:
                 self.follower.discount_stall(delay_s)
-            self._check_quorum()
-            self.cached_view.drop_expired()
-            # Comes before the checks without which the entry still learns of changes.
-            await self._check_sources()
-            self.quarantine.suspect_silent()
-            self.quarantine.clear_suspicions()
-            self.quarantine.remove_expired()
-            self.pool.close_expired()
-            self.close_idle()
-            self.balancer.check_slow()
-            self.links.close_idle_except(
-                {member.address for member in self.cached_view.view.replicas.members}, LINK_IDLE_S
-            )
+            await steps.run("quorum", self._check_quorum)
+            await steps.run("expired", self.cached_view.drop_expired)
+            await steps.run("sources", self._check_sources)
+            await steps.run("silent calls", self.quarantine.suspect_silent)
+            await steps.run("suspicions", self.quarantine.clear_suspicions)
+            await steps.run("held requests", self.quarantine.remove_expired)
+            await steps.run("pooled connections", self.pool.close_expired)
+            await steps.run("idle callers", self.close_idle)
+            await steps.run("slow targets", self.balancer.check_slow)
+            await steps.run("idle links", self._close_idle_links)
+
+    def _close_idle_links(self) -> None:
+        members = {member.address for member in self.cached_view.view.replicas.members}
+        self.links.close_idle_except(members, LINK_IDLE_S)
 
     async def _check_sources(self) -> None:
         """Follow the store while no replica is usable as a source."""
--- a/waxwingglade/ingress/tests/test_failed_tasks.py
+++ b/waxwingglade/ingress/tests/test_failed_tasks.py
@@ -82,11 +82,31 @@
             await self.node.server.stop()
             self.assertTrue(await until(lambda: self.ingress.watcher, 3 * IN_STEP_S))
 
+    async def test_a_check_that_fails_each_time_keeps_no_other_from_running(self) -> None:
+        """Guards against connections that stay open, as an earlier check fails each time."""
+        ingress = self.ingress
+        names = [
+            (ingress, "_check_quorum"),
+            (ingress.cached_view, "drop_expired"),
+            (ingress.quarantine, "suspect_silent"),
+            (ingress.pool, "close_expired"),
+            (ingress.balancer, "check_slow"),
+        ]
+        for owner, name in names:
+            with (
+                self.subTest(name),
+                mock.patch.object(owner, name, side_effect=RecursionError) as failed,
+                mock.patch.object(ingress.links, "close_idle_except", return_value=None) as closed,
+            ):
+                await self.in_step(lambda f=failed, c=closed: f.called and c.call_count >= 3)
+
     async def test_the_metrics_page_counts_failures_by_task(self) -> None:
         with failing_once(self.ingress.pool, "close_expired") as called:
             await self.in_step(lambda: called.call_count > 1)
         page = str(self.ingress.metrics.text(self.ingress))
-        self.assertIn('task_failures_total{task="Ingress._check_forever"}', page)
+        self.assertIn(
+            'task_failures_total{task="Ingress._check_forever: pooled connections"}', page
+        )
 
 
 class FailedListener(unittest.IsolatedAsyncioTestCase):
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -15,7 +15,7 @@
 from waxwingglade.base import WaxwinggladeError, ZoneId, monotonic
 from waxwingglade.base.logs import Sampler
 from waxwingglade.base.loop_delay import LoopDelay
-from waxwingglade.base.tasks import run_forever, start_task
+from waxwingglade.base.tasks import PeriodicSteps, run_forever, start_task
 from waxwingglade.decisions.quota import QuotaRules
 from waxwingglade.follow.feed import (
     FRESH_S,
@@ -214,6 +214,7 @@
         self.tasks: list[asyncio.Task] = []
         self.metrics = LedgerMetrics()
         self.loop_delay = LoopDelay()
+        self.reported_quorum = False
         self.pages: list[HTTPServer] = []
 
     async def start(self) -> None:
@@ -286,18 +287,26 @@
 
     async def _update_forever(self) -> None:
         """Update the view and the quorum that followers receive, periodically."""
-        reported = False
+        steps = PeriodicSteps("LedgerNode._update_forever")
         while True:
             await self.loop_delay.sleep(UPDATE_INTERVAL_S)
             self.membership.discount_stall(self.loop_delay.delays[-1])
-            self._take_watched()
-            self.cached_view.drop_expired()
-            self._adopt_members(self.cached_view.view.replicas)
-            self.quotas.record_state()
-            self.load_board.update()
-            if self.membership.quorum != reported:
-                reported = self.membership.quorum
-                self.cached_view.notify()
+            await steps.run("watched", self._take_watched)
+            await steps.run("expired", self.cached_view.drop_expired)
+            await steps.run("members", self._adopt_known_members)
+            await steps.run("quotas", self.quotas.record_state)
+            await steps.run("loads", self.load_board.update)
+            await steps.run("quorum", self._report_quorum)
+
+    def _adopt_known_members(self) -> None:
+        self._adopt_members(self.cached_view.view.replicas)
+
+    def _report_quorum(self) -> None:
+        """Notify followers when a majority of the members is lost or regained."""
+        quorum = self.membership.quorum
+        if quorum != self.reported_quorum:
+            self.reported_quorum = quorum
+            self.cached_view.notify()
 
     def _watch_s(self) -> float:
         """Return the seconds that a watch of the store waits for an update."""
--- a/waxwingglade/ledger/tests/test_failed_tasks.py
+++ b/waxwingglade/ledger/tests/test_failed_tasks.py
@@ -59,6 +59,17 @@
             with self.subTest(name), failing_once(owner, name) as called:
                 await self.in_step(lambda: called.call_count >= 3)
 
+    async def test_a_step_that_fails_each_time_keeps_no_other_from_running(self) -> None:
+        """Guards against followers that hear nothing of the quorum, as an earlier step fails."""
+        node = self.node
+        failing = mock.patch.object(node.quotas, "record_state", side_effect=RecursionError)
+        updating = mock.patch.object(node.load_board, "update", return_value=None)
+        with failing as failed, updating as updated:
+            await self.in_step(lambda: failed.call_count >= 2 and updated.call_count >= 5)
+            node.replica.journal.failure = OSError("no space")
+            await self.in_step(lambda: not node.reported_quorum)
+            self.assertLess(failed.call_count, updated.call_count)
+
     async def test_a_change_is_in_force_in_time_although_taking_it_over_failed(self) -> None:
         with failing_once(self.node.watcher.targets, "apply") as applied:
             self.store.put("op/config", b'{"version": 5}')
@@ -85,7 +96,7 @@
         with failing_once(self.node.quotas, "record_state") as called:
             await self.in_step(lambda: called.call_count > 1)
         page = str(self.node.metrics.text(self.node))
-        self.assertIn('task_failures_total{task="LedgerNode._update_forever"}', page)
+        self.assertIn('task_failures_total{task="LedgerNode._update_forever: quotas"}', page)
 
 
 class FailedJoin(unittest.IsolatedAsyncioTestCase):
