List all keys if a watch's answer is too large to be received

Routes that had been added were refused with 404 for seconds, by all entries, after another writer had written a lot at once, each item within the limits of the store.

Pages of a listing have a size of about 1 MB, but the answer to a watch has all events since its revision, however large. One beyond 16 MiB, or one that took longer than the watch's time, failed the call. The follower took that for an outage of the store and repeated the watch from the same revision, with an answer that was at least as large, until the next regular listing 5 to 15 s later.

An answer to a watch that began and did not arrive whole, or that exceeds 4 MiB, now makes the follower list all keys at once, as it does when the history was dropped. It does not count as an outage, since the store has answered.

--- a/waxwingglade/follow/store.py
+++ b/waxwingglade/follow/store.py
@@ -34,6 +34,13 @@
         self.may_have_run = may_have_run
 
 
+class EventsNotReceived(StoreUnavailable):
+    """The events after a revision did not arrive whole, as they were too large or took too long.
+
+    They would be no smaller in the next answer.  A listing comes in pages.
+    """
+
+
 class HistoryCompacted(WaxwinggladeError):
     """The store no longer has the history after the requested revision."""
 
@@ -125,6 +132,8 @@
         ------
         HistoryCompacted
             If the store no longer has all of these events.
+        EventsNotReceived
+            If the answer began and did not arrive whole.
         """
 
     async def compare_and_swap(self, key: str, revision: Revision, value: bytes) -> Item | None:
@@ -144,6 +153,7 @@
 
 __all__ = [
     "WATCH_MARGIN_S",
+    "EventsNotReceived",
     "HistoryCompacted",
     "Item",
     "KeyTooLong",
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -30,6 +30,7 @@
 )
 from waxwingglade.follow.store import (
     WATCH_MARGIN_S,
+    EventsNotReceived,
     HistoryCompacted,
     Item,
     Listing,
@@ -244,6 +245,10 @@
                     await asyncio.sleep(WATCH_INTERVAL_S)
                 revision = None
                 continue
+            except EventsNotReceived as error:
+                logger.bind(reason=str(error)).warning("changes not received, listing all keys")
+                revision = None
+                continue
             except StoreUnavailable as error:
                 self._record_outage(str(error), asked_at)
                 next_at = asked_at + pause_s * (0.5 + random.random())
--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -12,6 +12,7 @@
 from waxwingglade.follow.model import LAST_REVISION, Revision
 from waxwingglade.follow.store import (
     WATCH_MARGIN_S,
+    EventsNotReceived,
     HistoryCompacted,
     Item,
     KeyTooLong,
@@ -44,6 +45,10 @@
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 
+MAX_EVENTS_BYTES = 4 * 1024 * 1024
+"""Size of the largest answer to a watch that is read.  The store sets none, unlike for the pages of
+a listing, so beyond it all keys are listed instead."""
+
 MAX_KEY_BYTES = 200
 """Length of the longest key that the store takes."""
 
@@ -66,6 +71,10 @@
     deleted: bool = False
 
 
+class _PartialAnswer(StoreUnavailable):
+    """The head of an answer arrived, and its body did not arrive whole."""
+
+
 class _Page(msgspec.Struct):
     """A page of a listing; its items are decoded one by one, as one may be invalid."""
 
@@ -168,18 +177,35 @@
         if first == last:
             return Listing(tuple(items), first)
         # Some pages may have changes that others lack.
-        changes = await self.watch("", first, 0.0)
+        try:
+            changes = await self.watch("", first, 0.0)
+        except EventsNotReceived:
+            return None
         if changes.revision < last or contiguous_until(first, changes) != changes.revision:
             return None
         return _updated(items, changes, prefix)
 
     async def watch(self, prefix: str, after: Revision, wait_s: float) -> Listing:
-        """Return the events after a revision; raise `HistoryCompacted` if they were dropped."""
+        """Return the events after a revision.
+
+        Raises
+        ------
+        HistoryCompacted
+            If they were dropped.
+        EventsNotReceived
+            If the answer began and did not arrive whole.
+        """
         path = (
             f"/v1/kv-watch?path_prefix={quote(prefix, safe='')}"
             f"&after={after}&wait_ms={int(wait_s * 1000)}"
         )
-        response = await self._call("watch", "GET", path, wait_s + WATCH_MARGIN_S)
+        try:
+            response = await self._call(
+                "watch", "GET", path, wait_s + WATCH_MARGIN_S, MAX_EVENTS_BYTES
+            )
+        except _PartialAnswer as error:
+            reason = f"events after revision {after}: {error}"
+            raise EventsNotReceived(reason, error.may_have_run) from error
         if response.status == _COMPACTED:
             raise HistoryCompacted(f"{prefix} after {after}")
         events = _decoded(response, _Events)
@@ -217,9 +243,25 @@
         method: str,
         path: str,
         timeout_s: float = ANSWER_TIMEOUT_S,
+        limit: int = MAX_BODY_BYTES,
         body: bytes = b"",
     ) -> HttpResponse:
-        """Make one call; raise `StoreUnavailable` unless the store gave a definite answer."""
+        """Make one call, and return a definite answer of the store.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds until the whole answer must have arrived.
+        limit : int
+            Size of the largest body that is read, in bytes.
+
+        Raises
+        ------
+        _PartialAnswer
+            If the answer began and did not arrive whole, or is larger than the limit.
+        StoreUnavailable
+            If there was no answer, or the store reported that it did not serve the call.
+        """
         self.calls[purpose] += 1
         headers = [("Host", self.address)]
         if body:
@@ -231,16 +273,18 @@
                 connection = await self.pool.acquire(self.address)
         except (NotConnected, TimeoutError) as error:
             raise StoreUnavailable(str(error) or "no connection", may_have_run=False) from error
+        failure: type[StoreUnavailable] = StoreUnavailable
         try:
             async with asyncio.timeout_at(end_at):
                 connection.send(request)
                 response = await connection.read_head(lambda _: True)
-                response.body = await connection.read_body(MAX_BODY_BYTES)
+                failure = _PartialAnswer
+                response.body = await connection.read_body(limit)
         except (ConnectionBroken, TimeoutError) as error:
             # Other pooled connections may have become unresponsive together with this one, and each
             # would cost a timeout.
             self.pool.close_idle(self.address)
-            raise StoreUnavailable(str(error) or "no answer", may_have_run=True) from error
+            raise failure(str(error) or "no answer", may_have_run=True) from error
         finally:
             self.pool.release(self.address, connection)
         if response.status in _DECIDED:
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -11,17 +11,23 @@
 
 from waxwingglade.follow.model import Revision
 from waxwingglade.follow.store import (
+    EventsNotReceived,
     HistoryCompacted,
     KeyTooLong,
     Listing,
     StoreUnavailable,
     contiguous_until,
 )
+from waxwingglade.follow.tests.builders import KEYS, quick_pauses, until
+from waxwingglade.follow.watcher import Watcher
 from waxwingglade.platform.store import PlatformStore
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
 from waxwingglade.transport import HttpResponse
 from waxwingglade.transport.tests.cut_builders import Answer, Cut, CutServer, Ending, answers
 
+APPLY_S = 2.0
+"""Seconds within which a changed configuration must be in force."""
+
 FIN = Ending.FIN
 LISTING = (
     b'{"items":[{"key":"servers/a","revision":1,"value":"e30="},'
@@ -228,6 +234,31 @@
         self.assertFalse(item.removed)
         self.assertIn("ASCII", item.error)
 
+    async def test_changes_too_large_for_one_answer_are_followed_in_time(self) -> None:
+        """Guards against a watch that is repeated for good, as its answer is never received."""
+        with quick_pauses():
+            watcher = Watcher(self.store, KEYS)
+            watcher.start()
+            self.addAsyncCleanup(watcher.stop)
+            await until(lambda: watcher.store_confirmed_at > 0)
+            # A single change of the event loop, as if they came while the process did not ask.
+            for number in range(20):
+                self.standin.put_bytes(f"other/{number}", bytes(1_000_000))
+            self.standin.put_bytes("op/config", b'{"version": 4}')
+            async with asyncio.timeout(APPLY_S):
+                while watcher.view.version != 4:
+                    await asyncio.sleep(0.01)
+        self.assertFalse(watcher.in_outage)
+
+    async def test_events_larger_than_the_limit_are_not_received(self) -> None:
+        start = self.standin.revision
+        for number in range(4):
+            self.standin.put_bytes(f"other/{number}", bytes(1_000_000))
+        with self.assertRaisesRegex(EventsNotReceived, "after revision 0: a body of more than"):
+            await self.store.watch("", start, 0.0)
+        listing = await self.store.list("")
+        self.assertEqual(4, len(listing.items))
+
     async def test_calls_are_counted_by_purpose(self) -> None:
         await self.store.list("servers/")
         await self.store.read("own/a")
