Replace the targets of an entry only once all of a list is taken over

An entry had no usable target of any service after the state of one target of a new list could not be set up, until the list changed the next time, though all targets were sound. Found by reading; no caller has reported it.

Balancer.update noted the list and cleared its tables before it filled them. The next call, which the view makes for a listener that failed, returned at once, as the list was the one that had been noted. The new tables are built first now, and nothing is replaced before that can no longer fail, so the next call takes the whole list over, and the earlier targets stay in use until then.

test_targets_are_used_although_taking_the_list_over_failed_once failed on the code before (KeyError, no target of the service is left) and passes; 47 of 47 tests of the four modules around it pass.

--- a/waxwingglade/ingress/balance.py
+++ b/waxwingglade/ingress/balance.py
@@ -137,20 +137,21 @@
         """
         if targets == self.targets:
             return []
-        self.targets = targets
-        present = {target.target: target for target in targets.targets}
+        states: dict[TargetId, TargetState] = {}
+        for target in targets.targets:
+            state = self.states.get(target.target)
+            if state is None or state.target.started_ms != target.started_ms:
+                state = TargetState(target, self.clock)
+            states[target.target] = state
         removed = [
-            state.target
-            for name, state in self.states.items()
-            if name not in present or present[name].started_ms != state.target.started_ms
+            state.target for name, state in self.states.items() if states.get(name) is not state
         ]
-        for target in removed:
-            del self.states[target.target]
+        # Nothing is changed before this, so a list that failed to be taken over can be tried again.
+        self.targets = targets
+        self.states = states
         self.by_service = {}
         for target in targets.targets:
-            state = self.states.get(target.target)
-            if state is None:
-                state = self.states[target.target] = TargetState(target, self.clock)
+            state = states[target.target]
             state.target = target
             self.by_service.setdefault(target.service, []).append(state)
         return removed
--- a/waxwingglade/ingress/tests/test_failed_tasks.py
+++ b/waxwingglade/ingress/tests/test_failed_tasks.py
@@ -12,11 +12,12 @@
 import msgspec
 
 from tests.ports import ReservedPorts
-from waxwingglade.base import ConfigVersion, ZoneId
+from waxwingglade.base import ConfigVersion, TargetId, ZoneId
 from waxwingglade.base.tests.failing import failing_once
 from waxwingglade.follow.feed import LISTENER_RETRY_S
 from waxwingglade.follow.model import Revision, TargetList, View
 from waxwingglade.follow.tests.builders import KEYS, MemoryStore
+from waxwingglade.ingress import balance
 from waxwingglade.ingress.entry import Ingress
 from waxwingglade.ingress.settings import IngressSettings
 from waxwingglade.ingress.tests.builders import configuration
@@ -125,3 +126,18 @@
         await asyncio.sleep(LISTENER_RETRY_S)
         self.ingress.cached_view.drop_expired()
         self.assertIs(newer, self.ingress.table.configuration)
+
+    async def test_targets_are_used_although_taking_the_list_over_failed_once(self) -> None:
+        """Guards against sound targets that get no request until the next change of the list."""
+        ingress = self.ingress
+        known = ingress.cached_view.view.targets.targets[0]
+        added = [msgspec.structs.replace(known, target=TargetId(name)) for name in ("b", "c")]
+        targets = TargetList(Revision(9), (added[0], known, added[1]))
+        with failing_once(balance, "TargetState"):
+            ingress.cached_view.merge(View(targets=targets), time.monotonic())
+            self.assertEqual([known.target], list(ingress.balancer.states))
+            self.assertEqual(1, len(ingress.balancer.by_service[known.service]))
+            await asyncio.sleep(LISTENER_RETRY_S)
+            ingress.cached_view.drop_expired()
+        self.assertEqual({"b", "c", known.target}, set(ingress.balancer.states))
+        self.assertEqual(3, len(ingress.balancer.by_service[known.service]))
