Call all listeners of a view although a failure came before them

A part of a process could stay with its earlier routes or targets until the next change, if anything failed between the replacement of the view and the call of its listeners, such as the log lines on its changes. Found by reading; no caller has reported it.

The next view with the same content is no change, so nothing called them, and only listeners that had been called and failed were pending. Now all are pending from the moment at which the view is replaced or a retained target is dropped, and the periodic check calls them.

test_listeners_that_a_failure_left_out_are_called_without_a_change failed on the code before (the view is never taken) and passes.

--- a/waxwingglade/follow/feed.py
+++ b/waxwingglade/follow/feed.py
@@ -147,6 +147,8 @@
         if merged is self.view and not dropped:
             return
         before, self.view = self.view, merged
+        # A failure on the way to the listeners must not leave them with the earlier view.
+        self.pending = list(self.listeners)
         self._log_targets(targets_before, source)
         if before.version != merged.version:
             logger.bind(
@@ -170,6 +172,7 @@
             self._call_listeners(self.pending)
         before = self.targets_in_use
         if self.fresh and self.retention.expire():
+            self.pending = list(self.listeners)
             self._log_targets(before, STORE)
             self._call_listeners(self.listeners)
 
--- a/waxwingglade/follow/tests/test_failed_followers.py
+++ b/waxwingglade/follow/tests/test_failed_followers.py
@@ -77,6 +77,19 @@
         self._publish(4)
         self.assertEqual([4], self.taken)
 
+    async def test_listeners_that_a_failure_left_out_are_called_without_a_change(self) -> None:
+        """Guards against an entry that stays with its earlier routes, as a log line failed."""
+        self.failing.side_effect = None
+        with (
+            mock.patch.object(self.view, "_log_targets", side_effect=ZeroDivisionError),
+            self.assertRaises(ZeroDivisionError),
+        ):
+            self._publish(4)
+        self.assertEqual([], self.taken)
+        self.now += LISTENER_RETRY_S
+        self.view.drop_expired()
+        self.assertEqual([4], self.taken)
+
     async def test_a_listener_that_failed_is_called_again_without_a_change(self) -> None:
         self._publish(4)
         self.now += LISTENER_RETRY_S
