--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,6 +13,7 @@
     ACCOUNT_KINDS,
     EARLIER_KINDS,
     FIRST_KINDS,
+    FOREIGN_KINDS,
     GAP_KINDS,
     LEAVING_KINDS,
     LEDGER_KINDS,
@@ -95,6 +96,10 @@
             "answers"
         ),
     ] = False,
+    foreign: Annotated[
+        bool,
+        typer.Option(help="others write to the store what no process can use, beside changes"),
+    ] = False,
     pressing: Annotated[
         int, typer.Option(help="callers at a time that keep the account with a limit at it")
     ] = 8,
@@ -141,8 +146,9 @@
         size = msgspec.structs.replace(size, crash_kinds=VISIBLE_CRASHES)
     if uneven:
         size = msgspec.structs.replace(size, uneven=True)
-    if leaving or store_gaps:
-        size = msgspec.structs.replace(size, kinds=GAP_KINDS if store_gaps else LEAVING_KINDS)
+    choices = ((leaving, LEAVING_KINDS), (store_gaps, GAP_KINDS), (foreign, FOREIGN_KINDS))
+    for kinds in (kinds for is_chosen, kinds in choices if is_chosen):
+        size = msgspec.structs.replace(size, kinds=kinds)
     if ledger:
         size = LEDGER_SIZE
     if quiet:
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -46,6 +46,8 @@
     CUT_LISTINGS = "listings of the store are cut midway"
     ODD_ENTRIES = "another writer leaves odd entries among those of the servers"
     CUT_HEADS = "a server closes in the middle of the head of its answer"
+    ODD_ORDERS = "an order to retire a VM whose state has no valid key, beside another order"
+    LARGE_ITEMS = "another writer writes more at once than one answer of the store can bring"
 
 
 EVERYWHERE = "everywhere"
@@ -133,6 +135,31 @@
 """Changes that the store withholds, odd entries and cut heads, beside some of the other kinds."""
 
 
+FOREIGN_KINDS = (
+    *(FaultKind.ODD_ENTRIES, FaultKind.ODD_ORDERS, FaultKind.LARGE_ITEMS) * 3,
+    FaultKind.HIDDEN_CHANGES,
+    FaultKind.CONFIGURE,
+    FaultKind.SERVER_LEAVES,
+    FaultKind.SERVER_DEREGISTERS,
+    FaultKind.STORE_BUSY,
+    FaultKind.STORE_SILENT,
+    FaultKind.STORE_LOST,
+    FaultKind.STORE_COMPACT,
+    FaultKind.STORE_REFUSES,
+    FaultKind.HUP,
+    FaultKind.STOP_ENTRY,
+    FaultKind.KILL_ENTRY,
+    FaultKind.KILL_LEDGER,
+    FaultKind.STOP_LEDGER,
+    FaultKind.PAUSE_LEDGER,
+    FaultKind.WIPE_LEDGER,
+    FaultKind.EMPTY_LEDGER,
+    FaultKind.RESTART_MACHINES,
+    FaultKind.KILL_ALL,
+)
+"""Writes of others that no process can use, beside some of the other kinds."""
+
+
 class FaultOccurrence(msgspec.Struct):
     """One occurrence of a fault.
 
@@ -170,6 +197,7 @@
     "EARLIER_KINDS",
     "EVERYWHERE",
     "FIRST_KINDS",
+    "FOREIGN_KINDS",
     "GAP_KINDS",
     "LEAVING_KINDS",
     "LEDGER_KINDS",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -24,6 +24,7 @@
     ends_of,
 )
 from tests.soak.faults import USUAL_PER_S, Faults
+from tests.soak.foreign_writes import ForeignWrites
 from tests.soak.interrupted_turns import Completion, check_completed_turns, check_ledger_refusals
 from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind
 from tests.soak.leaving_targets import check_left
@@ -178,6 +179,7 @@
         fatal = FatalCallers(callers, random.Random(seed + 4_000_000))
         faults = Faults(cluster, random.Random(seed + 1_000_000), size.kinds)
         gaps = StoreGaps(faults, callers, random.Random(seed + 6_000_000))
+        foreign = ForeignWrites(faults, gaps, random.Random(seed + 7_000_000))
         if size.single:
             await put_routes(cluster, callers, faults)
         single = SingleCallers(callers, random.Random(seed + 5_000_000))
@@ -196,6 +198,7 @@
             accounts.only_current = True
         violations = faults.violations
         violations += await _check_recovery(cluster, callers, faults)
+        violations += await foreign.check()
         callers.stopping = True
         await workload_task
         violations += await _check_continuation(cluster, callers)
--- a/tests/soak/store_gaps.py
+++ b/tests/soak/store_gaps.py
@@ -51,6 +51,8 @@
     FaultKind.SILENT_WATCHES,
     FaultKind.CUT_LISTINGS,
     FaultKind.ODD_ENTRIES,
+    FaultKind.ODD_ORDERS,
+    FaultKind.LARGE_ITEMS,
     FaultKind.CONFIGURE,
     FaultKind.SERVER_LEAVES,
     FaultKind.SERVER_DEREGISTERS,
@@ -132,7 +134,7 @@
 
     # Changes
 
-    async def _change(self) -> None:
+    async def change(self) -> None:
         """Add a route, and mostly let a server leave."""
         self._add_route()
         if self.rng.random() < 0.7:
@@ -222,7 +224,7 @@
         """Make changes at a random moment of a time span."""
         before_s = self.rng.random() * seconds
         await asyncio.sleep(before_s)
-        await self._change()
+        await self.change()
         await asyncio.sleep(seconds - before_s)
 
     async def _write_odd_entries(self, _lasts_s: float) -> None:
@@ -233,7 +235,7 @@
         for key, name in zip(keys, names, strict=True):
             self.store.put_text(key, ODD_TEXTS[name])
         await asyncio.sleep(self.rng.uniform(*PAUSE_S))
-        await self._change()
+        await self.change()
         await asyncio.sleep(self.rng.uniform(*ODD_S))
         for key in keys:
             self.store.remove(key)
