Read answers to watches of up to 16 MiB again

The limit is that of all other answers again, as before. An answer beyond it, or one that did not arrive whole, still makes a follower list all keys at once.

--- a/waxwingglade/platform/store.py
+++ b/waxwingglade/platform/store.py
@@ -44,10 +44,8 @@
 """Attempts at a listing whose pages differ in revision, before the call counts as failed."""
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-
-MAX_EVENTS_BYTES = 4 * 1024 * 1024
-"""Size of the largest answer to a watch that is read.  The store sets none, unlike for the pages of
-a listing, so beyond it all keys are listed instead."""
+"""Size of the largest answer that is read.  The store limits its values and the pages of a listing,
+but not the answer to a watch; beyond this size all keys are listed instead."""
 
 MAX_KEY_BYTES = 200
 """Length of the longest key that the store takes."""
@@ -200,9 +198,7 @@
             f"&after={after}&wait_ms={int(wait_s * 1000)}"
         )
         try:
-            response = await self._call(
-                "watch", "GET", path, wait_s + WATCH_MARGIN_S, MAX_EVENTS_BYTES
-            )
+            response = await self._call("watch", "GET", path, wait_s + WATCH_MARGIN_S)
         except _PartialAnswer as error:
             reason = f"events after revision {after}: {error}"
             raise EventsNotReceived(reason, error.may_have_run) from error
@@ -243,7 +239,6 @@
         method: str,
         path: str,
         timeout_s: float = ANSWER_TIMEOUT_S,
-        limit: int = MAX_BODY_BYTES,
         body: bytes = b"",
     ) -> HttpResponse:
         """Make one call, and return a definite answer of the store.
@@ -252,13 +247,11 @@
         ----------
         timeout_s : float
             Seconds until the whole answer must have arrived.
-        limit : int
-            Size of the largest body that is read, in bytes.
 
         Raises
         ------
         _PartialAnswer
-            If the answer began and did not arrive whole, or is larger than the limit.
+            If the answer began and did not arrive whole, or exceeds `MAX_BODY_BYTES`.
         StoreUnavailable
             If there was no answer, or the store reported that it did not serve the call.
         """
@@ -279,7 +272,7 @@
                 connection.send(request)
                 response = await connection.read_head(lambda _: True)
                 failure = _PartialAnswer
-                response.body = await connection.read_body(limit)
+                response.body = await connection.read_body(MAX_BODY_BYTES)
         except (ConnectionBroken, TimeoutError) as error:
             # Other pooled connections may have become unresponsive together with this one, and each
             # would cost a timeout.
--- a/waxwingglade/platform/tests/test_store.py
+++ b/waxwingglade/platform/tests/test_store.py
@@ -251,11 +251,11 @@
         self.assertFalse(watcher.in_outage)
 
     async def test_events_larger_than_the_limit_are_not_received(self) -> None:
-        start = self.standin.revision
+        self.enterContext(mock.patch("waxwingglade.platform.store.MAX_BODY_BYTES", 4_000_000))
         for number in range(4):
             self.standin.put_bytes(f"other/{number}", bytes(1_000_000))
         with self.assertRaisesRegex(EventsNotReceived, "after revision 0: a body of more than"):
-            await self.store.watch("", start, 0.0)
+            await self.store.watch("", Revision(0), 0.0)
         listing = await self.store.list("")
         self.assertEqual(4, len(listing.items))
 
