Read the operators' keys first if changes were not received

A follower that lists all keys since a watch's answer did not arrive whole now lists those of the operators before that, which is one small page. It applies the configuration and the orders to retire VMs, and confirms nothing.

--- a/waxwingglade/follow/tests/test_missed_changes.py
+++ b/waxwingglade/follow/tests/test_missed_changes.py
@@ -9,7 +9,12 @@
 from waxwingglade.follow.feed import CachedView, FeedFollower
 from waxwingglade.follow.messages import Follow, Followed
 from waxwingglade.follow.model import Replica, Revision, TargetList, View
-from waxwingglade.follow.store import HistoryCompacted, Listing, StoreUnavailable
+from waxwingglade.follow.store import (
+    EventsNotReceived,
+    HistoryCompacted,
+    Listing,
+    StoreUnavailable,
+)
 from waxwingglade.follow.tests.builders import (
     SHORT_S,
     FollowingProcess,
@@ -118,6 +123,54 @@
         self.assertIn("vm", self.watcher.retiring)
         self.assertEqual(before, self.watcher.complete_until)
 
+    async def test_a_configuration_is_in_force_before_a_listing_that_takes_long(self) -> None:
+        """Guards against routes that wait until all that another writer left is listed."""
+        list_keys = self.store.list
+        is_read, is_asked, is_written = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def lose_events(*_: object) -> Listing:
+            is_asked.set()
+            await is_written.wait()
+            raise EventsNotReceived("a body of more than 1 byte", may_have_run=False)
+
+        async def list_slowly(prefix: str) -> Listing:
+            if prefix != "op/":
+                await is_read.wait()
+            return await list_keys(prefix)
+
+        with (
+            mock.patch.object(self.store, "list", list_slowly),
+            mock.patch.object(self.store, "watch", lose_events),
+        ):
+            await is_asked.wait()
+            confirmed_at = self.watcher.confirmed_at
+            self.now += 1.0
+            self.store.put("op/config", b'{"version": 9}')
+            self.store.put("targets/a", b"leaving")
+            is_written.set()
+            await until(lambda: self.watcher.view.version == 9)
+            # Nothing else is confirmed until all keys are listed.
+            self.assertEqual(set(), self.leaving())
+            self.assertEqual(confirmed_at, self.watcher.confirmed_at)
+            is_read.set()
+            await until(lambda: self.leaving() == {"a"})
+
+    async def test_changes_are_listed_although_reading_the_operators_keys_failed(self) -> None:
+        list_keys = self.store.list
+
+        async def fail_to_list(prefix: str) -> Listing:
+            if prefix == "op/":
+                raise StoreUnavailable("away", may_have_run=False)
+            return await list_keys(prefix)
+
+        lost = EventsNotReceived("a body of more than 1 byte", may_have_run=False)
+        with (
+            mock.patch.object(self.store, "list", fail_to_list),
+            mock.patch.object(self.store, "watch", side_effect=lost),
+        ):
+            self.store.put("op/config", b'{"version": 9}')
+            await until(lambda: self.watcher.view.version == 9)
+
     async def test_a_listing_without_the_changes_that_a_watch_lacked_confirms_nothing(self) -> None:
         await self.watcher.stop()
         older = await self.store.list("")
--- a/waxwingglade/follow/watcher.py
+++ b/waxwingglade/follow/watcher.py
@@ -248,6 +248,7 @@
             except EventsNotReceived as error:
                 logger.bind(reason=str(error)).warning("changes not received, listing all keys")
                 revision = None
+                await self._read_operators_keys()
                 continue
             except StoreUnavailable as error:
                 self._record_outage(str(error), asked_at)
@@ -293,6 +294,19 @@
         self._record_complete(asked_at)
         return listing.revision
 
+    async def _read_operators_keys(self) -> None:
+        """Read what operators wrote, before a listing that may take long.
+
+        Only the configuration and the orders are updated; the listing confirms the view.
+        """
+        try:
+            listing = await self.store.list(self.keys.operators)
+        except (HistoryCompacted, StoreUnavailable) as error:
+            logger.bind(reason=str(error)).info("reading the operators' keys failed")
+            return
+        if listing.revision >= self.revision:
+            self._apply_operator_items(list(listing.items), True)
+
     def _is_continuous(self, after: Revision, events: Listing) -> bool:
         """Return whether an answer has all events up to the newest revision that is known."""
         complete = contiguous_until(after, events)
