Compute the pause after a failure in one place

The steps of periodic tasks and the reports of retiring VMs each doubled a pause up to a longest one and kept when it ends. Both use Pause and pause_after now, beside the other doubled durations. Behaviour is the same; 39 of 39 tests of the five modules around it pass, their assertions unchanged.

--- a/waxwingglade/base/tasks.py
+++ b/waxwingglade/base/tasks.py
@@ -3,11 +3,12 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
-from typing import Any, NamedTuple
+from typing import Any
 
 from loguru import logger
 
 from waxwingglade.base import Clock, monotonic
+from waxwingglade.base.doubling import Pause, pause_after
 
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -98,13 +99,6 @@
     return task is not None and task.cancelling() > 0
 
 
-class Pause(NamedTuple):
-    """A pause after a failure: its length in seconds, and when it ends in monotonic seconds."""
-
-    length_s: float
-    ends_at: float
-
-
 class PeriodicSteps:
     """Runs the steps of a periodic task, so that one that fails keeps no other from running.
 
@@ -139,18 +133,18 @@
         step : callable
             The step, which may return an awaitable.
         """
-        pause = self.pauses.get(name)
-        if pause is not None and self.clock() < pause.ends_at:
+        before = self.pauses.get(name)
+        if before is not None and self.clock() < before.ends_at:
             return
         try:
             awaitable = step()
             if awaitable is not None:
                 await awaitable
         except Exception as error:
-            length_s = FIRST_PAUSE_S if pause is None else min(2 * pause.length_s, LONGEST_PAUSE_S)
-            self.pauses[name] = Pause(length_s, self.clock() + length_s)
+            pause = pause_after(before, FIRST_PAUSE_S, LONGEST_PAUSE_S, self.clock())
+            self.pauses[name] = pause
             record_failure(
-                "step failed, will be run again", f"{self.task}: {name}", error, length_s
+                "step failed, will be run again", f"{self.task}: {name}", error, pause.length_s
             )
         else:
             self.pauses.pop(name, None)
--- a/waxwingglade/ledger/retirement.py
+++ b/waxwingglade/ledger/retirement.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from waxwingglade.base import Clock, monotonic, shortened
+from waxwingglade.base.doubling import Pause, pause_after
 from waxwingglade.follow.store import KeyTooLong, Store
 
 FIRST_PAUSE_S = 0.25
@@ -18,7 +19,8 @@
 """Seconds after a failed report until the next one of the same VM, doubled up to the longest, as
 failed calls are priced, too."""
 
-NEVER = float("inf")
+ENDLESS = Pause(float("inf"), float("inf"))
+"""Pause after the failure of a report that can't be made at all."""
 
 
 class RetirementState(Enum):
@@ -35,15 +37,12 @@
     ----------
     reason : str
         What was wrong.
-    pause_s : float
-        Seconds from the failure to the next report.
-    retry_at : float
-        When the next report may be made, in monotonic seconds.
+    pause : Pause
+        Pause until the next report may be made.
     """
 
     reason: str
-    pause_s: float
-    retry_at: float
+    pause: Pause
 
 
 class RetirementReports:
@@ -94,21 +93,22 @@
             try:
                 await self._write(vm, states[vm])
             except KeyTooLong as error:
-                self._record_failure(vm, error, NEVER)
+                self._record_failure(vm, error, ENDLESS)
             # Whatever is wrong with one report must not keep the others from being made.
             except Exception as error:
-                self._record_failure(vm, error, self._next_pause_s(vm))
+                self._record_failure(vm, error, self._next_pause(vm))
                 return
             else:
                 self.failed.pop(vm, None)
 
     def _retry_at(self, vm: str) -> float:
         failure = self.failed.get(vm)
-        return float("-inf") if failure is None else failure.retry_at
+        return float("-inf") if failure is None else failure.pause.ends_at
 
-    def _next_pause_s(self, vm: str) -> float:
+    def _next_pause(self, vm: str) -> Pause:
         failure = self.failed.get(vm)
-        return FIRST_PAUSE_S if failure is None else min(2 * failure.pause_s, LONGEST_PAUSE_S)
+        before = None if failure is None else failure.pause
+        return pause_after(before, FIRST_PAUSE_S, LONGEST_PAUSE_S, self.clock())
 
     async def _write(self, vm: str, state: RetirementState) -> None:
         key = self.prefix + vm
@@ -121,11 +121,11 @@
         self.reported[vm] = state
         logger.bind(vm=vm, state=state.value).info("state of a retiring VM")
 
-    def _record_failure(self, vm: str, error: Exception, pause_s: float) -> None:
+    def _record_failure(self, vm: str, error: Exception, pause: Pause) -> None:
         """Record a failed report; one that fails repeatedly for the same reason is logged once."""
         reason = shortened(f"{type(error).__name__}: {error}")
         before = self.failed.get(vm)
-        self.failed[vm] = FailedReport(reason, pause_s, self.clock() + pause_s)
+        self.failed[vm] = FailedReport(reason, pause)
         if before is None or before.reason != reason:
             logger.bind(vm=vm, key_bytes=len((self.prefix + vm).encode()), reason=reason).warning(
                 "state of a retiring VM not reported"
