Take the length of the longest key from one place

The client of the store and the decoders of its entries each had the 200 bytes of the longest key. The decoders take the limit from the client now. The value is the same; the tests of the platform package, the fuzz tests of the registry and the tests of odd entries pass.

--- a/waxwingglade/platform/registry.py
+++ b/waxwingglade/platform/registry.py
@@ -23,6 +23,7 @@
     Share,
     Target,
 )
+from waxwingglade.platform.store import MAX_KEY_BYTES
 
 CONFIGURATION_KEY = "op/config"
 RETIRE_PREFIX = "op/retire/"
@@ -53,8 +54,8 @@
 MOST_SLOTS = 2**31 - 1
 """Greatest number of slots of one target, so that messages carry the sum over all targets."""
 
-NAME_CHARACTERS = 200
-"""Length of the longest name, which is that of the longest key of the store."""
+NAME_CHARACTERS = MAX_KEY_BYTES
+"""Length of the longest name: no key of the store is longer."""
 
 LINE = r"\A[^\x00-\x1f\x7f-\x9f\u2028\u2029]*\Z"
 """Pattern of a text without line breaks and other control characters."""
