--- a/review/small_cluster.py
+++ b/review/small_cluster.py
@@ -410,6 +410,11 @@
             )
         self.cluster.record.write(f"{self.name} started, process {self.process.pid}")
 
+    @property
+    def starts(self) -> int:
+        """Number of times that the process has logged that it started."""
+        return (self.folder / "log").read_bytes().count(b'"event":"started"')
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         assert self.process is not None
