Add a review case: answers lost if a header of the server ends with a space

Callers see their connection close without an answer, although a sound server has run the request. The parser of waxwingglade/transport keeps trailing whitespace of a header's value, and Exchange._write_head fails with it.

--- a/review/small_cluster.py
+++ b/review/small_cluster.py
@@ -119,6 +119,7 @@
         self.runs: list[Run] = []
         self.seq = 0
         self.state = "ready"
+        self.extra_header = ""
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.beating: asyncio.Task | None = None
@@ -218,6 +219,7 @@
         head = f"HTTP/1.1 {status} Status\r\n{self._common(request)}"
         head += f"{PREFIX}Server-Seal: seal\r\n" if sealed else ""
         head += f"{PREFIX}Not-Run: 1\r\n" if not_run else ""
+        head += f"{self.extra_header}\r\n" if self.extra_header else ""
         return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
