Add a review case: the loss of one zone stops the ledger of a larger fleet

Callers in all zones lose the ends of their streams while one zone is lost. Membership._is_needed lets any zone's replica join one second after its start, so three of five members may be in one zone, and nothing moves them while each zone has a member.

--- a/review/small_cluster.py
+++ b/review/small_cluster.py
@@ -37,7 +37,8 @@
 METRICS_PORT = 9464
 NETWORKS = range(100, 250)
 PREFIX = "X-Waxwingglade-"
-ZONES = {"sali-a": "suomi-etela", "sali-b": "suomi-etela", "sali-c": "suomi-etela"}
+REGION = "suomi-etela"
+ZONES = ("sali-a", "sali-b", "sali-c")
 
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 """Exit statuses of a case: its rule was broken, its rule held, it could not run."""
@@ -158,7 +159,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             while True:
                 await self._serve_one(reader, writer)
         self.writers.discard(writer)
@@ -353,7 +354,7 @@
         self.cluster = cluster
         self.serves = serves
         self.name = f"{serves}-{number}"
-        self.zone = list(ZONES)[number % len(ZONES)]
+        self.zone = cluster.zones[number % len(cluster.zones)]
         self.ip = f"{cluster.network}.{1 if serves == 'front' else 2}.{number + 1}"
         front, ready, link = (cluster.ports.reserve() for _ in range(3))
         self.front = f"{self.ip}:{front}"
@@ -369,8 +370,8 @@
             "serves": [serves],
             "ip": self.ip,
             "zone": self.zone,
-            "region": "suomi-etela",
-            "zones": ZONES,
+            "region": REGION,
+            "zones": dict.fromkeys(cluster.zones, REGION),
             "listen": {"front": self.front, "ready": self.ready} if serves == "front" else {},
             "port_range": [link, link],
             "seeds": [],
@@ -380,7 +381,7 @@
             "discovery": "platform",
             "entry": "vip",
             "heartbeat_ms": HEARTBEAT_MS,
-            "fault_tolerance": {"machines": 1, "zones": 1, "regions": 0},
+            "fault_tolerance": {"machines": cluster.lost_machines, "zones": 1, "regions": 0},
             "bounds": {**BOUNDS, **cluster.bounds},
             "provider": {
                 "address": cluster.store.address,
@@ -442,8 +443,13 @@
         entries: int = 2,
         ledgers: int = 3,
         bounds: dict[str, float] | None = None,
+        lost_machines: int = 1,
+        zones: tuple[str, ...] = ZONES,
     ) -> None:
+        self.zones = zones
         self.record = record
+        self.lost_machines = lost_machines
+        self.wanted_members = min(ledgers, 2 * lost_machines + 1)
         self.bounds = bounds or {}
         self.reserved, self.network = _reserve_network()
         self.ports = ReservedPorts()
@@ -452,6 +458,7 @@
         self.store = MetadataStore()
         self.store.start()
         self.servers: list[Server] = []
+        self.started_at = 0.0
         self.entries = [Process(self, "front", number) for number in range(entries)]
         self.ledgers = [Process(self, "storage", number) for number in range(ledgers)]
 
@@ -462,21 +469,22 @@
         return server
 
     async def start(self, configuration: dict) -> None:
-        """Start everything; return once all ledger processes are members and entries are ready."""
+        """Start everything; return once the ledger has its members and entries are ready."""
         self.store.put("op/config", configuration)
         for server in self.servers:
             await server.start()
         for process in [*self.ledgers, *self.entries]:
             process.start()
+        self.started_at = time.monotonic()
         async with asyncio.timeout(30.0):
-            while len(self.members()) < len(self.ledgers):
+            while len(self.members()) < self.wanted_members:
                 await asyncio.sleep(0.1)
             for entry in self.entries:
                 while not await self._is_ready(entry):
                     await asyncio.sleep(0.2)
         # The configuration and the servers have reached all processes after this time.
         await asyncio.sleep(2.0)
-        self.record.write("all ledger processes are members, all entries are ready")
+        self.record.write(f"members of the ledger: {self.members()}; all entries are ready")
 
     def members(self) -> list[str]:
         """Return the machines of the ledger's members; none while the set changes."""
