--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,9 @@
-"""A request that an entry accepts late in its grace period is cut off at a server that runs it."""
+"""Conversations are lost with one ledger machine, after the two others were restarted in turn.
+
+A ledger process that was stopped while a turn was kept never gets that turn.  After two planned
+restarts, one of the two processes has the earlier turn and the other one the later turn.  If the
+third machine is then removed for good, no process puts the two parts together.
+"""
 
 import asyncio
 import signal
@@ -6,24 +11,32 @@
 from pathlib import Path
 
 from review.small_cluster import (
-    GRACE_S,
+    BOUNDS,
     HOST,
+    Answer,
     Client,
     Cluster,
+    Process,
     Record,
     has_trouble,
     play,
 )
 
-SENT_AFTER_S = (3.3, 3.6, 3.9, 4.2)
-"""Seconds from SIGTERM until each client uses its connection again: later than the three seconds in
-which a request may still be cut off, and before the entry closes idle connections."""
+CONVERSATIONS = 4
+TRIES = 6
+"""Tries of each turn after the removal; five are needed to break the rule."""
+
+TRY_DEADLINE_S = 3.0
+AIM_S = 60.0
+"""Seconds from its first turn in which each program should end."""
 
-EVENTS, EVENT_S = 15, 0.28
-"""A stream of 4.2 s, whose pauses are below 300 ms; the route's timeout is 5 s."""
+PAUSE_S = 0.3
+"""Seconds before a client tries again, unless it is told to wait longer."""
 
-NOTICE_S = 0.5
-"""Seconds in which a server notices that its connection was closed."""
+FIRST_TURNS = 10
+"""First turns of new programs that are sent beside the tries."""
+
+START_TIMEOUT_S = 10.0
 
 CONFIGURATION = {
     "version": 7,
@@ -33,8 +46,8 @@
             "host": HOST,
             "path_prefix": "/chat/",
             "kind": "streaming",
-            "timeout_ms": 5000,
-            "target_latency_ms": 250,
+            "timeout_ms": 3000,
+            "target_latency_ms": 200,
             "target_gap_ms": 300,
             "priority": 1,
             "service": "engines",
@@ -49,8 +62,8 @@
         {
             "name": "engines",
             "health_path": "/health",
-            "max_conns": 210,
-            "engine": {"slots": 24, "kv_capacity": 189035, "stride": 30},
+            "max_conns": 170,
+            "engine": {"slots": 16, "kv_capacity": 513719, "stride": 30},
         }
     ],
     "limits": {
@@ -62,61 +75,119 @@
 }
 
 
-async def converse(cluster: Cluster, record: Record, number: int, after_s: float) -> bool:
-    """Send a turn before SIGTERM and the next one some time after; return whether none was lost."""
-    entry = cluster.entries[0]
-    client = Client(record, entry.front, f"client-{number}")
-    turn = {
-        "X-Waxwingglade-Program-Id": f"p{number}",
-        "X-Waxwingglade-Session-Id": f"s{number}",
-        "X-Waxwingglade-Finish-Ms": "30000",
-        "X-Waxwingglade-Token-Budget": "4608",
-        "X-Waxwingglade-Token-Count": "10,450",
+def headers_of(program: str, previous: str | None, left_s: float) -> dict[str, str]:
+    """Return the headers of a program's turn."""
+    headers = {
+        "X-Waxwingglade-Program-Id": program,
+        "X-Waxwingglade-Session-Id": f"session-{program}",
+        "X-Waxwingglade-Finish-Ms": str(int(left_s * 1000)),
+        "X-Waxwingglade-Token-Budget": "9000",
+        "X-Waxwingglade-Token-Count": "10,90",
     }
-    first, second = f"turn-{number}-1", f"turn-{number}-2"
-    answer = await client.ask("POST", "/chat/1", first, b"first", headers=turn)
-    if not answer.whole:
-        raise RuntimeError("a turn before the disruption was not answered")
-    cluster.answered_first += 1
-    while cluster.terminated_at is None:
-        await asyncio.sleep(0.005)
-    await asyncio.sleep(cluster.terminated_at + after_s - time.monotonic())
-    turn["X-Waxwingglade-Previous-Turn"] = first
-    answer = await client.ask("POST", "/chat/2", second, b"second", headers=turn)
-    await asyncio.sleep(NOTICE_S)
-    ran = [run for server in cluster.servers for run in server.runs if run.request == second]
-    sent_s = client.sent_at - cluster.terminated_at
-    ended = [f"{run.ended_at - cluster.terminated_at:.2f}" for run in ran if run.ended_at]
-    record.write(
-        f"{second} was sent {sent_s:.2f} s after SIGTERM of {GRACE_S} s grace; runs: {len(ran)}, "
-        f"its server worked until {ended} s after it; whole answer: {answer.whole}"
+    if previous is not None:
+        headers["X-Waxwingglade-Previous-Turn"] = previous
+    return headers
+
+
+class TimedCluster(Cluster):
+    """A cluster that knows when each program began."""
+
+    began_at: dict[str, float]
+
+
+async def take_turn(
+    cluster: TimedCluster, name: str, program: str, previous: str | None, attempt: int = 0
+) -> Answer:
+    """Send a turn of a program to an entry."""
+    entry = cluster.entries[attempt % len(cluster.entries)]
+    client = Client(cluster.record, entry.front, program)
+    body = f"input of {program}\n".encode()
+    began_at = cluster.began_at.setdefault(program, time.monotonic())
+    left_s = began_at + AIM_S - time.monotonic()
+    headers = headers_of(program, previous, left_s)
+    answer = await client.ask("POST", "/chat/1", name, body, TRY_DEADLINE_S, headers)
+    client.close()
+    return answer
+
+
+async def take_turns(cluster: TimedCluster, number: int) -> None:
+    """Send the next turn of all conversations; each has to be answered whole."""
+    previous = f"-turn-{number - 1}"
+    answered = await asyncio.gather(
+        *(
+            take_turn(
+                cluster,
+                f"p{each}-turn-{number}",
+                f"p{each}",
+                f"p{each}{previous}" if number > 1 else None,
+                each,
+            )
+            for each in range(CONVERSATIONS)
+        )
     )
-    return answer.whole or not ran
+    if not all(answer.whole for answer in answered):
+        raise RuntimeError(f"turn {number} was not answered before the loss")
 
 
-class DrainedCluster(Cluster):
-    """A cluster of which one entry is stopped once all clients have had an answer."""
+async def restart_during_turn(cluster: TimedCluster, ledger: Process, number: int) -> None:
+    """Stop a ledger process as planned work does, take a turn, and start the process again."""
+    assert ledger.process is not None
+    if not has_trouble():
+        await take_turns(cluster, number)
+        return
+    ledger.signal(signal.SIGTERM)
+    await asyncio.to_thread(ledger.process.wait)
+    cluster.record.write(f"{ledger.name} has ended, status {ledger.process.returncode}")
+    await take_turns(cluster, number)
+    starts = ledger.starts
+    ledger.start()
+    end_at = time.monotonic() + START_TIMEOUT_S
+    while ledger.starts == starts:
+        if time.monotonic() > end_at:
+            raise RuntimeError(f"{ledger.name} did not start again")
+        await asyncio.sleep(0.05)
+    cluster.record.write(f"{ledger.name} is back")
+    # The machine counts as lost for this time after it is back.
+    await asyncio.sleep(BOUNDS["catch_up_s"] + 1.0)
 
-    answered_first = 0
-    terminated_at: float | None = None
+
+async def try_turn(cluster: TimedCluster, each: int) -> int:
+    """Try the turn after the loss several times; return how many tries reached a server."""
+    reached = 0
+    for attempt in range(TRIES):
+        name = f"p{each}-turn-4-try-{attempt}"
+        answer = await take_turn(cluster, name, f"p{each}", f"p{each}-turn-3", attempt)
+        reached += any(run.request == name for server in cluster.servers for run in server.runs)
+        await asyncio.sleep(max(PAUSE_S, float(answer.headers.get("retry-after", 0))))
+    return reached
 
 
 async def case(record: Record) -> bool:
-    """Return whether each request was answered whole, or not run."""
-    cluster = DrainedCluster(record)
-    cluster.server("engines", events=EVENTS, event_s=EVENT_S)
+    """Return whether each conversation went on."""
+    cluster = TimedCluster(record)
+    cluster.began_at = {}
+    cluster.server("engines", events=3, event_s=0.01)
+    first, second, third = cluster.ledgers
     try:
         await cluster.start(CONFIGURATION)
-        clients = [
-            asyncio.create_task(converse(cluster, record, number, after_s))
-            for number, after_s in enumerate(SENT_AFTER_S)
-        ]
-        while cluster.answered_first < len(clients) and not any(each.done() for each in clients):
-            await asyncio.sleep(0.01)
+        await take_turns(cluster, 1)
+        await restart_during_turn(cluster, first, 2)
+        await restart_during_turn(cluster, second, 3)
         if has_trouble():
-            cluster.entries[0].signal(signal.SIGTERM)
-        cluster.terminated_at = time.monotonic()
-        return all(await asyncio.gather(*clients))
+            third.signal(signal.SIGTERM)
+            record.write(f"{third.name} is removed for good")
+        await asyncio.sleep(BOUNDS["contact_ms"] / 1000 + 1.0)
+        tries = [asyncio.create_task(try_turn(cluster, each)) for each in range(CONVERSATIONS)]
+        begun = [
+            (await take_turn(cluster, f"new-{each}-turn-1", f"new-{each}", None, each)).whole
+            for each in range(FIRST_TURNS)
+        ]
+        reached = await asyncio.gather(*tries)
+        record.write(f"first turns answered: {sum(begun)} of {FIRST_TURNS}")
+        record.write(f"tries that reached a server, of {TRIES} in each conversation: {reached}")
+        if not all(begun):
+            raise RuntimeError("first turns were not answered")
+        return all(reached)
     finally:
         await cluster.stop()
 
