--- a/review/small_cluster.py
+++ b/review/small_cluster.py
@@ -12,24 +12,16 @@
 import signal
 import socket
 import subprocess
-import sys
 import tempfile
 import time
 import tomllib
-import types
 from dataclasses import dataclass, field
 from pathlib import Path
 
-ROOT = Path(__file__).resolve().parent.parent
-
-# The package `standins` imports libraries that the deploy file does not install; its module with
-# the store does not need them.
-_standins = types.ModuleType("waxwingglade.standins")
-_standins.__path__ = [str(ROOT / "waxwingglade" / "standins")]
-sys.modules.setdefault("waxwingglade.standins", _standins)
+from tests.ports import ReservedPorts
+from waxwingglade.standins.metadata_store import MetadataStore
 
-from tests.ports import ReservedPorts  # noqa: E402
-from waxwingglade.standins.metadata_store import MetadataStore  # noqa: E402
+ROOT = Path(__file__).resolve().parent.parent
 
 HOST = "ficu95.example"
 HEARTBEAT_MS = 1200
