--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,5 @@
 here="$(cd "$(dirname "$0")" && pwd)" || exit 2
 cd "$here/../.." || exit 2
 export PYTHONPATH="$PWD/target/deps:$PWD"
+[ -x target/waxwingglade ] && python3 -c "import review.cluster" || exit 2
 exec python3 "$here/case.py"
