Refuse late requests that may outlast a stopping entry

Cause: one instant for all requests. They were accepted for 0.55 of the grace period, and the process exited at 0.93 of it, so that what came in between had 3 s whatever its route allowed. Requests that waited in the entry, and retries of refused calls, were sent as late.

Change: once the load balancer has noticed the stop, a request starts only if it ends before the exit by its route's timeout and its deadline; otherwise it is refused as not run. This is checked on arrival and before each sending that no earlier one can have run. Calls that have had no part of an answer at the exit get 502, or 503 if nothing was sent.

Why this works: what may outlast the process never reaches a target, so there is nothing left to cut off.

--- a/waxwingglade/ingress/entry.py
+++ b/waxwingglade/ingress/entry.py
@@ -47,9 +47,11 @@
     is_stream,
     read_call,
     serve_plain,
+    stopped_refusal,
     timeout_refusal,
 )
 from waxwingglade.ingress.settings import IngressSettings
+from waxwingglade.ingress.shutdown import ShutdownSchedule
 from waxwingglade.ingress.streaming import LedgerAccess, serve_stream
 from waxwingglade.ledger.client import LedgerClient
 from waxwingglade.ledger.messages import LedgerMessage, SharedLoads
@@ -75,6 +77,9 @@
 """Seconds without a quorum report of a replica after which callers should go to another entry.
 Reports arrive twice a second; the balancer takes two more seconds to act."""
 
+FINAL_ANSWER_TIMEOUT_S = 0.1
+"""Seconds that an exiting entry waits for its answers to unfinished requests to be written."""
+
 PRIORITY_STEP = 2
 MAX_PRIORITY = 9
 """Ranks of routes map to the engine priorities 2, 4 and so on, up to the maximum."""
@@ -151,6 +156,7 @@
         self.table: RouteTable | None = None
         self.draining = False
         self.accepts_requests = True
+        self.shutdown = ShutdownSchedule()
         self.quorum_monitor = QuorumMonitor(lambda: self.reaches_ledger)
         self.rotation = RotationEstimate()
         self.open_exchanges: dict[object, Exchange] = {}
@@ -189,9 +195,12 @@
         """Stop accepting requests and complete those in progress.
 
         Callers are served while the balancer may still send some, and their answers have the header
-        ``Connection: close``.  Then idle connections are closed, and the others after their answer.
+        ``Connection: close``.  After that, requests that may last longer than the process are
+        refused.  Then idle connections are closed, and the others after their answer.
         """
         began_at = time.monotonic()
+        self.shutdown.notice_at = began_at + self.settings.drain_notice_s
+        self.shutdown.exit_at = began_at + self.settings.drain_timeout_s
         self.draining = True
         logger.bind(running=len(self.running)).info("draining")
         await asyncio.sleep(self.settings.drain_wait_s)
@@ -200,10 +209,19 @@
         self.accepts_requests = False
         for exchange in list(self.open_exchanges.values()):
             exchange.close_when_idle()
-        while self.running and time.monotonic() - began_at < self.settings.drain_timeout_s:
+        while self.running and time.monotonic() < self.shutdown.exit_at:
             await asyncio.sleep(CHECK_INTERVAL_S / 4)
-        await self.ledger.finish(began_at + self.settings.drain_timeout_s - time.monotonic())
         logger.bind(running=len(self.running)).info("drained")
+        await self._end_unfinished()
+        await self.ledger.finish(self.shutdown.exit_at - time.monotonic())
+
+    async def _end_unfinished(self) -> None:
+        """End the requests in progress; callers without any part of an answer get a last one."""
+        unfinished = list(self.running)
+        for task in unfinished:
+            task.cancel()
+        if unfinished:
+            await asyncio.wait(unfinished, timeout=FINAL_ANSWER_TIMEOUT_S)
 
     async def stop(self) -> None:
         """Close all connections and cancel all tasks."""
@@ -409,6 +427,10 @@
             if await exchange.caller_has_disconnected():
                 raise CallerDisconnected
             serving = read_call(exchange, self.dialect, self.table, trace, self._identify)
+            serving.shutdown = self.shutdown
+            serving.answer_grace_s = self.settings.answer_grace_s
+            if not serving.may_start:
+                raise stopped_refusal(None)
             await self._serve_in_time(serving)
         except Refusal as refusal:
             trace.reason = refusal.reason
@@ -417,6 +439,8 @@
             trace.reason = "the caller has left"
         except asyncio.CancelledError:
             trace.reason = "the caller has left" if exchange.disconnected else "stopped"
+            if not exchange.disconnected:
+                await self._refuse(exchange, trace, stopped_refusal(trace.attempts))
             raise
         except Exception:
             trace.reason = "internal error"
@@ -426,7 +450,7 @@
             self._log(exchange, trace)
 
     async def _serve_in_time(self, serving: Serving) -> None:
-        left_s = serving.time_left() + self.settings.answer_grace_s
+        left_s = serving.time_left() + serving.answer_grace_s
         attempts = Attempts(
             self.dialect,
             self.pool,
--- a/waxwingglade/ingress/serving.py
+++ b/waxwingglade/ingress/serving.py
@@ -31,6 +31,7 @@
 )
 from waxwingglade.ingress.routes import RouteTable
 from waxwingglade.ingress.send_grants import NoGrant
+from waxwingglade.ingress.shutdown import ShutdownSchedule
 from waxwingglade.ledger.messages import AccountLimit, Grant, TurnId
 from waxwingglade.transport import ConnectionBroken
 
@@ -91,7 +92,15 @@
 
 
 class Serving(msgspec.Struct):
-    """One call, with its route, service, deadline, account and the limit of the account."""
+    """One call, with its route, service, deadline, account and the limit of the account.
+
+    Parameters
+    ----------
+    shutdown : ShutdownSchedule
+        Decides until when the call may be sent if the entry stops.
+    answer_grace_s : float
+        Seconds after `end_at` in which the target may still answer that the time is over.
+    """
 
     exchange: Exchange
     call: Call
@@ -101,6 +110,13 @@
     end_at: float
     account: ClientAccount | None = None
     limit: AccountLimit | None = None
+    shutdown: ShutdownSchedule = msgspec.field(default_factory=ShutdownSchedule)
+    answer_grace_s: float = 0.0
+
+    @property
+    def may_start(self) -> bool:
+        """Whether a target may begin to work on the call, as the entry will not exit before."""
+        return self.shutdown.allows_until(self.end_at + self.answer_grace_s)
 
     def time_left(self) -> float:
         """Return the seconds that are left for a target to answer."""
@@ -188,6 +204,8 @@
             raise timeout_refusal(attempts)
         if not attempts.may_try:
             raise exhausted_refusal(attempts)
+        if not attempts.may_have_run and not serving.may_start:
+            raise stopped_refusal(attempts)
         try:
             return await attempts.open(body, priority(serving), last_event)
         except NoTarget as error:
@@ -273,6 +291,13 @@
     return Refusal(UNAVAILABLE, "not run: the time of the request is over")
 
 
+def stopped_refusal(attempts: Attempts | None) -> Refusal:
+    """Return the final answer of a call that would last longer than the entry."""
+    if attempts is not None and attempts.may_have_run:
+        return Refusal(BAD_GATEWAY, "the entry stops before the target has answered")
+    return Refusal(UNAVAILABLE, "not run: the entry stops")
+
+
 def is_stream(route: Route) -> bool:
     """Return whether the calls of a route are answered by a stream of events."""
     return route.kind is CallKind.STREAM
@@ -289,5 +314,6 @@
     "read_call",
     "report_break",
     "serve_plain",
+    "stopped_refusal",
     "timeout_refusal",
 ]
--- a/waxwingglade/ingress/settings.py
+++ b/waxwingglade/ingress/settings.py
@@ -27,12 +27,15 @@
         again only after a second, so it is quicker to try another target.
     answer_grace_s : float
         Extra time after the timeout of a request, for the timeout answer of the target itself.
+    drain_notice_s : float
+        Time from the stop signal until requests that may last longer than the process are refused.
+        The balancer checks once a second, needs two failed checks to send callers to another entry,
+        and acts with a delay.
     drain_wait_s : float
-        Time from the stop signal until requests are no longer accepted.  The balancer checks once
-        a second, needs two failed checks to send callers to another entry, and acts with a delay.
+        Time from the stop signal until no request is accepted any more.
     drain_timeout_s : float
         Time from the stop signal until the process ends; the platform kills the process after its
-        grace period.  The difference from `drain_wait_s` must suffice for the longest request.
+        grace period.
     retry_after_s : float
         Time after which a caller that was not served may retry.
     keys : KeyAgeLimits
@@ -48,6 +51,7 @@
     metrics: str = ""
     connect_timeout_s: float = 0.35
     answer_grace_s: float = 0.12
+    drain_notice_s: float = 2.8
     drain_wait_s: float = 4.4
     drain_timeout_s: float = 7.4
     retry_after_s: float = 0.1
--- a/waxwingglade/platform/process.py
+++ b/waxwingglade/platform/process.py
@@ -54,10 +54,15 @@
 METRICS_PORT = 9464
 """Port of the metrics page, the same on every machine; deploy/system.toml names it too."""
 
+BALANCER_NOTICE_S = 3.0
+"""Seconds after SIGTERM within which the load balancer stops sending callers to an entry."""
+
+MAX_SIGNAL_DELAY_S = 0.2
+"""Seconds by which a busy process may handle SIGTERM late."""
+
 ACCEPT_SHARE = 0.55
-"""Share of the grace period in which a stopping process still accepts requests.  This is longer
-than the three seconds that the load balancer needs to notice, and leaves as much time for the
-longest request."""
+"""Share of the grace period in which a stopping process still accepts requests that will end before
+it exits."""
 
 EXIT_SHARE = 0.93
 """Share of the grace period after which a stopping process exits, before it is killed."""
@@ -92,6 +97,7 @@
             callers=settings.listen["front"],
             ready=settings.listen["ready"],
             metrics=f"{settings.ip}:{METRICS_PORT}",
+            drain_notice_s=min(BALANCER_NOTICE_S - MAX_SIGNAL_DELAY_S, ACCEPT_SHARE * grace_s),
             drain_wait_s=ACCEPT_SHARE * grace_s,
             drain_timeout_s=EXIT_SHARE * grace_s,
             keys=key_rules(settings.bounds),
