Find chains of which no single member has all turns

Cause: members were asked for the chain up to its last turn only. A member without the last turn answers with nothing, though it has earlier turns that the others lack.

Change: the search goes on to ask for the first turn that is still missing, as long as some member sends one. Only the last turn can be denied, by members that intersect every majority; an earlier turn that no member sends is no proof of anything.

Why this works: each turn is stored at a majority, so of any two members one has it, and the search reaches it whichever members lack others.

--- a/waxwingglade/ledger/tests/builders.py
+++ b/waxwingglade/ledger/tests/builders.py
@@ -11,7 +11,7 @@
 from waxwingglade.follow.model import Replica as Member
 from waxwingglade.follow.model import ReplicaSet
 from waxwingglade.ledger.coordinator import Coordinator
-from waxwingglade.ledger.messages import BeginTurn, EndTurn, Turn, TurnId
+from waxwingglade.ledger.messages import BeginTurn, EndTurn, Keep, Turn, TurnId
 from waxwingglade.ledger.replica import Replica
 
 PROGRAM = ProgramId("program-1")
@@ -130,6 +130,11 @@
         if (sender, receiver) in self.blocked or self.random.random() < self.loss:
             raise MessageLost(f"{sender} to {receiver}")
 
+    async def keep(self, turn: Turn, *vms: str) -> None:
+        """Store a turn at some replicas only."""
+        for vm in vms:
+            await self.replicas[vm].handle(Keep(self.set.epoch, turn))
+
     def isolate(self, vm: str) -> None:
         """Partition a replica from all others, in both directions."""
         for other in self.replicas:
--- a/waxwingglade/ledger/turns.py
+++ b/waxwingglade/ledger/turns.py
@@ -1,7 +1,9 @@
 """Storage of turns at a majority of the members, and retrieval of chains of turns."""
 
 import asyncio
+from contextlib import aclosing
 
+import msgspec
 from loguru import logger
 
 from waxwingglade.base.logs import Sampler
@@ -51,42 +53,61 @@
 
         A turn that was answered completely is stored at a majority of the set of members of that
         time.  If the members without the turn intersect every such majority, the turn does not
-        exist.
+        exist.  An earlier turn of its chain that no member sends is never taken as nonexistent.
 
         Raises
         ------
         NoMajority
-            If too few members answer to decide.
+            If too few members answer to decide, or none that answers has a turn of the chain.
         """
         while True:
             replicas = self.rounds.usable_members()
-            message = Find(replicas.epoch, turn)
-            if (chain := await self._find_here(replicas, message)) is not None:
-                return chain
-            absent: set[str] = set()
-            partial: dict[TurnId, Turn] = {}
+            known = await self._find_here(replicas, turn)
             refused = False
-            async for member, answer in self.rounds.answers(replicas, message):
+            while (missing := _first_missing(known, turn)) is not None:
+                search = await self._search(replicas, missing, known)
+                if missing == turn and replicas.intersects_all_majorities(search.absent):
+                    self._log_denial(turn, replicas, search.absent)
+                    return None
+                if search.found:
+                    continue
+                if not search.refused:
+                    raise NoMajority(
+                        f"{len(search.absent)} of {len(replicas.members)} members without "
+                        + ("the turn" if missing == turn else f"{missing}, an earlier turn")
+                    )
+                refused = True
+                break
+            if not refused:
+                return _chain(known, turn)
+            await asyncio.sleep(FIRST_PAUSE_S)
+
+    async def _search(
+        self, replicas: ReplicaSet, missing: TurnId, known: dict[TurnId, Turn]
+    ) -> "_Search":
+        """Ask the members for a turn, and add it and the turns before it to the known ones.
+
+        Returns once a member has sent the turn, or it certainly does not exist, or all have
+        answered.
+        """
+        search = _Search()
+        async with aclosing(
+            self.rounds.answers(replicas, Find(replicas.epoch, missing))
+        ) as answers:
+            async for member, answer in answers:
                 if isinstance(answer, OtherEpoch):
                     self.rounds.observe_replicas(answer.replicas)
-                    refused = True
+                    search.refused = True
                 if not isinstance(answer, Found):
                     continue
-                if answer.whole:
-                    return answer.chain
-                partial.update({each.turn: each for each in answer.chain})
-                if not answer.chain:
-                    absent.add(member.disk)
-                if (chain := _join(partial, turn)) is not None:
-                    return chain
-                if replicas.intersects_all_majorities(absent):
-                    self._log_denial(turn, replicas, absent)
-                    return None
-            if not refused:
-                raise NoMajority(
-                    f"{len(absent)} of {len(replicas.members)} members without the turn"
-                )
-            await asyncio.sleep(FIRST_PAUSE_S)
+                known.update({each.turn: each for each in answer.chain})
+                if answer.chain:
+                    search.found = True
+                    return search
+                search.absent.add(member.disk)
+                if replicas.intersects_all_majorities(search.absent):
+                    return search
+        return search
 
     def _log_denial(self, turn: TurnId, replicas: ReplicaSet, absent: set[str]) -> None:
         """Log the members without a turn that was denied.
@@ -104,31 +125,54 @@
             left_out=self.denials.take_left_out(),
         ).warning("turn denied")
 
-    async def _find_here(self, replicas: ReplicaSet, message: Find) -> tuple[Turn, ...] | None:
-        """Return the chain up to a turn if the replica of this process has all of it.
+    async def _find_here(self, replicas: ReplicaSet, turn: TurnId) -> dict[TurnId, Turn]:
+        """Return the part of the chain up to a turn that the replica of this process has.
 
-        The local replica has it in most cases.  If all members were asked at once, each would send
-        the whole chain.
+        The local replica has all of it in most cases.  If all members were asked at once, each
+        would send the whole chain.
         """
         for member in replicas.members:
             if member.disk != self.rounds.own.disk:
                 continue
-            answer = await self.rounds.ask_one(member, message)
-            if isinstance(answer, Found) and answer.whole:
-                return answer.chain
-        return None
+            answer = await self.rounds.ask_one(member, Find(replicas.epoch, turn))
+            if isinstance(answer, Found):
+                return {each.turn: each for each in answer.chain}
+        return {}
+
+
+class _Search(msgspec.Struct):
+    """Outcome of asking the members for one turn.
+
+    Parameters
+    ----------
+    found : bool
+        Whether a member has sent the turn.
+    refused : bool
+        Whether a member uses another set of members.
+    absent : set of str
+        Disks of the members without the turn.
+    """
+
+    found: bool = False
+    refused: bool = False
+    absent: set[str] = msgspec.field(default_factory=set)
+
+
+def _first_missing(turns: dict[TurnId, Turn], last: TurnId) -> TurnId | None:
+    """Return the last turn of a chain that is not among the turns; None if all are."""
+    wanted: TurnId | None = last
+    while wanted is not None and wanted in turns:
+        wanted = turns[wanted].previous
+    return wanted
 
 
-def _join(turns: dict[TurnId, Turn], last: TurnId) -> tuple[Turn, ...] | None:
-    """Return the complete chain up to a turn; None if any turn of it is missing."""
+def _chain(turns: dict[TurnId, Turn], last: TurnId) -> tuple[Turn, ...]:
+    """Return the chain up to a turn, of which none is missing."""
     chain = []
     wanted: TurnId | None = last
     while wanted is not None:
-        turn = turns.get(wanted)
-        if turn is None or len(chain) > len(turns):
-            return None
-        chain.append(turn)
-        wanted = turn.previous
+        chain.append(turns[wanted])
+        wanted = turns[wanted].previous
     return tuple(reversed(chain))
 
 
