Retain the turns of a chain whatever the order in which they arrive

Cause: a turn prolonged the retention of its ancestors only along the links that were there when it was added. A joining replica reads batches of several members at once, so a turn may arrive after those that continue it. It then kept its own expiry, and so did all turns before it.

Change: an index of turns notes which turns are missing although stored ones continue them, and until when. A turn that fills such a gap takes this time over and passes it on to its own ancestors.

Why this works: what any retained turn continues is either retained at least as long or a gap that knows how long it is needed, in any order.

--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -626,10 +626,17 @@
 
 
 class Fetched(Message):
-    """The requested turns and accounts that the replica has."""
+    """The requested turns and accounts that the replica has.
+
+    Parameters
+    ----------
+    retained_until : dict
+        Calendar time until which the replica retains each turn that later turns continue.
+    """
 
     turns: tuple[Turn, ...] = ()
     accounts: dict[ProgramId, tuple[Ballot, Account]] = msgspec.field(default_factory=dict)
+    retained_until: dict[TurnId, float] = msgspec.field(default_factory=dict)
 
 
 ReplicaRequest = (
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -65,15 +65,13 @@
 )
 from waxwingglade.ledger.stored_grants import StoredGrants
 from waxwingglade.ledger.target_failures import FailureTable, TargetFailures
+from waxwingglade.ledger.turn_index import TurnIndex, TurnPlace
 from waxwingglade.ledger.unresolved_ends import UnresolvedEnds
 
 ACCOUNT_RETENTION_S = 600.0
 """Seconds for which the account of a program is retained after its last change.  Stopped programs
 resume within the retention of their turns, which is a minute at the known sites."""
 
-EXPIRY_MARGIN_S = 60.0
-"""Seconds for which a turn is retained after it expires, as clocks of VMs differ by seconds."""
-
 GRANT_RETENTION_S = 60.0
 """Seconds for which grants stay on disk; longer than any period over which they are counted."""
 
@@ -100,14 +98,6 @@
     account: Account = NEW_ACCOUNT
 
 
-class TurnPlace(msgspec.Struct):
-    """Location of a turn on disk, the turn that it continues, and its expiry in calendar time."""
-
-    place: Place
-    previous: TurnId | None
-    expires_at: float
-
-
 class Replica:
     """Stores the accounts and turns of one disk.
 
@@ -145,7 +135,7 @@
         self.clock = clock
         self.journal = Journal(folder)
         self.slots: dict[ProgramId, Slot] = {}
-        self.turns: dict[TurnId, TurnPlace] = {}
+        self.index = TurnIndex()
         self.cache: OrderedDict[TurnId, Turn] = OrderedDict()
         self.cached_bytes = 0
         self.replicas = ReplicaSet()
@@ -173,6 +163,11 @@
             ListFailures: self.list_failures,
         }
 
+    @property
+    def turns(self) -> dict[TurnId, TurnPlace]:
+        """The turns that are stored, by name."""
+        return self.index.places
+
     @property
     def disk(self) -> str:
         """Name of the content of the disk."""
@@ -197,7 +192,7 @@
     def _replay(self, place: Place, content: bytes) -> None:
         record = decode(content)
         if isinstance(record, TurnRecord):
-            self._index(record.turn, place)
+            self.index.add(record.turn, place)
         elif isinstance(record, MembersRecord):
             self.replicas = record.replicas
             self.largest_set = max(self.largest_set, len(record.replicas.members))
@@ -375,24 +370,13 @@
         # did not receive the turn, which then must not count as stored under the older set.
         return self._refused(message.epoch) or Kept()
 
-    async def _store_turn(self, turn: Turn) -> None:
+    async def _store_turn(self, turn: Turn, retain_until: float = 0.0) -> None:
         if turn.turn in self.turns:
             return
         place = await self._write(TurnRecord(turn))
-        self._index(turn, place)
+        self.index.add(turn, place, retain_until)
         self._add_to_cache(turn)
 
-    def _index(self, turn: Turn, place: Place) -> None:
-        """Add a turn to the index, and retain its ancestors at least as long."""
-        self.turns[turn.turn] = TurnPlace(place, turn.previous, turn.expires_at)
-        previous = turn.previous
-        for _ in range(MAX_CHAIN_LENGTH):
-            where = self.turns.get(previous) if previous is not None else None
-            if where is None or where.expires_at >= turn.expires_at:
-                return
-            where.expires_at = turn.expires_at
-            previous = where.previous
-
     async def find(self, message: Find) -> Any:
         """Return the chain up to a turn, or a refusal under another set of members."""
         if refusal := self._refused(message.epoch):
@@ -471,11 +455,19 @@
             slot = self.slots.get(program)
             if slot is not None:
                 accounts[program] = (slot.accepted, slot.account)
-        return Fetched(tuple(turns), accounts)
+        retained = {
+            turn.turn: where.expires_at
+            for turn in turns
+            if (where := self.turns.get(turn.turn)) and where.expires_at > turn.expires_at
+        }
+        return Fetched(tuple(turns), accounts, retained)
 
     async def store_fetched(self, fetched: Fetched) -> None:
         """Store data of another replica, as if the proposals had reached this one late."""
-        writes = [self._store_turn(turn) for turn in fetched.turns]
+        writes = [
+            self._store_turn(turn, fetched.retained_until.get(turn.turn, 0.0))
+            for turn in fetched.turns
+        ]
         for program, (ballot, account) in fetched.accounts.items():
             slot = self.slots.setdefault(program, Slot())
             if ballot <= slot.accepted:
@@ -515,12 +507,10 @@
     def forget_expired(self) -> None:
         """Remove expired turns and accounts from the index and from memory."""
         now = self.wall_clock()
-        for name, where in list(self.turns.items()):
-            if where.expires_at + EXPIRY_MARGIN_S < now:
-                del self.turns[name]
-                cached = self.cache.pop(name, None)
-                if cached is not None:
-                    self.cached_bytes -= len(cached.asked) + len(cached.answered)
+        for name in self.index.remove_expired(now):
+            cached = self.cache.pop(name, None)
+            if cached is not None:
+                self.cached_bytes -= len(cached.asked) + len(cached.answered)
         for program, slot in list(self.slots.items()):
             if slot.accepted.number and slot.account.touched_at + ACCOUNT_RETENTION_S < now:
                 del self.slots[program]
