Let members of the ledger read the turns that they missed

Cause: a turn is acknowledged once a majority has stored it, and a member that was away stayed without it, as replicas read from each other only when they join.

Change: twice a second each member compares its unexpired turns with the next member, by a checksum for each second of expiry, and reads what it lacks. Turns that are retained only for later ones show as gaps and are asked for by name.

Why this works: a retained turn is unexpired, or some unexpired turn continues it. The first kind differs in a checksum, the second is a gap of a turn of the first kind, so whatever kept a member from a turn, it is noticed within seconds.

--- a/waxwingglade/ledger/messages.py
+++ b/waxwingglade/ledger/messages.py
@@ -639,6 +639,40 @@
     retained_until: dict[TurnId, float] = msgspec.field(default_factory=dict)
 
 
+class Checksums(msgspec.Struct, array_like=True):
+    """Checksums of the unexpired turns of a replica, in groups by the time of their expiry.
+
+    Parameters
+    ----------
+    settled : dict
+        Checksum of each group that has not changed recently.
+    changing : tuple of int
+        The other groups, which can't be compared now.
+    """
+
+    settled: dict[int, int]
+    changing: tuple[int, ...] = ()
+
+
+class CompareTurns(Message):
+    """Ask a member for the names of turns that the sender may lack.
+
+    Parameters
+    ----------
+    gaps : tuple of TurnId
+        Turns that the sender lacks although it has turns that continue them.
+    """
+
+    checksums: Checksums
+    gaps: tuple[TurnId, ...] = ()
+
+
+class DifferentTurns(Message):
+    """Names of turns of a member, in groups whose checksums differ, and of gaps that it has."""
+
+    turns: tuple[TurnId, ...] = ()
+
+
 ReplicaRequest = (
     Prepare
     | Accept
@@ -651,6 +685,7 @@
     | ListHeld
     | Fetch
     | ListFailures
+    | CompareTurns
 )
 
 
@@ -719,6 +754,8 @@
     | Held
     | Fetch
     | Fetched
+    | CompareTurns
+    | DifferentTurns
     | ToReplica
     | NotHere
 )
--- a/waxwingglade/ledger/metrics.py
+++ b/waxwingglade/ledger/metrics.py
@@ -52,6 +52,8 @@
         values = {
             "grants_quota": node.quotas.may_grant,
             "turns": len(replica.turns),
+            "turn_gaps": len(replica.index.gaps),
+            "turns_repaired": node.turn_repair.repaired,
             "accounts": len(replica.slots),
             "unsettled_ends": len(replica.unresolved_ends),
             "failed_requests": len(replica.failures.records),
--- a/waxwingglade/ledger/node.py
+++ b/waxwingglade/ledger/node.py
@@ -56,6 +56,7 @@
 from waxwingglade.ledger.metrics import LedgerMetrics
 from waxwingglade.ledger.quotas import Granted, Quotas
 from waxwingglade.ledger.replica import Replica
+from waxwingglade.ledger.turn_repair import TurnRepair
 from waxwingglade.transport.links import Codec, Links, LinkServer
 from waxwingglade.transport.page import serve_metrics
 
@@ -178,6 +179,9 @@
             overdue_s=lambda: self.loop_delay.overdue_s,
         )
         self.membership.observe_replicas = self.observe_replicas
+        self.turn_repair = TurnRepair(
+            self.own, self.replica, lambda: self.replica.replicas, self.ask_member
+        )
         self.follower = FeedFollower(
             self.cached_view, self._sources, ask_over(self.links), self._needs_source
         )
@@ -232,6 +236,7 @@
             run_forever(self.membership.ping_forever),
             run_forever(self.membership.run),
             run_forever(self.replica.sweep_forever),
+            run_forever(self.turn_repair.run),
             run_forever(self._close_idle_links),
             run_forever(self._update_forever),
         ]
--- a/waxwingglade/ledger/replica.py
+++ b/waxwingglade/ledger/replica.py
@@ -21,6 +21,8 @@
     Accepted,
     Account,
     Ballot,
+    CompareTurns,
+    DifferentTurns,
     EndNoted,
     Ends,
     Failures,
@@ -160,6 +162,7 @@
             JudgeTurns: self.judge_turns,
             ListHeld: self.list_held,
             Fetch: self.fetch,
+            CompareTurns: self.compare_turns,
             ListFailures: self.list_failures,
         }
 
@@ -192,7 +195,7 @@
     def _replay(self, place: Place, content: bytes) -> None:
         record = decode(content)
         if isinstance(record, TurnRecord):
-            self.index.add(record.turn, place)
+            self.index.add(record.turn, place, self.wall_clock())
         elif isinstance(record, MembersRecord):
             self.replicas = record.replicas
             self.largest_set = max(self.largest_set, len(record.replicas.members))
@@ -374,7 +377,7 @@
         if turn.turn in self.turns:
             return
         place = await self._write(TurnRecord(turn))
-        self.index.add(turn, place, retain_until)
+        self.index.add(turn, place, self.wall_clock(), retain_until)
         self._add_to_cache(turn)
 
     async def find(self, message: Find) -> Any:
@@ -462,6 +465,12 @@
         }
         return Fetched(tuple(turns), accounts, retained)
 
+    async def compare_turns(self, message: CompareTurns) -> DifferentTurns:
+        """Return the names of turns here that another member may lack."""
+        names = self.index.names_unlike(message.checksums, self.wall_clock())
+        names += [name for name in message.gaps if name in self.turns]
+        return DifferentTurns(tuple(names))
+
     async def store_fetched(self, fetched: Fetched) -> None:
         """Store data of another replica, as if the proposals had reached this one late."""
         writes = [
--- a/waxwingglade/ledger/tests/test_turn_index.py
+++ b/waxwingglade/ledger/tests/test_turn_index.py
@@ -8,9 +8,10 @@
 from waxwingglade.ledger.journal import Place
 from waxwingglade.ledger.messages import Turn, TurnId
 from waxwingglade.ledger.tests.builders import turn
-from waxwingglade.ledger.turn_index import EXPIRY_MARGIN_S, TurnIndex
+from waxwingglade.ledger.turn_index import EXPIRY_MARGIN_S, SETTLE_S, TurnIndex
 
 PLACE = Place(1, 0, 0)
+SETTLED_S = 2 * SETTLE_S
 
 
 @st.composite
@@ -23,11 +24,11 @@
     return turns
 
 
-def index_of(turns: list[Turn]) -> TurnIndex:
+def index_of(turns: list[Turn], now: float = 0.0) -> TurnIndex:
     """Return an index to which turns were added in this order."""
     index = TurnIndex()
     for each in turns:
-        index.add(each, PLACE)
+        index.add(each, PLACE, now)
     return index
 
 
@@ -67,7 +68,7 @@
         late = random.sample(turns, random.randint(0, len(turns)))
         index = index_of([each for each in turns if each not in late])
         for each in late:
-            index.add(each, PLACE)
+            index.add(each, PLACE, now)
             index.remove_expired(now)
         needed = {
             name
@@ -84,15 +85,40 @@
 
     def test_a_turn_that_is_stored_again_keeps_its_longer_retention(self) -> None:
         index = index_of([turn(1, expires_at=10.0), turn(2, 1, expires_at=90.0)])
-        index.add(turn(1, expires_at=10.0), PLACE)
+        index.add(turn(1, expires_at=10.0), PLACE, 0.0)
         self.assertEqual(retention(index), {"turn-1": 90.0, "turn-2": 90.0})
 
     def test_the_retention_at_another_replica_prolongs_a_turn(self) -> None:
         index = TurnIndex()
-        index.add(turn(2, 1, expires_at=10.0), PLACE, retain_until=90.0)
-        index.add(turn(1, expires_at=5.0), PLACE)
+        index.add(turn(2, 1, expires_at=10.0), PLACE, 0.0, retain_until=90.0)
+        index.add(turn(1, expires_at=5.0), PLACE, 0.0)
         self.assertEqual(retention(index), {"turn-1": 90.0, "turn-2": 90.0})
 
 
+class ComparisonTest(unittest.TestCase):
+    @given(conversations(), st.randoms(), st.floats(0.0, 900.0))
+    def test_unexpired_turns_that_another_replica_lacks_are_named(self, turns, random, now) -> None:
+        ours, theirs = (random.sample(turns, random.randint(0, len(turns))) for _ in range(2))
+        own, other = index_of(ours), index_of(theirs)
+        after = now + SETTLED_S
+        named = set(own.names_unlike(other.checksums(after), after))
+        known = {each.turn for each in theirs}
+        lacking = {each.turn for each in ours if each.turn not in known and each.expires_at > after}
+        self.assertLessEqual(lacking, named)
+        self.assertLessEqual(named, set(own.places))
+
+    @given(conversations(), st.randoms())
+    def test_replicas_with_the_same_turns_name_none(self, turns, random) -> None:
+        own, other = index_of(turns), index_of(random.sample(turns, len(turns)))
+        self.assertEqual(own.names_unlike(other.checksums(SETTLED_S), SETTLED_S), [])
+
+    def test_a_turn_that_is_just_being_stored_is_not_named(self) -> None:
+        # Guards against reading turns again that are on their way to the other replica.
+        own, other = index_of([turn(1)], now=100.0), index_of([], now=100.0)
+        self.assertEqual(own.names_unlike(other.checksums(100.5), 100.5), [])
+        after = 100.0 + SETTLED_S
+        self.assertEqual(own.names_unlike(other.checksums(after), after), ["turn-1"])
+
+
 if __name__ == "__main__":
     unittest.main()
