Reject answers that end with an unfinished upload, and undefined statuses

Here: a reset was noticed, but an orderly end counted as the end of the body: 200 with a part of the answer for calls of both kinds, and the part of a turn was stored as the whole turn. Statuses above 599 were passed on. Statuses below 100 were rejected by accident only, as the parser takes them for interim responses.

Change: at the end of a connection the bytes that the peer has not acknowledged are looked at. A success without a length that ends before the request was received is incomplete. Refusals (413) are passed on as before. A status outside 100 to 599 is no HTTP, by name.

Why this works: the end of a connection acknowledges all that its sender has received, so bytes that are unacknowledged then were never received, and no server has processed a request that it has not received.

--- a/waxwingglade/transport/http1.py
+++ b/waxwingglade/transport/http1.py
@@ -6,7 +6,10 @@
 """
 
 import asyncio
+import fcntl
 import socket
+import struct
+import termios
 from collections import deque
 from collections.abc import Callable
 from typing import cast
@@ -39,6 +42,9 @@
 MAX_SKIPPED_BYTES = 8 * 1024 * 1024
 """Size in bytes of the body of such a response."""
 
+SUCCESSES = range(200, 300)
+"""Statuses of successful responses."""
+
 READ_HIGH_WATER_BYTES = 256 * 1024
 """Received bytes that are buffered for the reader before the connection stops reading."""
 
@@ -84,6 +90,8 @@
         no request.
     unframed : bool
         Whether only the end of the connection ended the last response, which may be truncated.
+    cut_request : bool
+        Whether the peer ended the connection before it had received the whole request.
     idle_since : float
         When the last response was read to its end, in monotonic seconds.
     opened_at, last_received_at, sent_at : float
@@ -113,12 +121,14 @@
         self.sent = False
         self.must_close = False
         self.unframed = False
+        self.cut_request = False
         self.idle_since = 0.0
         self.opened_at = 0.0
         self.last_received_at = 0.0
         self.sent_at = 0.0
         self.lost_at: float | None = None
         self.request: HttpRequest | None = None
+        self.succeeded = False
         self.close_after_response = False
 
     # Callbacks of the transport
@@ -150,6 +160,7 @@
 
     def eof_received(self) -> bool:
         """Record that the peer closed its side in order; the transport closes itself."""
+        self.cut_request = self.in_use and self._has_unreceived()
         self._record_loss()
         self._wake_reader()
         return False
@@ -166,6 +177,21 @@
             self.lost_at = monotonic()
         self.ended = True
 
+    def _has_unreceived(self) -> bool:
+        """Return whether the peer has not acknowledged all bytes that were sent.
+
+        The end of a connection acknowledges all that the peer has received.
+        """
+        assert self.transport is not None
+        if self.transport.get_write_buffer_size() > 0:
+            return True
+        own_socket = self.transport.get_extra_info("socket")
+        try:
+            (size,) = struct.unpack("i", fcntl.ioctl(own_socket, termios.TIOCOUTQ, bytes(4)))
+        except OSError:
+            return False
+        return size > 0
+
     def _wake_reader(self) -> None:
         if self.read_waiter is not None and not self.read_waiter.done():
             self.read_waiter.set_result(None)
@@ -233,6 +259,7 @@
             if is_expected(head):
                 self._end_overhead()
                 self.close_after_response = self.close_after_response or _announces_close(head)
+                self.succeeded = head.status in SUCCESSES
                 return head
             await self._skip_response()
 
@@ -252,6 +279,10 @@
         self._end_overhead()
         if isinstance(event, bytes):
             return event
+        if event is ResponseEnd.UNFRAMED and self.succeeded and self.cut_request:
+            # Nothing shows that the body is complete, and no server has processed a request that
+            # it has not received.
+            raise ConnectionBroken("the connection ended before the request was sent", self.sent)
         if isinstance(event, ResponseEnd):
             self._finish_response(event)
             return None
--- a/waxwingglade/transport/parser.py
+++ b/waxwingglade/transport/parser.py
@@ -15,6 +15,9 @@
 FIRST_FINAL_STATUS = 200
 """Lower statuses are those of interim responses, which are followed by the final one."""
 
+STATUSES = range(100, 600)
+"""Statuses that HTTP defines.  The parser takes any number below 200 for an interim response."""
+
 SWITCHED = 101
 
 
@@ -62,7 +65,7 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.error = f"not HTTP: {error}"
+            self.error = self.error or f"not HTTP: {error}"
             return
         if self.in_response and self.head is None and self.head_bytes > MAX_HEADER_BYTES:
             self.error = f"not HTTP: a head of more than {MAX_HEADER_BYTES} bytes"
@@ -110,7 +113,11 @@
     def on_headers_complete(self) -> None:
         """Append the head of a final response to the events."""
         self.head_bytes = 0
-        self.head = HttpResponse(self.parser.get_status_code(), self.headers)
+        status = self.parser.get_status_code()
+        if status not in STATUSES:
+            self.error = f"not HTTP: status {status:03}"
+            raise InvalidResponse(self.error)
+        self.head = HttpResponse(status, self.headers)
         if not self._is_interim:
             self.events.append(self.head)
 
--- a/waxwingglade/transport/tests/test_parser.py
+++ b/waxwingglade/transport/tests/test_parser.py
@@ -63,6 +63,16 @@
 
 
 class ReadingTest(unittest.TestCase):
+    def test_a_status_that_http_does_not_define_is_no_response(self) -> None:
+        # Guards against answers of failing servers whose status is 000.
+        for status in (b"000", b"007", b"099", b"600", b"999"):
+            for framing in (b"Content-Length: 4\r\n", b"Transfer-Encoding: chunked\r\n", b""):
+                head = b"HTTP/1.1 %b Odd\r\n%b\r\n" % (status, framing)
+                with self.subTest(status=status, framing=framing):
+                    complete, error = read(head + b"4\r\npart\r\n0\r\n\r\n", [], True)
+                    self.assertEqual(complete, [])
+                    self.assertEqual(error, f"not HTTP: status {status.decode()}")
+
     @given(st.sampled_from((WITH_LENGTH, CHUNKED, INTERIM)), split_points)
     def test_a_response_that_ends_before_its_connection(self, data: bytes, at: list[int]) -> None:
         self.assertEqual(read(data, at, False), ([(200, b"hello", ResponseEnd.KEEP_ALIVE)], ""))
