Reject early ends and undefined statuses in the base product's client

The same faults as in the entry's own connections: libcurl reports success when a connection is closed in order while a long request is still being written, so a part of a body without a length counted as the answer, and statuses above 599 counted as answers.

Change: for requests of 32 KiB or more it is recorded how much libcurl has written. A success without a length that ends before the request was written is a failure that may have run; refusals stay answers. A status outside 200 to 599 is not the head of a final answer.

Evidence: test_a_success_that_ends_before_the_request_was_written_is_none fails before for the 200 and holds for the 413, and the test of undefined statuses fails before for 600 and 999. Both pass now.

--- a/waxwingglade/connection/http.py
+++ b/waxwingglade/connection/http.py
@@ -9,6 +9,9 @@
 an answer, unless the part that arrived states a length.  `Exchange` therefore checks that the empty
 line after the final head was received.
 
+libcurl also reports success if a connection is closed in order while the request is still being
+written.  A success without a length that ends so is truncated.
+
 libcurl retries a request by itself, even a POST, if a reused connection is closed before the first
 byte of the answer.  `Exchange` allows this only for requests that are marked as repeatable; for all
 others the second attempt is stopped before its first byte.
@@ -45,6 +48,11 @@
 ERROR_TIMEOUT_S = 5.0
 """Size in bytes of an error answer's body, and seconds for which its rest is awaited."""
 
+UPLOAD_BYTES = 32 * 1024
+"""Size in bytes of a body from which on the written part is recorded.  Smaller ones fit into the
+buffers of a connection."""
+
+FINAL_STATUSES = range(200, 600)
 TURN_S = 0.01
 """Seconds for which pieces that already arrived are read before other tasks get a turn."""
 
@@ -157,6 +165,7 @@
         self.headers: dict[str, str] = {}
         self.header_bytes = 0
         self.head_complete = False
+        self.written = len(request.body or b"")
         self.used_grace = False
         self.turn_ends_at = 0.0
         self.pieces: asyncio.Queue[bytes] = asyncio.Queue()
@@ -193,6 +202,16 @@
             raise ConnectionAbortedError("aborted before it was sent")
         self.curl = curl
         curl.setopt(pycurl.PREREQFUNCTION, self._on_connected)
+        is_upload = len(self.request.body or b"") >= UPLOAD_BYTES
+        # The handle may have been used for another request before.
+        curl.setopt(pycurl.NOPROGRESS, not is_upload)
+        if is_upload:
+            self.written = 0
+            curl.setopt(pycurl.XFERINFOFUNCTION, self._on_progress)
+
+    def _on_progress(self, _to_read: int, _read: int, _to_write: int, written: int) -> None:
+        """Record how many bytes of the body were written."""
+        self.written = max(self.written, written)
 
     def _on_connected(self, *_addresses: object) -> int:
         """Allow or abort the request just before its first byte is sent."""
@@ -214,7 +233,7 @@
         # libcurl also passes on an unfinished line at the end of the connection.
         if line in EMPTY_LINES:
             # Interim answers, which have lower statuses, are followed by the final one.
-            self.head_complete = self.status >= HTTPStatus.OK
+            self.head_complete = self.status in FINAL_STATUSES
             return
         name, colon, value = line.partition(":")
         if colon:
@@ -317,13 +336,31 @@
     def failure(self) -> Failure | None:
         """Return the failure of a finished exchange without a complete answer, or None."""
         error = self.future.exception()
-        if error is None and self.head_complete:
+        if error is None and self.head_complete and not self._is_truncated:
             return None
         code = ErrorCode.UNAVAILABLE if error is None else _error_code(error)
-        reason = error or "the connection was closed within the head of the answer"
+        reason = error or self._why_invalid()
         message = f"{self.request.method} {self.request.url}: {reason}"
         return Failure(self.verdict(), code, message)
 
+    @property
+    def _is_truncated(self) -> bool:
+        """Whether the end of the connection ended the body before the request was written."""
+        return (
+            HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+            and self.written < len(self.request.body or b"")
+            and "content-length" not in self.headers
+            and "chunked" not in self.headers.get("transfer-encoding", "").lower()
+        )
+
+    def _why_invalid(self) -> str:
+        """Return why the bytes that arrived are no complete answer."""
+        if self.head_complete:
+            return "the connection was closed before the request was written"
+        if self.status not in FINAL_STATUSES and self.status >= HTTPStatus.OK:
+            return f"status {self.status} is not defined"
+        return "the connection was closed within the head of the answer"
+
     def verdict(self) -> Verdict:
         """Return whether any byte of the request may have been sent.
 
--- a/waxwingglade/connection/tests/test_cut_answers.py
+++ b/waxwingglade/connection/tests/test_cut_answers.py
@@ -1,6 +1,7 @@
 """Answers that end early, read by each client of engines, services, the store and entries."""
 
 import asyncio
+import socket
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -47,6 +48,10 @@
 DONE = b"data: [DONE]\n\n"
 STREAM = event_bytes("hello") + event_bytes(finish_reason="stop") + DONE
 
+UPLOAD_BYTES = 4_000_000
+RECEIVE_BUFFER_BYTES = 4096
+"""An upload that the buffers of a connection do not hold."""
+
 Call = Callable[[HttpClient, TargetSettings], Awaitable[Outcome]]
 
 CALLS: dict[str, tuple[bytes, Call]] = {
@@ -86,6 +91,27 @@
         await client.close()
 
 
+@asynccontextmanager
+async def early_server(answer: bytes) -> AsyncIterator[str]:
+    """Serve an answer whose sender closes its side before it reads the body; yield the URL."""
+    done = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        # libcurl asks before it sends a long body.
+        writer.write(b"HTTP/1.1 100 Continue\r\n\r\n" + answer)
+        writer.write_eof()
+        await done.wait()
+        writer.close()
+
+    listening = socket.socket()
+    listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    listening.bind(("127.0.0.1", 0))
+    async with await asyncio.start_server(serve, sock=listening, limit=1024):
+        yield f"http://127.0.0.1:{listening.getsockname()[1]}/"
+        done.set()
+
+
 class CutAnswerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         # The debug mode of the loop records a stack for each callback, most of the time taken here.
@@ -174,6 +200,28 @@
                         with self.assertRaises(ConnectionError):
                             events += [event async for event in stream]
 
+    async def test_a_success_that_ends_before_the_request_was_written_is_none(self) -> None:
+        # Guards against a part of an answer that counts as complete, because its server ended the
+        # connection in order while a long request was still being written.
+        client = HttpClient(HttpClientSettings(max_clients=2))
+        self.addAsyncCleanup(client.close)
+        for status, succeeds in (("200 OK", False), ("413 Too Large", True)):
+            async with early_server(f"HTTP/1.1 {status}\r\n\r\npart".encode()) as url:
+                request = HttpRequest("POST", url, body=b"u" * UPLOAD_BYTES, timeout_s=5.0)
+                outcome = await with_timeout(send(client, request))
+            with self.subTest(status=status):
+                self.assertEqual(outcome.is_ok(), succeeds)
+
+    async def test_a_status_that_http_does_not_define_is_no_answer(self) -> None:
+        # Guards against answers of failing servers whose status is 000.
+        for status in (b"000", b"099", b"600", b"999"):
+            answer = b"HTTP/1.1 %b Odd\r\nContent-Length: 2\r\n\r\n{}" % status
+            async with cut_by(Cut(answer)) as (client, server):
+                request = HttpRequest("POST", server.url, body=b"{}", timeout_s=5.0)
+                outcome = await with_timeout(send(client, request))
+            with self.subTest(status=status):
+                self.assertTrue(outcome.is_err())
+
 
 if __name__ == "__main__":
     unittest.main()
