Add a soak of planned stops with requests that take long

Entries and ledger processes are stopped and restarted in series and overlapping, beside changed settings, routes and sets of members; stopping entries get further signals. After every soak, all members of the ledger must have the same turns.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -19,6 +19,7 @@
     LEDGER_KINDS,
     LIMIT_KINDS,
     PAUSE_KINDS,
+    STOP_KINDS,
 )
 from tests.soak.regressions import LATER_REGRESSIONS, LEDGER_REGRESSIONS, REGRESSIONS
 from tests.soak.run import FAULT_FREE_SIZE, Size, soak
@@ -28,6 +29,7 @@
 """Share of their answers that servers lose in runs with accounts."""
 
 LIMIT_FAULTS_PER_S = 0.4
+STOP_CALLERS = 24
 
 LEDGER_SIZE = Size(entries=4, programs=24, kinds=LEDGER_KINDS, fatal=0)
 """Many programs, so that many turns are in progress while the ledger does not answer."""
@@ -85,6 +87,10 @@
             help="idle entries, and servers that pause or send bytes without end, beside changes"
         ),
     ] = False,
+    stops: Annotated[
+        bool,
+        typer.Option(help="planned work only, and requests that take long on open connections"),
+    ] = False,
     uneven: Annotated[
         bool,
         typer.Option(help="servers differ in speed and report the stretch of their VMs"),
@@ -123,8 +129,9 @@
         programs,
         spares=spares,
         sub_agents=swarms,
-        fatal=fatal,
+        fatal=0 if stops else fatal,
         hiding=hiding,
+        stops=STOP_CALLERS if stops else 0,
     )
     if machine_disk:
         size = msgspec.structs.replace(size, flush_s=0.0)
@@ -146,7 +153,12 @@
         size = msgspec.structs.replace(size, crash_kinds=VISIBLE_CRASHES)
     if uneven:
         size = msgspec.structs.replace(size, uneven=True)
-    choices = ((leaving, LEAVING_KINDS), (store_gaps, GAP_KINDS), (foreign, FOREIGN_KINDS))
+    choices = (
+        (leaving, LEAVING_KINDS),
+        (store_gaps, GAP_KINDS),
+        (foreign, FOREIGN_KINDS),
+        (stops, STOP_KINDS),
+    )
     for kinds in (kinds for is_chosen, kinds in choices if is_chosen):
         size = msgspec.structs.replace(size, kinds=kinds)
     if ledger:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -6,6 +6,7 @@
 import signal
 import time
 from collections.abc import Callable, Coroutine, Sequence
+from contextvars import ContextVar
 from pathlib import Path
 from typing import Any
 
@@ -14,6 +15,7 @@
 from tests.soak.accounts import BOUNDS, FREE, Accounts
 from tests.soak.cut_heads import HeadCut, send_cut
 from tests.soak.endless_bytes import EndlessAnswer, EndlessKind, send_without_end
+from tests.soak.requested_work import work_of
 from waxwingglade.platform.registry import REPLICAS_KEY
 from waxwingglade.standins.metadata_store import MetadataStore, StoreFault
 from waxwingglade.standins.registered_server import Crash, RegisteredServer
@@ -48,6 +50,9 @@
 HEARTBEAT_POLL_S = 0.05
 STORE_AWAY = (StoreFault.BUSY, StoreFault.UNRESPONSIVE)
 
+REQUESTED_WORK: ContextVar[float | None] = ContextVar("REQUESTED_WORK", default=None)
+"""Seconds for which the request that is run now is worked on; None for the usual time."""
+
 SLOW_DISK = Path(__file__).with_name("slow_disk.py")
 
 
@@ -147,11 +152,19 @@
             await self._work()
             await send_cut(writer, cut, self._answer_head(request, body))
             return False
+        REQUESTED_WORK.set(work_of(body))
         completed = await super()._run(writer, request, body)
         if completed:
             self.completed_at[request] = time.monotonic()
         return completed
 
+    async def _work(self) -> None:
+        requested_s = REQUESTED_WORK.get()
+        if requested_s is None:
+            await super()._work()
+        else:
+            await asyncio.sleep(requested_s / max(1, self.events))
+
 
 class LedgerProcess(Node):
     """A ledger process whose flushes take `flush_s` seconds; 0 to flush to the machine's disk."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -79,6 +79,7 @@
             FaultKind.PAUSE_ENTRY: self._pause_entry,
             FaultKind.STOP_ENTRY: self._stop_entry,
             FaultKind.HUP: self._send_sighup,
+            FaultKind.SIGNAL_STOPPING: self._signal_stopping,
             FaultKind.KILL_LEDGER: lambda _: self._fail_ledger(FaultKind.KILL_LEDGER),
             FaultKind.TEAR_JOURNAL: lambda _: self._fail_ledger(FaultKind.TEAR_JOURNAL),
             FaultKind.WIPE_LEDGER: lambda _: self._fail_ledger(FaultKind.WIPE_LEDGER),
@@ -190,6 +191,25 @@
             self.end(occurrence)
             self._start(occurrence, entry)
 
+    async def _signal_stopping(self, _lasts_s: float) -> None:
+        """Stop an entry, and send it further signals until it has exited."""
+        entry = self.rng.choice(self.cluster.entries)
+        async with self._lock(entry):
+            await self.cluster.until(lambda: entry.has_started)
+            occurrence = self.begin(FaultKind.SIGNAL_STOPPING, entry.name)
+            signalling = asyncio.create_task(self._send_signals(entry))
+            await self._stop(entry)
+            signalling.cancel()
+            self.end(occurrence)
+            self._start(occurrence, entry)
+
+    async def _send_signals(self, node: Node) -> None:
+        assert node.process is not None
+        while True:
+            await asyncio.sleep(self.rng.uniform(0.05, 2.0))
+            if node.process.poll() is None:
+                node.signal(self.rng.choice((signal.SIGHUP, signal.SIGTERM)))
+
     async def _stop(self, node: Node) -> None:
         """Send a process SIGTERM, and check that it exits within its grace period."""
         await self.cluster.until(lambda: node.has_started)
--- a/tests/soak/kinds.py
+++ b/tests/soak/kinds.py
@@ -48,6 +48,7 @@
     CUT_HEADS = "a server closes in the middle of the head of its answer"
     ODD_ORDERS = "an order to retire a VM whose state has no valid key, beside another order"
     LARGE_ITEMS = "another writer writes several large items at once"
+    SIGNAL_STOPPING = "an entry is told to stop, and gets further signals meanwhile"
 
 
 EVERYWHERE = "everywhere"
@@ -160,6 +161,16 @@
 """Writes of others that no process can use, beside some of the other kinds."""
 
 
+STOP_KINDS = (
+    *(FaultKind.STOP_ENTRY, FaultKind.SIGNAL_STOPPING) * 3,
+    *(FaultKind.STOP_LEDGER, FaultKind.HUP, FaultKind.CONFIGURE) * 2,
+    FaultKind.CHANGE_ROUTES,
+    FaultKind.EMPTY_LEDGER,
+    FaultKind.KILL_LEDGER,
+)
+"""Planned work, in series and overlapping."""
+
+
 class FaultOccurrence(msgspec.Struct):
     """One occurrence of a fault.
 
@@ -203,6 +214,7 @@
     "LEDGER_KINDS",
     "LIMIT_KINDS",
     "PAUSE_KINDS",
+    "STOP_KINDS",
     "USUAL_KINDS",
     "WITHHOLDING_KINDS",
     "FaultKind",
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -28,6 +28,12 @@
 from tests.soak.interrupted_turns import Completion, check_completed_turns, check_ledger_refusals
 from tests.soak.kinds import EVERYWHERE, USUAL_KINDS, FaultKind
 from tests.soak.leaving_targets import check_left
+from tests.soak.planned_stops import (
+    StopCallers,
+    check_members_complete,
+    check_planned_stops,
+    put_route,
+)
 from tests.soak.single_sendings import SingleCallers, check_single_sendings, put_routes
 from tests.soak.store_gaps import Probe, StoreGaps, check_added_routes
 from tests.soak.sub_agents import SubAgents
@@ -73,6 +79,9 @@
     single : int
         Number of concurrent callers whose calls may be sent to one server only; it changes the run
         of a seed.
+    stops : int
+        Number of concurrent callers whose requests take long, beside planned stops; it changes the
+        run of a seed.
     accounts : bool
         Whether callers need the keys of client accounts.
     pressing : int
@@ -104,6 +113,7 @@
     crash_kinds: tuple[Crash, ...] = (Crash.RESET,)
     hiding: tuple[FaultKind, ...] = HIDING_KINDS
     single: int = 0
+    stops: int = 0
     accounts: bool = False
     pressing: int = 0
     lost_share: float = 0.0
@@ -183,6 +193,9 @@
         if size.single:
             await put_routes(cluster, callers, faults)
         single = SingleCallers(callers, random.Random(seed + 5_000_000))
+        if size.stops:
+            await put_route(cluster, callers, faults)
+        stops = StopCallers(callers, random.Random(seed + 8_000_000))
         supervisor = Supervisor(cluster, size.restarts)
         supervisor.start()
         workload_task = asyncio.gather(
@@ -190,6 +203,7 @@
             sub_agents.run(size.sub_agents),
             fatal.run(size.fatal),
             single.run(size.single),
+            stops.run(size.stops),
         )
         await faults.run(size.seconds, size.faults_per_s)
         await gaps.wait()
@@ -202,6 +216,7 @@
         callers.stopping = True
         await workload_task
         violations += await _check_continuation(cluster, callers)
+        violations += await check_members_complete(cluster)
         await asyncio.sleep(LATE_RUNS_S)
         await supervisor.stop()
         faults.stop()
@@ -297,7 +312,9 @@
             server.name, server.left_at, server.runs, entries, faults.occurrences, ledgers
         )
     violations += check_added_routes(probes, faults.occurrences, ledgers)
-    violations += _check_graceful_stops(callers, faults, {run.request for run in runs})
+    ran = {run.request for run in runs}
+    violations += _check_graceful_stops(callers, faults, ran)
+    violations += check_planned_stops(callers.attempts, ran, faults.occurrences)
     completions = {
         request: Completion(server.name, at)
         for server in cluster.all_servers()
