Collect the bodies of callers in one piece of memory

What callers would see: an entry that ends for lack of memory, with the requests of all its callers.

Cause: the size of a body was bounded, and the memory that it takes was not. The entry kept a list of its pieces, and a piece of two bytes takes about forty.

Change: the pieces are appended to one bytearray, as for bodies of targets.

--- a/waxwingglade/ingress/exchange.py
+++ b/waxwingglade/ingress/exchange.py
@@ -77,7 +77,8 @@
         self.limits = limits
         self.start_line: RequestStartLine | None = None
         self.headers = HTTPHeaders()
-        self.pieces: list[bytes] = []
+        # A list of the pieces would take many times their size if they are small.
+        self.received_body = bytearray()
         self.arrived_at = self.received_at = time.monotonic()
         self.received = False
         self.task: asyncio.Task | None = None
@@ -104,7 +105,7 @@
     def data_received(self, chunk: bytes) -> None:
         """Store a piece of the body."""
         self.received_at = time.monotonic()
-        self.pieces.append(chunk)
+        self.received_body += chunk
 
     def finish(self) -> None:
         """Serve the request, which is complete.
@@ -151,7 +152,7 @@
     @property
     def body(self) -> bytes:
         """The complete body."""
-        return b"".join(self.pieces)
+        return bytes(self.received_body)
 
     def header_list(self) -> HeaderList:
         """Return the headers in order."""
