Refuse chains whose turns continue each other

What callers would see: a ledger process that hangs, and with it all turns that it begins.

Cause: callers choose the names of turns, so a name that is used again may continue its own successor at a member that missed the first use.

Change: the search counts its steps and refuses the turn as undecided.

--- a/waxwingglade/ledger/tests/test_split_chains.py
+++ b/waxwingglade/ledger/tests/test_split_chains.py
@@ -1,10 +1,13 @@
 """Chains of which no member has all turns, as each was away while another turn was stored."""
 
+import asyncio
 import unittest
 
 from waxwingglade.ledger.messages import Find, NoSuchTurn, TurnBegun
 from waxwingglade.ledger.tests.builders import Cluster, begin, turn
 
+TIMEOUT_S = 5.0
+
 
 class SplitChainTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -42,6 +45,17 @@
         answer = await self.cluster.coordinator("vm-0").begin(begin(3, previous="turn-2"))
         self.assertNotIsInstance(answer, NoSuchTurn | TurnBegun)
 
+    async def test_turns_that_continue_each_other_are_refused(self) -> None:
+        # Guards against a search without end.  Callers choose the names of turns, so a name that is
+        # used again may continue its own successor at a member that missed the first use.
+        await self.cluster.keep(turn(1), "vm-0")
+        await self.cluster.keep(turn(2, 1), "vm-0", "vm-1", "vm-2")
+        await self.cluster.keep(turn(1, 2), "vm-1", "vm-2")
+        for vm in ("vm-1", "vm-2"):
+            async with asyncio.timeout(TIMEOUT_S):
+                answer = await self.cluster.coordinator(vm).begin(begin(3, previous="turn-2"))
+            self.assertNotIsInstance(answer, NoSuchTurn)
+
     async def test_a_chain_is_not_sent_again_from_turns_that_are_known(self) -> None:
         await self.split()
         coordinator = self.cluster.coordinator("vm-0")
--- a/waxwingglade/ledger/turns.py
+++ b/waxwingglade/ledger/turns.py
@@ -159,11 +159,20 @@
 
 
 def _first_missing(turns: dict[TurnId, Turn], last: TurnId) -> TurnId | None:
-    """Return the last turn of a chain that is not among the turns; None if all are."""
+    """Return the last turn of a chain that is not among the turns; None if all are.
+
+    Raises
+    ------
+    NoMajority
+        If turns continue each other.  Callers choose their names, and a name that is used again may
+        be that of different turns at different members.
+    """
     wanted: TurnId | None = last
-    while wanted is not None and wanted in turns:
+    for _ in range(len(turns) + 1):
+        if wanted is None or wanted not in turns:
+            return wanted
         wanted = turns[wanted].previous
-    return wanted
+    raise NoMajority(f"the turns before {last} continue each other")
 
 
 def _chain(turns: dict[TurnId, Turn], last: TurnId) -> tuple[Turn, ...]:
