Ignore signals that arrive while a process exits

Cause: the interpreter restores the default action of signals that have a handler when it finishes, and the event loop's handlers were still set.

Change: a process that has stopped ignores SIGTERM and SIGHUP. The interpreter leaves ignored signals as they are.

Evidence: the new test fails before (the handler of the closed event loop is still set), passes now.

--- a/waxwingglade/platform/process.py
+++ b/waxwingglade/platform/process.py
@@ -157,8 +157,20 @@
     loop.add_signal_handler(
         signal.SIGHUP, lambda: run_detached(log_settings_change(path, settings))
     )
-    settings = load_node_settings(path)
-    await RUNNERS[purpose](settings, stop)
+    try:
+        settings = load_node_settings(path)
+        await RUNNERS[purpose](settings, stop)
+    finally:
+        ignore_signals()
+
+
+def ignore_signals() -> None:
+    """Ignore further signals, whose default action would end the process while it exits."""
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGHUP):
+        # The event loop would restore the default action of its handlers when it closes.
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
 
 
 async def log_settings_change(path: Path, settings: NodeSettings) -> None:
--- a/waxwingglade/platform/tests/test_process.py
+++ b/waxwingglade/platform/tests/test_process.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from unittest import mock
 
+import uvloop
 import yaml
 from loguru import logger
 
@@ -71,5 +72,29 @@
         self.assertEqual(["bootstrap"], self.logged[0]["changed"])
 
 
+class SignalsWhileExiting(unittest.TestCase):
+    def test_signals_that_arrive_after_a_stop_do_not_end_the_process(self) -> None:
+        # Guards against a process that a late SIGHUP or SIGTERM ends with status -1 or -15, after
+        # it has stopped as planned and before its logs are written.
+        numbers = (signal.SIGTERM, signal.SIGHUP)
+        for number in numbers:
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+
+        async def stopped(_settings: NodeSettings, _stop: asyncio.Event) -> None:
+            pass
+
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.yaml"
+            path.write_text(yaml.safe_dump(SETTINGS))
+            with (
+                mock.patch.object(process, "settings_path", lambda: path),
+                mock.patch.dict(process.RUNNERS, {Purpose.ENTRY: stopped}),
+            ):
+                uvloop.run(process.run(Purpose.ENTRY))
+        for number in numbers:
+            self.assertEqual(signal.getsignal(number), signal.SIG_IGN)
+            os.kill(os.getpid(), number)
+
+
 if __name__ == "__main__":
     unittest.main()
