Call the existing test of whom a fault affects, and correct a comment

Cause: the check of planned stops wrote FaultOccurrence.affects again, a comment named the event loop where the interpreter restores the default action of signals, and an attribute of TurnRepair had no description.

Change: the check calls affects, which excuses the same or less; the comment and the docstring are mended. No line of the product that runs is different.

--- a/tests/soak/planned_stops.py
+++ b/tests/soak/planned_stops.py
@@ -12,7 +12,7 @@
 from tests.platform_cluster import CALL, GRACE_S, HOST, ORDER, ROUTE_S, STREAM, Node
 from tests.soak.cluster import SoakCluster
 from tests.soak.faults import Faults
-from tests.soak.kinds import EVERYWHERE, FaultKind, FaultOccurrence
+from tests.soak.kinds import FaultKind, FaultOccurrence
 from tests.soak.workload import Attempt, Callers
 
 QUICK = "/quick/"
@@ -148,7 +148,7 @@
     return any(
         each.kind not in planned
         and each.overlaps(attempt.sent_at - EXCUSED_SENT_S, attempt.ended_at)
-        and (each.where == EVERYWHERE or attempt.entry in each.where.split() or _is_ledger(each))
+        and (each.affects(attempt.entry) or _is_ledger(each))
         for each in occurrences
     )
 
--- a/waxwingglade/ledger/turn_repair.py
+++ b/waxwingglade/ledger/turn_repair.py
@@ -46,6 +46,8 @@
     ----------
     repaired : int
         Turns that were read from other members.
+    compared : int
+        Comparisons so far, which determine the next member.
     """
 
     def __init__(
--- a/waxwingglade/platform/process.py
+++ b/waxwingglade/platform/process.py
@@ -168,7 +168,7 @@
     """Ignore further signals, whose default action would end the process while it exits."""
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGHUP):
-        # The event loop would restore the default action of its handlers when it closes.
+        # The interpreter restores the default action of signals with a handler when it finishes.
         loop.remove_signal_handler(number)
         signal.signal(number, signal.SIG_IGN)
 
